--- /dev/null
+++ b/src/core/contracts/parse.ts
@@ -0,0 +1,84 @@
+/**
+ * Turns text into contracts and documents, and documents into text.
+ */
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {z} from 'zod';
+import type {ContractError} from './errors.ts';
+import {contractSchema, documentSchema} from './schema.ts';
+import type {Contract, ContractDocument} from './types.ts';
+
+const maxShownLength = 80;
+
+function findValue(root: unknown, path: readonly PropertyKey[]): unknown {
+	let value = root;
+	for (const key of path) {
+		value = (value as Record<PropertyKey, unknown> | undefined)?.[key];
+	}
+
+	return value;
+}
+
+function describeIssue(input: unknown, issue: z.core.$ZodIssue): string {
+	const path = ['$', ...issue.path.map(key => typeof key === 'number' ? `[${key}]` : `.${String(key)}`)].join('');
+	const value = JSON.stringify(findValue(input, issue.path)) ?? 'absent';
+	const shown = value.length > maxShownLength ? `${value.slice(0, maxShownLength - 3)}...` : value;
+	const rule = issue.code === 'invalid_key' ? issue.issues.map(({message}) => message).join(', ') : issue.message;
+	return `${path}: ${rule} (value: ${shown})`;
+}
+
+function parseJson(text: string, what: string): Result<unknown, ContractError> {
+	try {
+		return Ok(JSON.parse(text));
+	} catch (error) {
+		return Err({kind: 'malformed', message: `${what} is not JSON: ${(error as Error).message}`});
+	}
+}
+
+function checkValue<Value>(schema: z.ZodType<Value>, input: unknown): Result<Value, ContractError> {
+	const parsed = schema.safeParse(input);
+	if (parsed.success) {
+		return Ok(parsed.data);
+	}
+
+	return Err({kind: 'invalid', message: parsed.error.issues.map(issue => describeIssue(input, issue)).join('\n')});
+}
+
+/**
+ * Parses a contract as an operator gives it.
+ *
+ * @param text - JSON text.
+ * @returns The contract with defaults, or one line per fault: JSON path, rule, value.
+ */
+export function parseContract(text: string): Result<Contract, ContractError> {
+	return parseJson(text, 'contract').andThen(input => checkValue<Contract>(contractSchema, input));
+}
+
+/**
+ * Checks a document given as a parsed value.
+ *
+ * @param input - The value, such as a peer's reply.
+ * @returns The document, or one line per fault.
+ */
+export function checkDocument(input: unknown): Result<ContractDocument, ContractError> {
+	return checkValue<ContractDocument>(documentSchema, input);
+}
+
+/**
+ * Parses the document as kept in the store.
+ *
+ * @param text - JSON text.
+ * @returns The document, or one line per fault.
+ */
+export function parseDocument(text: string): Result<ContractDocument, ContractError> {
+	return parseJson(text, 'contract document').andThen(input => checkDocument(input));
+}
+
+/**
+ * Encodes a document for the store.
+ *
+ * @param document - The document.
+ * @returns JSON text.
+ */
+export function encodeDocument(document: ContractDocument): string {
+	return JSON.stringify(document);
+}
--- /dev/null
+++ b/src/core/contracts/schema.ts
@@ -0,0 +1,95 @@
+/**
+ * Schemas of a contract and of the document that holds all contracts.
+ *
+ * A contract given by an operator is checked strictly: an unknown key is a fault. A document that
+ * was accepted before is checked loosely, so that a process can serve what a newer release wrote.
+ */
+import {z} from 'zod';
+import {urgencies} from './types.ts';
+
+/** Greatest number of tasks in a job that a contract can allow. */
+export const maxTasksPerJob = 760;
+
+const maxDeadlineMs = 60_000;
+const maxKinds = 64;
+const maxTokens = 16;
+const namePattern = /^[a-z\d][a-z\d.-]{0,62}$/;
+const nameRule = 'must be 1 to 63 lower-case letters, digits, dots or hyphens, and begin with a letter or a digit';
+
+const name = z.string().regex(namePattern, nameRule);
+
+const kindShape = {
+	urgency: z.enum(urgencies).default('normal')
+		.describe('Order of work within what the contract may have.'),
+	deadlineMs: z.int().min(10).max(maxDeadlineMs).default(5000)
+		.describe('Deadline of a job that states none, in ms.'),
+};
+
+const limitShape = {
+	customer: name
+		.describe('Name of the customer; the contract is kept under this name.'),
+	tokenDigests: z.array(z.string().regex(/^[\da-f]{64}$/, 'must be a SHA-256 digest of 64 lower-case hexadecimal digits'))
+		.max(maxTokens).default([])
+		.describe('SHA-256 digests of the customer\'s bearer tokens; none lets nobody in.'),
+	weight: z.number().min(0.001).max(1_000_000).default(1)
+		.describe('Share of the fleet relative to other contracts when there is too much work.'),
+	rate: z.number().min(0.1).max(10_000_000).default(1000)
+		.describe('Greatest mean rate, in tasks per second, over all entries.'),
+	burst: z.int().min(1).max(10_000_000).default(2000)
+		.describe('Tasks that may be submitted at once above the mean rate; at least maxTasksPerJob.'),
+	maxJobsInFlight: z.int().min(1).max(1_000_000).default(1000)
+		.describe('Greatest number of jobs that are not answered yet.'),
+	maxTasksInFlight: z.int().min(1).max(10_000_000).default(10_000)
+		.describe('Greatest number of tasks of jobs that are not answered yet; at least maxTasksPerJob.'),
+	maxTasksPerJob: z.int().min(1).max(maxTasksPerJob).default(maxTasksPerJob)
+		.describe('Greatest number of tasks in a job.'),
+	maxJobBytes: z.int().min(1).max(67_108_864).default(4_194_304)
+		.describe('Greatest size of all task bodies of a job, in bytes.'),
+	retryBudget: z.number().min(0).max(1).default(0.1)
+		.describe('Retries that may be spent per first try.'),
+	successRate: z.number().min(0).max(1).default(0.999)
+		.describe('Success rate to hold for admitted jobs.'),
+};
+
+function createKinds<Kind extends z.ZodType>(kind: Kind) {
+	return z.record(name, kind)
+		.refine(kinds => Object.keys(kinds).length > 0, 'must name at least one kind')
+		.refine(kinds => Object.keys(kinds).length <= maxKinds, `must name at most ${maxKinds} kinds`)
+		.describe('Kinds of work by name; a job of any other kind is refused.');
+}
+
+/** Schema of a contract as an operator gives it. */
+export const contractSchema = z.strictObject({...limitShape, kinds: createKinds(z.strictObject(kindShape))})
+	.superRefine((contract, context) => {
+		for (const key of ['burst', 'maxTasksInFlight'] as const) {
+			if (contract[key] < contract.maxTasksPerJob) {
+				context.addIssue({
+					code: 'custom',
+					path: [key],
+					message: `must be at least maxTasksPerJob, which is ${contract.maxTasksPerJob}, or such a job could never run`,
+				});
+			}
+		}
+	});
+
+const storedContract = z.looseObject({...limitShape, kinds: createKinds(z.looseObject(kindShape))});
+
+const changeSchema = z.looseObject({
+	changeId: z.string().min(1).max(64).describe('Random id by which a command recognises its own write.'),
+	revision: z.int().min(1).describe('Revision of the document that the change made.'),
+	customer: name.describe('Customer whose contract was changed.'),
+	action: z.enum(['apply', 'remove', 'restore']).describe('What was done.'),
+	operator: z.string().min(1).max(128).describe('Who made the change.'),
+	changedAt: z.number().describe('Time of the change by the operator\'s clock, in ms since the epoch.'),
+	contract: storedContract.optional().describe('The contract after the change; absent when removed.'),
+});
+
+/** Schema of the document that holds all contracts. */
+export const documentSchema = z.looseObject({
+	revision: z.int().min(0).default(0)
+		.describe('Rises with each accepted change; 0 for the empty document.'),
+	contracts: z.record(name, storedContract).default({})
+		.describe('Contracts by customer.'),
+	history: z.array(changeSchema).default([])
+		.describe('The latest changes, newest last.'),
+});
