--- /dev/null
+++ b/src/adapters/http/answers.ts
@@ -0,0 +1,117 @@
+/**
+ * Writes responses: whole answers, states of jobs and problem documents.
+ */
+import {Buffer, isUtf8} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {JobId} from '../../core/identity/types.ts';
+import type {Problem} from './problems.ts';
+
+const msPerSecond = 1000;
+const lingerMs = 1000;
+
+/**
+ * Encodes the result of one task as JSON text.
+ *
+ * @param result - The target's answer.
+ * @returns The answer itself if it is JSON, else `{"text": …}`, or `{"base64": …}` if it is not UTF-8.
+ */
+export function encodeResult(result: Uint8Array): string {
+	const bytes = Buffer.from(result.buffer, result.byteOffset, result.byteLength);
+	if (!isUtf8(bytes)) {
+		return JSON.stringify({base64: bytes.toString('base64')});
+	}
+
+	const text = bytes.toString('utf8');
+	try {
+		JSON.parse(text);
+		return text;
+	} catch {
+		return JSON.stringify({text});
+	}
+}
+
+/**
+ * Encodes a whole answer as JSON text.
+ *
+ * @param id - The job.
+ * @param results - The target's answers in the order of the tasks.
+ * @returns The text.
+ */
+export function encodeAnswer(id: JobId, results: readonly Uint8Array[]): string {
+	const texts = results.map(result => encodeResult(result));
+	return `{"id":${JSON.stringify(id)},"outcome":"complete","results":[${texts.join(',')}]}`;
+}
+
+/**
+ * Writes a response unless one was written or the caller has gone.
+ *
+ * @param response - The response.
+ * @param status - HTTP status.
+ * @param contentType - Media type of the body.
+ * @param body - The body as text.
+ */
+export function writeResponse(response: ServerResponse, status: number, contentType: string, body: string): void {
+	if (response.headersSent || response.destroyed) {
+		return;
+	}
+
+	const bytes = Buffer.from(body);
+	response.writeHead(status, {'Content-Type': contentType, 'Content-Length': bytes.length});
+	response.end(bytes);
+}
+
+/**
+ * Writes a JSON response.
+ *
+ * @param response - The response.
+ * @param status - HTTP status.
+ * @param body - The value to encode.
+ */
+export function writeJson(response: ServerResponse, status: number, body: unknown): void {
+	writeResponse(response, status, 'application/json', JSON.stringify(body));
+}
+
+/**
+ * Lists the headers of a problem document.
+ *
+ * @param problem - The document.
+ * @returns The headers by name.
+ */
+export function listProblemHeaders(problem: Problem): Record<string, string> {
+	return {
+		'Content-Type': 'application/problem+json',
+		...(problem.retryAfterMs === undefined ? {} : {'Retry-After': String(Math.ceil(problem.retryAfterMs / msPerSecond))}),
+		...(problem.status === 401 ? {'WWW-Authenticate': 'Bearer'} : {}),
+	};
+}
+
+/**
+ * Writes a problem document. If part of the request's body is still to come, the connection is closed
+ * after the document, and bytes that arrive meanwhile are discarded so that the caller can read it.
+ *
+ * @param request - The request.
+ * @param response - Its response.
+ * @param problem - The document.
+ */
+export function writeProblem(request: IncomingMessage, response: ServerResponse, problem: Problem): void {
+	if (response.headersSent || response.destroyed) {
+		return;
+	}
+
+	const bytes = Buffer.from(JSON.stringify(problem));
+	if (request.complete) {
+		response.writeHead(problem.status, {...listProblemHeaders(problem), 'Content-Length': bytes.length});
+		response.end(bytes);
+		return;
+	}
+
+	response.writeHead(problem.status, {...listProblemHeaders(problem), 'Content-Length': bytes.length, Connection: 'close'});
+	response.write(bytes);
+	const timer = setTimeout(() => response.end(), lingerMs);
+	request.once('close', () => {
+		clearTimeout(timer);
+		response.end();
+	});
+	request.once('end', () => response.end());
+	request.resume();
+}
--- /dev/null
+++ b/src/adapters/http/body.ts
@@ -0,0 +1,102 @@
+/**
+ * Reads request bodies under caps that are checked before and while bytes arrive.
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {HttpError} from './errors.ts';
+
+/** Caps on bodies. */
+export type BodyLimits = {
+	/** Greatest size of one body, in bytes. */
+	readonly maxBodyBytes: number;
+	/** Greatest size of all bodies that are being received, in bytes. */
+	readonly maxBufferedBytes: number;
+};
+
+/** Reads bodies and counts the bytes that all of them hold. */
+export type BodyReader = {
+	/** Reads a whole JSON body; the request goes on after a refusal and is to be discarded by the caller. */
+	readBody(request: IncomingMessage): Promise<Result<Uint8Array, HttpError>>;
+};
+
+const overloadRetryMs = 1000;
+const jsonTypePattern = /^application\/json\s*(?:;|$)/i;
+
+function checkHeader(request: IncomingMessage, maxBodyBytes: number): Result<void, HttpError> {
+	const contentType = request.headers['content-type'] ?? '';
+	if (!jsonTypePattern.test(contentType)) {
+		return Err({
+			kind: 'unsupported-media-type', field: 'Content-Type', value: contentType.slice(0, 80), message: 'Content-Type must be application/json',
+		});
+	}
+
+	const encoding = request.headers['content-encoding'];
+	if (encoding !== undefined && encoding !== 'identity') {
+		return Err({
+			kind: 'unsupported-media-type', field: 'Content-Encoding', value: encoding.slice(0, 80), message: 'Content-Encoding must be identity or absent',
+		});
+	}
+
+	const length = Number(request.headers['content-length'] ?? 0);
+	return length > maxBodyBytes ? createSizeError(`${length} bytes`, maxBodyBytes) : Ok(undefined);
+}
+
+function createSizeError(value: string, maxBodyBytes: number): Err<HttpError> {
+	return Err({
+		kind: 'body-too-large', field: 'body', value, message: `the body must have at most ${maxBodyBytes} bytes (value: ${value})`,
+	});
+}
+
+/**
+ * Creates a reader of bodies.
+ *
+ * @param limits - Caps on bodies.
+ * @returns The reader.
+ */
+export function createBodyReader(limits: BodyLimits): BodyReader {
+	const {maxBodyBytes, maxBufferedBytes} = limits;
+	let bufferedBytes = 0;
+
+	async function collectBody(request: IncomingMessage): Promise<Result<Uint8Array, HttpError>> {
+		const chunks: Uint8Array[] = [];
+		let size = 0;
+
+		return new Promise(resolve => {
+			function settle(result: Result<Uint8Array, HttpError>): void {
+				request.off('data', handleChunk).off('end', handleEnd).off('close', handleClose);
+				bufferedBytes -= size;
+				resolve(result);
+			}
+
+			function handleChunk(chunk: Uint8Array): void {
+				size += chunk.length;
+				bufferedBytes += chunk.length;
+				if (size > maxBodyBytes) {
+					settle(createSizeError(`more than ${maxBodyBytes} bytes`, maxBodyBytes));
+				} else if (bufferedBytes > maxBufferedBytes) {
+					settle(Err({kind: 'overloaded', message: `more than ${maxBufferedBytes} bytes of requests are being received`, retryAfter: overloadRetryMs}));
+				} else {
+					chunks.push(chunk);
+				}
+			}
+
+			function handleEnd(): void {
+				settle(Ok(Buffer.concat(chunks, size)));
+			}
+
+			function handleClose(): void {
+				settle(Err({kind: 'body-incomplete', message: 'the connection was closed before the whole body had arrived'}));
+			}
+
+			request.on('data', handleChunk).on('end', handleEnd).on('close', handleClose).on('error', () => undefined);
+		});
+	}
+
+	return {
+		async readBody(request) {
+			const checked = checkHeader(request, maxBodyBytes);
+			return checked.isErr() ? checked : collectBody(request);
+		},
+	};
+}
--- /dev/null
+++ b/src/adapters/http/flights.ts
@@ -0,0 +1,69 @@
+/**
+ * Keeps account of requests in flight, for draining and for faults on a connection in use.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+/** Account of requests in flight. */
+export type Flights = {
+	/** Counts a request as in flight until its response is written or its connection is closed. */
+	addRequest(request: IncomingMessage, response: ServerResponse): void;
+	/** Counts work as in flight until it settles; resolves with it. */
+	addWork(work: Promise<void>): Promise<void>;
+	/** Returns whether a request that was read as a whole, or is being answered, is in flight on the connection. */
+	hasAnswerDue(socket: Socket): boolean;
+	/** Resolves once nothing is in flight. */
+	waitIdle(): Promise<void>;
+};
+
+/**
+ * Creates an empty account.
+ *
+ * @returns The account.
+ */
+export function createFlights(): Flights {
+	const responses = new Map<ServerResponse, IncomingMessage>();
+	const works = new Set<Promise<void>>();
+	const waiting: Array<() => void> = [];
+
+	function isIdle(): boolean {
+		return responses.size === 0 && works.size === 0;
+	}
+
+	function checkIdle(): void {
+		if (isIdle()) {
+			for (const resolve of waiting.splice(0)) {
+				resolve();
+			}
+		}
+	}
+
+	return {
+		addRequest(request, response) {
+			responses.set(response, request);
+			response.once('close', () => {
+				responses.delete(response);
+				checkIdle();
+			});
+		},
+		async addWork(work) {
+			works.add(work);
+			try {
+				await work;
+			} finally {
+				works.delete(work);
+				checkIdle();
+			}
+		},
+		hasAnswerDue(socket) {
+			return [...responses].some(([response, request]) => request.socket === socket && (request.complete || response.headersSent));
+		},
+		async waitIdle() {
+			if (!isIdle()) {
+				await new Promise<void>(resolve => {
+					waiting.push(resolve);
+				});
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/adapters/target/registration.ts
@@ -0,0 +1,159 @@
+/**
+ * The agent's side of target registration: a lease that each announcement of the target renews.
+ */
+import {isIP} from 'node:net';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {Clock, Milliseconds, Timer} from '../../ports/clock.ts';
+import type {Log} from '../../ports/log.ts';
+import type {TargetAnnouncement, TargetRegistration} from '../../ports/target.ts';
+import type {AnnouncementError} from './errors.ts';
+
+/** What registration needs. */
+export type TargetRegistrationOptions = {
+	/** Time for which an announcement holds, in ms. */
+	readonly leaseMs: Milliseconds;
+	/** IP numbers, besides loopback, at which the target may listen: those of the agent's own host. */
+	readonly allowedHosts?: readonly string[];
+	readonly clock: Clock;
+	readonly log: Log;
+};
+
+/** Registration with the entry point for announcements. */
+export type TargetRegistrationHandler = TargetRegistration & {
+	/** Takes in one announcement, given as a parsed JSON value; answers with the time until the next one is due. */
+	handleAnnouncement(body: unknown): Result<{readonly leaseMs: Milliseconds}, AnnouncementError>;
+};
+
+type TargetListener = (target: TargetAnnouncement | undefined) => void;
+
+const maxSlots = 10_000;
+const maxConnections = 65_535;
+const maxPort = 65_535;
+const addressPattern = /^(?:\[([\da-f:.]+)]|([\d.]+)):(\d{1,5})$/i;
+const loopbackPattern = /^(?:127\.|::1$)/;
+
+type Check = (value: unknown, allowedHosts: readonly string[]) => string | undefined;
+
+function checkCount(value: unknown, max: number): string | undefined {
+	return Number.isInteger(value) && Number(value) >= 1 && Number(value) <= max ? undefined : `must be a whole number from 1 to ${max}`;
+}
+
+function checkAddress(value: unknown, allowedHosts: readonly string[]): string | undefined {
+	const match = typeof value === 'string' ? addressPattern.exec(value) : null;
+	const host = match?.[1] ?? match?.[2] ?? '';
+	const port = Number(match?.[3] ?? 0);
+	if (isIP(host) === 0 || port < 1 || port > maxPort) {
+		return 'must be an IP number and a port, such as 127.0.0.1:9000';
+	}
+
+	return loopbackPattern.test(host) || allowedHosts.includes(host) ? undefined : 'must be at loopback or at the host of the agent';
+}
+
+/** What is allowed for each key of an announcement; a check answers `undefined` when the value is allowed. */
+const keyChecks: Record<keyof TargetAnnouncement, Check> = {
+	address: checkAddress,
+	slots: value => checkCount(value, maxSlots),
+	connections: value => checkCount(value, maxConnections),
+	leaving: value => value === undefined || typeof value === 'boolean' ? undefined : 'must be true or false',
+};
+
+function createFault(field: string, value: unknown, allowed: string): Err<AnnouncementError> {
+	const shown = (JSON.stringify(value) ?? 'absent').slice(0, 80);
+	return Err({kind: 'invalid-value', field, message: `${field} ${allowed} (value: ${shown})`});
+}
+
+/**
+ * Checks an announcement.
+ *
+ * @param body - The announcement as a parsed JSON value.
+ * @param allowedHosts - IP numbers, besides loopback, at which the target may listen.
+ * @returns The announcement, or the first fault with its JSON path, the value and what is allowed.
+ */
+export function parseAnnouncement(body: unknown, allowedHosts: readonly string[]): Result<TargetAnnouncement, AnnouncementError> {
+	if (typeof body !== 'object' || body === null || Array.isArray(body)) {
+		return createFault('$', body, 'must be an object');
+	}
+
+	const input = body as Readonly<Record<string, unknown>>;
+	const unknownKey = Object.keys(input).find(key => !Object.hasOwn(keyChecks, key));
+	if (unknownKey !== undefined) {
+		return createFault(`$.${unknownKey.slice(0, 80)}`, input[unknownKey], `is not a key of an announcement; allowed: ${Object.keys(keyChecks).join(', ')}`);
+	}
+
+	for (const [key, check] of Object.entries(keyChecks)) {
+		const allowed = check(input[key], allowedHosts);
+		if (allowed !== undefined) {
+			return createFault(`$.${key}`, input[key], allowed);
+		}
+	}
+
+	const {address, slots, connections, leaving} = input as TargetAnnouncement;
+	return Ok({
+		address, slots, connections, leaving: leaving ?? false,
+	});
+}
+
+function isSameAnnouncement(left: TargetAnnouncement | undefined, right: TargetAnnouncement): boolean {
+	return left?.address === right.address && left.slots === right.slots && left.connections === right.connections && left.leaving === right.leaving;
+}
+
+/**
+ * Creates the registration of the one target beside this agent.
+ *
+ * @param options - Lease time, clock and log.
+ * @returns The registration.
+ */
+export function createTargetRegistration(options: TargetRegistrationOptions): TargetRegistrationHandler {
+	const {leaseMs, allowedHosts = [], clock, log} = options;
+	const listeners = new Set<TargetListener>();
+	let target: TargetAnnouncement | undefined;
+	let leaseEnd: Milliseconds = 0;
+	let timer: Timer | undefined;
+
+	function setTarget(next: TargetAnnouncement | undefined): void {
+		target = next;
+		for (const listener of listeners) {
+			listener(next);
+		}
+	}
+
+	function endLease(): void {
+		timer = undefined;
+		const rest = leaseEnd - clock.getTime();
+		if (rest > 0) {
+			timer = clock.startTimer(rest, endLease);
+			return;
+		}
+
+		log.warn(`target ${target?.address} stopped announcing itself`);
+		setTarget(undefined);
+	}
+
+	function renewLease(next: TargetAnnouncement): void {
+		leaseEnd = clock.getTime() + leaseMs;
+		// One timer per lease: a renewal moves the end, which the timer looks up when it fires.
+		timer ??= clock.startTimer(leaseMs, endLease);
+		if (!isSameAnnouncement(target, next)) {
+			log.info(`target ${next.address} ${next.leaving ? 'is leaving' : `announced ${next.slots} slots`}`);
+			setTarget(next);
+		}
+	}
+
+	return {
+		findTarget: () => target !== undefined && clock.getTime() < leaseEnd ? target : undefined,
+		addListener(listener) {
+			listeners.add(listener);
+			return {
+				[Symbol.dispose]() {
+					listeners.delete(listener);
+				},
+			};
+		},
+		handleAnnouncement(body) {
+			return parseAnnouncement(body, allowedHosts).map(next => {
+				renewLease(next);
+				return {leaseMs};
+			});
+		},
+	};
+}
