--- /dev/null
+++ b/src/core/scheduling/logic.ts
@@ -0,0 +1,263 @@
+/**
+ * Decides which task of an agent's queue starts next, and which never will.
+ */
+import {Ok, type Result} from 'ts-results-es';
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {SchedulingError} from './errors.ts';
+import {createEntry, updateEntry} from './heap.ts';
+import {checkLimits} from './limits.ts';
+import {
+	assertCounts, assertState, removeAsDropped, removeTask, updateWork,
+} from './removal.ts';
+import {recordRunTime} from './run-times.ts';
+import {computeLongSlots, isLongKind, recordShortArrival} from './slots.ts';
+import {
+	chooseKind, getKind, pruneCustomers, pruneLingering, updateCustomer,
+} from './state.ts';
+import {addToList} from './task-list.ts';
+import type {
+	DroppedTask, KindQueue, QueuedTask, ScheduleState, TaskSpec,
+} from './types.ts';
+
+/** The task to start next, and the tasks found on the way that will never start. */
+export type Selection = {
+	readonly task: QueuedTask | undefined;
+	readonly dropped: readonly DroppedTask[];
+};
+
+/** How a task ran. */
+export type TaskMeasurement = {
+	readonly runTime: Milliseconds;
+	readonly isSuccess: boolean;
+};
+
+function updateClass(state: ScheduleState, kind: KindQueue): void {
+	kind.isLong = isLongKind(state, kind);
+}
+
+function canTry(state: ScheduleState, kind: KindQueue, now: Milliseconds): boolean {
+	return kind.runTime.samples === 0 || (kind.queued + kind.running === 0 && now - kind.lastTrialAt >= state.options.trialIntervalMs);
+}
+
+function applyActivation(state: ScheduleState, kind: KindQueue): void {
+	const {customer} = kind;
+	if (customer.queued === 0) {
+		customer.tag = Math.max(customer.tag, state.virtualTime);
+	}
+
+	if (kind.queued === 0) {
+		kind.tag = Math.max(kind.tag, customer.virtualTime);
+	}
+}
+
+function addToJob(state: ScheduleState, task: QueuedTask): void {
+	const {job} = task.spec;
+	const tasks = state.jobs.get(job);
+	if (tasks === undefined) {
+		state.jobs.set(job, new Set([task]));
+	} else {
+		tasks.add(task);
+	}
+}
+
+function createTask(state: ScheduleState, spec: TaskSpec, queue: KindQueue, isTrial: boolean, now: Milliseconds): QueuedTask {
+	const task: QueuedTask = {
+		spec,
+		queue,
+		sequence: state.sequence++,
+		addedAt: now,
+		isTrial,
+		deadlineEntry: undefined,
+		state: 'queued',
+		charged: 0,
+		startedLong: false,
+		startedAt: 0,
+		previous: undefined,
+		next: undefined,
+	};
+	task.deadlineEntry = createEntry(task);
+	return task;
+}
+
+/**
+ * Queues a task, or refuses it.
+ *
+ * @param state - The queue of the agent.
+ * @param spec - The task.
+ * @param now - The present time.
+ * @returns The queued task, which will be either started or dropped, or the refusal.
+ */
+export function addTask(state: ScheduleState, spec: TaskSpec, now: Milliseconds): Result<QueuedTask, SchedulingError> {
+	pruneLingering(state, now);
+	const kind = getKind(state, spec);
+	const isTrial = canTry(state, kind, now);
+	const checked = checkLimits(state, kind, spec, isTrial, now);
+	if (checked.isErr()) {
+		kind.customer.lastActiveAt = now;
+		return checked;
+	}
+
+	if (isTrial) {
+		kind.lastTrialAt = now;
+	}
+
+	const task = createTask(state, spec, kind, isTrial, now);
+	applyActivation(state, kind);
+	updateClass(state, kind);
+	addToList(task);
+	addToJob(state, task);
+	updateEntry(state.deadlines, task.deadlineEntry!, spec.deadlineAt);
+	state.accepted++;
+	state.queued++;
+	state.bytes += spec.bytes;
+	kind.customer.queued++;
+	kind.customer.bytes += spec.bytes;
+	updateWork(state, kind.customer, kind.runTime.mean);
+	if (!kind.isLong) {
+		recordShortArrival(state, kind.runTime.mean, now);
+	}
+
+	updateCustomer(state, kind.customer, now);
+	return Ok(task);
+}
+
+function findCandidate(state: ScheduleState, now: Milliseconds): QueuedTask | undefined {
+	const short = state.shortHeap[0];
+	const long = state.runningLong < computeLongSlots(state, now) ? state.longHeap[0] : undefined;
+	const isLong = long !== undefined && (short === undefined || long.key < short.key);
+	const entry = isLong ? long : short;
+	const customer = entry && state.customers.get(entry.item);
+	return customer && chooseKind(state, customer, isLong)?.head;
+}
+
+function isLate(task: QueuedTask, now: Milliseconds): boolean {
+	const runTime = task.isTrial ? 0 : task.queue.runTime.low;
+	return now >= task.spec.deadlineAt || now + runTime > task.spec.deadlineAt;
+}
+
+/**
+ * Finds the task to start next without starting it. Tasks that it meets and that can no longer meet
+ * their deadline are dropped.
+ *
+ * @param state - The queue of the agent.
+ * @param now - The present time.
+ * @returns The task, if a slot is free for one, and the dropped tasks.
+ */
+export function findTask(state: ScheduleState, now: Milliseconds): Selection {
+	const dropped: DroppedTask[] = [];
+	pruneLingering(state, now);
+	while (state.running.size < state.slots) {
+		const task = findCandidate(state, now);
+		if (task === undefined || !isLate(task, now)) {
+			return {task, dropped};
+		}
+
+		dropped.push(removeAsDropped(state, task, 'deadline'));
+		updateCustomer(state, task.queue.customer, now);
+	}
+
+	return {task: undefined, dropped};
+}
+
+function advanceVirtualTime(state: ScheduleState, kind: KindQueue): void {
+	const {customer} = kind;
+	let least = customer.tag;
+	for (const entry of [state.shortHeap[0], state.longHeap[0]]) {
+		least = Math.min(least, entry === undefined ? least : state.customers.get(entry.item)!.tag);
+	}
+
+	state.virtualTime = Math.max(state.virtualTime, least);
+	customer.virtualTime = Math.max(customer.virtualTime, kind.tag);
+}
+
+function recordCharge(state: ScheduleState, kind: KindQueue, runTime: Milliseconds): void {
+	kind.customer.tag += runTime / kind.customer.weight;
+	kind.tag += runTime / state.options.urgencyWeights[kind.urgency];
+}
+
+/**
+ * Records that a queued task starts, and charges its expected run time to its customer.
+ *
+ * @param state - The queue of the agent.
+ * @param task - The task that `findTask` answered.
+ * @param now - The present time.
+ */
+export function recordStart(state: ScheduleState, task: QueuedTask, now: Milliseconds): void {
+	const {queue: kind} = task;
+	advanceVirtualTime(state, kind);
+	removeTask(state, task);
+	task.state = 'running';
+	task.startedAt = now;
+	task.charged = kind.runTime.mean;
+	task.startedLong = kind.isLong;
+	recordCharge(state, kind, task.charged);
+	kind.running++;
+	kind.customer.running++;
+	state.running.add(task);
+	if (task.startedLong) {
+		kind.customer.runningLong++;
+		state.runningLong++;
+	}
+
+	updateClass(state, kind);
+	updateCustomer(state, kind.customer, now);
+	assertCounts(state);
+}
+
+/**
+ * Finds the task to start next and records its start.
+ *
+ * @param state - The queue of the agent.
+ * @param now - The present time.
+ * @returns The started task, if there is one, and the dropped tasks.
+ */
+export function selectTask(state: ScheduleState, now: Milliseconds): Selection {
+	const selection = findTask(state, now);
+	if (selection.task !== undefined) {
+		recordStart(state, selection.task, now);
+	}
+
+	return selection;
+}
+
+/**
+ * Records that a task has ended, and corrects its customer's charge by the measured run time.
+ *
+ * @param state - The queue of the agent.
+ * @param task - The task.
+ * @param measurement - How it ran.
+ * @param now - The present time.
+ */
+export function recordEnd(state: ScheduleState, task: QueuedTask, measurement: TaskMeasurement, now: Milliseconds): void {
+	assertState(task, 'running');
+	const {queue: kind} = task;
+	const {customer} = kind;
+	task.state = 'ended';
+	state.ended++;
+	state.running.delete(task);
+	kind.running--;
+	customer.running--;
+	if (task.startedLong) {
+		customer.runningLong--;
+		state.runningLong--;
+	}
+
+	recordCharge(state, kind, measurement.runTime - task.charged);
+	const previousMean = kind.runTime.mean;
+	recordRunTime(kind.runTime, measurement.runTime, measurement.isSuccess);
+	updateWork(state, customer, kind.queued * (kind.runTime.mean - previousMean));
+	updateClass(state, kind);
+	updateCustomer(state, customer, now);
+	pruneCustomers(state, now);
+	assertCounts(state);
+}
+
+/**
+ * Sets the number of slots; running tasks go on when it falls.
+ *
+ * @param state - The queue of the agent.
+ * @param slots - Slots of the target; 0 while there is none.
+ */
+export function setSlots(state: ScheduleState, slots: number): void {
+	state.slots = slots;
+}
--- /dev/null
+++ b/src/core/scheduling/removal.ts
@@ -0,0 +1,137 @@
+/**
+ * Takes tasks out of an agent's queue: to start them, or because they never will.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {JobId} from '../identity/types.ts';
+import {removeEntry} from './heap.ts';
+import {updateCustomer} from './state.ts';
+import {removeFromList} from './task-list.ts';
+import type {
+	CustomerQueue, DroppedTask, DropReason, QueuedTask, ScheduleState,
+} from './types.ts';
+
+/**
+ * Asserts the state of a task.
+ *
+ * @param task - The task.
+ * @param expected - The state that it must have.
+ */
+export function assertState(task: QueuedTask, expected: QueuedTask['state']): void {
+	if (task.state !== expected) {
+		throw new Error(`task ${task.spec.index} of job ${task.spec.job} is ${task.state}, not ${expected}`);
+	}
+}
+
+/**
+ * Asserts that every accepted task is in exactly one state.
+ *
+ * @param state - The queue of the agent.
+ */
+export function assertCounts(state: ScheduleState): void {
+	const known = state.queued + state.running.size + state.ended + state.dropped;
+	if (known !== state.accepted) {
+		throw new Error(`${state.accepted} tasks were accepted, but ${known} are queued, running, ended or dropped`);
+	}
+}
+
+/**
+ * Changes the expected run time of what is queued.
+ *
+ * @param state - The queue of the agent.
+ * @param customer - The customer whose queue changed.
+ * @param change - Difference in expected run time, in ms.
+ */
+export function updateWork(state: ScheduleState, customer: CustomerQueue, change: Milliseconds): void {
+	customer.work = customer.queued === 0 ? 0 : customer.work + change;
+	state.work = state.queued === 0 ? 0 : state.work + change;
+}
+
+/**
+ * Takes a task out of the queue; the caller brings its customer up to date.
+ *
+ * @param state - The queue of the agent.
+ * @param task - A queued task.
+ */
+export function removeTask(state: ScheduleState, task: QueuedTask): void {
+	assertState(task, 'queued');
+	const {spec, queue: kind} = task;
+	const {customer} = kind;
+	removeFromList(task);
+	removeEntry(state.deadlines, task.deadlineEntry!);
+	const tasks = state.jobs.get(spec.job);
+	tasks?.delete(task);
+	if (tasks?.size === 0) {
+		state.jobs.delete(spec.job);
+	}
+
+	state.queued--;
+	state.bytes -= spec.bytes;
+	customer.queued--;
+	customer.bytes -= spec.bytes;
+	updateWork(state, customer, -kind.runTime.mean);
+}
+
+/**
+ * Takes a task out of the queue for good; the caller brings its customer up to date.
+ *
+ * @param state - The queue of the agent.
+ * @param task - A queued task.
+ * @param reason - Why it will never start.
+ * @returns The dropped task.
+ */
+export function removeAsDropped(state: ScheduleState, task: QueuedTask, reason: DropReason): DroppedTask {
+	removeTask(state, task);
+	task.state = 'dropped';
+	state.dropped++;
+	return {task, reason};
+}
+
+function updateCustomers(state: ScheduleState, customers: Iterable<CustomerQueue>, dropped: DroppedTask[], now: Milliseconds): DroppedTask[] {
+	for (const customer of customers) {
+		updateCustomer(state, customer, now);
+	}
+
+	assertCounts(state);
+	return dropped;
+}
+
+/**
+ * Drops the queued tasks of jobs; running ones go on.
+ *
+ * @param state - The queue of the agent.
+ * @param jobs - The jobs.
+ * @param reason - Why.
+ * @param now - The present time.
+ * @returns The dropped tasks.
+ */
+export function removeJobs(state: ScheduleState, jobs: Iterable<JobId>, reason: DropReason, now: Milliseconds): DroppedTask[] {
+	const dropped: DroppedTask[] = [];
+	const customers = new Set<CustomerQueue>();
+	for (const job of jobs) {
+		for (const task of state.jobs.get(job) ?? []) {
+			customers.add(task.queue.customer);
+			dropped.push(removeAsDropped(state, task, reason));
+		}
+	}
+
+	return updateCustomers(state, customers, dropped, now);
+}
+
+/**
+ * Drops every queued task whose deadline has passed.
+ *
+ * @param state - The queue of the agent.
+ * @param now - The present time.
+ * @returns The dropped tasks.
+ */
+export function pruneExpired(state: ScheduleState, now: Milliseconds): DroppedTask[] {
+	const dropped: DroppedTask[] = [];
+	const customers = new Set<CustomerQueue>();
+	while (state.deadlines.length > 0 && state.deadlines[0].key <= now) {
+		const {item: task} = state.deadlines[0];
+		customers.add(task.queue.customer);
+		dropped.push(removeAsDropped(state, task, 'deadline'));
+	}
+
+	return updateCustomers(state, customers, dropped, now);
+}
--- /dev/null
+++ b/src/core/scheduling/state.ts
@@ -0,0 +1,213 @@
+/**
+ * State of an agent's queue: its customers and kinds, and the sums and heaps kept over them.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import {createEntry, removeEntry, updateEntry} from './heap.ts';
+import {policies} from './policies.ts';
+import {createRunTime} from './run-times.ts';
+import type {
+	CustomerQueue, KindQueue, ScheduleOptions, ScheduleState, TaskSpec,
+} from './types.ts';
+
+/**
+ * Creates an empty queue.
+ *
+ * @param options - Bounds and parameters.
+ * @param slots - Slots of the target; 0 while there is none.
+ * @returns The state.
+ */
+export function createSchedule(options: ScheduleOptions, slots: number): ScheduleState {
+	return {
+		options,
+		customers: new Map(),
+		shortHeap: [],
+		longHeap: [],
+		deadlines: [],
+		jobs: new Map(),
+		running: new Set(),
+		lingering: new Set(),
+		slots,
+		runningLong: 0,
+		sequence: 0,
+		virtualTime: 0,
+		queued: 0,
+		bytes: 0,
+		work: 0,
+		activeWeight: 0,
+		longWeight: 0,
+		shortLoad: 0,
+		shortLoadAt: 0,
+		lastShortAt: Number.NEGATIVE_INFINITY,
+		lastIdleCheckAt: 0,
+		accepted: 0,
+		ended: 0,
+		dropped: 0,
+	};
+}
+
+function createCustomer(name: string): CustomerQueue {
+	return {
+		name,
+		kinds: new Map(),
+		shortEntry: createEntry(name),
+		longEntry: createEntry(name),
+		weight: 1,
+		tag: 0,
+		virtualTime: 0,
+		queued: 0,
+		bytes: 0,
+		work: 0,
+		running: 0,
+		runningLong: 0,
+		activeWeight: 0,
+		longWeight: 0,
+		lastActiveAt: 0,
+	};
+}
+
+function getCustomer(state: ScheduleState, name: string): CustomerQueue {
+	let customer = state.customers.get(name);
+	if (customer === undefined) {
+		customer = createCustomer(name);
+		state.customers.set(name, customer);
+	}
+
+	return customer;
+}
+
+/**
+ * Finds the queue that a task belongs to, and makes it on first use.
+ *
+ * @param state - The queue of the agent.
+ * @param spec - The task; its weight and urgency take effect for the whole queue.
+ * @returns The kind's queue.
+ */
+export function getKind(state: ScheduleState, spec: TaskSpec): KindQueue {
+	const customer = getCustomer(state, spec.customer);
+	customer.weight = spec.weight;
+	let kind = customer.kinds.get(spec.kind);
+	if (kind === undefined) {
+		kind = {
+			name: spec.kind,
+			customer,
+			runTime: createRunTime(state.options.initialRunMs),
+			urgency: spec.urgency,
+			tag: 0,
+			isLong: false,
+			queued: 0,
+			running: 0,
+			lastTrialAt: Number.NEGATIVE_INFINITY,
+			head: undefined,
+			tail: undefined,
+		};
+		customer.kinds.set(spec.kind, kind);
+	}
+
+	kind.urgency = spec.urgency;
+	return kind;
+}
+
+/**
+ * Chooses the customer's next kind among its short or its long ones.
+ *
+ * @param state - The queue of the agent.
+ * @param customer - The customer.
+ * @param isLong - Whether to choose among long kinds.
+ * @returns The kind, if one has a task queued.
+ */
+export function chooseKind(state: ScheduleState, customer: CustomerQueue, isLong: boolean): KindQueue | undefined {
+	const {computeKindKey} = policies[state.options.policy];
+	let best: KindQueue | undefined;
+	for (const kind of customer.kinds.values()) {
+		const isCandidate = kind.queued > 0 && kind.isLong === isLong;
+		if (isCandidate && (best === undefined || computeKindKey(kind) < computeKindKey(best))) {
+			best = kind;
+		}
+	}
+
+	return best;
+}
+
+function updateHeaps(state: ScheduleState, customer: CustomerQueue): void {
+	const {computeCustomerKey} = policies[state.options.policy];
+	for (const [isLong, heap, entry] of [[false, state.shortHeap, customer.shortEntry], [true, state.longHeap, customer.longEntry]] as const) {
+		const kind = chooseKind(state, customer, isLong);
+		if (kind === undefined) {
+			removeEntry(heap, entry);
+		} else {
+			updateEntry(heap, entry, computeCustomerKey(kind));
+		}
+	}
+}
+
+function updateWeights(state: ScheduleState, customer: CustomerQueue, now: Milliseconds): void {
+	const isBusy = customer.queued + customer.running > 0;
+	customer.lastActiveAt = now;
+	if (isBusy) {
+		state.lingering.delete(customer);
+	} else if (customer.activeWeight > 0 && !state.lingering.has(customer)) {
+		state.lingering.add(customer);
+	}
+
+	const activeWeight = isBusy || customer.activeWeight > 0 ? customer.weight : 0;
+	state.activeWeight += activeWeight - customer.activeWeight;
+	customer.activeWeight = activeWeight;
+	const longWeight = customer.runningLong > 0 || customer.longEntry.position >= 0 ? customer.weight : 0;
+	state.longWeight += longWeight - customer.longWeight;
+	customer.longWeight = longWeight;
+}
+
+/**
+ * Brings heaps and sums up to date after a change of a customer's queues.
+ *
+ * @param state - The queue of the agent.
+ * @param customer - The changed customer.
+ * @param now - The present time.
+ */
+export function updateCustomer(state: ScheduleState, customer: CustomerQueue, now: Milliseconds): void {
+	updateHeaps(state, customer);
+	updateWeights(state, customer, now);
+}
+
+/**
+ * Ends the active time of customers that have had nothing queued or running for the hold time.
+ *
+ * @param state - The queue of the agent.
+ * @param now - The present time.
+ */
+export function pruneLingering(state: ScheduleState, now: Milliseconds): void {
+	for (const customer of state.lingering) {
+		if (now - customer.lastActiveAt < state.options.reserveHoldMs) {
+			return;
+		}
+
+		state.lingering.delete(customer);
+		state.activeWeight -= customer.activeWeight;
+		customer.activeWeight = 0;
+	}
+
+	if (state.lingering.size === 0 && state.queued === 0 && state.running.size === 0) {
+		state.activeWeight = 0;
+		state.longWeight = 0;
+	}
+}
+
+/**
+ * Forgets customers that have had nothing queued or running for the idle time.
+ *
+ * @param state - The queue of the agent.
+ * @param now - The present time.
+ */
+export function pruneCustomers(state: ScheduleState, now: Milliseconds): void {
+	const {idleMs} = state.options;
+	if (now - state.lastIdleCheckAt < idleMs / 4) {
+		return;
+	}
+
+	state.lastIdleCheckAt = now;
+	for (const customer of state.customers.values()) {
+		if (customer.activeWeight === 0 && now - customer.lastActiveAt >= idleMs) {
+			state.customers.delete(customer.name);
+		}
+	}
+}
