Add the contract commands

Cause: operators need to edit contracts so that a change is applied once, whatever answers are lost. Ruled out: a new change id for each retry (a late first write and its repetition would both count); writing over a change of the same contract by another operator. Conclusion: the way to the running processes (--entry) still has to be wired.

--- a/src/adapters/contracts/watch.ts
+++ b/src/adapters/contracts/watch.ts
@@ -33,6 +33,15 @@
 		}
 	}
 
+	function handleValue(value: string | undefined): void {
+		const {revision} = task.getVersion();
+		if (value !== undefined) {
+			task.handleDocument(parseValue(value), 'store');
+		} else if (revision > 0) {
+			log.warn(`store has no contracts; revision ${revision} stays in force`);
+		}
+	}
+
 	function handleEntry(entry: StoreEntry): void {
 		if (pacing.failures > 0) {
 			log.info('store answers again');
@@ -41,8 +50,8 @@
 		recordSuccess(pacing);
 		const changed = entry.revision !== keyRevision;
 		keyRevision = entry.revision;
-		if (changed && entry.value !== undefined) {
-			task.handleDocument(parseValue(entry.value), 'store');
+		if (changed) {
+			handleValue(entry.value);
 		}
 
 		task.handleProgress();
@@ -68,9 +77,10 @@
 		await waitFor(recordFailure(pacing, backoff, random));
 	}
 
+	/** Lets the process hear of its peers, so that a starting fleet does not call the store at once. */
 	async function waitJoined(): Promise<void> {
-		if (options.expectPeers && membership.listMembers().length === 0) {
-			await wake.wait(options.joinMs);
+		if (options.expectPeers) {
+			await waitFor(options.joinMs * (1 + random.getFloat()));
 		}
 	}
 
--- a/src/commands/table.ts
+++ b/src/commands/table.ts
@@ -2,6 +2,7 @@
  * Every command of the command line.
  */
 import {addCommand, type CommandDescription} from '../api/commands.ts';
+import {contractDescriptions} from './contract/descriptions.ts';
 
 const descriptions: readonly CommandDescription[] = [
 	{
@@ -11,6 +12,7 @@
 		example: 'check entry.json',
 		load: async () => import('./check.ts'),
 	},
+	...contractDescriptions,
 ];
 
 /** Adds every command to the table of commands. */
--- a/src/core/contracts/distribution.ts
+++ b/src/core/contracts/distribution.ts
@@ -5,7 +5,7 @@
  * the number of watchers does not grow with the agents. The others learn of a higher revision by
  * the metadata of the members and fetch the document from one that tells it.
  */
-import {createHash} from 'node:crypto';
+import {Buffer} from 'node:buffer';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Member, MemberStatus} from '../../ports/membership.ts';
 import type {Role} from '../../ports/messages.ts';
@@ -15,11 +15,26 @@
 /** Greatest number of watchers in one data centre, by role. */
 export type WatcherLimits = Readonly<Record<Role, number>>;
 
+const fnvOffset = 0x81_1C_9D_C5;
+const fnvPrime = 0x01_00_01_93;
+
 const liveStatuses: ReadonlySet<MemberStatus> = new Set(['alive', 'suspect']);
 const servingStatuses: ReadonlySet<MemberStatus> = new Set(['alive', 'suspect', 'leaving']);
 
-function computeRank(member: Member): string {
-	return createHash('sha256').update(member.address.name).digest('hex');
+/** Computes the FNV-1a hash of a member's name. */
+function computeRank({address}: Member): number {
+	let hash = fnvOffset;
+	for (const byte of Buffer.from(address.name)) {
+		hash = Math.imul(hash ^ byte, fnvPrime) >>> 0;
+	}
+
+	return hash;
+}
+
+/** Tells whether one member comes before another in the order of hashes; names settle equal hashes. */
+function isAhead(left: Member, right: Member): boolean {
+	const [leftRank, rightRank] = [computeRank(left), computeRank(right)];
+	return leftRank === rightRank ? left.address.name < right.address.name : leftRank < rightRank;
 }
 
 /**
@@ -32,12 +47,11 @@
  */
 export function isWatcher(self: Member, members: readonly Member[], limits: WatcherLimits): boolean {
 	const {role, dataCentre} = self.address;
-	const rank = computeRank(self);
 	const ahead = members.filter(member =>
 		member.address.role === role
 		&& member.address.dataCentre === dataCentre
 		&& liveStatuses.has(member.status)
-		&& computeRank(member) < rank);
+		&& isAhead(member, self));
 	return ahead.length < limits[role];
 }
 
--- a/src/core/contracts/logic.ts
+++ b/src/core/contracts/logic.ts
@@ -30,13 +30,22 @@
 	/** Gives the customer the contract that was in force at a revision. */
 	| {readonly action: 'restore'; readonly customer: string; readonly revision: number};
 
-type ContractAfter = Result<Contract | undefined, ContractError>;
+/** A contract, or none, or why it cannot be told. */
+export type ContractAfter = Result<Contract | undefined, ContractError>;
 
 function findLatest(changes: readonly ContractChange[], matches: (change: ContractChange) => boolean): ContractChange | undefined {
 	return [...changes].reverse().find(change => matches(change));
 }
 
-function findPast(document: ContractDocument, customer: string, revision: number): ContractAfter {
+/**
+ * Finds the contract that a customer had at a revision.
+ *
+ * @param document - The document with its history.
+ * @param customer - The customer.
+ * @param revision - The revision.
+ * @returns The contract, no contract if it was removed, or `missing` if the history does not reach so far.
+ */
+export function findPastContract(document: ContractDocument, customer: string, revision: number): ContractAfter {
 	const changes = document.history.filter(change => change.customer === customer);
 	const past = findLatest(changes, change => change.revision <= revision);
 	if (past === undefined) {
@@ -56,7 +65,7 @@
 	remove: (document, request) => Object.hasOwn(document.contracts, request.customer)
 		? Ok(undefined)
 		: Err({kind: 'missing', message: `customer "${request.customer}" has no contract`}),
-	restore: (document, request) => findPast(document, request.customer, request.revision),
+	restore: (document, request) => findPastContract(document, request.customer, request.revision),
 };
 
 function computeSize(document: ContractDocument): number {
--- a/src/core/contracts/parse.ts
+++ b/src/core/contracts/parse.ts
@@ -18,11 +18,19 @@
 	return value;
 }
 
-function describeIssue(input: unknown, issue: z.core.$ZodIssue): string {
-	const path = ['$', ...issue.path.map(key => typeof key === 'number' ? `[${key}]` : `.${String(key)}`)].join('');
-	const value = JSON.stringify(findValue(input, issue.path)) ?? 'absent';
-	const shown = value.length > maxShownLength ? `${value.slice(0, maxShownLength - 3)}...` : value;
+function describeIssue(input: unknown, issue: z.core.$ZodIssue): string[] {
+	if (issue.code === 'unrecognized_keys') {
+		return issue.keys.map(key => describeFault(input, [...issue.path, key], 'no such key'));
+	}
+
 	const rule = issue.code === 'invalid_key' ? issue.issues.map(({message}) => message).join(', ') : issue.message;
+	return [describeFault(input, issue.path, rule)];
+}
+
+function describeFault(input: unknown, keys: readonly PropertyKey[], rule: string): string {
+	const path = ['$', ...keys.map(key => typeof key === 'number' ? `[${key}]` : `.${String(key)}`)].join('');
+	const value = JSON.stringify(findValue(input, keys)) ?? 'absent';
+	const shown = value.length > maxShownLength ? `${value.slice(0, maxShownLength - 3)}...` : value;
 	return `${path}: ${rule} (value: ${shown})`;
 }
 
@@ -40,7 +48,7 @@
 		return Ok(parsed.data);
 	}
 
-	return Err({kind: 'invalid', message: parsed.error.issues.map(issue => describeIssue(input, issue)).join('\n')});
+	return Err({kind: 'invalid', message: parsed.error.issues.flatMap(issue => describeIssue(input, issue)).join('\n')});
 }
 
 /**
