--- /dev/null
+++ b/bench/rig/process.ts
@@ -0,0 +1,68 @@
+/**
+ * One process of a rig.
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {createWriteStream} from 'node:fs';
+import process from 'node:process';
+
+/** How a process is started. */
+export type RigCommand = {
+	readonly command: string;
+	readonly args: readonly string[];
+	readonly env: Readonly<Record<string, string>>;
+	readonly logFile: string;
+};
+
+/** A child process that can be killed, frozen and started again. */
+export class RigProcess implements AsyncDisposable {
+	#child: ChildProcess | undefined;
+
+	/**
+	 * @param name - Name in the rig.
+	 * @param command - How it is started.
+	 */
+	constructor(readonly name: string, private readonly command: RigCommand) {}
+
+	/** Returns the process id, or 0 while it does not run. */
+	getPid(): number {
+		return this.#child?.pid ?? 0;
+	}
+
+	/** Starts the process; it must not be running. */
+	start(): void {
+		const {command, args, env, logFile} = this.command;
+		const log = createWriteStream(logFile, {flags: 'a'});
+		const child = spawn(command, args, {env: {...process.env, ...env}, stdio: ['ignore', 'pipe', 'pipe']});
+		child.stdout.pipe(log, {end: false});
+		child.stderr.pipe(log, {end: false});
+		this.#child = child;
+	}
+
+	/** Sends a signal, if the process runs. */
+	sendSignal(signal: NodeJS.Signals): void {
+		this.#child?.kill(signal);
+	}
+
+	/** Sends a signal and waits for the end; resolves to the exit code, null if a signal ended it. */
+	async stop(signal: NodeJS.Signals): Promise<number | null> {
+		const child = this.#child;
+		if (child === undefined) {
+			return null;
+		}
+
+		this.#child = undefined;
+		if (child.exitCode !== null || child.signalCode !== null) {
+			return child.exitCode;
+		}
+
+		const ended = once(child, 'exit');
+		child.kill(signal);
+		const [code] = await ended as [number | null];
+		return code;
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await this.stop('SIGKILL');
+	}
+}
--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -1,7 +1,11 @@
 /** Configuration of cucumber-js; steps stand beside their feature files. */
+import process from 'node:process';
+
+const namesFeature = process.argv.some(argument => /\.feature(:\d+)*$/.test(argument));
+
 const config = {
 	import: ['features/**/*.steps.ts'],
-	paths: ['features/**/*.feature'],
+	...(namesFeature ? {} : {paths: ['features/**/*.feature']}),
 	format: ['progress', './scripts/summary-formatter.mjs'],
 	publishQuiet: true,
 };
--- /dev/null
+++ b/src/adapters/peer/network.ts
@@ -0,0 +1,241 @@
+/**
+ * All streams of this process: accepts them, opens them on demand, and routes messages by process.
+ */
+import type {Buffer} from 'node:buffer';
+import type {IncomingMessage, Server} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {WebSocket, WebSocketServer} from 'ws';
+import {isSameNode} from '../../core/identity/logic.ts';
+import type {NodeName, NodeRef} from '../../core/identity/types.ts';
+import type {Clock} from '../../ports/clock.ts';
+import type {Log} from '../../ports/log.ts';
+import type {PeerAddress, PeerMessage} from '../../ports/messages.ts';
+import {PeerError} from './errors.ts';
+import {createHello, verifyHello} from './handshake.ts';
+import {PeerStream, type StreamOptions} from './stream.ts';
+
+/** Path of the opening request of a stream. */
+export const streamPath = '/stream';
+
+const openTimeoutMs = 2000;
+
+/** What the network tells its owner. */
+export type NetworkHandlers = {
+	readonly onMessage: (from: NodeRef, message: PeerMessage) => void;
+	readonly onOpen: (node: NodeRef) => void;
+	readonly onClose: (node: NodeRef) => void;
+	readonly onConfirm: (node: NodeRef, sentMessages: number) => void;
+};
+
+/** What the network needs. */
+export type NetworkInput = {
+	readonly self: NodeRef;
+	readonly secret: string;
+	readonly server: Server;
+	readonly options: StreamOptions;
+	readonly clock: Clock;
+	readonly log: Log;
+};
+
+/** Messages sent and received by type, for metrics. */
+export type MessageCounts = Record<'sent' | 'received', Map<PeerMessage['type'], number>>;
+
+/** The streams of one process. */
+export class PeerNetwork implements AsyncDisposable {
+	readonly counts: MessageCounts = {sent: new Map(), received: new Map()};
+	readonly #streams = new Map<NodeName, PeerStream>();
+	readonly #opening = new Map<NodeName, Promise<PeerStream>>();
+	readonly #acceptor: WebSocketServer;
+	#handlers: NetworkHandlers | undefined;
+
+	/** @param input - What the network needs. */
+	constructor(private readonly input: NetworkInput) {
+		this.#acceptor = new WebSocketServer({
+			noServer: true, maxPayload: input.options.maxFrameBytes, perMessageDeflate: false,
+		});
+		input.server.on('upgrade', (request: IncomingMessage, socket: Duplex, head: Buffer) => {
+			this.#handleUpgrade(request, socket, head);
+		});
+	}
+
+	/**
+	 * Sets who is told of messages and streams.
+	 *
+	 * @param handlers - The owner's functions.
+	 */
+	setHandlers(handlers: NetworkHandlers): void {
+		this.#handlers = handlers;
+	}
+
+	/**
+	 * Returns whether a stream to this incarnation is open.
+	 *
+	 * @param node - The process.
+	 */
+	hasStream(node: NodeRef): boolean {
+		const stream = this.#streams.get(node.name);
+		return stream !== undefined && isSameNode(stream.node, node);
+	}
+
+	/** Lists the processes to which a stream is open. */
+	listStreams(): NodeRef[] {
+		return [...this.#streams.values()].map(stream => stream.node);
+	}
+
+	/** Returns the number of messages sent on the stream to a process. */
+	countSent(node: NodeRef): number {
+		return this.#streams.get(node.name)?.sentMessages ?? 0;
+	}
+
+	/**
+	 * Sends a message if a stream to this incarnation is open.
+	 *
+	 * @param to - The process.
+	 * @param message - The message.
+	 * @returns Whether it was written; if not, it has not been sent.
+	 */
+	sendMessage(to: NodeRef, message: PeerMessage): boolean {
+		const stream = this.#streams.get(to.name);
+		if (stream === undefined || !isSameNode(stream.node, to)) {
+			return false;
+		}
+
+		this.counts.sent.set(message.type, (this.counts.sent.get(message.type) ?? 0) + 1);
+		stream.sendMessage(message);
+		return true;
+	}
+
+	/**
+	 * Opens a stream unless one is open.
+	 *
+	 * @param to - The process; rejects with `PeerError` if another incarnation answers.
+	 */
+	async openStream(to: PeerAddress): Promise<void> {
+		if (this.hasStream(to)) {
+			return;
+		}
+
+		let opening = this.#opening.get(to.name);
+		if (opening === undefined) {
+			opening = this.#connect(to);
+			this.#opening.set(to.name, opening);
+		}
+
+		try {
+			await opening;
+		} finally {
+			this.#opening.delete(to.name);
+		}
+	}
+
+	/** Closes the stream to a process, if one is open. */
+	closeStream(name: NodeName): void {
+		this.#streams.get(name)?.close();
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		for (const stream of this.#streams.values()) {
+			stream.close();
+		}
+
+		this.#acceptor.close();
+	}
+
+	async #connect(to: PeerAddress): Promise<PeerStream> {
+		const {secret, self, clock, options} = this.input;
+		const hello = createHello(secret, self, clock.getTime());
+		const host = to.host.includes(':') ? `[${to.host}]` : to.host;
+		const socket = new WebSocket(`ws://${host}:${to.port}${streamPath}`, {
+			headers: hello.headers, handshakeTimeout: openTimeoutMs, maxPayload: options.maxFrameBytes, perMessageDeflate: false,
+		});
+
+		return new Promise((resolve, reject) => {
+			let peer: NodeRef | undefined;
+			let failure: PeerError | undefined;
+			socket.once('upgrade', response => {
+				const answer = verifyHello(secret, response.headers, clock.getTime(), hello.nonce);
+				if (typeof answer === 'string') {
+					failure = new PeerError(answer, `process "${to.name}" failed the opening check: ${answer}`);
+				} else if (isSameNode(answer.node, to)) {
+					peer = answer.node;
+				} else {
+					failure = new PeerError('other-incarnation', `process "${answer.node.name}" incarnation ${answer.node.incarnation} answers for "${to.name}" incarnation ${to.incarnation}`);
+				}
+			});
+			socket.once('open', () => {
+				if (peer === undefined) {
+					socket.terminate();
+					reject(failure ?? new PeerError('unauthorized', `process "${to.name}" sent no opening check`));
+					return;
+				}
+
+				resolve(this.#addStream(peer, socket));
+			});
+			socket.on('error', error => {
+				reject(new PeerError('unreachable', `cannot reach "${to.name}": ${error.message}`));
+			});
+		});
+	}
+
+	#handleUpgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void {
+		const {secret, self, clock, log} = this.input;
+		const hello = verifyHello(secret, request.headers, clock.getTime());
+		if (request.url !== streamPath || typeof hello === 'string') {
+			log.warn(`refused a stream from ${request.socket.remoteAddress}: ${typeof hello === 'string' ? hello : 'unknown path'}`);
+			socket.end('HTTP/1.1 403 Forbidden\r\nConnection: close\r\n\r\n');
+			return;
+		}
+
+		const answer = createHello(secret, self, clock.getTime(), hello.nonce);
+		this.#acceptor.once('headers', headers => {
+			for (const [name, value] of Object.entries(answer.headers)) {
+				headers.push(`${name}: ${value}`);
+			}
+		});
+		this.#acceptor.handleUpgrade(request, socket, head, webSocket => {
+			this.#addStream(hello.node, webSocket);
+		});
+	}
+
+	#addStream(node: NodeRef, socket: WebSocket): PeerStream {
+		const previous = this.#streams.get(node.name);
+		const stream = new PeerStream(node, socket, this.input.options, this.input.clock, {
+			onMessages: (from, messages) => {
+				this.#handleMessages(from, messages);
+			},
+			onClose: closed => {
+				this.#handleClose(closed);
+			},
+			onConfirm: (from, sentMessages) => {
+				if (this.#streams.get(from.node.name) === from) {
+					this.#handlers?.onConfirm(from.node, sentMessages);
+				}
+			},
+		});
+		this.#streams.set(node.name, stream);
+		if (previous !== undefined && !isSameNode(previous.node, node)) {
+			previous.close();
+		}
+
+		this.input.log.debug(`stream to "${node.name}" is open`);
+		this.#handlers?.onOpen(node);
+		return stream;
+	}
+
+	#handleMessages(stream: PeerStream, messages: readonly PeerMessage[]): void {
+		for (const message of messages) {
+			this.counts.received.set(message.type, (this.counts.received.get(message.type) ?? 0) + 1);
+			this.#handlers?.onMessage(stream.node, message);
+		}
+	}
+
+	#handleClose(stream: PeerStream): void {
+		if (this.#streams.get(stream.node.name) !== stream) {
+			return;
+		}
+
+		this.#streams.delete(stream.node.name);
+		this.input.log.debug(`stream to "${stream.node.name}" is closed`);
+		this.#handlers?.onClose(stream.node);
+	}
+}
--- a/src/commands/table.ts
+++ b/src/commands/table.ts
@@ -4,7 +4,23 @@
 import {addCommand, type CommandDescription} from '../api/commands.ts';
 import {contractDescriptions} from './contract/descriptions.ts';
 
+const settingsOption = ['--settings', 'Path of the settings file', 'settings.json'] as const;
+
 const descriptions: readonly CommandDescription[] = [
+	{
+		usage: 'entry',
+		summary: 'Run an entry, which takes callers\' requests',
+		options: [settingsOption],
+		example: 'entry --settings entry.json',
+		load: async () => import('./entry.ts'),
+	},
+	{
+		usage: 'agent',
+		summary: 'Run an agent, beside one target',
+		options: [settingsOption],
+		example: 'agent --settings agent.json',
+		load: async () => import('./agent.ts'),
+	},
 	{
 		usage: 'check <file>',
 		summary: 'Check a settings file; names the JSON path, the value and what is allowed',
--- /dev/null
+++ b/src/core/execution/logic.ts
@@ -0,0 +1,192 @@
+/**
+ * Decides whether a task that arrives at an agent may start: each task starts at most once in one incarnation.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {
+	NotStartedReason, TaskResult, TaskStart, TaskStatus,
+} from '../../ports/messages.ts';
+import {isSameNode} from '../identity/logic.ts';
+import type {JobId, NodeRef} from '../identity/types.ts';
+import {assertInvariant} from './errors.ts';
+import {findTaskEntry, getJobEntry, type ExecutionRecords} from './state.ts';
+import type {Acceptance, TaskEntry} from './types.ts';
+
+/** Names a task. */
+export type TaskKey = Pick<TaskStart, 'job' | 'index'>;
+
+const noBody = new Uint8Array();
+
+/**
+ * Creates the result of a task that was not handed to the target.
+ *
+ * @param task - The task.
+ * @param status - `not-started`, or `unknown` where the records cannot prove it.
+ * @param reason - Why.
+ * @returns The result.
+ */
+export function createRefusal(
+	task: Pick<TaskStart, 'job' | 'index' | 'attempt'>,
+	status: Extract<TaskStatus, 'not-started' | 'unknown'>,
+	reason: NotStartedReason,
+): TaskResult {
+	return {
+		job: task.job, index: task.index, attempt: task.attempt, status, body: noBody, reason, runTime: 0, waitTime: 0,
+	};
+}
+
+function replyKnownTask(entry: TaskEntry, isDropped: boolean, task: TaskStart, home: NodeRef): Acceptance {
+	entry.home = home;
+	if (!isDropped && task.attempt > entry.attempt && entry.result?.status === 'not-started') {
+		entry.state = 'queued';
+		entry.attempt = task.attempt;
+		entry.result = undefined;
+		return {type: 'queue', task};
+	}
+
+	if (entry.state !== 'settled') {
+		return {type: 'known'};
+	}
+
+	return {type: 'reply', result: entry.result ?? createRefusal(task, 'unknown', 'expired')};
+}
+
+/**
+ * Takes a task from a home.
+ *
+ * A task whose window has passed is answered as `unknown`, since the records that could tell are gone.
+ *
+ * @param records - The records.
+ * @param home - The home that sent it.
+ * @param task - The task.
+ * @param now - Present time.
+ * @returns Whether to queue it, to wait, or to answer at once.
+ */
+export function acceptTask(records: ExecutionRecords, home: NodeRef, task: TaskStart, now: Milliseconds): Acceptance {
+	const known = findTaskEntry(records, task.job, task.index);
+	if (known !== undefined) {
+		return replyKnownTask(known, records.jobs.get(task.job)!.isDropped, task, home);
+	}
+
+	if (now > task.mintedAt + records.options.windowMs) {
+		return {type: 'reply', result: createRefusal(task, 'unknown', 'expired')};
+	}
+
+	if (records.taskCount >= records.options.maxTasks) {
+		return {type: 'reply', result: createRefusal(task, 'not-started', 'queue-full')};
+	}
+
+	const job = getJobEntry(records, task.job, task.mintedAt);
+	const entry: TaskEntry = {
+		state: 'queued', attempt: task.attempt, home, result: undefined,
+	};
+	job.tasks.set(task.index, entry);
+	records.taskCount++;
+	if (job.isDropped) {
+		return {type: 'reply', result: refuseEntry(entry, task, 'cancelled')};
+	}
+
+	return {type: 'queue', task};
+}
+
+function refuseEntry(entry: TaskEntry, task: TaskKey, reason: NotStartedReason): TaskResult {
+	assertInvariant(entry.state === 'queued', `task ${task.index} of job ${task.job} was started or settled before`);
+	entry.state = 'settled';
+	entry.result = createRefusal({...task, attempt: entry.attempt}, 'not-started', reason);
+	return entry.result;
+}
+
+/**
+ * Records that a queued task never starts.
+ *
+ * @param records - The records.
+ * @param task - The task.
+ * @param reason - Why.
+ * @returns The result for its home.
+ */
+export function refuseTask(records: ExecutionRecords, task: TaskKey, reason: NotStartedReason): TaskResult {
+	const entry = findTaskEntry(records, task.job, task.index);
+	assertInvariant(entry !== undefined, `task ${task.index} of job ${task.job} is not known`);
+	return refuseEntry(entry, task, reason);
+}
+
+/**
+ * Records that a task is handed to the target; throws if it was before.
+ *
+ * @param records - The records.
+ * @param task - The task.
+ */
+export function startTask(records: ExecutionRecords, task: TaskKey): void {
+	const entry = findTaskEntry(records, task.job, task.index);
+	assertInvariant(entry?.state === 'queued', `task ${task.index} of job ${task.job} may not start`);
+	entry.state = 'running';
+}
+
+/**
+ * Records the result of a task that was handed to the target.
+ *
+ * @param records - The records.
+ * @param result - The result.
+ * @returns The home that waits for it.
+ */
+export function endTask(records: ExecutionRecords, result: TaskResult): NodeRef {
+	const entry = findTaskEntry(records, result.job, result.index);
+	assertInvariant(entry?.state === 'running', `task ${result.index} of job ${result.job} was not running`);
+	entry.state = 'settled';
+	entry.result = result;
+	return entry.home;
+}
+
+/**
+ * Returns the home that waits for a task.
+ *
+ * @param records - The records.
+ * @param task - The task.
+ * @returns The home.
+ */
+export function getHome(records: ExecutionRecords, task: TaskKey): NodeRef {
+	return findTaskEntry(records, task.job, task.index)!.home;
+}
+
+/**
+ * Records that no further task of a job may start.
+ *
+ * @param records - The records.
+ * @param id - The job.
+ * @param mintedAt - Time of minting of its id.
+ */
+export function dropJob(records: ExecutionRecords, id: JobId, mintedAt: Milliseconds): void {
+	getJobEntry(records, id, mintedAt).isDropped = true;
+}
+
+/**
+ * Lets go of a result that its home has received.
+ *
+ * @param records - The records.
+ * @param result - The result.
+ */
+export function clearResult(records: ExecutionRecords, result: Pick<TaskResult, 'job' | 'index' | 'status'>): void {
+	const entry = findTaskEntry(records, result.job, result.index);
+	if (entry?.state === 'settled' && result.status !== 'not-started') {
+		entry.result = undefined;
+	}
+}
+
+/**
+ * Lists the settled results that a home incarnation may not have received.
+ *
+ * @param records - The records.
+ * @param home - The home.
+ * @returns The results.
+ */
+export function listUnconfirmedResults(records: ExecutionRecords, home: NodeRef): TaskResult[] {
+	const results: TaskResult[] = [];
+	for (const job of records.jobs.values()) {
+		for (const entry of job.tasks.values()) {
+			if (entry.result !== undefined && isSameNode(entry.home, home)) {
+				results.push(entry.result);
+			}
+		}
+	}
+
+	return results;
+}
--- /dev/null
+++ b/src/core/outcome/pending.ts
@@ -0,0 +1,128 @@
+/**
+ * Order in which a home places the pending tasks of its jobs: customers by weight, jobs by urgency and age.
+ */
+import type {Urgency} from '../contracts/types.ts';
+import type {JobRecord, PendingTask} from './types.ts';
+
+/** Stride of a customer of weight 1. */
+const unitStride = 1;
+
+const levels: Record<Urgency, number> = {
+	critical: 0, high: 1, normal: 2, low: 3,
+};
+
+const levelCount = 4;
+
+/** What a contract says of a job's order. */
+export type PendingClass = {
+	readonly weight: number;
+	readonly urgency: Urgency;
+};
+
+type CustomerQueue = {
+	readonly customer: string;
+	readonly levels: JobRecord[][];
+	weight: number;
+	/** Virtual time; the customer with the lowest goes first. */
+	pass: number;
+};
+
+/** Jobs with pending tasks. */
+export class PendingQueue {
+	readonly #customers = new Map<string, CustomerQueue>();
+	readonly #queued = new Set<JobRecord>();
+	#virtualTime = 0;
+
+	/**
+	 * Adds a job unless it is queued.
+	 *
+	 * @param job - A job with pending tasks.
+	 * @param order - Weight of its customer and urgency of its kind.
+	 */
+	addJob(job: JobRecord, order: PendingClass): void {
+		if (this.#queued.has(job) || job.pendingTasks === 0) {
+			return;
+		}
+
+		this.#queued.add(job);
+		const queue = this.#getCustomer(job.customer, order.weight);
+		queue.levels[levels[order.urgency]].push(job);
+	}
+
+	/** Counts the pending tasks of all queued jobs. */
+	countTasks(): number {
+		let count = 0;
+		for (const job of this.#queued) {
+			count += job.pendingTasks;
+		}
+
+		return count;
+	}
+
+	/**
+	 * Selects the next task of a customer that `canPlace` allows, and charges the customer for it.
+	 *
+	 * @param canPlace - Whether a task of that customer can be placed now.
+	 * @returns The task, or undefined if there is none.
+	 */
+	selectTask(canPlace: (customer: string) => boolean): PendingTask | undefined {
+		const skipped = new Set<CustomerQueue>();
+		for (;;) {
+			const queue = this.#findNextCustomer(skipped);
+			if (queue === undefined) {
+				return undefined;
+			}
+
+			const task = canPlace(queue.customer) ? this.#selectFrom(queue) : undefined;
+			if (task !== undefined) {
+				this.#virtualTime = queue.pass;
+				queue.pass += unitStride / queue.weight;
+				return task;
+			}
+
+			skipped.add(queue);
+		}
+	}
+
+	#getCustomer(customer: string, weight: number): CustomerQueue {
+		let queue = this.#customers.get(customer);
+		if (queue === undefined) {
+			queue = {
+				customer, weight, pass: this.#virtualTime, levels: Array.from({length: levelCount}, () => []),
+			};
+			this.#customers.set(customer, queue);
+		}
+
+		queue.weight = weight;
+		return queue;
+	}
+
+	#findNextCustomer(skipped: ReadonlySet<CustomerQueue>): CustomerQueue | undefined {
+		let next: CustomerQueue | undefined;
+		for (const queue of this.#customers.values()) {
+			if (!skipped.has(queue) && (next === undefined || queue.pass < next.pass)) {
+				next = queue;
+			}
+		}
+
+		return next;
+	}
+
+	#selectFrom(queue: CustomerQueue): PendingTask | undefined {
+		for (const jobs of queue.levels) {
+			while (jobs.length > 0) {
+				const job = jobs[0];
+				const index = job.pendingTasks > 0 ? job.tasks.findIndex(task => task.state === 'pending') : -1;
+				if (index !== -1) {
+					return {job, index};
+				}
+
+				jobs.shift();
+				this.#queued.delete(job);
+			}
+		}
+
+		this.#customers.delete(queue.customer);
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/core/outcome/state.ts
@@ -0,0 +1,207 @@
+/**
+ * State of a home: its jobs, its kept answers and the memory they take.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {JobAnswer} from '../../ports/messages.ts';
+import {isSameNode} from '../identity/logic.ts';
+import type {JobId, NodeRef} from '../identity/types.ts';
+import {assertInvariant} from './errors.ts';
+import type {
+	HomeEffect, HomeOptions, JobCall, JobRecord, Refusal, RefusalRecord, Submission, TaskRecord,
+} from './types.ts';
+
+/** Memory of a job record without bodies and answer, in bytes. */
+const jobOverheadBytes = 600;
+
+/** Memory of a task record without its body, in bytes. */
+const taskOverheadBytes = 96;
+
+/** All that a home keeps; only the functions of this folder change it. */
+export type HomeState = {
+	readonly self: NodeRef;
+	readonly options: HomeOptions;
+	readonly jobs: Map<JobId, JobRecord>;
+	/** Jobs without an answer. */
+	readonly openJobs: Map<JobId, JobRecord>;
+	/** Ids that were refused before they became jobs. */
+	readonly refusals: Map<JobId, RefusalRecord>;
+	/** Memory accounted to all jobs, in bytes. */
+	bytes: number;
+	/** Effects since the last call of `takeEffects`. */
+	effects: HomeEffect[];
+};
+
+/**
+ * Creates the state of a home without jobs.
+ *
+ * @param self - The process and its incarnation.
+ * @param options - Limits.
+ * @returns The state.
+ */
+export function createHome(self: NodeRef, options: HomeOptions): HomeState {
+	return {
+		self, options, jobs: new Map(), openJobs: new Map(), refusals: new Map(), bytes: 0, effects: [],
+	};
+}
+
+/**
+ * Takes the effects of all calls since the last time.
+ *
+ * @param state - The home.
+ * @returns The effects, in order.
+ */
+export function takeEffects(state: HomeState): HomeEffect[] {
+	const {effects} = state;
+	state.effects = [];
+	return effects;
+}
+
+/**
+ * Estimates the memory that a submission takes.
+ *
+ * @param submission - The submission.
+ * @returns Bytes.
+ */
+export function estimateBytes({request}: Submission): number {
+	let bytes = jobOverheadBytes;
+	for (const body of request.tasks) {
+		bytes += taskOverheadBytes + body.length;
+	}
+
+	return bytes;
+}
+
+/**
+ * Adds a job whose tasks are all pending.
+ *
+ * @param state - The home.
+ * @param submission - The admitted submission.
+ * @param now - Present time.
+ * @returns The job.
+ */
+export function addJob(state: HomeState, submission: Submission, now: Milliseconds): JobRecord {
+	const {request, mintedAt, from} = submission;
+	assertInvariant(!state.jobs.has(request.id), `job ${request.id} is already known`);
+	assertInvariant(isSameNode(submission.home, state.self), `job ${request.id} has another home`);
+	const tasks = request.tasks.map((body): TaskRecord => ({
+		state: 'pending', body, agent: undefined, result: undefined, placements: 0,
+	}));
+	const job: JobRecord = {
+		id: request.id,
+		customer: request.customer,
+		kind: request.kind,
+		digest: request.digest,
+		mintedAt,
+		expiresAt: mintedAt + state.options.windowMs,
+		deadlineAt: now + request.deadline,
+		tasks,
+		openTasks: tasks.length,
+		pendingTasks: tasks.length,
+		failure: undefined,
+		answer: undefined,
+		waiters: new Map([[from.name, from]]),
+		bytes: estimateBytes(submission),
+	};
+	state.jobs.set(job.id, job);
+	state.openJobs.set(job.id, job);
+	state.bytes += job.bytes;
+	return job;
+}
+
+/**
+ * Sets the answer of a job, once, and sends it to all that wait.
+ *
+ * @param state - The home.
+ * @param job - The job.
+ * @param answer - Its answer.
+ */
+export function setAnswer(state: HomeState, job: JobRecord, answer: JobAnswer): void {
+	assertInvariant(job.answer === undefined, `job ${job.id} is answered twice`);
+	assertInvariant(
+		answer.outcome !== 'complete' || answer.results.length === job.tasks.length,
+		`job ${job.id} has a partial answer`,
+	);
+	job.answer = answer;
+	state.openJobs.delete(job.id);
+	state.effects.push({type: 'answered', job, answer});
+	for (const to of job.waiters.values()) {
+		state.effects.push({
+			type: 'reply', to, id: job.id, answer,
+		});
+	}
+
+	job.waiters.clear();
+}
+
+/**
+ * Recomputes the memory of an answered job whose tasks are all settled, and lets go of its tasks.
+ *
+ * @param state - The home.
+ * @param job - The job.
+ */
+export function clearTasks(state: HomeState, job: JobRecord): void {
+	let bytes = jobOverheadBytes;
+	if (job.answer?.outcome === 'complete') {
+		for (const result of job.answer.results) {
+			bytes += result.length;
+		}
+	}
+
+	state.bytes += bytes - job.bytes;
+	job.bytes = bytes;
+	job.tasks = [];
+}
+
+/**
+ * Remembers that an id was refused, so that no later submission of it runs.
+ *
+ * @param state - The home.
+ * @param call - The refused call.
+ * @param answer - The refusal.
+ * @returns Whether there was room to remember it.
+ */
+export function addRefusal(state: HomeState, call: JobCall, answer: Refusal): boolean {
+	assertInvariant(!state.jobs.has(call.id), `job ${call.id} is known and cannot be refused`);
+	if (state.refusals.size >= state.options.maxRefusals) {
+		return false;
+	}
+
+	state.refusals.set(call.id, {customer: call.customer, expiresAt: call.parts.mintedAt + state.options.windowMs, answer});
+	return true;
+}
+
+/**
+ * Drops refusals whose window has passed.
+ *
+ * @param state - The home.
+ * @param now - Present time.
+ */
+export function pruneRefusals(state: HomeState, now: Milliseconds): void {
+	for (const [id, refusal] of state.refusals) {
+		if (now > refusal.expiresAt) {
+			state.refusals.delete(id);
+		}
+	}
+}
+
+/**
+ * Drops answered jobs whose window has passed.
+ *
+ * @param state - The home.
+ * @param now - Present time.
+ * @returns Number of jobs dropped.
+ */
+export function pruneJobs(state: HomeState, now: Milliseconds): number {
+	let dropped = 0;
+	for (const job of state.jobs.values()) {
+		if (job.answer === undefined || now <= job.expiresAt) {
+			continue;
+		}
+
+		state.jobs.delete(job.id);
+		state.bytes -= job.bytes;
+		dropped++;
+	}
+
+	return dropped;
+}
--- a/src/ports/messages.ts
+++ b/src/ports/messages.ts
@@ -61,6 +61,8 @@
 export type TaskStart = {
 	readonly job: JobId;
 	readonly index: number;
+	/** Number of times that the home has placed the task, from 1. */
+	readonly attempt: number;
 	readonly customer: string;
 	readonly kind: string;
 	readonly deadline: Milliseconds;
@@ -82,10 +84,19 @@
 /** Why an agent did not start a task. */
 export type NotStartedReason = 'queue-full' | 'deadline' | 'cancelled' | 'leaving' | 'no-target' | 'expired';
 
+/** A job of which no further task may start. */
+export type JobDrop = {
+	readonly id: JobId;
+	/** Time of minting of the job's id. */
+	readonly mintedAt: Milliseconds;
+};
+
 /** Result of one task. */
 export type TaskResult = {
 	readonly job: JobId;
 	readonly index: number;
+	/** The attempt that ended so; a result of an earlier attempt says nothing of a later one. */
+	readonly attempt: number;
 	readonly status: TaskStatus;
 	/** The target's answer when `done`, a short error text when `failed` or `unknown`. */
 	readonly body: Uint8Array;
@@ -119,7 +130,11 @@
 	| {readonly type: 'answer'; readonly id: JobId; readonly answer: JobAnswer}
 	| {readonly type: 'start'; readonly tasks: readonly TaskStart[]}
 	| {readonly type: 'result'; readonly results: readonly TaskResult[]; readonly load: LoadReport}
-	| {readonly type: 'drop'; readonly jobs: readonly JobId[]}
+	| {readonly type: 'drop'; readonly jobs: readonly JobDrop[]}
+	| {readonly type: 'refuse'; readonly id: JobId; readonly customer: string; readonly detail: string}
+	| {readonly type: 'demand'; readonly summary: unknown}
+	| {readonly type: 'fetch-document'}
+	| {readonly type: 'document'; readonly text: string}
 	| {readonly type: 'load'; readonly load: LoadReport};
 
 /** The `type` of a message, by which handlers are looked up. */
--- /dev/null
+++ b/src/processes/agent/execution-task.ts
@@ -0,0 +1,285 @@
+/**
+ * Owns the slots of the target beside this agent: takes tasks from homes, starts them, reports results.
+ */
+import {createSlotQueue, type SlotQueue} from '../../adapters/scheduling/fair-queue.ts';
+import {createTargetCaller} from '../../adapters/target/caller.ts';
+import {
+	acceptTask, clearResult, dropJob, endTask, getHome, refuseTask, startTask,
+} from '../../core/execution/logic.ts';
+import {createExecutionRecords, pruneRecords, type ExecutionRecords} from '../../core/execution/state.ts';
+import type {NodeName, NodeRef} from '../../core/identity/types.ts';
+import type {Clock, Milliseconds} from '../../ports/clock.ts';
+import type {Log} from '../../ports/log.ts';
+import type {
+	JobDrop, LoadReport, NotStartedReason, TaskResult, TaskStart,
+} from '../../ports/messages.ts';
+import type {TargetAnnouncement, TargetCaller, TargetRegistration} from '../../ports/target.ts';
+import type {Node} from '../shared/node.ts';
+
+const pruneIntervalMs = 1000;
+
+/** What the execution task needs. */
+export type ExecutionInput = {
+	readonly node: Node;
+	readonly registration: TargetRegistration;
+	readonly log: Log;
+};
+
+type SentResults = {
+	readonly sentMessages: number;
+	readonly results: readonly TaskResult[];
+};
+
+/** Runs the tasks that homes send to this agent. */
+export class ExecutionTask implements AsyncDisposable {
+	readonly #node: Node;
+	readonly #clock: Clock;
+	readonly #log: Log;
+	readonly #records: ExecutionRecords;
+	readonly #queue: SlotQueue;
+	readonly #outbox = new Map<NodeName, {home: NodeRef; results: TaskResult[]}>();
+	readonly #unconfirmed = new Map<NodeName, SentResults[]>();
+	readonly #resources: Disposable[] = [];
+	#caller: TargetCaller | undefined;
+	#target: TargetAnnouncement | undefined;
+	#isLeaving = false;
+	#loadTold = '';
+
+	/** @param input - What the task needs. */
+	constructor(input: ExecutionInput) {
+		const {node, registration, log} = input;
+		const {settings, clock} = node.input;
+		this.#node = node;
+		this.#clock = clock;
+		this.#log = log;
+		this.#records = createExecutionRecords({windowMs: settings.home.windowMs + settings.home.maxClockSkewMs, maxTasks: settings.home.maxTaskRecords});
+		this.#queue = createSlotQueue({
+			slots: 0,
+			options: settings.scheduling,
+			clock,
+			getWeight: customer => node.contracts.findContract(customer)?.weight ?? 1,
+			getUrgency: (customer, kind) => node.contracts.findContract(customer)?.kinds[kind]?.urgency ?? 'normal',
+			onDropped: (task, reason) => {
+				this.#refuse(task, reason);
+			},
+		});
+		this.#setTarget(registration.findTarget());
+		this.#resources.push(
+			registration.addListener(target => {
+				this.#setTarget(target);
+			}),
+			clock.startInterval(pruneIntervalMs, () => {
+				pruneRecords(this.#records, clock.getTime());
+			}),
+			clock.startInterval(settings.peer.loadReportMs, () => {
+				this.#sendLoad();
+			}),
+		);
+		node.setHandler('start', (from, message) => {
+			this.#handleStart(from, message.tasks);
+		});
+		node.setHandler('drop', (_from, message) => {
+			this.#handleDrop(message.jobs);
+		});
+		node.addStreamListener({
+			onOpen: peer => {
+				node.sendMessage(peer, {type: 'load', load: this.getLoad()});
+			},
+			onClose: peer => {
+				this.#unconfirmed.delete(peer.name);
+			},
+			onConfirm: (peer, sentMessages) => {
+				this.#handleConfirm(peer, sentMessages);
+			},
+		});
+	}
+
+	/** Returns the load as told to others. */
+	getLoad(): LoadReport {
+		const {running, queued, expectedWait} = this.#queue.getLoad();
+		const slots = this.#target?.slots ?? 0;
+		return {
+			slots,
+			freeSlots: Math.max(0, slots - running),
+			queued,
+			expectedWait,
+			leaving: this.#isLeaving || this.#target?.leaving === true,
+		};
+	}
+
+	/** Returns the number of task records kept. */
+	countRecords(): number {
+		return this.#records.taskCount;
+	}
+
+	/** Refuses new tasks from now on and gives back those that have not started. */
+	startLeaving(): void {
+		this.#isLeaving = true;
+		this.#queue.removeAll('leaving');
+		this.#sendLoad();
+	}
+
+	/** Resolves once no task runs. */
+	async waitIdle(): Promise<void> {
+		await this.#queue.waitIdle();
+		this.#flush();
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		for (const resource of this.#resources) {
+			resource[Symbol.dispose]();
+		}
+
+		await this.#caller?.[Symbol.asyncDispose]();
+	}
+
+	#setTarget(target: TargetAnnouncement | undefined): void {
+		const previous = this.#target;
+		this.#target = target;
+		if (target !== undefined && target.address !== previous?.address) {
+			this.#log.info(`target ${target.address} with ${target.slots} slots is there`);
+			void this.#caller?.[Symbol.asyncDispose]();
+			this.#caller = createTargetCaller({address: target.address, connections: target.connections, clock: this.#clock});
+		}
+
+		const isUsable = target !== undefined && !target.leaving;
+		if (!isUsable) {
+			this.#queue.removeAll(target === undefined ? 'no-target' : 'leaving');
+		}
+
+		if (previous !== undefined && !isUsable) {
+			this.#log.info(target === undefined ? 'the target is gone' : `target ${target.address} is leaving`);
+		}
+
+		this.#queue.setSlots(target?.slots ?? 0);
+		this.#sendLoad();
+	}
+
+	#handleStart(home: NodeRef, tasks: readonly TaskStart[]): void {
+		const now = this.#clock.getTime();
+		for (const task of tasks) {
+			const acceptance = acceptTask(this.#records, home, task, now);
+			if (acceptance.type === 'reply') {
+				this.#reply(home, acceptance.result);
+			} else if (acceptance.type === 'queue') {
+				this.#addTask(task, now);
+			}
+		}
+	}
+
+	#addTask(task: TaskStart, now: Milliseconds): void {
+		const target = this.#target;
+		if (target === undefined || target.leaving || this.#isLeaving) {
+			this.#refuse(task, target === undefined ? 'no-target' : 'leaving');
+			return;
+		}
+
+		const added = this.#queue.addTask({
+			job: task.job,
+			index: task.index,
+			customer: task.customer,
+			kind: task.kind,
+			bytes: task.body.length,
+			deadlineAt: now + task.deadline,
+		}, async () => this.#run(task, now));
+		if (added.isErr()) {
+			this.#refuse(task, added.error.kind);
+		}
+	}
+
+	async #run(task: TaskStart, queuedAt: Milliseconds): Promise<Milliseconds> {
+		const startedAt = this.#clock.getTime();
+		startTask(this.#records, task);
+		const outcome = await this.#caller!.callTarget(task, Math.max(1, queuedAt + task.deadline - startedAt));
+		const result: TaskResult = {
+			job: task.job,
+			index: task.index,
+			attempt: task.attempt,
+			status: outcome.status,
+			body: outcome.body,
+			...(outcome.status === 'not-started' && {reason: 'no-target' as const}),
+			runTime: outcome.runTime,
+			waitTime: startedAt - queuedAt,
+		};
+		this.#reply(endTask(this.#records, result), result);
+		return outcome.runTime;
+	}
+
+	#refuse(task: Pick<TaskStart, 'job' | 'index'>, reason: NotStartedReason): void {
+		this.#reply(getHome(this.#records, task), refuseTask(this.#records, task, reason));
+	}
+
+	#handleDrop(jobs: readonly JobDrop[]): void {
+		for (const {id, mintedAt} of jobs) {
+			dropJob(this.#records, id, mintedAt);
+		}
+
+		this.#queue.removeJobs(new Set(jobs.map(job => job.id)), 'cancelled');
+	}
+
+	#reply(home: NodeRef, result: TaskResult): void {
+		if (this.#outbox.size === 0) {
+			setImmediate(() => {
+				this.#flush();
+			});
+		}
+
+		const entry = this.#outbox.get(home.name);
+		if (entry === undefined) {
+			this.#outbox.set(home.name, {home, results: [result]});
+		} else {
+			entry.results.push(result);
+		}
+	}
+
+	#flush(): void {
+		const load = this.getLoad();
+		for (const {home, results} of this.#outbox.values()) {
+			const isSent = this.#node.sendMessage(home, {type: 'result', results, load});
+			if (isSent) {
+				this.#recordSent(home, results);
+			}
+		}
+
+		this.#outbox.clear();
+	}
+
+	#recordSent(home: NodeRef, results: readonly TaskResult[]): void {
+		if (home.name === this.#node.self.name) {
+			this.#clearResults(results);
+			return;
+		}
+
+		const sent = this.#unconfirmed.get(home.name) ?? [];
+		sent.push({sentMessages: this.#node.network.countSent(home), results});
+		this.#unconfirmed.set(home.name, sent);
+	}
+
+	#handleConfirm(home: NodeRef, sentMessages: number): void {
+		const sent = this.#unconfirmed.get(home.name) ?? [];
+		while (sent.length > 0 && sent[0].sentMessages <= sentMessages) {
+			this.#clearResults(sent.shift()!.results);
+		}
+	}
+
+	#clearResults(results: readonly TaskResult[]): void {
+		for (const result of results) {
+			clearResult(this.#records, result);
+		}
+	}
+
+	#sendLoad(): void {
+		const load = this.getLoad();
+		const text = JSON.stringify([load.freeSlots, load.slots, load.queued, load.leaving]);
+		if (text === this.#loadTold) {
+			return;
+		}
+
+		this.#loadTold = text;
+		this.#node.sendMessage(this.#node.self, {type: 'load', load});
+		for (const peer of this.#node.network.listStreams()) {
+			this.#node.sendMessage(peer, {type: 'load', load});
+		}
+	}
+}
+
--- /dev/null
+++ b/src/processes/agent/home-task.ts
@@ -0,0 +1,293 @@
+/**
+ * Is home to jobs: takes submissions from entries, places tasks on agents, collects and keeps answers.
+ */
+import {verifyJobId} from '../../core/identity/logic.ts';
+import type {JobIdParts, NodeRef} from '../../core/identity/types.ts';
+import {
+	advanceHome, cancelJob, listSentTasks, queryJob, recordResults, refuseJob, removeAgent, sendTask, submitJob,
+} from '../../core/outcome/logic.ts';
+import {PendingQueue} from '../../core/outcome/pending.ts';
+import {
+	createHome, pruneJobs, pruneRefusals, takeEffects, type HomeState,
+} from '../../core/outcome/state.ts';
+import type {
+	HomeEffect, JobCall, JobRecord, PendingTask, Refusal,
+} from '../../core/outcome/types.ts';
+import type {Clock} from '../../ports/clock.ts';
+import type {MemberChange} from '../../ports/membership.ts';
+import type {
+	JobAnswer, JobRequest, PeerMessage, TaskResult, TaskStart,
+} from '../../ports/messages.ts';
+import type {FleetView} from '../shared/fleet-view.ts';
+import type {Node} from '../shared/node.ts';
+
+const deadlineCheckMs = 5;
+const pruneIntervalMs = 1000;
+
+const leavingAnswer: JobAnswer = {outcome: 'not-run', reason: 'leaving', detail: 'the home is shutting down'};
+
+const forgedAnswer: JobAnswer = {outcome: 'not-run', reason: 'contract-limit', detail: 'the job id was not minted for this customer'};
+
+type EffectHandlers = {[Type in HomeEffect['type']]: (effect: Extract<HomeEffect, {type: Type}>) => void};
+
+/** What the home task needs. */
+export type HomeInput = {
+	readonly node: Node;
+	readonly fleet: FleetView;
+};
+
+/** The home of the jobs whose ids name this process. */
+export class HomeTask implements AsyncDisposable {
+	readonly state: HomeState;
+	readonly #node: Node;
+	readonly #fleet: FleetView;
+	readonly #clock: Clock;
+	readonly #pending = new PendingQueue();
+	readonly #resources: Disposable[] = [];
+	readonly #idleWaiters: Array<() => void> = [];
+	#isLeaving = false;
+	#isPlacing = false;
+
+	readonly #effectHandlers: EffectHandlers = {
+		reply: ({to, id, answer}) => {
+			this.#node.sendMessage(to, {type: 'answer', id, answer});
+		},
+		pending: ({to, id}) => {
+			this.#node.sendMessage(to, {type: 'pending', id});
+		},
+		drop: ({to, job}) => {
+			this.#node.sendMessage(to, {type: 'drop', jobs: [{id: job.id, mintedAt: job.mintedAt}]});
+		},
+		queued: ({job}) => {
+			this.#addPending(job);
+		},
+		answered: () => {
+			this.#checkIdle();
+		},
+	};
+
+	/** @param input - What the task needs. */
+	constructor({node, fleet}: HomeInput) {
+		const {settings, clock} = node.input;
+		this.#node = node;
+		this.#fleet = fleet;
+		this.#clock = clock;
+		this.state = createHome(node.self, settings.home);
+		this.#setHandlers();
+		this.#resources.push(
+			clock.startInterval(deadlineCheckMs, () => {
+				advanceHome(this.state, clock.getTime());
+				this.#applyEffects();
+				this.#place();
+			}),
+			clock.startInterval(pruneIntervalMs, () => {
+				pruneJobs(this.state, clock.getTime());
+				pruneRefusals(this.state, clock.getTime());
+			}),
+			node.membership.addListener(change => {
+				this.#handleMemberChange(change);
+			}),
+		);
+	}
+
+	/** Refuses new jobs from now on. */
+	startLeaving(): void {
+		this.#isLeaving = true;
+	}
+
+	/** Resolves once every job has its answer. */
+	async waitIdle(): Promise<void> {
+		if (this.state.openJobs.size === 0) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			this.#idleWaiters.push(resolve);
+		});
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		for (const resource of this.#resources) {
+			resource[Symbol.dispose]();
+		}
+	}
+
+	#setHandlers(): void {
+		const node = this.#node;
+		node.setHandler('submit', (from, {request}) => {
+			this.#handleSubmit(from, request);
+		});
+		node.setHandler('query', (from, message) => {
+			this.#handleCall(from, message, queryJob);
+		});
+		node.setHandler('cancel', (from, message) => {
+			this.#handleCall(from, message, cancelJob);
+		});
+		node.setHandler('refuse', (from, message) => {
+			const answer: Refusal = {outcome: 'not-run', reason: 'contract-limit', detail: message.detail};
+			this.#handleCall(from, message, (state, call, now) => {
+				refuseJob(state, call, answer, now);
+			});
+		});
+		node.setHandler('result', (from, message) => {
+			this.#handleResult(from, message);
+		});
+		node.addStreamListener({
+			onOpen: peer => {
+				this.#resendTasks(peer);
+				this.#schedulePlacing();
+			},
+		});
+	}
+
+	#verifyId(id: string, customer: string): JobIdParts | undefined {
+		const parts = verifyJobId(this.#node.input.secret, customer, id);
+		return parts.isOk() ? parts.value : undefined;
+	}
+
+	#handleSubmit(from: NodeRef, request: JobRequest): void {
+		const parts = this.#verifyId(request.id, request.customer);
+		const isKnown = this.state.jobs.has(request.id);
+		if (parts === undefined || (this.#isLeaving && !isKnown)) {
+			this.#node.sendMessage(from, {type: 'answer', id: request.id, answer: parts === undefined ? forgedAnswer : leavingAnswer});
+			return;
+		}
+
+		submitJob(this.state, {request, from, ...parts}, this.#clock.getTime());
+		this.#applyEffects();
+	}
+
+	#handleCall(
+		from: NodeRef,
+		{id, customer}: {readonly id: string; readonly customer: string},
+		apply: (state: HomeState, call: JobCall, now: number) => void,
+	): void {
+		const parts = this.#verifyId(id, customer);
+		if (parts === undefined) {
+			this.#node.sendMessage(from, {type: 'answer', id, answer: forgedAnswer});
+			return;
+		}
+
+		apply(this.state, {
+			id, customer, parts, from,
+		}, this.#clock.getTime());
+		this.#applyEffects();
+	}
+
+	#handleResult(from: NodeRef, message: Extract<PeerMessage, {type: 'result'}>): void {
+		this.#fleet.recordLoad(from, message.load, 'result');
+		for (const result of message.results) {
+			this.#recordEnd(from, result);
+		}
+
+		recordResults(this.state, from, message.results);
+		this.#applyEffects();
+		this.#schedulePlacing();
+	}
+
+	#recordEnd(from: NodeRef, result: TaskResult): void {
+		const job = this.state.jobs.get(result.job);
+		if (job === undefined) {
+			return;
+		}
+
+		this.#fleet.recordEnd(from, {
+			customer: job.customer,
+			kind: job.kind,
+			status: result.status,
+			...(result.reason && {reason: result.reason}),
+			runTime: result.runTime,
+		});
+	}
+
+	#handleMemberChange({member, previous}: MemberChange): void {
+		const hasRestarted = previous !== undefined && previous.address.incarnation !== member.address.incarnation;
+		if (hasRestarted) {
+			removeAgent(this.state, previous.address);
+		}
+
+		if (member.status === 'dead') {
+			removeAgent(this.state, member.address);
+		}
+
+		this.#applyEffects();
+		this.#schedulePlacing();
+	}
+
+	#resendTasks(agent: NodeRef): void {
+		const tasks = listSentTasks(this.state, agent, this.#clock.getTime());
+		if (tasks.length > 0) {
+			this.#node.sendMessage(agent, {type: 'start', tasks});
+		}
+	}
+
+	#applyEffects(): void {
+		for (const effect of takeEffects(this.state)) {
+			(this.#effectHandlers[effect.type] as (effect: HomeEffect) => void)(effect);
+		}
+	}
+
+	#addPending(job: JobRecord): void {
+		const contract = this.#node.contracts.findContract(job.customer);
+		this.#pending.addJob(job, {
+			weight: contract?.weight ?? 1,
+			urgency: contract?.kinds[job.kind]?.urgency ?? 'normal',
+		});
+		this.#schedulePlacing();
+	}
+
+	#schedulePlacing(): void {
+		if (this.#isPlacing) {
+			return;
+		}
+
+		this.#isPlacing = true;
+		setImmediate(() => {
+			this.#isPlacing = false;
+			this.#place();
+		});
+	}
+
+	#place(): void {
+		const count = this.#pending.countTasks();
+		if (count === 0) {
+			return;
+		}
+
+		for (const {agent, count: room} of this.#fleet.chooseAgents(count)) {
+			this.#sendTasks(agent, room);
+		}
+	}
+
+	#sendTasks(agent: NodeRef, room: number): void {
+		const isReachable = agent.name === this.#node.self.name || this.#node.network.hasStream(agent);
+		if (!isReachable) {
+			return;
+		}
+
+		const tasks: TaskStart[] = [];
+		while (tasks.length < room) {
+			const pending: PendingTask | undefined = this.#pending.selectTask(() => true);
+			if (pending === undefined) {
+				break;
+			}
+
+			tasks.push(sendTask(this.state, pending, agent, this.#clock.getTime()));
+		}
+
+		if (tasks.length > 0) {
+			this.#fleet.recordSent(agent, tasks.length);
+			this.#node.sendMessage(agent, {type: 'start', tasks});
+		}
+	}
+
+	#checkIdle(): void {
+		if (this.state.openJobs.size > 0) {
+			return;
+		}
+
+		for (const resolve of this.#idleWaiters.splice(0)) {
+			resolve();
+		}
+	}
+}
--- /dev/null
+++ b/src/processes/entry/calls.ts
@@ -0,0 +1,169 @@
+/**
+ * Calls from this entry to the homes of jobs: sent again to the same incarnation until answered.
+ */
+import type {JobId, NodeRef} from '../../core/identity/types.ts';
+import {isSameNode} from '../../core/identity/logic.ts';
+import type {Clock, Milliseconds, Timer} from '../../ports/clock.ts';
+import type {MemberChange} from '../../ports/membership.ts';
+import type {JobAnswer, PeerMessage} from '../../ports/messages.ts';
+import type {Node} from '../shared/node.ts';
+
+/** How a call ended. */
+export type CallResult =
+	| {readonly type: 'answer'; readonly answer: JobAnswer}
+	| {readonly type: 'pending'}
+	/** The home incarnation is gone or did not answer in time; `isSent` tells whether the call may have reached it. */
+	| {readonly type: 'lost'; readonly reason: 'home-lost' | 'deadline'; readonly isSent: boolean};
+
+type CallMessage = Extract<PeerMessage, {type: 'submit' | 'query' | 'cancel' | 'refuse'}>;
+
+type Call = {
+	readonly id: JobId;
+	readonly home: NodeRef;
+	readonly message: CallMessage;
+	readonly endsAt: Milliseconds;
+	readonly resolve: (result: CallResult) => void;
+	isSent: boolean;
+};
+
+const retryIntervalMs = 100;
+
+/** Open calls of one entry. */
+export class HomeCalls implements Disposable {
+	readonly #calls = new Map<JobId, Set<Call>>();
+	readonly #clock: Clock;
+	readonly #timer: Timer;
+	readonly #listener: Disposable;
+
+	/** @param node - The entry. */
+	constructor(private readonly node: Node) {
+		this.#clock = node.input.clock;
+		node.setHandler('answer', (from, {id, answer}) => {
+			this.#settleCalls(id, from, {type: 'answer', answer});
+		});
+		node.setHandler('pending', (from, {id}) => {
+			this.#settleCalls(id, from, {type: 'pending'}, call => call.message.type === 'query');
+		});
+		node.addStreamListener({
+			onOpen: peer => {
+				this.#sendCalls(peer);
+			},
+		});
+		this.#listener = node.membership.addListener(change => {
+			this.#handleMemberChange(change);
+		});
+		this.#timer = this.#clock.startInterval(retryIntervalMs, () => {
+			this.#advance();
+		});
+	}
+
+	/** Returns the number of calls without a result. */
+	countCalls(): number {
+		return this.#calls.size;
+	}
+
+	/**
+	 * Calls the home of a job.
+	 *
+	 * @param home - The home incarnation that the job id names.
+	 * @param message - The call.
+	 * @param timeout - Greatest time to wait, in ms.
+	 * @returns The answer, or that there is none.
+	 */
+	async callHome(home: NodeRef, message: CallMessage, timeout: Milliseconds): Promise<CallResult> {
+		const id = message.type === 'submit' ? message.request.id : message.id;
+		return new Promise(resolve => {
+			const call: Call = {
+				id, home, message, endsAt: this.#clock.getTime() + timeout, resolve, isSent: false,
+			};
+			const calls = this.#calls.get(id) ?? new Set();
+			calls.add(call);
+			this.#calls.set(id, calls);
+			this.#sendCall(call);
+		});
+	}
+
+	[Symbol.dispose](): void {
+		this.#timer[Symbol.dispose]();
+		this.#listener[Symbol.dispose]();
+	}
+
+	#sendCall(call: Call): void {
+		const member = this.node.membership.findMember(call.home.name);
+		const isGone = member !== undefined && (isSameNode(member.address, call.home) ? member.status === 'dead' : member.address.incarnation > call.home.incarnation);
+		if (isGone) {
+			this.#settleCall(call, {type: 'lost', reason: 'home-lost', isSent: call.isSent});
+			return;
+		}
+
+		if (this.node.sendMessage(call.home, call.message)) {
+			call.isSent = true;
+			return;
+		}
+
+		if (member !== undefined) {
+			void this.#openStream(call);
+		}
+	}
+
+	async #openStream(call: Call): Promise<void> {
+		const member = this.node.membership.findMember(call.home.name);
+		try {
+			await this.node.network.openStream(member!.address);
+		} catch {
+			// Tried again at the next interval, until membership tells that the home is gone.
+		}
+	}
+
+	#sendCalls(peer: NodeRef): void {
+		for (const call of this.#listCalls()) {
+			if (isSameNode(call.home, peer)) {
+				this.#sendCall(call);
+			}
+		}
+	}
+
+	#handleMemberChange({member}: MemberChange): void {
+		for (const call of this.#listCalls()) {
+			if (call.home.name === member.address.name && !this.node.network.hasStream(call.home)) {
+				this.#sendCall(call);
+			}
+		}
+	}
+
+	#advance(): void {
+		const now = this.#clock.getTime();
+		for (const call of this.#listCalls()) {
+			if (now >= call.endsAt) {
+				this.#settleCall(call, {type: 'lost', reason: 'deadline', isSent: call.isSent});
+			} else if (!this.node.network.hasStream(call.home)) {
+				this.#sendCall(call);
+			}
+		}
+	}
+
+	#listCalls(): Call[] {
+		return [...this.#calls.values()].flatMap(calls => [...calls]);
+	}
+
+	#settleCalls(id: JobId, from: NodeRef, result: CallResult, canSettle: (call: Call) => boolean = () => true): void {
+		for (const call of this.#calls.get(id) ?? []) {
+			if (isSameNode(call.home, from) && canSettle(call)) {
+				this.#settleCall(call, result);
+			}
+		}
+	}
+
+	#settleCall(call: Call, result: CallResult): void {
+		const calls = this.#calls.get(call.id);
+		if (calls?.delete(call) !== true) {
+			return;
+		}
+
+		if (calls.size === 0) {
+			this.#calls.delete(call.id);
+		}
+
+		call.resolve(result);
+	}
+}
--- /dev/null
+++ b/src/processes/entry/entry.ts
@@ -0,0 +1,66 @@
+/**
+ * The process that takes callers' requests over HTTP.
+ */
+import {startHttpInterface, type HttpInterface} from '../../adapters/http/server.ts';
+import {createLog} from '../../adapters/log/log.ts';
+import {ResourceStack} from '../../adapters/system/resources.ts';
+import {FleetView} from '../shared/fleet-view.ts';
+import {startNode, type Node, type NodeInput} from '../shared/node.ts';
+import {waitAtMost} from '../shared/wait.ts';
+import {HomeCalls} from './calls.ts';
+import {EntryJobService} from './job-service.ts';
+
+/** A running entry. */
+export type Entry = AsyncDisposable & {
+	readonly node: Node;
+	readonly http: HttpInterface;
+	/** Takes no new request, finishes those in flight, and resolves; false if the time limit came first. */
+	drain(): Promise<boolean>;
+};
+
+/**
+ * Starts an entry.
+ *
+ * @param input - Settings, secrets and ports.
+ * @returns The running entry.
+ */
+export async function startEntry(input: NodeInput): Promise<Entry> {
+	const {settings, clock} = input;
+	const log = createLog('entry');
+	await using stack = new ResourceStack();
+	const node = stack.addResource(await startNode(input));
+	const fleet = stack.addResource(new FleetView(node));
+	const calls = stack.addResource(new HomeCalls(node));
+	const jobs = new EntryJobService({node, fleet, calls});
+	const http = stack.addResource(await startHttpInterface({
+		jobs,
+		contracts: node.contracts,
+		limits: settings.limits,
+		log: createLog('http'),
+		host: settings.host,
+		port: settings.publicPort,
+		renderMetrics: () => '',
+	}));
+	log.info(`entry "${settings.name}" serves callers on ${settings.host}:${http.port}`);
+
+	async function drain(): Promise<boolean> {
+		node.membership.startLeaving();
+		http.startDraining();
+		const isIdle = await waitAtMost(clock, settings.limits.drainMs, http.waitIdle());
+		if (!isIdle) {
+			log.error(`stopped with ${calls.countCalls()} requests without an answer`);
+		}
+
+		return isIdle;
+	}
+
+	const owned = stack.moveResources();
+	return {
+		node,
+		http,
+		drain,
+		async [Symbol.asyncDispose]() {
+			await owned[Symbol.asyncDispose]();
+		},
+	};
+}
--- /dev/null
+++ b/src/processes/entry/job-service.ts
@@ -0,0 +1,169 @@
+/**
+ * What an entry does for a caller: checks the contract, finds the home of the job, relays the whole answer.
+ */
+import {randomBytes} from 'node:crypto';
+import {mintJobId, verifyJobId} from '../../core/identity/logic.ts';
+import type {IdentityErrorKind} from '../../core/identity/errors.ts';
+import type {JobId, JobIdParts, NodeRef} from '../../core/identity/types.ts';
+import type {Contract} from '../../core/contracts/types.ts';
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {JobReply, JobService, JobSubmission} from '../../ports/jobs.ts';
+import type {JobAnswer, JobRequest} from '../../ports/messages.ts';
+import type {FleetView} from '../shared/fleet-view.ts';
+import type {Node} from '../shared/node.ts';
+import type {CallResult, HomeCalls} from './calls.ts';
+
+const nonceBytes = 6;
+
+/** Time beyond a job's deadline that the entry waits for the home's own answer, in ms. */
+const answerGraceMs = 250;
+
+const queryTimeoutMs = 2000;
+const maxHomes = 3;
+
+const idStatuses: Record<IdentityErrorKind, number> = {malformed: 400, forged: 404};
+
+/** What the service needs. */
+export type JobServiceInput = {
+	readonly node: Node;
+	readonly fleet: FleetView;
+	readonly calls: HomeCalls;
+};
+
+function createRefusal(status: number, field: string, message: string): JobReply {
+	return {
+		type: 'refused', status, field, message,
+	};
+}
+
+const lostDetails: Record<'home-lost' | 'deadline', string> = {
+	'home-lost': 'the home of the job failed',
+	deadline: 'the home of the job did not answer in time',
+};
+
+function createLostAnswer({reason}: Extract<CallResult, {type: 'lost'}>): JobAnswer {
+	return {outcome: 'unknown', reason, detail: lostDetails[reason]};
+}
+
+/** Serves callers through the homes of their jobs. */
+export class EntryJobService implements JobService {
+	readonly #node: Node;
+	readonly #fleet: FleetView;
+	readonly #calls: HomeCalls;
+
+	/** @param input - What the service needs. */
+	constructor({node, fleet, calls}: JobServiceInput) {
+		this.#node = node;
+		this.#fleet = fleet;
+		this.#calls = calls;
+	}
+
+	isReady(): boolean {
+		return this.#node.contracts.getDocument().revision > 0 && this.#fleet.chooseHome() !== undefined;
+	}
+
+	mintIds(contract: Contract, count: number): readonly JobId[] {
+		const ids: JobId[] = [];
+		for (let index = 0; index < count; index++) {
+			const minted = this.#mintId(contract);
+			if (minted === undefined) {
+				return [];
+			}
+
+			ids.push(minted.id);
+		}
+
+		return ids;
+	}
+
+	async submitJob(contract: Contract, id: JobId, submission: JobSubmission): Promise<JobReply> {
+		const parts = verifyJobId(this.#node.input.secret, contract.customer, id);
+		if (parts.isErr()) {
+			return createRefusal(idStatuses[parts.error.kind], 'id', parts.error.message);
+		}
+
+		const result = await this.#callSubmit(contract, id, parts.value.home, submission);
+		return this.#createReply(id, result);
+	}
+
+	async submitNewJob(contract: Contract, submission: JobSubmission): Promise<JobReply> {
+		for (let attempt = 0; attempt < maxHomes; attempt++) {
+			const minted = this.#mintId(contract);
+			if (minted === undefined) {
+				break;
+			}
+
+			const result = await this.#callSubmit(contract, minted.id, minted.parts.home, submission);
+			const isUnsent = result.type === 'lost' && !result.isSent;
+			const isLeaving = result.type === 'answer' && result.answer.outcome === 'not-run' && result.answer.reason === 'leaving';
+			if (!isUnsent && !isLeaving) {
+				return this.#createReply(minted.id, result);
+			}
+		}
+
+		return createRefusal(503, 'job', 'no agent takes work now');
+	}
+
+	async submitKeyedJob(_contract: Contract, key: string, _submission: JobSubmission): Promise<JobReply> {
+		return createRefusal(501, 'Idempotency-Key', `keys of callers such as "${key}" are not supported; mint an id by POST /v1/job-ids`);
+	}
+
+	async queryJob(contract: Contract, id: JobId): Promise<JobReply> {
+		return this.#callAbout(contract, id, 'query');
+	}
+
+	async cancelJob(contract: Contract, id: JobId): Promise<JobReply> {
+		return this.#callAbout(contract, id, 'cancel');
+	}
+
+	async #callAbout(contract: Contract, id: JobId, type: 'query' | 'cancel'): Promise<JobReply> {
+		const parts = verifyJobId(this.#node.input.secret, contract.customer, id);
+		if (parts.isErr()) {
+			return createRefusal(idStatuses[parts.error.kind], 'id', parts.error.message);
+		}
+
+		const timeout = type === 'query' ? queryTimeoutMs : this.#node.input.settings.limits.maxDeadlineMs;
+		const result = await this.#calls.callHome(parts.value.home, {type, id, customer: contract.customer}, timeout);
+		return this.#createReply(id, result);
+	}
+
+	async #callSubmit(contract: Contract, id: JobId, home: NodeRef, submission: JobSubmission): Promise<CallResult> {
+		const deadline = this.#computeDeadline(contract, submission);
+		const request: JobRequest = {
+			id,
+			customer: contract.customer,
+			kind: submission.kind,
+			deadline,
+			idempotent: submission.idempotent,
+			digest: submission.digest,
+			tasks: submission.tasks,
+		};
+		return this.#calls.callHome(home, {type: 'submit', request}, deadline + answerGraceMs);
+	}
+
+	#computeDeadline(contract: Contract, submission: JobSubmission): Milliseconds {
+		return submission.deadline ?? contract.kinds[submission.kind]?.deadlineMs ?? this.#node.input.settings.limits.maxDeadlineMs;
+	}
+
+	#mintId(contract: Contract): {id: JobId; parts: JobIdParts} | undefined {
+		const home = this.#fleet.chooseHome();
+		if (home === undefined) {
+			return undefined;
+		}
+
+		const parts: JobIdParts = {
+			home: {name: home.name, incarnation: home.incarnation},
+			mintedAt: Math.floor(this.#node.input.clock.getTime()),
+			nonce: randomBytes(nonceBytes).toString('hex'),
+		};
+		return {id: mintJobId(this.#node.input.secret, contract.customer, parts), parts};
+	}
+
+	#createReply(id: JobId, result: CallResult): JobReply {
+		if (result.type === 'pending') {
+			return {type: 'pending', id};
+		}
+
+		return {type: 'answer', id, answer: result.type === 'answer' ? result.answer : createLostAnswer(result)};
+	}
+}
--- /dev/null
+++ b/src/processes/shared/connector.ts
@@ -0,0 +1,80 @@
+/**
+ * Keeps streams open to a bounded set of agents, and opens them again with backoff.
+ */
+import type {NodeName} from '../../core/identity/types.ts';
+import {PeerError} from '../../adapters/peer/errors.ts';
+import type {Clock, Milliseconds} from '../../ports/clock.ts';
+import type {Member} from '../../ports/membership.ts';
+import type {Node} from './node.ts';
+
+const checkIntervalMs = 100;
+const maxBackoffFactor = 20;
+
+type Backoff = {
+	retryAt: Milliseconds;
+	delay: Milliseconds;
+};
+
+/** Settings of the connector. */
+export type ConnectorOptions = {
+	/** Shortest time before a stream is tried again, in ms. */
+	readonly reconnectMs: Milliseconds;
+	/** Chooses the agents that this process keeps streams to. */
+	readonly choosePeers: () => readonly Member[];
+};
+
+/** Opens streams to the chosen agents until disposed of. */
+export class Connector implements Disposable {
+	readonly #backoffs = new Map<NodeName, Backoff>();
+	readonly #clock: Clock;
+	readonly #timer: Disposable;
+	readonly #listener: Disposable;
+
+	/**
+	 * @param node - The process.
+	 * @param options - Settings.
+	 */
+	constructor(private readonly node: Node, private readonly options: ConnectorOptions) {
+		this.#clock = node.input.clock;
+		this.#timer = this.#clock.startInterval(checkIntervalMs, () => {
+			this.#openStreams();
+		});
+		this.#listener = node.membership.addListener(() => {
+			this.#openStreams();
+		});
+		this.#openStreams();
+	}
+
+	[Symbol.dispose](): void {
+		this.#timer[Symbol.dispose]();
+		this.#listener[Symbol.dispose]();
+	}
+
+	#openStreams(): void {
+		for (const member of this.options.choosePeers()) {
+			if (!this.node.network.hasStream(member.address)) {
+				void this.#openStream(member);
+			}
+		}
+	}
+
+	async #openStream({address}: Member): Promise<void> {
+		const now = this.#clock.getTime();
+		const backoff = this.#backoffs.get(address.name) ?? {retryAt: now, delay: this.options.reconnectMs};
+		if (now < backoff.retryAt) {
+			return;
+		}
+
+		backoff.retryAt = now + backoff.delay;
+		backoff.delay = Math.min(backoff.delay * 2, this.options.reconnectMs * maxBackoffFactor);
+		this.#backoffs.set(address.name, backoff);
+		try {
+			await this.node.network.openStream(address);
+			this.#backoffs.delete(address.name);
+		} catch (error) {
+			if (!(error instanceof PeerError)) {
+				throw error;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/processes/shared/documents.ts
@@ -0,0 +1,66 @@
+/**
+ * Hands the contract document from process to process over their streams.
+ */
+import {encodeDocument, parseDocument} from '../../core/contracts/parse.ts';
+import type {ContractDocument} from '../../core/contracts/types.ts';
+import type {NodeName, NodeRef} from '../../core/identity/types.ts';
+import type {Clock} from '../../ports/clock.ts';
+import type {PeerAddress} from '../../ports/messages.ts';
+import type {PeerNetwork} from '../../adapters/peer/network.ts';
+
+const fetchTimeoutMs = 1000;
+
+type Waiter = (document: ContractDocument | undefined) => void;
+
+/** Asks peers for the document, and answers theirs. */
+export class DocumentExchange {
+	readonly #waiters = new Map<NodeName, Waiter[]>();
+
+	/**
+	 * @param network - Streams of this process.
+	 * @param clock - Source of time.
+	 * @param getDocument - Returns the document in force here.
+	 */
+	constructor(
+		private readonly network: PeerNetwork,
+		private readonly clock: Clock,
+		private readonly getDocument: () => ContractDocument,
+	) {}
+
+	/**
+	 * Fetches the document in force at a peer.
+	 *
+	 * @param address - The peer.
+	 * @returns The document, or undefined if none arrived in time.
+	 */
+	async fetchDocument(address: PeerAddress): Promise<ContractDocument | undefined> {
+		await this.network.openStream(address);
+		return new Promise(resolve => {
+			const timer = this.clock.startTimer(fetchTimeoutMs, () => {
+				resolve(undefined);
+			});
+			const waiters = this.#waiters.get(address.name) ?? [];
+			waiters.push(document => {
+				timer[Symbol.dispose]();
+				resolve(document);
+			});
+			this.#waiters.set(address.name, waiters);
+			this.network.sendMessage(address, {type: 'fetch-document'});
+		});
+	}
+
+	/** Answers a peer that asks for the document. */
+	handleFetch(from: NodeRef): void {
+		this.network.sendMessage(from, {type: 'document', text: encodeDocument(this.getDocument())});
+	}
+
+	/** Takes a document that a peer has sent. */
+	handleDocument(from: NodeRef, text: string): void {
+		const waiters = this.#waiters.get(from.name) ?? [];
+		this.#waiters.delete(from.name);
+		const document = parseDocument(text);
+		for (const resolve of waiters) {
+			resolve(document.isOk() ? document.value : undefined);
+		}
+	}
+}
--- /dev/null
+++ b/src/processes/shared/fleet-view.ts
@@ -0,0 +1,112 @@
+/**
+ * Joins membership, load reports and health into the placement of one process.
+ */
+import {recordEnd, recordReport, recordSent} from '../../core/placement/accounting.ts';
+import {chooseAgents, chooseHome} from '../../core/placement/logic.ts';
+import {choosePeers} from '../../core/placement/peers.ts';
+import {createPlacementState, setAgents, type PlacementState} from '../../core/placement/state.ts';
+import type {Assignment, PlacementAgent, TaskEnd} from '../../core/placement/types.ts';
+import type {NodeRef} from '../../core/identity/types.ts';
+import type {LoadReport} from '../../ports/messages.ts';
+import type {Member, MemberStatus} from '../../ports/membership.ts';
+import type {Settings} from '../../settings/schema.ts';
+import {Connector} from './connector.ts';
+import type {Node} from './node.ts';
+
+const usableStatuses = new Set<MemberStatus>(['alive', 'suspect']);
+
+function createOptions(settings: Settings, self: string | undefined): Parameters<typeof createPlacementState>[0] {
+	const {placement} = settings;
+	return {
+		policy: placement.policy,
+		self,
+		dataCentre: settings.dataCentre,
+		queuePerAgent: placement.queuePerAgent,
+		localDelay: placement.localDelayMs,
+		extraDelay: placement.extraDelayMs,
+		assumedRunTime: placement.assumedRunTimeMs,
+		slowFactor: placement.slowFactor,
+		slownessHalfLife: placement.slownessHalfLifeMs,
+		peerCount: placement.peerCount,
+		redrawInterval: placement.redrawMs,
+		redrawShare: placement.redrawShare,
+		localWeight: placement.localWeight,
+	};
+}
+
+/** What one process knows of the agents, and the streams it keeps to them. */
+export class FleetView implements Disposable {
+	readonly placement: PlacementState;
+	readonly #connector: Connector;
+	readonly #listener: Disposable;
+
+	/** @param node - The process. */
+	constructor(private readonly node: Node) {
+		const {settings, role} = node.input;
+		this.placement = createPlacementState(createOptions(settings, role === 'agent' ? node.self.name : undefined));
+		this.#listener = node.membership.addListener(() => {
+			this.#updateAgents();
+		});
+		node.setHandler('load', (from, message) => {
+			this.recordLoad(from, message.load, 'load');
+		});
+		this.#updateAgents();
+		this.#connector = new Connector(node, {
+			reconnectMs: settings.peer.reconnectMs,
+			choosePeers: () => this.#listPeers(),
+		});
+	}
+
+	/** Records a load report. */
+	recordLoad(from: NodeRef, load: LoadReport, carrier: 'result' | 'load'): void {
+		recordReport(this.placement, from, load, carrier, this.node.input.clock.getTime());
+	}
+
+	/** Records that tasks were sent to an agent. */
+	recordSent(agent: NodeRef, count: number): void {
+		recordSent(this.placement, agent, count, this.node.input.clock.getTime());
+	}
+
+	/** Records that a task ended at an agent. */
+	recordEnd(agent: NodeRef, end: TaskEnd): void {
+		recordEnd(this.placement, agent, end, this.node.input.clock.getTime());
+	}
+
+	/** Chooses agents with an open stream for up to `count` tasks. */
+	chooseAgents(count: number): readonly Assignment[] {
+		const {clock, random} = this.node.input;
+		return chooseAgents(this.placement, count, clock.getTime(), random);
+	}
+
+	/** Chooses the home of a job, or an agent for a task that has to wait anywhere. */
+	chooseHome(): PlacementAgent | undefined {
+		const {clock, random} = this.node.input;
+		const home = chooseHome(this.placement, clock.getTime(), random);
+		return home.isOk() ? home.value : undefined;
+	}
+
+	[Symbol.dispose](): void {
+		this.#connector[Symbol.dispose]();
+		this.#listener[Symbol.dispose]();
+	}
+
+	#listAgents(): Member[] {
+		return this.node.membership.listMembers()
+			.filter(member => member.address.role === 'agent' && usableStatuses.has(member.status));
+	}
+
+	#updateAgents(): void {
+		const agents: PlacementAgent[] = this.#listAgents().map(member => member.address);
+		if (this.node.input.role === 'agent') {
+			agents.push(this.node.self);
+		}
+
+		setAgents(this.placement, agents, this.node.input.clock.getTime());
+	}
+
+	#listPeers(): Member[] {
+		const {clock, random} = this.node.input;
+		const names = choosePeers(this.placement, clock.getTime(), random);
+		return this.#listAgents().filter(member => names.has(member.address.name));
+	}
+}
--- /dev/null
+++ b/src/processes/shared/node.ts
@@ -0,0 +1,154 @@
+/**
+ * What every process of the fleet has: server, streams, membership and contracts.
+ */
+import {startContractSource, type RunningContractSource} from '../../adapters/contracts/source.ts';
+import {startGossip} from '../../adapters/gossip/gossip.ts';
+import {createLog} from '../../adapters/log/log.ts';
+import {PeerNetwork} from '../../adapters/peer/network.ts';
+import {ResourceStack} from '../../adapters/system/resources.ts';
+import type {NodeRef} from '../../core/identity/types.ts';
+import type {Clock} from '../../ports/clock.ts';
+import type {Membership} from '../../ports/membership.ts';
+import type {
+	PeerAddress, PeerMessage, PeerMessageType, Role,
+} from '../../ports/messages.ts';
+import type {Random} from '../../ports/random.ts';
+import type {Store} from '../../ports/store.ts';
+import type {Settings} from '../../settings/schema.ts';
+import {DocumentExchange} from './documents.ts';
+import {startNodeServer, type NodeServer} from './server.ts';
+
+/** What a process starts from. */
+export type NodeInput = {
+	readonly role: Role;
+	readonly settings: Settings;
+	/** Secret shared by the processes of the fleet. */
+	readonly secret: string;
+	/** Secret of operators' calls. */
+	readonly operatorSecret: string;
+	readonly store: Store | undefined;
+	readonly clock: Clock;
+	readonly random: Random;
+};
+
+/** Handles messages of one type. */
+export type MessageHandler<Type extends PeerMessageType> = (from: NodeRef, message: Extract<PeerMessage, {type: Type}>) => void;
+
+/** Called when a stream opens or closes. */
+export type StreamListener = {
+	readonly onOpen?: (node: NodeRef) => void;
+	readonly onClose?: (node: NodeRef) => void;
+	readonly onConfirm?: (node: NodeRef, sentMessages: number) => void;
+};
+
+/** The parts that all processes share. */
+export type Node = AsyncDisposable & {
+	readonly input: NodeInput;
+	readonly self: PeerAddress;
+	readonly server: NodeServer;
+	readonly network: PeerNetwork;
+	readonly membership: Membership;
+	readonly contracts: RunningContractSource;
+	/** Sets the handler of a type of message. */
+	setHandler<Type extends PeerMessageType>(type: Type, handler: MessageHandler<Type>): void;
+	addStreamListener(listener: StreamListener): void;
+	/** Sends a message; one to this process itself is handled in a later turn. */
+	sendMessage(to: NodeRef, message: PeerMessage): boolean;
+};
+
+/**
+ * Starts the shared parts of a process.
+ *
+ * @param input - Settings, secrets and ports.
+ * @returns The running parts.
+ */
+export async function startNode(input: NodeInput): Promise<Node> {
+	const {settings, secret, clock, random} = input;
+	await using stack = new ResourceStack();
+	const server = stack.addResource(await startNodeServer(settings.host, settings.port));
+	const self: PeerAddress = {
+		name: settings.name,
+		incarnation: Math.floor(clock.getTime()),
+		role: input.role,
+		dataCentre: settings.dataCentre,
+		host: settings.host,
+		port: server.port,
+	};
+	const network = stack.addResource(new PeerNetwork({
+		self, secret, server: server.server, options: settings.peer, clock, log: createLog('peer'),
+	}));
+	const membership = stack.addResource(await startGossip({
+		self, peers: settings.peers, secret, options: settings.membership, clock, random, log: createLog('membership'),
+	}));
+	const documents = new DocumentExchange(network, clock, () => contracts.getDocument());
+	const contracts: RunningContractSource = stack.addResource(await startContractSource({
+		...(input.store && {store: input.store}),
+		membership,
+		fetchDocument: async address => documents.fetchDocument(address),
+		options: {...settings.contracts, expectPeers: settings.peers.length > 0},
+		clock,
+		random,
+		log: createLog('contracts'),
+	}));
+
+	const handlers = new Map<PeerMessageType, MessageHandler<PeerMessageType>>();
+	const streamListeners: StreamListener[] = [];
+	const node: Omit<Node, typeof Symbol.asyncDispose> = {
+		input,
+		self,
+		server,
+		network,
+		membership,
+		contracts,
+		setHandler(type, handler) {
+			handlers.set(type, handler as unknown as MessageHandler<PeerMessageType>);
+		},
+		addStreamListener(listener) {
+			streamListeners.push(listener);
+		},
+		sendMessage(to, message) {
+			if (to.name !== self.name) {
+				return network.sendMessage(to, message);
+			}
+
+			setImmediate(() => {
+				handlers.get(message.type)?.(self, message);
+			});
+			return true;
+		},
+	};
+	node.setHandler('fetch-document', from => {
+		documents.handleFetch(from);
+	});
+	node.setHandler('document', (from, message) => {
+		documents.handleDocument(from, message.text);
+	});
+	network.setHandlers({
+		onMessage(from, message) {
+			handlers.get(message.type)?.(from, message);
+		},
+		onOpen(peer) {
+			for (const listener of streamListeners) {
+				listener.onOpen?.(peer);
+			}
+		},
+		onClose(peer) {
+			for (const listener of streamListeners) {
+				listener.onClose?.(peer);
+			}
+		},
+		onConfirm(peer, sentMessages) {
+			for (const listener of streamListeners) {
+				listener.onConfirm?.(peer, sentMessages);
+			}
+		},
+	});
+
+	const owned = stack.moveResources();
+	return {
+		...node,
+		async [Symbol.asyncDispose]() {
+			await owned[Symbol.asyncDispose]();
+		},
+	};
+}
--- /dev/null
+++ b/src/processes/shared/server.ts
@@ -0,0 +1,105 @@
+/**
+ * The HTTP server of a process for streams, operators, metrics and the target beside an agent.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+/** Handles a request; resolves once the answer is written. */
+export type RouteHandler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
+
+/** A listening server with a table of routes. */
+export type NodeServer = AsyncDisposable & {
+	readonly server: Server;
+	readonly port: number;
+	/** Adds a route by method and the first part of the path, such as `POST /target`. */
+	addRoute(route: string, handler: RouteHandler): void;
+};
+
+const headersTimeoutMs = 5000;
+const requestTimeoutMs = 10_000;
+
+function getRoute(request: IncomingMessage): string {
+	const path = (request.url ?? '/').split('?', 1)[0];
+	return `${request.method} /${path.split('/')[1] ?? ''}`;
+}
+
+async function handleRequest(routes: ReadonlyMap<string, RouteHandler>, request: IncomingMessage, response: ServerResponse): Promise<void> {
+	const handler = routes.get(getRoute(request));
+	if (handler === undefined) {
+		response.writeHead(404).end();
+		return;
+	}
+
+	try {
+		await handler(request, response);
+	} catch {
+		if (!response.headersSent) {
+			response.writeHead(500);
+		}
+
+		response.end();
+	}
+}
+
+/**
+ * Starts the server.
+ *
+ * @param host - IP number to listen on.
+ * @param port - Port; 0 takes a free one.
+ * @returns The server, once it listens.
+ */
+export async function startNodeServer(host: string, port: number): Promise<NodeServer> {
+	const routes = new Map<string, RouteHandler>();
+	const server = createServer({headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs}, (request, response) => {
+		void handleRequest(routes, request, response);
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, resolve);
+	});
+
+	return {
+		server,
+		port: (server.address() as AddressInfo).port,
+		addRoute(route, handler) {
+			routes.set(route, handler);
+		},
+		async [Symbol.asyncDispose]() {
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+				server.closeAllConnections();
+			});
+		},
+	};
+}
+
+/**
+ * Reads a small JSON body.
+ *
+ * @param request - The request.
+ * @param maxBytes - Greatest size, in bytes.
+ * @returns The parsed value, or undefined if it is too large or not JSON.
+ */
+export async function readJsonBody(request: IncomingMessage, maxBytes: number): Promise<unknown> {
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		size += chunk.length;
+		if (size > maxBytes) {
+			return undefined;
+		}
+
+		chunks.push(chunk);
+	}
+
+	try {
+		return JSON.parse(new TextDecoder().decode(Buffer.concat(chunks)));
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/processes/shared/wait.ts
@@ -0,0 +1,32 @@
+/**
+ * Waits with a time limit.
+ */
+import type {Clock, Milliseconds, Timer} from '../../ports/clock.ts';
+
+/**
+ * Waits for a promise, at most for some time.
+ *
+ * @param clock - Source of time.
+ * @param limit - Time limit, in ms.
+ * @param promise - What to wait for.
+ * @returns Whether the promise resolved in time.
+ */
+export async function waitAtMost(clock: Clock, limit: Milliseconds, promise: Promise<unknown>): Promise<boolean> {
+	let timer: Timer | undefined;
+	const expired = new Promise<boolean>(resolve => {
+		timer = clock.startTimer(limit, () => {
+			resolve(false);
+		});
+	});
+
+	async function waitForPromise(): Promise<boolean> {
+		await promise;
+		return true;
+	}
+
+	try {
+		return await Promise.race([waitForPromise(), expired]);
+	} finally {
+		timer?.[Symbol.dispose]();
+	}
+}
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -13,6 +13,7 @@
 import {peerSchema} from './sections/peer.ts';
 import {placementSchema} from './sections/placement.ts';
 import {schedulingSchema} from './sections/scheduling.ts';
+import {targetSchema} from './sections/target.ts';
 import {timelineSchema} from './sections/timeline.ts';
 
 const nodeNamePattern = /^[a-z\d][a-z\d.-]{0,62}$/;
@@ -53,6 +54,7 @@
 	peer: peerSchema,
 	placement: placementSchema,
 	scheduling: schedulingSchema,
+	target: targetSchema,
 	timeline: timelineSchema,
 });
 
--- a/src/settings/sections/home.ts
+++ b/src/settings/sections/home.ts
@@ -13,4 +13,10 @@
 		.describe('Greatest memory, in bytes, for jobs and kept answers; beyond it new jobs are refused as not run.'),
 	maxJobs: z.int().min(1).default(50_000)
 		.describe('Greatest number of jobs and kept answers; beyond it new jobs are refused as not run.'),
+	maxRefusals: z.int().min(0).default(20_000)
+		.describe('Greatest number of refused job ids that are remembered; beyond it a refusal is reported as unknown.'),
+	maxTaskRecords: z.int().min(1).default(100_000)
+		.describe('Greatest number of task records at an agent; beyond it new tasks are refused as not started.'),
+	maxPlacements: z.int().min(1).max(20).default(5)
+		.describe('Greatest number of agents that a task is offered to, one after another, before its job is refused.'),
 }).prefault({});
