Add membership by gossip: pure protocol, UDP adapter, settings, simulated network

Ruled out: probes that suspect after one unanswered ping and one indirect round (7% of probes fail at 20% loss, by arithmetic); believing a death that comes in a page, or from a sender held dead (a member that could not send for 30 s made others see live members as dead when it came back); telling a new revision by rumours alone (3 of 200 members never heard of it).

Change: SWIM with indirect probes, nacks, suspicion that shrinks with confirmations, refutation counters, rumours under an allowance, comparison of views by hashes of key ranges, join by pages; datagrams of at most 1200 bytes with a truncated HMAC and a protocol version.

--- /dev/null
+++ b/features/membership/network.ts
@@ -0,0 +1,282 @@
+/**
+ * An in-memory network of pure membership states with a simulated clock and seeded faults.
+ */
+import assert from 'node:assert/strict';
+import type {Member, MemberChange, MemberStatus} from '../../src/ports/membership.ts';
+import type {PeerAddress} from '../../src/ports/messages.ts';
+import {createSeededRandom, type Random} from '../../src/ports/random.ts';
+import {applyMembershipEvent} from '../../src/core/membership/logic.ts';
+import {createMember} from '../../src/core/membership/records.ts';
+import {createMembershipState, type MembershipState} from '../../src/core/membership/state.ts';
+import type {
+	Datagram, Endpoint, MembershipEffect, MembershipEvent, MembershipOptions,
+} from '../../src/core/membership/types.ts';
+import {membershipSchema} from '../../src/settings/sections/membership.ts';
+
+/** Default settings of membership. */
+export const defaultOptions = membershipSchema.parse({});
+
+/** A simulated process. */
+export type SimulatedNode = {
+	readonly address: PeerAddress;
+	readonly state: MembershipState;
+	readonly random: Random;
+	isUp: boolean;
+	isFrozen: boolean;
+	/** Time that each datagram waits before it is handled, in ms. */
+	lagMs: number;
+	readonly waiting: MembershipEvent[];
+};
+
+/** A change of one node's view. */
+export type ObservedChange = {
+	readonly time: number;
+	readonly observer: string;
+	/** Incarnation of the observer; a restarted one remembers nothing. */
+	readonly observerIncarnation: number;
+	readonly change: MemberChange;
+};
+
+/** How the network treats datagrams; may be changed at any time. */
+export type NetworkFaults = {
+	/** Share of datagrams lost. */
+	loss: number;
+	/** Least and greatest time on the way, in ms. */
+	delayMs: readonly [number, number];
+	isCut: (from: string, to: string) => boolean;
+};
+
+/** What a network starts with. */
+export type NetworkConfig = {
+	readonly seed: number;
+	readonly options?: Partial<MembershipOptions>;
+	/** What a datagram becomes on the way, such as by encoding and decoding it. */
+	readonly transport: (datagram: Datagram, from: string) => Datagram;
+};
+
+type Task = {readonly time: number; readonly order: number; readonly run: () => void};
+
+const startTime = 1_700_000_000_000;
+const firstPort = 7000;
+const frozenBufferSize = 200;
+
+/** A set of nodes, the datagrams between them, and the record of every change seen. */
+export class SimulatedNetwork {
+	readonly nodes = new Map<string, SimulatedNode>();
+	readonly changes: ObservedChange[] = [];
+	readonly faults: NetworkFaults = {loss: 0, delayMs: [0.5, 2], isCut: () => false};
+	readonly random: Random;
+	now = startTime;
+	sentDatagrams = 0;
+	readonly #byPort = new Map<number, SimulatedNode>();
+	readonly #tasks: Task[] = [];
+	readonly #options: MembershipOptions;
+	#order = 0;
+
+	constructor(private readonly config: NetworkConfig) {
+		this.random = createSeededRandom(config.seed);
+		this.#options = {...defaultOptions, ...config.options};
+	}
+
+	/** Starts a process; one of the same name is replaced and keeps its address. */
+	startNode(name: string, peers: readonly string[], dataCentre = 'dc-1'): SimulatedNode {
+		const port = this.nodes.get(name)?.address.port ?? firstPort + this.nodes.size;
+		const address: PeerAddress = {
+			name, incarnation: Math.floor(this.now), role: 'agent', dataCentre, host: '127.0.0.1', port,
+		};
+		const random = createSeededRandom(this.random.getInteger(2 ** 31));
+		const endpoints = peers.map(peer => this.getNode(peer).address);
+		const node: SimulatedNode = {
+			address,
+			state: createMembershipState({self: address, peers: endpoints, options: this.#options}, this.now, random),
+			random,
+			isUp: true,
+			isFrozen: false,
+			lagMs: 0,
+			waiting: [],
+		};
+		this.nodes.set(name, node);
+		this.#byPort.set(port, node);
+		this.applyEvent(node, {type: 'start'});
+		this.#startTicks(node);
+		return node;
+	}
+
+	getNode(name: string): SimulatedNode {
+		const node = this.nodes.get(name);
+		assert.ok(node !== undefined, `no node "${name}"`);
+		return node;
+	}
+
+	/** Ends a process without a word. */
+	stopNode(name: string): void {
+		this.getNode(name).isUp = false;
+	}
+
+	/** Lets a frozen process go on; what arrived meanwhile is handled first. */
+	wakeNode(name: string): void {
+		const node = this.getNode(name);
+		node.isFrozen = false;
+		for (const event of node.waiting.splice(0)) {
+			this.applyEvent(node, event);
+		}
+	}
+
+	listUp(): SimulatedNode[] {
+		return [...this.nodes.values()].filter(node => node.isUp);
+	}
+
+	findMember(observer: SimulatedNode, name: string): Member | undefined {
+		const entry = observer.state.members.get(name);
+		return entry && createMember(entry.record);
+	}
+
+	/** Applies an event to a node that runs. */
+	applyEvent(node: SimulatedNode, event: MembershipEvent): void {
+		if (!node.isUp) {
+			return;
+		}
+
+		if (node.isFrozen) {
+			if (event.type === 'receive' && node.waiting.length < frozenBufferSize) {
+				node.waiting.push(event);
+			}
+
+			return;
+		}
+
+		for (const effect of applyMembershipEvent(node.state, event, this.now, node.random)) {
+			this.#handleEffect(node, effect);
+		}
+	}
+
+	/** Lets time pass. */
+	run(duration: number): void {
+		const end = this.now + duration;
+		for (let task = this.#tasks[0]; task !== undefined && task.time <= end; task = this.#tasks[0]) {
+			this.#removeFirst();
+			this.now = task.time;
+			task.run();
+		}
+
+		this.now = end;
+	}
+
+	/** Lets time pass until a condition holds; answers the time taken, or `undefined` at the limit. */
+	runUntil(condition: () => boolean, limit: number, stepMs = 100): number | undefined {
+		const start = this.now;
+		while (!condition()) {
+			if (this.now - start >= limit) {
+				return undefined;
+			}
+
+			this.run(stepMs);
+		}
+
+		return this.now - start;
+	}
+
+	/** Whether every running node sees exactly the running ones, in their present lives. */
+	hasConverged(): boolean {
+		const up = this.listUp();
+		return up.every(observer => observer.state.liveCount === up.length - 1
+			&& up.every(other => other === observer || this.#isSeenUp(observer, other)));
+	}
+
+	/** Lists the changes to a status since a point in time. */
+	listChanges(status: MemberStatus, since = 0): ObservedChange[] {
+		return this.changes.filter(({time, change}) => time >= since && change.member.status === status && change.previous?.status !== status);
+	}
+
+	#isSeenUp(observer: SimulatedNode, other: SimulatedNode): boolean {
+		const record = observer.state.members.get(other.address.name)?.record;
+		return record?.health === 'alive' && record.address.incarnation === other.address.incarnation
+			&& record.leaving === other.state.self.leaving;
+	}
+
+	#startTicks(node: SimulatedNode): void {
+		const tick = () => {
+			if (node.isUp) {
+				this.applyEvent(node, {type: 'tick'});
+				this.#addTask(defaultOptions.tickMs, tick);
+			}
+		};
+
+		this.#addTask(this.random.getFloat() * defaultOptions.tickMs, tick);
+	}
+
+	#handleEffect(node: SimulatedNode, effect: MembershipEffect): void {
+		if (effect.type === 'send') {
+			this.#sendDatagram(node, effect.to, effect.datagram);
+		} else if (effect.type === 'notify') {
+			const {name, incarnation} = node.address;
+			this.changes.push({
+				time: this.now, observer: name, observerIncarnation: incarnation, change: effect.change,
+			});
+		}
+	}
+
+	#sendDatagram(from: SimulatedNode, to: Endpoint, datagram: Datagram): void {
+		this.sentDatagrams++;
+		const arrived = this.config.transport(datagram, from.address.name);
+		const receiver = this.#byPort.get(to.port);
+		if (receiver === undefined || this.random.getFloat() < this.faults.loss) {
+			return;
+		}
+
+		const [least, greatest] = this.faults.delayMs;
+		const delay = least + (this.random.getFloat() * (greatest - least)) + from.lagMs + receiver.lagMs;
+		this.#addTask(delay, () => {
+			if (!this.faults.isCut(from.address.name, receiver.address.name)) {
+				this.applyEvent(this.#byPort.get(to.port)!, {type: 'receive', datagram: arrived, from: from.address});
+			}
+		});
+	}
+
+	/** Adds to the binary heap of tasks. */
+	#addTask(delay: number, run: () => void): void {
+		const task = {time: this.now + delay, order: this.#order++, run};
+		const tasks = this.#tasks;
+		let index = tasks.push(task) - 1;
+		while (index > 0) {
+			const parent = (index - 1) >>> 1;
+			if (isBefore(tasks[parent], task)) {
+				break;
+			}
+
+			tasks[index] = tasks[parent];
+			index = parent;
+		}
+
+		tasks[index] = task;
+	}
+
+	#removeFirst(): void {
+		const tasks = this.#tasks;
+		const last = tasks.pop()!;
+		if (tasks.length === 0) {
+			return;
+		}
+
+		let index = 0;
+		for (;;) {
+			let child = (2 * index) + 1;
+			if (child + 1 < tasks.length && isBefore(tasks[child + 1], tasks[child])) {
+				child++;
+			}
+
+			if (child >= tasks.length || isBefore(last, tasks[child])) {
+				break;
+			}
+
+			tasks[index] = tasks[child];
+			index = child;
+		}
+
+		tasks[index] = last;
+	}
+}
+
+function isBefore(left: Task, right: Task): boolean {
+	return left.time < right.time || (left.time === right.time && left.order < right.order);
+}
--- /dev/null
+++ b/src/core/membership/keys.ts
@@ -0,0 +1,70 @@
+/**
+ * Keys and hashes by which two members compare their views.
+ */
+import type {MemberRecord} from './types.ts';
+
+/** Number of key ranges, each with one hash. */
+export const rangeCount = 64;
+
+/** Greatest key. */
+export const maxKey = 0xFF_FF_FF_FF;
+
+const rangeShift = 26;
+const fnvOffset = 0x81_1C_9D_C5;
+const fnvPrime = 0x01_00_01_93;
+
+function computeFnv(text: string, seed: number): number {
+	let hash = seed;
+	for (let index = 0; index < text.length; index++) {
+		hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime); // eslint-disable-line unicorn/prefer-code-point
+	}
+
+	hash = Math.imul(hash ^ (hash >>> 16), 0x85_EB_CA_6B);
+	hash = Math.imul(hash ^ (hash >>> 13), 0xC2_B2_AE_35);
+	return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/**
+ * Computes the key that orders members, spread evenly.
+ *
+ * @param name - Name of a member.
+ * @returns The key, 0 to `maxKey`.
+ */
+export function computeKey(name: string): number {
+	return computeFnv(name, fnvOffset);
+}
+
+/**
+ * Finds the range that a key belongs to.
+ *
+ * @param key - Key of a member.
+ * @returns Index of the range, 0 to `rangeCount - 1`.
+ */
+export function getRange(key: number): number {
+	return key >>> rangeShift;
+}
+
+/**
+ * Finds the first key of a range.
+ *
+ * @param range - Index of the range.
+ * @returns The key.
+ */
+export function getRangeStart(range: number): number {
+	return range * (2 ** rangeShift);
+}
+
+/**
+ * Computes the part of a record in the hash of its range; dead members have none.
+ *
+ * @param record - The record.
+ * @returns A 32-bit hash.
+ */
+export function computeRecordHash(record: MemberRecord): number {
+	if (record.health === 'dead') {
+		return 0;
+	}
+
+	const {name, incarnation} = record.address;
+	return computeFnv(`${incarnation} ${record.counter} ${record.health} ${record.leaving}`, computeKey(name));
+}
--- /dev/null
+++ b/src/core/membership/logic.ts
@@ -0,0 +1,188 @@
+/**
+ * The membership protocol: SWIM with the suspicion and local health of Lifeguard.
+ *
+ * Constant work per member whatever the size of the fleet: one probe an interval, updates
+ * carried by datagrams that are sent anyway, and one comparison of views an interval.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {Random} from '../../ports/random.ts';
+import type {
+	Datagram, DatagramType, Endpoint, MemberUpdate, MembershipEffect, MembershipEvent,
+} from './types.ts';
+import type {MembershipState, Step} from './state.ts';
+import {createUpdate} from './records.ts';
+import {listAccusations, sendDatagram} from './datagrams.ts';
+import {advanceAllowance, advanceOwnRumour} from './rumours.ts';
+import {
+	advanceProbe, advanceRelays, handleAck, handleNack, handlePing, handleProbeRequest, sendPing,
+} from './probes.ts';
+import {
+	advanceJoin, advanceRejoin, advanceSync, handlePage, handlePull, handleSync, startJoin,
+} from './exchange.ts';
+import {
+	applyLeaving, applyMetadata, applyStop, refuteUpdate,
+} from './self.ts';
+import {applyUpdate, pruneDead, updateRecord} from './view.ts';
+
+type DatagramHandlers = {
+	readonly [Type in DatagramType]: (step: Step, body: Extract<Datagram['body'], {type: Type}>, from: Endpoint, datagram: Datagram) => void;
+};
+
+const datagramHandlers: DatagramHandlers = {
+	ping(step, body, from, datagram) {
+		handlePing(step, body, from, datagram.sender.address.name);
+	},
+	ack: handleAck,
+	'probe-request': handleProbeRequest,
+	nack(step, body, _from, datagram) {
+		handleNack(step, body, datagram.sender.address.name);
+	},
+	gossip: () => undefined,
+	pull: handlePull,
+	page: handlePage,
+	sync: handleSync,
+};
+
+function applyTold(step: Step, update: MemberUpdate, isRelayed: boolean): void {
+	if (update.name === step.state.self.address.name) {
+		refuteUpdate(step, update);
+	} else {
+		applyUpdate(step, update, isRelayed);
+	}
+}
+
+/** Whether an update says that another member failed; one that left has said so itself. */
+function isAccusation(update: MemberUpdate): boolean {
+	return update.health === 'suspect' || (update.health === 'dead' && !update.leaving);
+}
+
+/**
+ * Selects what may be believed. A sender held to be dead may have been cut off, so its accusations
+ * say nothing. A death in a page may be long refuted, so it only counts as a suspicion.
+ */
+function selectCredible(step: Step, datagram: Datagram): readonly MemberUpdate[] {
+	const {sender, body, updates} = datagram;
+	const sendersName = sender.address.name;
+	if (step.state.members.get(sendersName)?.record.health === 'dead') {
+		return updates.filter(update => !isAccusation(update) || update.name === step.state.self.address.name);
+	}
+
+	if (body.type !== 'page') {
+		return updates;
+	}
+
+	return updates.map(update => isAccusation(update) ? {...update, health: 'suspect', accuser: sendersName} : update);
+}
+
+/** Tells a sender that it is accused; the ack of a ping tells it already. */
+function replyToAccused(step: Step, datagram: Datagram, from: Endpoint): void {
+	if (datagram.body.type === 'ping' || datagram.sender.health === 'dead') {
+		return;
+	}
+
+	const accusations = listAccusations(step, step.state.members.get(datagram.sender.address.name));
+	if (accusations.length > 0) {
+		sendDatagram(step, from, {type: 'gossip'}, accusations);
+	}
+}
+
+function handleReceive(step: Step, datagram: Datagram, from: Endpoint): void {
+	const {state} = step;
+	const {sender, body} = datagram;
+	if (state.isStopped) {
+		return;
+	}
+
+	if (sender.address.name === state.self.address.name) {
+		refuteUpdate(step, createUpdate(sender, '', false));
+		return;
+	}
+
+	const credible = selectCredible(step, datagram);
+	applyTold(step, createUpdate(sender, '', true), true);
+	const isRelayed = !(body.type === 'page' && body.purpose === 'join');
+	for (const update of credible) {
+		applyTold(step, update, isRelayed);
+	}
+
+	datagramHandlers[body.type](step, body as never, from, datagram);
+	replyToAccused(step, datagram, from);
+}
+
+function advanceSuspicions(step: Step): void {
+	const {state, now} = step;
+	for (const [name, suspicion] of state.suspicions) {
+		const entry = state.members.get(name)!;
+		if (now >= suspicion.deadline) {
+			updateRecord(step, entry, {...entry.record, health: 'dead'}, '', true);
+		} else if (now >= suspicion.nextReminderAt) {
+			suspicion.nextReminderAt = now + (state.options.probeIntervalMs / 2);
+			sendPing(step, entry);
+		}
+	}
+}
+
+/** After a pause of this process its timeouts say nothing: suspicions are prolonged and the probe is dropped. */
+function handlePause(step: Step, elapsed: Milliseconds): void {
+	const {state} = step;
+	state.probe = undefined;
+	for (const suspicion of state.suspicions.values()) {
+		suspicion.deadline += elapsed;
+	}
+}
+
+function handleTick(step: Step): void {
+	const {state, now} = step;
+	if (state.isStopped) {
+		return;
+	}
+
+	const elapsed = now - state.lastTickAt;
+	state.lastTickAt = now;
+	advanceAllowance(step, elapsed);
+	if (elapsed > state.options.probeIntervalMs) {
+		handlePause(step, elapsed);
+	}
+
+	advanceOwnRumour(step);
+	advanceRelays(step);
+	advanceSuspicions(step);
+	advanceProbe(step);
+	advanceJoin(step);
+	if (now >= state.nextSyncAt) {
+		pruneDead(step);
+	}
+
+	advanceSync(step);
+	advanceRejoin(step);
+}
+
+const eventHandlers: {readonly [Type in MembershipEvent['type']]: (step: Step, event: Extract<MembershipEvent, {type: Type}>) => void} = {
+	start: startJoin,
+	tick: handleTick,
+	receive(step, event) {
+		handleReceive(step, event.datagram, event.from);
+	},
+	'set-metadata'(step, event) {
+		applyMetadata(step, event.metadata);
+	},
+	leave: applyLeaving,
+	stop: applyStop,
+};
+
+/**
+ * Applies an event to the state of a member.
+ *
+ * @param state - The state; it is changed.
+ * @param event - What happened.
+ * @param now - Present time, never below that of an earlier event.
+ * @param random - Random source.
+ * @returns What the adapter has to do, in order.
+ */
+export function applyMembershipEvent(state: MembershipState, event: MembershipEvent, now: Milliseconds, random: Random): MembershipEffect[] {
+	const step: Step = {
+		state, now, random, effects: [],
+	};
+	eventHandlers[event.type](step, event as never);
+	return step.effects;
+}
--- /dev/null
+++ b/src/core/membership/records.ts
@@ -0,0 +1,142 @@
+/**
+ * Conversions and comparisons of member records.
+ */
+import type {Member, MemberMetadata, MemberStatus} from '../../ports/membership.ts';
+import type {
+	Health, MemberDetails, MemberRecord, MemberUpdate,
+} from './types.ts';
+import {MembershipInvariantError} from './errors.ts';
+
+const healthRanks: Record<Health, number> = {alive: 0, suspect: 1, dead: 2};
+
+/** How an update relates to the record of the same member. */
+export type Precedence = 'newer' | 'same' | 'older';
+
+type Version = Pick<MemberUpdate, 'incarnation' | 'counter' | 'health' | 'leaving'>;
+
+function getVersion(record: MemberRecord): Version {
+	const {counter, health, leaving} = record;
+	return {
+		incarnation: record.address.incarnation, counter, health, leaving,
+	};
+}
+
+function comparePairs(update: Version, known: Version): number {
+	return (update.counter - known.counter) || (healthRanks[update.health] - healthRanks[known.health]);
+}
+
+/**
+ * Computes the status that the port tells of a record.
+ *
+ * @param record - The record.
+ * @returns The status.
+ */
+export function computeStatus(record: MemberRecord): MemberStatus {
+	if (record.leaving && record.health !== 'dead') {
+		return 'leaving';
+	}
+
+	return record.health;
+}
+
+/**
+ * Creates the member that the port tells of a record.
+ *
+ * @param record - The record.
+ * @returns The member.
+ */
+export function createMember(record: MemberRecord): Member {
+	return {address: record.address, status: computeStatus(record), metadata: record.metadata};
+}
+
+/**
+ * Creates an update that tells of a record.
+ *
+ * @param record - The record.
+ * @param accuser - Who suspects the member; empty if nobody does.
+ * @param hasDetails - Whether the update goes to members that may not know this one.
+ * @returns The update.
+ */
+export function createUpdate(record: MemberRecord, accuser: string, hasDetails: boolean): MemberUpdate {
+	const {address, metadata} = record;
+	const details: MemberDetails | undefined = hasDetails ? {address, metadata} : undefined;
+	return {
+		name: address.name, ...getVersion(record), accuser: record.health === 'suspect' ? accuser : '', details,
+	};
+}
+
+/**
+ * Checks whether an update tells something that the record does not hold, metadata aside.
+ *
+ * @param update - The update, of the same incarnation.
+ * @param record - The record.
+ * @returns `older` only if nothing in the update is newer.
+ */
+export function checkPrecedence(update: Version, record: MemberRecord): Precedence {
+	const order = comparePairs(update, getVersion(record));
+	if (order > 0 || (update.leaving && !record.leaving)) {
+		return 'newer';
+	}
+
+	return order === 0 && update.leaving === record.leaving ? 'same' : 'older';
+}
+
+function mergeMetadata(known: MemberMetadata, told: MemberMetadata | undefined): MemberMetadata {
+	return told !== undefined && told.configRevision > known.configRevision ? told : known;
+}
+
+/**
+ * Merges an update into a record of the same incarnation.
+ *
+ * @param record - The record.
+ * @param update - The update.
+ * @returns The record itself if nothing changed, else a new one.
+ */
+export function mergeRecord(record: MemberRecord, update: MemberUpdate): MemberRecord {
+	const metadata = mergeMetadata(record.metadata, update.details?.metadata);
+	const isNewer = comparePairs(update, getVersion(record)) > 0;
+	const leaving = record.leaving || update.leaving;
+	if (!isNewer && leaving === record.leaving && metadata === record.metadata) {
+		return record;
+	}
+
+	const {counter, health} = isNewer ? update : record;
+	return {
+		address: record.address, metadata, counter, health, leaving,
+	};
+}
+
+/**
+ * Asserts the rules of the view that hold whatever arrives.
+ *
+ * @param previous - Record before a change.
+ * @param next - Record after it.
+ */
+export function assertSuccession(previous: MemberRecord, next: MemberRecord): void {
+	const from = getVersion(previous);
+	const to = getVersion(next);
+	const {name} = previous.address;
+	if (to.incarnation < from.incarnation) {
+		throw new MembershipInvariantError(`incarnation of "${name}" fell from ${from.incarnation} to ${to.incarnation}`);
+	}
+
+	if (to.incarnation > from.incarnation) {
+		return;
+	}
+
+	if (to.counter < from.counter) {
+		throw new MembershipInvariantError(`counter of "${name}" fell from ${from.counter} to ${to.counter}`);
+	}
+
+	if (from.leaving && !to.leaving) {
+		throw new MembershipInvariantError(`"${name}" left and came back in incarnation ${to.incarnation}`);
+	}
+
+	if (from.health === 'dead' && to.health !== 'dead' && to.counter === from.counter) {
+		throw new MembershipInvariantError(`"${name}" came back from the dead without a refutation`);
+	}
+
+	if (next.metadata.configRevision < previous.metadata.configRevision) {
+		throw new MembershipInvariantError(`revision of "${name}" fell from ${previous.metadata.configRevision} to ${next.metadata.configRevision}`);
+	}
+}
--- /dev/null
+++ b/src/core/membership/suspicion.ts
@@ -0,0 +1,100 @@
+/**
+ * Suspicion: a timeout that shrinks with independent confirmations (Lifeguard).
+ */
+import type {MembershipOptions} from './types.ts';
+import type {MemberEntry, Step, Suspicion} from './state.ts';
+
+const confirmingProbers = 6;
+
+/**
+ * Computes how long a suspicion lasts.
+ *
+ * @param options - Settings of the protocol.
+ * @param liveCount - Members that are not dead.
+ * @param confirmations - Further accusers so far.
+ * @param neededConfirmations - Further accusers that make the suspicion shortest.
+ * @returns The duration, in ms.
+ */
+export function computeSuspicionTimeout(options: MembershipOptions, liveCount: number, confirmations: number, neededConfirmations: number): number {
+	const scale = Math.max(1, Math.log10(Math.max(1, liveCount)));
+	const shortest = options.suspicionMultiplier * scale * options.probeIntervalMs;
+	if (neededConfirmations === 0) {
+		return shortest;
+	}
+
+	const longest = shortest * options.suspicionMaxMultiplier;
+	const progress = Math.log(confirmations + 1) / Math.log(neededConfirmations + 1);
+	return Math.max(shortest, longest - ((longest - shortest) * progress));
+}
+
+function updateDeadline(step: Step, suspicion: Suspicion): void {
+	const {options, liveCount} = step.state;
+	const confirmations = suspicion.accusers.size - 1;
+	suspicion.deadline = suspicion.startedAt
+		+ computeSuspicionTimeout(options, liveCount, confirmations, suspicion.neededConfirmations);
+}
+
+function computeNextReminder(step: Step, accuser: string): number {
+	const {self, options} = step.state;
+	return accuser === self.address.name ? step.now + (options.probeIntervalMs / 2) : Number.POSITIVE_INFINITY;
+}
+
+/**
+ * Starts a suspicion; a few members chosen at random probe the suspect next to confirm or refute it.
+ *
+ * @param step - The step under way.
+ * @param entry - The suspect.
+ * @param accuser - Who missed its answer.
+ */
+export function startSuspicion(step: Step, entry: MemberEntry, accuser: string): void {
+	const {state, now, random} = step;
+	const suspicion: Suspicion = {
+		startedAt: now,
+		accusers: new Set([accuser]),
+		neededConfirmations: Math.max(0, Math.min(state.options.suspicionConfirmations, state.liveCount - 2)),
+		deadline: now,
+		nextReminderAt: computeNextReminder(step, accuser),
+	};
+	updateDeadline(step, suspicion);
+	state.suspicions.set(entry.name, suspicion);
+	const isOwn = accuser === state.self.address.name;
+	if (!isOwn && random.getFloat() * state.liveCount < confirmingProbers && !state.urgentProbes.includes(entry.name)) {
+		state.urgentProbes.push(entry.name);
+	}
+}
+
+/**
+ * Records a further accuser of a suspect.
+ *
+ * @param step - The step under way.
+ * @param name - Name of the suspect.
+ * @param accuser - Who missed its answer.
+ * @returns Whether the accuser was new and shortened the suspicion.
+ */
+export function recordConfirmation(step: Step, name: string, accuser: string): boolean {
+	const suspicion = step.state.suspicions.get(name);
+	if (suspicion === undefined || accuser === '' || suspicion.accusers.has(accuser)) {
+		return false;
+	}
+
+	if (suspicion.accusers.size > suspicion.neededConfirmations) {
+		return false;
+	}
+
+	suspicion.accusers.add(accuser);
+	suspicion.nextReminderAt = Math.min(suspicion.nextReminderAt, computeNextReminder(step, accuser));
+	updateDeadline(step, suspicion);
+	return true;
+}
+
+/**
+ * Finds who first accused a suspect.
+ *
+ * @param step - The step under way.
+ * @param name - Name of a member.
+ * @returns Name of the accuser; empty if nobody suspects the member.
+ */
+export function findAccuser(step: Step, name: string): string {
+	const [first] = step.state.suspicions.get(name)?.accusers ?? [];
+	return first ?? '';
+}
