--- a/src/adapters/http/answers.ts
+++ b/src/adapters/http/answers.ts
@@ -85,6 +85,11 @@
 	};
 }
 
+function hasBodyToCome(request: IncomingMessage): boolean {
+	const {'content-length': length = '0', 'transfer-encoding': encoding} = request.headers;
+	return !request.complete && (Number(length) > 0 || encoding !== undefined);
+}
+
 /**
  * Writes a problem document. If part of the request's body is still to come, the connection is closed
  * after the document, and bytes that arrive meanwhile are discarded so that the caller can read it.
@@ -99,7 +104,7 @@
 	}
 
 	const bytes = Buffer.from(JSON.stringify(problem));
-	if (request.complete) {
+	if (!hasBodyToCome(request)) {
 		response.writeHead(problem.status, {...listProblemHeaders(problem), 'Content-Length': bytes.length});
 		response.end(bytes);
 		return;
--- a/src/adapters/http/flights.ts
+++ b/src/adapters/http/flights.ts
@@ -12,6 +12,8 @@
 	addWork(work: Promise<void>): Promise<void>;
 	/** Returns whether a request that was read as a whole, or is being answered, is in flight on the connection. */
 	hasAnswerDue(socket: Socket): boolean;
+	/** Makes every response in flight close its connection. */
+	setClosing(): void;
 	/** Resolves once nothing is in flight. */
 	waitIdle(): Promise<void>;
 };
@@ -58,6 +60,13 @@
 		hasAnswerDue(socket) {
 			return [...responses].some(([response, request]) => request.socket === socket && (request.complete || response.headersSent));
 		},
+		setClosing() {
+			for (const response of responses.keys()) {
+				if (!response.headersSent) {
+					response.setHeader('Connection', 'close');
+				}
+			}
+		},
 		async waitIdle() {
 			if (!isIdle()) {
 				await new Promise<void>(resolve => {
--- a/src/adapters/http/server.ts
+++ b/src/adapters/http/server.ts
@@ -142,6 +142,7 @@
 		port,
 		startDraining() {
 			draining = true;
+			flights.setClosing();
 		},
 		waitIdle: async () => flights.waitIdle(),
 		async [Symbol.asyncDispose]() {
