--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -6,7 +6,7 @@
 const config = {
 	import: ['features/**/*.steps.ts'],
 	...(namesFeature ? {} : {paths: ['features/**/*.feature']}),
-	format: ['progress', './scripts/summary-formatter.mjs'],
+	format: ['./scripts/summary-formatter.mjs'],
 	publishQuiet: true,
 };
 
--- a/scripts/summary-formatter.mjs
+++ b/scripts/summary-formatter.mjs
@@ -1,6 +1,6 @@
 /** Cucumber formatter that ends with the line `N passed, N failed`, honouring KNOWN-RED.txt. */
 import {readFileSync} from 'node:fs';
-import {Formatter} from '@cucumber/cucumber';
+import {ProgressFormatter} from '@cucumber/cucumber';
 
 /**
  * Reads the names of scenarios that are known to fail: lines `test: NAME`.
@@ -13,7 +13,7 @@
 }
 
 /** Counts scenarios; a failing scenario that is listed in KNOWN-RED.txt is printed and passed over. */
-export default class SummaryFormatter extends Formatter {
+export default class SummaryFormatter extends ProgressFormatter {
 	constructor(options) {
 		super(options);
 		options.eventBroadcaster.on('envelope', envelope => {
--- a/src/ports/jobs.ts
+++ b/src/ports/jobs.ts
@@ -12,6 +12,8 @@
 	/** Time until the caller gives up; the kind's deadline if absent. */
 	readonly deadline: Milliseconds | undefined;
 	readonly idempotent: boolean;
+	/** Whether the caller says that it submitted this job, or one in its place, before. */
+	readonly isRetry?: boolean;
 	readonly tasks: readonly Uint8Array[];
 	/** SHA-256 of kind, flags and tasks, base64url. */
 	readonly digest: string;
@@ -22,7 +24,7 @@
 	| {readonly type: 'answer'; readonly id: JobId; readonly answer: JobAnswer}
 	| {readonly type: 'pending'; readonly id: JobId}
 	/** A refusal before any home was asked: bad id, bad value or a limit of the contract. Nothing of this request ran. */
-	| {readonly type: 'refused'; readonly status: number; readonly field: string; readonly message: string; readonly retryAfter?: Milliseconds};
+	| {readonly type: 'refused'; readonly status: number; readonly field: string; readonly message: string; readonly value?: string; readonly retryAfter?: Milliseconds};
 
 /** What an entry does for an authenticated customer. */
 export type JobService = {
--- a/src/processes/entry/entry.ts
+++ b/src/processes/entry/entry.ts
@@ -7,6 +7,7 @@
 import {FleetView} from '../shared/fleet-view.ts';
 import {startNode, type Node, type NodeInput} from '../shared/node.ts';
 import {waitAtMost} from '../shared/wait.ts';
+import {AdmissionTask, listEntries} from './admission-task.ts';
 import {HomeCalls} from './calls.ts';
 import {EntryJobService} from './job-service.ts';
 
@@ -29,9 +30,12 @@
 	const log = createLog('entry');
 	await using stack = new ResourceStack();
 	const node = stack.addResource(await startNode(input));
-	const fleet = stack.addResource(new FleetView(node));
+	const fleet = stack.addResource(new FleetView(node, () => listEntries(node)));
 	const calls = stack.addResource(new HomeCalls(node));
-	const jobs = new EntryJobService({node, fleet, calls});
+	const admission = stack.addResource(new AdmissionTask(node));
+	const jobs = new EntryJobService({
+		node, fleet, calls, admission,
+	});
 	const http = stack.addResource(await startHttpInterface({
 		jobs,
 		contracts: node.contracts,
--- a/src/processes/entry/job-service.ts
+++ b/src/processes/entry/job-service.ts
@@ -5,12 +5,14 @@
 import {mintJobId, verifyJobId} from '../../core/identity/logic.ts';
 import type {IdentityErrorKind} from '../../core/identity/errors.ts';
 import type {JobId, JobIdParts, NodeRef} from '../../core/identity/types.ts';
+import type {AdmissionError, AdmissionErrorKind} from '../../core/admission/errors.ts';
 import type {Contract} from '../../core/contracts/types.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {JobReply, JobService, JobSubmission} from '../../ports/jobs.ts';
 import type {JobAnswer, JobRequest} from '../../ports/messages.ts';
 import type {FleetView} from '../shared/fleet-view.ts';
 import type {Node} from '../shared/node.ts';
+import type {AdmissionTask} from './admission-task.ts';
 import type {CallResult, HomeCalls} from './calls.ts';
 
 const nonceBytes = 6;
@@ -23,11 +25,26 @@
 
 const idStatuses: Record<IdentityErrorKind, number> = {malformed: 400, forged: 404};
 
+/** Greatest number of open calls that make refusals of job ids final. */
+const maxRefusalCalls = 64;
+
+const refusalStatuses: Record<AdmissionErrorKind, number> = {
+	'unknown-kind': 422,
+	deadline: 422,
+	'job-tasks': 422,
+	'job-bytes': 413,
+	'retry-budget': 429,
+	'jobs-in-flight': 429,
+	'tasks-in-flight': 429,
+	rate: 429,
+};
+
 /** What the service needs. */
 export type JobServiceInput = {
 	readonly node: Node;
 	readonly fleet: FleetView;
 	readonly calls: HomeCalls;
+	readonly admission: AdmissionTask;
 };
 
 function createRefusal(status: number, field: string, message: string): JobReply {
@@ -36,6 +53,12 @@
 	};
 }
 
+function createAdmissionRefusal({kind, field, message, value, retryAfter}: AdmissionError): JobReply {
+	return {
+		type: 'refused', status: refusalStatuses[kind], field, message, value: String(value), ...(retryAfter && {retryAfter}),
+	};
+}
+
 const lostDetails: Record<'home-lost' | 'deadline', string> = {
 	'home-lost': 'the home of the job failed',
 	deadline: 'the home of the job did not answer in time',
@@ -50,12 +73,15 @@
 	readonly #node: Node;
 	readonly #fleet: FleetView;
 	readonly #calls: HomeCalls;
+	readonly #admission: AdmissionTask;
+	#refusalCalls = 0;
 
 	/** @param input - What the service needs. */
-	constructor({node, fleet, calls}: JobServiceInput) {
+	constructor({node, fleet, calls, admission}: JobServiceInput) {
 		this.#node = node;
 		this.#fleet = fleet;
 		this.#calls = calls;
+		this.#admission = admission;
 	}
 
 	isReady(): boolean {
@@ -82,11 +108,46 @@
 			return createRefusal(idStatuses[parts.error.kind], 'id', parts.error.message);
 		}
 
-		const result = await this.#callSubmit(contract, id, parts.value.home, submission);
-		return this.#createReply(id, result);
+		const deadline = this.#computeDeadline(contract, submission);
+		const refusal = this.#admission.admitJob(contract, submission, deadline);
+		if (refusal !== undefined) {
+			return this.#refuseId(contract, id, parts.value.home, refusal, deadline);
+		}
+
+		try {
+			const result = await this.#callSubmit(contract, id, parts.value.home, submission);
+			return this.#createReply(id, result);
+		} finally {
+			this.#admission.recordAnswer(contract, submission);
+		}
 	}
 
 	async submitNewJob(contract: Contract, submission: JobSubmission): Promise<JobReply> {
+		const refusal = this.#admission.admitJob(contract, submission, this.#computeDeadline(contract, submission));
+		if (refusal !== undefined) {
+			return createAdmissionRefusal(refusal);
+		}
+
+		try {
+			return await this.#submitToAnyHome(contract, submission);
+		} finally {
+			this.#admission.recordAnswer(contract, submission);
+		}
+	}
+
+	async submitKeyedJob(_contract: Contract, key: string, _submission: JobSubmission): Promise<JobReply> {
+		return createRefusal(501, 'Idempotency-Key', `keys of callers such as "${key}" are not supported; mint an id by POST /v1/job-ids`);
+	}
+
+	async queryJob(contract: Contract, id: JobId): Promise<JobReply> {
+		return this.#callAbout(contract, id, 'query');
+	}
+
+	async cancelJob(contract: Contract, id: JobId): Promise<JobReply> {
+		return this.#callAbout(contract, id, 'cancel');
+	}
+
+	async #submitToAnyHome(contract: Contract, submission: JobSubmission): Promise<JobReply> {
 		for (let attempt = 0; attempt < maxHomes; attempt++) {
 			const minted = this.#mintId(contract);
 			if (minted === undefined) {
@@ -104,16 +165,28 @@
 		return createRefusal(503, 'job', 'no agent takes work now');
 	}
 
-	async submitKeyedJob(_contract: Contract, key: string, _submission: JobSubmission): Promise<JobReply> {
-		return createRefusal(501, 'Idempotency-Key', `keys of callers such as "${key}" are not supported; mint an id by POST /v1/job-ids`);
-	}
-
-	async queryJob(contract: Contract, id: JobId): Promise<JobReply> {
-		return this.#callAbout(contract, id, 'query');
-	}
+	/**
+	 * Refuses a job id. Its home makes the refusal final, or tells of an earlier submission; when too many
+	 * of these calls are open the home is not asked, and the refusal does not claim that nothing ran.
+	 */
+	async #refuseId(contract: Contract, id: JobId, home: NodeRef, refusal: AdmissionError, deadline: Milliseconds): Promise<JobReply> {
+		const unproved: JobAnswer = {
+			outcome: 'unknown', reason: 'contract-limit', detail: refusal.message, ...(refusal.retryAfter && {retryAfter: refusal.retryAfter}),
+		};
+		if (this.#refusalCalls >= maxRefusalCalls) {
+			return {type: 'answer', id, answer: unproved};
+		}
 
-	async cancelJob(contract: Contract, id: JobId): Promise<JobReply> {
-		return this.#callAbout(contract, id, 'cancel');
+		this.#refusalCalls++;
+		try {
+			const message = {
+				type: 'refuse', id, customer: contract.customer, detail: refusal.message,
+			} as const;
+			const result = await this.#calls.callHome(home, message, deadline + answerGraceMs);
+			return result.type === 'lost' ? {type: 'answer', id, answer: unproved} : this.#createReply(id, result);
+		} finally {
+			this.#refusalCalls--;
+		}
 	}
 
 	async #callAbout(contract: Contract, id: JobId, type: 'query' | 'cancel'): Promise<JobReply> {
--- a/src/processes/shared/fleet-view.ts
+++ b/src/processes/shared/fleet-view.ts
@@ -40,8 +40,11 @@
 	readonly #connector: Connector;
 	readonly #listener: Disposable;
 
-	/** @param node - The process. */
-	constructor(private readonly node: Node) {
+	/**
+	 * @param node - The process.
+	 * @param listOthers - Members besides agents that streams are kept to.
+	 */
+	constructor(private readonly node: Node, private readonly listOthers: () => readonly Member[] = () => []) {
 		const {settings, role} = node.input;
 		this.placement = createPlacementState(createOptions(settings, role === 'agent' ? node.self.name : undefined));
 		this.#listener = node.membership.addListener(() => {
@@ -104,9 +107,9 @@
 		setAgents(this.placement, agents, this.node.input.clock.getTime());
 	}
 
-	#listPeers(): Member[] {
+	#listPeers(): readonly Member[] {
 		const {clock, random} = this.node.input;
 		const names = choosePeers(this.placement, clock.getTime(), random);
-		return this.#listAgents().filter(member => names.has(member.address.name));
+		return [...this.#listAgents().filter(member => names.has(member.address.name)), ...this.listOthers()];
 	}
 }
