--- a/features/membership/network.ts
+++ b/bench/membership-network.ts
@@ -2,16 +2,16 @@
  * An in-memory network of pure membership states with a simulated clock and seeded faults.
  */
 import assert from 'node:assert/strict';
-import type {Member, MemberChange, MemberStatus} from '../../src/ports/membership.ts';
-import type {PeerAddress} from '../../src/ports/messages.ts';
-import {createSeededRandom, type Random} from '../../src/ports/random.ts';
-import {applyMembershipEvent} from '../../src/core/membership/logic.ts';
-import {createMember} from '../../src/core/membership/records.ts';
-import {createMembershipState, type MembershipState} from '../../src/core/membership/state.ts';
+import type {Member, MemberChange, MemberStatus} from '../src/ports/membership.ts';
+import type {PeerAddress} from '../src/ports/messages.ts';
+import {createSeededRandom, type Random} from '../src/ports/random.ts';
+import {applyMembershipEvent} from '../src/core/membership/logic.ts';
+import {createMember} from '../src/core/membership/records.ts';
+import {createMembershipState, type MembershipState} from '../src/core/membership/state.ts';
 import type {
 	Datagram, Endpoint, MembershipEffect, MembershipEvent, MembershipOptions,
-} from '../../src/core/membership/types.ts';
-import {membershipSchema} from '../../src/settings/sections/membership.ts';
+} from '../src/core/membership/types.ts';
+import {membershipSchema} from '../src/settings/sections/membership.ts';
 
 /** Default settings of membership. */
 export const defaultOptions = membershipSchema.parse({});
@@ -52,6 +52,8 @@
 	readonly options?: Partial<MembershipOptions>;
 	/** What a datagram becomes on the way, such as by encoding and decoding it. */
 	readonly transport: (datagram: Datagram, from: string) => Datagram;
+	/** Called for each change; by default changes are kept. */
+	readonly onChange?: (observed: ObservedChange) => void;
 };
 
 type Task = {readonly time: number; readonly order: number; readonly run: () => void};
@@ -71,11 +73,15 @@
 	readonly #byPort = new Map<number, SimulatedNode>();
 	readonly #tasks: Task[] = [];
 	readonly #options: MembershipOptions;
+	readonly #onChange: (observed: ObservedChange) => void;
 	#order = 0;
 
 	constructor(private readonly config: NetworkConfig) {
 		this.random = createSeededRandom(config.seed);
 		this.#options = {...defaultOptions, ...config.options};
+		this.#onChange = config.onChange ?? (observed => {
+			this.changes.push(observed);
+		});
 	}
 
 	/** Starts a process; one of the same name is replaced and keeps its address. */
@@ -114,7 +120,7 @@
 	}
 
 	/** Lets a frozen process go on; what arrived meanwhile is handled first. */
-	wakeNode(name: string): void {
+	clearFreeze(name: string): void {
 		const node = this.getNode(name);
 		node.isFrozen = false;
 		for (const event of node.waiting.splice(0)) {
@@ -131,6 +137,11 @@
 		return entry && createMember(entry.record);
 	}
 
+	/** Runs a callback after a delay. */
+	startTimer(delay: number, callback: () => void): void {
+		this.#addTask(delay, callback);
+	}
+
 	/** Applies an event to a node that runs. */
 	applyEvent(node: SimulatedNode, event: MembershipEvent): void {
 		if (!node.isUp) {
@@ -210,7 +221,7 @@
 			this.#sendDatagram(node, effect.to, effect.datagram);
 		} else if (effect.type === 'notify') {
 			const {name, incarnation} = node.address;
-			this.changes.push({
+			this.#onChange({
 				time: this.now, observer: name, observerIncarnation: incarnation, change: effect.change,
 			});
 		}
--- /dev/null
+++ b/bench/membership.ts
@@ -0,0 +1,236 @@
+/**
+ * Measures membership on the pure logic: detection, false alarms, bytes, spread of revisions, CPU time.
+ *
+ * Usage: node --import tsx bench/membership.ts --members 11,50,200 --seed 1 [--minutes 10] [--trials 20]
+ */
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {createGossipKey, decodeDatagram, encodeDatagram} from '../src/adapters/gossip/codec.ts';
+import {createUpdate} from '../src/core/membership/records.ts';
+import {maxKey} from '../src/core/membership/keys.ts';
+import type {Datagram} from '../src/core/membership/types.ts';
+import {SimulatedNetwork, type ObservedChange} from './membership-network.ts';
+
+/** Figures of one size of fleet; rates are per member and second, of sent datagrams with UDP and IP headers. */
+type Figures = {
+	members: number;
+	idleBytesPerSecond: number;
+	cpuMicrosPerSecond: number;
+	firstDetectP50Ms: number;
+	detectP50Ms: number;
+	detectWorstMs: number;
+	revisionKnownP50Ms: number;
+	revisionKnownWorstMs: number;
+	revisionAdoptedWorstMs: number;
+	lossDeaths: number;
+	lossSuspicions: number;
+	lossBytesPerSecond: number;
+	worstBytesPerSecond: number;
+	longestDatagram: number;
+};
+
+type Bench = {
+	readonly network: SimulatedNetwork;
+	readonly bytesBySender: Map<string, number>;
+	longest: number;
+	onChange: (observed: ObservedChange) => void;
+};
+
+const {values: args} = parseArgs({
+	options: {
+		members: {type: 'string', default: '11,50,200'},
+		seed: {type: 'string', default: '1'},
+		minutes: {type: 'string', default: '10'},
+		trials: {type: 'string', default: '20'},
+		loss: {type: 'string', default: '0.2'},
+	},
+});
+
+const headerBytes = 28;
+const second = 1000;
+const idleMs = 60 * second;
+const limitMs = 120 * second;
+const settleMs = 15 * second;
+const adoptionMs = 20;
+const key = createGossipKey('bench');
+
+function createBench(members: number): Bench {
+	const bytesBySender = new Map<string, number>();
+	const network = new SimulatedNetwork({
+		seed: Number(args.seed),
+		transport(datagram, from) {
+			const bytes = encodeDatagram(key, datagram);
+			bytesBySender.set(from, (bytesBySender.get(from) ?? 0) + bytes.length + headerBytes);
+			bench.longest = Math.max(bench.longest, bytes.length);
+			return decodeDatagram(key, bytes).unwrap();
+		},
+		onChange(observed) {
+			bench.onChange(observed);
+		},
+	});
+	const bench: Bench = {
+		network, bytesBySender, longest: 0, onChange: () => undefined,
+	};
+	for (let index = 0; index < members; index++) {
+		network.startNode(`agent-${index}`, [], `dc-${index % 4}`);
+	}
+
+	introduceMembers(network);
+	network.run(settleMs);
+	return bench;
+}
+
+/** Gives every member the whole view, as a finished join does. */
+function introduceMembers(network: SimulatedNetwork): void {
+	const nodes = network.listUp();
+	const updates = nodes.map(node => createUpdate(node.state.self, '', true));
+	for (const [index, node] of nodes.entries()) {
+		const neighbour = nodes[(index + 1) % nodes.length];
+		const datagram: Datagram = {
+			sender: neighbour.state.self,
+			body: {
+				type: 'page', after: -1, through: maxKey, purpose: 'join',
+			},
+			updates,
+		};
+		network.applyEvent(node, {type: 'receive', datagram, from: neighbour.address});
+	}
+}
+
+function computePercentile(values: readonly number[], share: number): number {
+	const sorted = [...values].sort((left, right) => left - right);
+	return Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? Number.NaN);
+}
+
+function sum(values: Iterable<number>): number {
+	let total = 0;
+	for (const value of values) {
+		total += value;
+	}
+
+	return total;
+}
+
+function measureIdle(bench: Bench, members: number): Pick<Figures, 'idleBytesPerSecond' | 'cpuMicrosPerSecond'> {
+	bench.bytesBySender.clear();
+	const before = process.cpuUsage();
+	bench.network.run(idleMs);
+	const {user, system} = process.cpuUsage(before);
+	const memberSeconds = members * idleMs / second;
+	return {
+		idleBytesPerSecond: Math.round(sum(bench.bytesBySender.values()) / memberSeconds),
+		cpuMicrosPerSecond: Math.round((user + system) / memberSeconds),
+	};
+}
+
+/** Kills one member after another, each time measuring when each other member holds it dead. */
+function measureDetection(bench: Bench, trials: number): Pick<Figures, 'firstDetectP50Ms' | 'detectP50Ms' | 'detectWorstMs'> {
+	const {network} = bench;
+	const first: number[] = [];
+	const all: number[] = [];
+	for (let trial = 0; trial < trials; trial++) {
+		network.run(network.random.getInteger(second));
+		const victim = [...network.nodes.keys()][network.random.getInteger(network.nodes.size)];
+		const diedAt = network.now;
+		const times: number[] = [];
+		bench.onChange = ({time, change}) => {
+			if (change.member.status === 'dead' && change.member.address.name === victim) {
+				times.push(time - diedAt);
+			}
+		};
+
+		network.stopNode(victim);
+		const taken = network.runUntil(() => times.length >= network.nodes.size - 1, limitMs);
+		first.push(times[0] ?? Number.NaN);
+		all.push(...times, ...(taken === undefined ? [Number.POSITIVE_INFINITY] : []));
+		network.startNode(victim, [...network.nodes.keys()].slice(0, 3));
+		network.run(settleMs);
+	}
+
+	return {
+		firstDetectP50Ms: computePercentile(first, 0.5),
+		detectP50Ms: computePercentile(all, 0.5),
+		detectWorstMs: computePercentile(all, 1),
+	};
+}
+
+/** Tells new revisions; a member that hears of one adopts it a little later, as if it had fetched it. */
+function measureRevisions(bench: Bench, trials: number): Pick<Figures, 'revisionKnownP50Ms' | 'revisionKnownWorstMs' | 'revisionAdoptedWorstMs'> {
+	const {network} = bench;
+	const known: number[] = [];
+	const adopted: number[] = [];
+	bench.onChange = ({observer, change}) => {
+		const {metadata} = change.member;
+		const node = network.getNode(observer);
+		if (metadata.configRevision > node.state.self.metadata.configRevision) {
+			network.startTimer(adoptionMs, () => {
+				network.applyEvent(node, {type: 'set-metadata', metadata});
+			});
+		}
+	};
+
+	for (let revision = 1; revision <= trials; revision++) {
+		const nodes = network.listUp();
+		const teller = nodes[network.random.getInteger(nodes.length)];
+		const start = network.now;
+		network.applyEvent(teller, {type: 'set-metadata', metadata: {configRevision: revision, configDigest: `digest-${revision}`}});
+		const isKnown = () => nodes.every(node => node.state.highestRevision >= revision);
+		const isAdopted = () => nodes.every(node => node.state.self.metadata.configRevision >= revision);
+		known.push(network.runUntil(isKnown, limitMs, 10) ?? Number.POSITIVE_INFINITY);
+		network.runUntil(isAdopted, limitMs, 10);
+		adopted.push(network.now - start);
+		network.run(settleMs);
+	}
+
+	return {
+		revisionKnownP50Ms: computePercentile(known, 0.5),
+		revisionKnownWorstMs: computePercentile(known, 1),
+		revisionAdoptedWorstMs: computePercentile(adopted, 1),
+	};
+}
+
+function measureLoss(bench: Bench, members: number, minutes: number): Pick<Figures, 'lossDeaths' | 'lossSuspicions' | 'lossBytesPerSecond' | 'worstBytesPerSecond'> {
+	const {network} = bench;
+	const counts = {
+		alive: 0, suspect: 0, leaving: 0, dead: 0,
+	};
+	bench.onChange = ({change}) => {
+		if (change.previous?.status !== change.member.status) {
+			counts[change.member.status]++;
+		}
+	};
+
+	bench.bytesBySender.clear();
+	network.faults.loss = Number(args.loss);
+	const seconds = minutes * 60;
+	network.run(seconds * second);
+	network.faults.loss = 0;
+	const sent = [...bench.bytesBySender.values()];
+	return {
+		lossDeaths: counts.dead,
+		lossSuspicions: counts.suspect,
+		lossBytesPerSecond: Math.round(sum(sent) / members / seconds),
+		worstBytesPerSecond: Math.round(computePercentile(sent, 1) / seconds),
+	};
+}
+
+function runBench(members: number): Figures {
+	const trials = Number(args.trials);
+	const bench = createBench(members);
+	return {
+		members,
+		...measureIdle(bench, members),
+		...measureDetection(bench, trials),
+		...measureRevisions(bench, trials),
+		...measureLoss(bench, members, Number(args.minutes)),
+		longestDatagram: bench.longest,
+	};
+}
+
+const results: Figures[] = [];
+for (const text of args.members.split(',')) {
+	results.push(runBench(Number(text)));
+}
+
+console.table(results);
+console.log(JSON.stringify({command: process.argv.slice(2).join(' '), seed: Number(args.seed), results}));
--- a/features/membership/membership.steps.ts
+++ b/features/membership/membership.steps.ts
@@ -6,7 +6,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {MemberStatus} from '../../src/ports/membership.ts';
 import {createGossipKey, decodeDatagram, encodeDatagram} from '../../src/adapters/gossip/codec.ts';
-import {SimulatedNetwork, type SimulatedNode} from './network.ts';
+import {SimulatedNetwork, type SimulatedNode} from '../../bench/membership-network.ts';
 import {assertRules, startRandomFaults} from './random-faults.ts';
 
 type MembershipWorld = {
@@ -66,7 +66,7 @@
 	for (const node of network.nodes.values()) {
 		node.lagMs = 0;
 		if (node.isFrozen) {
-			network.wakeNode(node.address.name);
+			network.clearFreeze(node.address.name);
 		}
 	}
 }
--- a/features/membership/random-faults.ts
+++ b/features/membership/random-faults.ts
@@ -2,7 +2,7 @@
  * Random faults on a simulated network, and the rules that every view keeps meanwhile.
  */
 import assert from 'node:assert/strict';
-import type {ObservedChange, SimulatedNetwork, SimulatedNode} from './network.ts';
+import type {ObservedChange, SimulatedNetwork, SimulatedNode} from '../../bench/membership-network.ts';
 
 type Action = (network: SimulatedNetwork, node: SimulatedNode) => void;
 
@@ -46,7 +46,7 @@
 		for (const node of network.nodes.values()) {
 			node.lagMs = 0;
 			if (node.isFrozen) {
-				network.wakeNode(node.address.name);
+				network.clearFreeze(node.address.name);
 			}
 		}
 	},
--- a/src/adapters/gossip/gossip.ts
+++ b/src/adapters/gossip/gossip.ts
@@ -90,7 +90,7 @@
 		socket.sendBytes(effect.to, bytes);
 	}
 
-	function notifyListeners(change: MemberChange): void {
+	function callListeners(change: MemberChange): void {
 		const {address, status} = change.member;
 		log.debug(`Member "${address.name}" is ${status}.`);
 		for (const listener of listeners) {
@@ -101,7 +101,7 @@
 	const effectHandlers: {readonly [Type in MembershipEffect['type']]: (effect: Extract<MembershipEffect, {type: Type}>) => void} = {
 		send: sendDatagram,
 		notify(effect) {
-			notifyListeners(effect.change);
+			callListeners(effect.change);
 		},
 		report(effect) {
 			log.error(`${effect.error.message}; give each process a name of its own.`);
--- a/src/adapters/gossip/socket.ts
+++ b/src/adapters/gossip/socket.ts
@@ -29,7 +29,7 @@
 export async function openGossipSocket(endpoint: Endpoint, listener: GossipSocketListener): Promise<GossipSocket> {
 	const socket = createSocket(isIPv6(endpoint.host) ? 'udp6' : 'udp4');
 	let pending = 0;
-	let wakeCloser: (() => void) | undefined;
+	let resolveClose: (() => void) | undefined;
 	socket.bind(endpoint.port, endpoint.host);
 	await once(socket, 'listening');
 	socket.on('error', listener.onError);
@@ -44,7 +44,7 @@
 		}
 
 		if (pending === 0) {
-			wakeCloser?.();
+			resolveClose?.();
 		}
 	}
 
@@ -58,7 +58,7 @@
 			socket.removeAllListeners('message');
 			if (pending > 0) {
 				await new Promise<void>(resolve => {
-					wakeCloser = resolve;
+					resolveClose = resolve;
 				});
 			}
 
--- a/src/core/membership/logic.ts
+++ b/src/core/membership/logic.ts
@@ -13,14 +13,16 @@
 import {createUpdate} from './records.ts';
 import {listAccusations, sendDatagram} from './datagrams.ts';
 import {advanceAllowance, advanceOwnRumour} from './rumours.ts';
+import {advanceProbe, sendPing} from './probes.ts';
 import {
-	advanceProbe, advanceRelays, handleAck, handleNack, handlePing, handleProbeRequest, sendPing,
-} from './probes.ts';
+	advanceRelays, handleAck, handleNack, handlePing, handleProbeRequest,
+} from './answers.ts';
+import {advanceSync, handlePage, handleSync} from './exchange.ts';
 import {
-	advanceJoin, advanceRejoin, advanceSync, handlePage, handlePull, handleSync, startJoin,
-} from './exchange.ts';
+	advanceJoin, advanceRejoin, handlePull, startJoin,
+} from './join.ts';
 import {
-	applyLeaving, applyMetadata, applyStop, refuteUpdate,
+	applyLeaving, applyMetadata, applyStop, handleOwnUpdate,
 } from './self.ts';
 import {applyUpdate, pruneDead, updateRecord} from './view.ts';
 
@@ -45,7 +47,7 @@
 
 function applyTold(step: Step, update: MemberUpdate, isRelayed: boolean): void {
 	if (update.name === step.state.self.address.name) {
-		refuteUpdate(step, update);
+		handleOwnUpdate(step, update);
 	} else {
 		applyUpdate(step, update, isRelayed);
 	}
@@ -94,7 +96,7 @@
 	}
 
 	if (sender.address.name === state.self.address.name) {
-		refuteUpdate(step, createUpdate(sender, '', false));
+		handleOwnUpdate(step, createUpdate(sender, '', false));
 		return;
 	}
 
--- a/src/core/membership/probes.ts
+++ b/src/core/membership/probes.ts
@@ -1,11 +1,11 @@
 /**
- * Probes: pings in shuffled rounds, indirect probes by helpers, and the local health score.
+ * Probes: pings in shuffled rounds, retries by helpers, and the local health score.
  */
 import type {NodeRef} from '../identity/types.ts';
 import {isSameNode} from '../identity/logic.ts';
 import type {DatagramBody, Endpoint} from './types.ts';
 import type {MemberEntry, PendingProbe, Step} from './state.ts';
-import {listAccusations, listNewerRevision, sendDatagram} from './datagrams.ts';
+import {listAccusations, sendDatagram} from './datagrams.ts';
 import {createUpdate} from './records.ts';
 import {addUpdate} from './queue.ts';
 import {chooseMembers} from './rumours.ts';
@@ -15,8 +15,6 @@
 /** Retries after which helpers are asked. */
 const directRetries = 2;
 
-type Body<Type extends DatagramBody['type']> = Extract<DatagramBody, {type: Type}>;
-
 function getRef(entry: MemberEntry): NodeRef {
 	return {name: entry.name, incarnation: entry.record.address.incarnation};
 }
@@ -26,8 +24,13 @@
 	return entry?.record.health === 'dead' ? undefined : entry;
 }
 
-/** Takes a new sequence number. */
-function mintSequence(step: Step): number {
+/**
+ * Mints a sequence number.
+ *
+ * @param step - The step under way.
+ * @returns The number.
+ */
+export function mintSequence(step: Step): number {
 	step.state.sequence = (step.state.sequence + 1) >>> 0;
 	return step.state.sequence;
 }
@@ -115,7 +118,7 @@
 	}
 }
 
-function retryProbe(step: Step, probe: PendingProbe, entry: MemberEntry): void {
+function advanceRetry(step: Step, probe: PendingProbe, entry: MemberEntry): void {
 	const {state, now} = step;
 	probe.retries++;
 	probe.nextRetryAt = now + (state.options.probeTimeoutMs * (state.healthScore + 1));
@@ -126,7 +129,13 @@
 	}
 }
 
-function updateHealthScore(step: Step, change: number): void {
+/**
+ * Changes the local health score within its limits.
+ *
+ * @param step - The step under way.
+ * @param change - Added to the score.
+ */
+export function updateHealthScore(step: Step, change: number): void {
 	const {state} = step;
 	state.healthScore = Math.max(0, Math.min(state.options.maxHealthScore, state.healthScore + change));
 }
@@ -163,7 +172,7 @@
 			state.probe = undefined;
 			handleFailedProbe(step, probe, entry);
 		} else if (now >= probe.nextRetryAt) {
-			retryProbe(step, probe, entry);
+			advanceRetry(step, probe, entry);
 		}
 	}
 
@@ -171,85 +180,3 @@
 		startProbe(step);
 	}
 }
-
-/**
- * Tells the requesters of probe requests that found no answer in time.
- *
- * @param step - The step under way.
- */
-export function advanceRelays(step: Step): void {
-	const {state, now} = step;
-	for (const [sequence, relay] of state.relays) {
-		if (now >= relay.endsAt) {
-			state.relays.delete(sequence);
-			sendDatagram(step, relay.requester, {type: 'nack', sequence: relay.requesterSequence});
-		}
-	}
-}
-
-/**
- * Answers a ping; a ping meant for another life of this process is answered too, and teaches the sender.
- *
- * @param step - The step under way.
- * @param body - The ping.
- * @param from - Where it came from.
- * @param sender - Name of its sender.
- */
-export function handlePing(step: Step, body: Body<'ping'>, from: Endpoint, sender: string): void {
-	const {name, incarnation} = step.state.self.address;
-	const ack: DatagramBody = {type: 'ack', sequence: body.sequence, subject: {name, incarnation}};
-	const entry = step.state.members.get(sender);
-	sendDatagram(step, from, ack, [...listAccusations(step, entry), ...listNewerRevision(step, entry)]);
-}
-
-/**
- * Ends the probe that an ack answers, or passes the ack on to who asked for the probe.
- *
- * @param step - The step under way.
- * @param body - The ack.
- */
-export function handleAck(step: Step, body: Body<'ack'>): void {
-	const {state} = step;
-	const {probe} = state;
-	if (probe?.sequence === body.sequence && isSameNode(probe.target, body.subject)) {
-		state.probe = undefined;
-		updateHealthScore(step, -1);
-		return;
-	}
-
-	const relay = state.relays.get(body.sequence);
-	if (relay !== undefined && isSameNode(relay.target, body.subject)) {
-		state.relays.delete(body.sequence);
-		sendDatagram(step, relay.requester, {type: 'ack', sequence: relay.requesterSequence, subject: body.subject});
-	}
-}
-
-/**
- * Pings a member on behalf of another.
- *
- * @param step - The step under way.
- * @param body - The request.
- * @param requester - Where to send the outcome.
- */
-export function handleProbeRequest(step: Step, body: Body<'probe-request'>, requester: Endpoint): void {
-	const {state, now} = step;
-	const sequence = mintSequence(step);
-	state.relays.set(sequence, {
-		requester, requesterSequence: body.sequence, target: body.target, endsAt: now + state.options.probeTimeoutMs,
-	});
-	sendDatagram(step, body.endpoint, {type: 'ping', sequence, target: body.target});
-}
-
-/**
- * Records that a helper is in reach, though the target is not.
- *
- * @param step - The step under way.
- * @param body - The nack.
- * @param sender - Name of the helper.
- */
-export function handleNack(step: Step, body: Body<'nack'>, sender: string): void {
-	const {probe} = step.state;
-	if (probe?.sequence === body.sequence) {
-		probe.silentHelpers.delete(sender);
-	}
-}
--- a/src/core/membership/records.ts
+++ b/src/core/membership/records.ts
@@ -21,7 +21,7 @@
 	};
 }
 
-function comparePairs(update: Version, known: Version): number {
+function computeOrder(update: Version, known: Version): number {
 	return (update.counter - known.counter) || (healthRanks[update.health] - healthRanks[known.health]);
 }
 
@@ -73,7 +73,7 @@
  * @returns `older` only if nothing in the update is newer.
  */
 export function checkPrecedence(update: Version, record: MemberRecord): Precedence {
-	const order = comparePairs(update, getVersion(record));
+	const order = computeOrder(update, getVersion(record));
 	if (order > 0 || (update.leaving && !record.leaving)) {
 		return 'newer';
 	}
@@ -94,7 +94,7 @@
  */
 export function mergeRecord(record: MemberRecord, update: MemberUpdate): MemberRecord {
 	const metadata = mergeMetadata(record.metadata, update.details?.metadata);
-	const isNewer = comparePairs(update, getVersion(record)) > 0;
+	const isNewer = computeOrder(update, getVersion(record)) > 0;
 	const leaving = record.leaving || update.leaving;
 	if (!isNewer && leaving === record.leaving && metadata === record.metadata) {
 		return record;
--- a/src/core/membership/self.ts
+++ b/src/core/membership/self.ts
@@ -67,7 +67,7 @@
 	}
 }
 
-function reportSuperseded(step: Step, incarnation: number): void {
+function recordSuperseded(step: Step, incarnation: number): void {
 	const {state} = step;
 	if (state.isSuperseded) {
 		return;
@@ -85,11 +85,11 @@
  * @param step - The step under way.
  * @param update - An update that names this process.
  */
-export function refuteUpdate(step: Step, update: MemberUpdate): void {
+export function handleOwnUpdate(step: Step, update: MemberUpdate): void {
 	const {state} = step;
 	const {self} = state;
 	if (update.incarnation > self.address.incarnation) {
-		reportSuperseded(step, update.incarnation);
+		recordSuperseded(step, update.incarnation);
 		return;
 	}
 
--- a/src/core/membership/view.ts
+++ b/src/core/membership/view.ts
@@ -73,7 +73,7 @@
 	}
 }
 
-function notifyChange(step: Step, next: MemberRecord, previous: MemberRecord | undefined): void {
+function recordChange(step: Step, next: MemberRecord, previous: MemberRecord | undefined): void {
 	step.effects.push({
 		type: 'notify',
 		change: {member: createMember(next), previous: previous === undefined ? undefined : createMember(previous)},
@@ -101,11 +101,11 @@
 }
 
 /** Whether updates about a member need its details, so that those who don't know it can add it. */
-function needsDetails(record: MemberRecord): boolean {
+function isToldInFull(record: MemberRecord): boolean {
 	return record.health === 'alive';
 }
 
-function tellChange(step: Step, entry: MemberEntry, previous: MemberRecord | undefined, isRelayed: boolean): void {
+function handleChange(step: Step, entry: MemberEntry, previous: MemberRecord | undefined, isRelayed: boolean): void {
 	const {state} = step;
 	const {record} = entry;
 	const isUrgentChange = isUrgent(step, record, previous);
@@ -117,14 +117,14 @@
 
 	if (previous === undefined || computeStatus(previous) !== computeStatus(record)
 		|| previous.address !== record.address || previous.metadata !== record.metadata) {
-		notifyChange(step, record, previous);
+		recordChange(step, record, previous);
 	}
 
 	if (!isRelayed) {
 		return;
 	}
 
-	const update = createUpdate(record, findAccuser(step, entry.name), needsDetails(record));
+	const update = createUpdate(record, findAccuser(step, entry.name), isToldInFull(record));
 	if (isWorthRelay(step, record, previous)) {
 		addUpdate(state.queue, update);
 	}
@@ -150,7 +150,7 @@
 		startSuspicion(step, entry, accuser);
 	}
 
-	tellChange(step, entry, previous, isRelayed);
+	handleChange(step, entry, previous, isRelayed);
 }
 
 function createRecord(update: MemberUpdate): MemberRecord | undefined {
@@ -175,7 +175,7 @@
 		startSuspicion(step, entry, update.accuser);
 	}
 
-	tellChange(step, entry, undefined, isRelayed);
+	handleChange(step, entry, undefined, isRelayed);
 }
 
 /**
