--- a/features/http/fake-jobs.ts
+++ b/features/http/fake-jobs.ts
@@ -87,7 +87,7 @@
 		isReady: () => fake.ready,
 		mintIds(_contract, count) {
 			calls.push(`mint ${count}`);
-			return Array.from({length: count}, (_, index) => `id-${index}`);
+			return Array.from({length: fake.ready ? count : 0}, (_, index) => `id-${index}`);
 		},
 		submitJob: async (_contract, id, submission) => submit(id, id, submission),
 		submitNewJob: async (_contract, submission) => submit('new', 'id-0', submission),
--- a/features/http/http-interface.feature
+++ b/features/http/http-interface.feature
@@ -105,6 +105,11 @@
       |          | {"text":""}       |
       | ff00     | {"base64":"/wA="} |
 
+  Scenario: Ids are refused while no agent is known
+    Given a job service that replies not-ready
+    When a caller sends POST /v1/job-ids with body none
+    Then the response is problem "not-ready" with status 503, outcome "not-run" and field ""
+
   Scenario: A job service that throws leaves the outcome unknown and tells no detail
     Given a job service that replies by throwing
     When a caller sends PUT /v1/jobs/id-7 with body {"kind":"k","tasks":[{"body":1}]}
--- a/features/http/http.steps.ts
+++ b/features/http/http.steps.ts
@@ -133,6 +133,10 @@
 	this.jobs.reply = createBytesReply(hex);
 });
 
+Given('a job service that replies not-ready', function (this: HttpWorld) {
+	this.jobs.ready = false;
+});
+
 Given('a job service that replies when told to', function (this: HttpWorld) {
 	const reply = new Promise<void>(resolve => {
 		this.reply = resolve;
@@ -144,7 +148,7 @@
 	};
 });
 
-Given(/^a job service that replies ((?:complete|pending|cancelled|not-run|failed|unknown|refused|by)(?: .*)?)$/, function (this: HttpWorld, words: string) {
+Given(/^a job service that replies ((?:complete|pending|cancelled|not-run|failed|unknown|refused|by)(?: .+)?)$/, function (this: HttpWorld, words: string) {
 	this.jobs.reply = createReplyMaker(words);
 });
 
--- a/features/target/registration.steps.ts
+++ b/features/target/registration.steps.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {createLog} from '../../src/adapters/log/log.ts';
+import {createLog, setLogOptions} from '../../src/adapters/log/log.ts';
 import {createTargetRegistration, type TargetRegistrationHandler} from '../../src/adapters/target/registration.ts';
 import {createFakeClock, type FakeClock} from './fake-clock.ts';
 
@@ -15,6 +15,7 @@
 };
 
 Given('a registration with a lease of {int} ms at host {string}', function (this: RegistrationWorld, leaseMs: number, host: string) {
+	setLogOptions({level: 'silent', format: 'text', processName: 'test'});
 	this.clock = createFakeClock();
 	this.registration = createTargetRegistration({
 		leaseMs, allowedHosts: [host], clock: this.clock, log: createLog('target'),
--- a/features/target/target-calls.feature
+++ b/features/target/target-calls.feature
@@ -69,6 +69,13 @@
     Then the call of the target ends as "not-started"
     And once the connection is free the raw target receives the next task only
 
+  Scenario: A caller that is closed finishes what runs and starts nothing more
+    Given a raw target that answers 200
+    When a task is handed to the raw target and the caller is closed meanwhile
+    Then the call of the target ends as "done"
+    When a task is handed to the raw target
+    Then the call of the target ends as "not-started"
+
   Scenario: Connections stay within the target's limit and requests are not pipelined
     Given a raw target that never answers
     When 5 tasks are handed to the raw target over at most 3 connections
--- a/features/target/target-calls.steps.ts
+++ b/features/target/target-calls.steps.ts
@@ -51,9 +51,12 @@
 }
 
 After(async function (this: CallWorld) {
+	// Sockets close first, so that callers have nothing to wait for.
 	for (const item of this.owned ?? []) {
 		await item[Symbol.asyncDispose]();
 	}
+
+	this.clock?.advance(timeoutMs * 10);
 });
 
 Given('a raw target that {}', async function (this: CallWorld, fault: string) {
@@ -98,6 +101,13 @@
 	this.outcome = await call;
 });
 
+When('a task is handed to the raw target and the caller is closed meanwhile', async function (this: CallWorld) {
+	const call = this.caller.callTarget(createTask(), timeoutMs);
+	await this.caller[Symbol.asyncDispose]();
+	this.outcome = await call;
+	this.owned = [this.rawTarget];
+});
+
 When('{int} tasks are handed to the raw target over at most {int} connections', async function (this: CallWorld, tasks: number, connections: number) {
 	createCaller(this, this.rawTarget.address, connections);
 	for (let index = 0; index < tasks; index++) {
--- a/src/adapters/http/calls.ts
+++ b/src/adapters/http/calls.ts
@@ -33,6 +33,7 @@
 	readonly bodies: BodyReader;
 };
 
+const readyRetryMs = 1000;
 const keyPattern = /^[!-~]{1,255}$/;
 const countPattern = /^[1-9]\d{0,8}$/;
 
@@ -67,7 +68,7 @@
 		writeJson(response, 202, {id: reply.id, outcome: 'pending'});
 	} else if (reply.type === 'refused') {
 		const {id} = request.params;
-		const refusal = {...reply, value: findValue(reply.field, id, submission)};
+		const refusal = {...reply, value: reply.value ?? findValue(reply.field, id, submission)};
 		writeProblem(request, response, createRefusalProblem(refusal, getRefusalOutcome(request), id));
 	} else if (reply.answer.outcome === 'complete') {
 		writeResponse(response, 200, 'application/json', encodeAnswer(reply.id, reply.answer.results));
@@ -132,7 +133,12 @@
 				return count;
 			}
 
-			writeJson(response, 200, {ids: jobs.mintIds(contract, count.value)});
+			const ids = jobs.mintIds(contract, count.value);
+			if (ids.length < count.value) {
+				return Err({kind: 'not-ready', message: 'this process knows no agent that takes jobs', retryAfter: readyRetryMs});
+			}
+
+			writeJson(response, 200, {ids});
 			return Ok(undefined);
 		},
 		async submitJob(call) {
--- /dev/null
+++ b/src/adapters/http/send.ts
@@ -0,0 +1,183 @@
+/**
+ * Sends HTTP requests, each at most once, and tells whether one was written.
+ *
+ * The HTTP library calls `onRequestStart` right before it writes a request to a socket. A request that ends
+ * without it never reached the other side. After it, the request is neither repeated nor held to be unsent.
+ */
+import {Buffer} from 'node:buffer';
+import Pool from 'undici/lib/dispatcher/pool.js';
+import type {Dispatcher} from 'undici';
+import type {Clock, Milliseconds} from '../../ports/clock.ts';
+
+/** What a pool of connections needs. */
+export type SenderOptions = {
+	/** IP number and port of the other side. */
+	readonly address: string;
+	/** Greatest number of connections. */
+	readonly connections: number;
+	/** Time in which a connection must open, in ms. */
+	readonly connectTimeoutMs: Milliseconds;
+	/** Greatest size of an answer's body, in bytes. */
+	readonly maxAnswerBytes: number;
+	readonly clock: Clock;
+};
+
+/** A request. */
+export type HttpRequest = {
+	readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body?: Uint8Array;
+};
+
+/**
+ * How a request ended.
+ *
+ * - `whole`: the whole answer arrived.
+ * - `broken`: the connection failed or could not be opened.
+ * - `timeout`: the answer did not arrive in time.
+ * - `too-large`: the answer's body was over the cap.
+ */
+export type SendEnding = 'whole' | 'broken' | 'timeout' | 'too-large';
+
+/** What became of a request. */
+export type SendOutcome = {
+	readonly ending: SendEnding;
+	/** Whether the request may have reached the other side; `false` is proof that it did not. */
+	readonly written: boolean;
+	/** Final status, once its header has arrived. */
+	readonly httpStatus: number | undefined;
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+	readonly body: Uint8Array;
+	/** Time from the write of the request to its end; 0 when not written. */
+	readonly runTime: Milliseconds;
+	/** Why the request did not end `whole`. */
+	readonly message: string;
+};
+
+/** Sends requests over a pool of connections; disposing of it sends nothing more and waits for what still runs. */
+export type Sender = AsyncDisposable & {
+	/** Sends one request and waits for the whole answer, at most `timeout`. */
+	sendRequest(request: HttpRequest, timeout: Milliseconds): Promise<SendOutcome>;
+};
+
+const idleTimeoutMs = 4000;
+
+/** State of one request; the methods that start with `on` are called by the HTTP library. */
+class Exchange implements Dispatcher.DispatchHandler {
+	readonly #clock: Clock;
+	readonly #maxAnswerBytes: number;
+	readonly #resolve: (outcome: SendOutcome) => void;
+	readonly #timer: Disposable;
+	readonly #chunks: Uint8Array[] = [];
+	#controller: Dispatcher.DispatchController | undefined;
+	#settled = false;
+	#startedAt: Milliseconds | undefined;
+	#httpStatus: number | undefined;
+	#headers: SendOutcome['headers'] = {};
+	#size = 0;
+
+	constructor({clock, maxAnswerBytes}: SenderOptions, timeout: Milliseconds, resolve: (outcome: SendOutcome) => void) {
+		this.#clock = clock;
+		this.#maxAnswerBytes = maxAnswerBytes;
+		this.#resolve = resolve;
+		this.#timer = clock.startTimer(timeout, () => {
+			this.#stop('timeout', `no whole answer within ${Math.round(timeout)} ms`);
+		});
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		if (this.#settled || this.#startedAt !== undefined) {
+			// Aborting here keeps the library from writing the request, late or for a second time.
+			controller.abort(new Error('the request has ended'));
+			return;
+		}
+
+		this.#startedAt = this.#clock.getTime();
+		this.#controller = controller;
+	}
+
+	onResponseStart(_controller: Dispatcher.DispatchController, httpStatus: number, headers: SendOutcome['headers']): void {
+		// A status below 200 announces that the answer is still to come.
+		if (httpStatus >= 200) {
+			this.#httpStatus = httpStatus;
+			this.#headers = headers;
+		}
+	}
+
+	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+		this.#size += chunk.length;
+		this.#chunks.push(chunk);
+		if (this.#size > this.#maxAnswerBytes) {
+			this.#stop('too-large', `the answer has more than ${this.#maxAnswerBytes} bytes`);
+		}
+	}
+
+	onResponseEnd(): void {
+		this.#settle('whole', '');
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+		this.#settle('broken', error.message);
+	}
+
+	#stop(ending: SendEnding, message: string): void {
+		this.#settle(ending, message);
+		this.#controller?.abort(new Error(message));
+	}
+
+	#settle(ending: SendEnding, message: string): void {
+		if (this.#settled) {
+			return;
+		}
+
+		this.#settled = true;
+		this.#timer[Symbol.dispose]();
+		this.#resolve({
+			ending,
+			written: this.#startedAt !== undefined,
+			httpStatus: this.#httpStatus,
+			headers: this.#headers,
+			body: Buffer.concat(this.#chunks),
+			runTime: this.#startedAt === undefined ? 0 : this.#clock.getTime() - this.#startedAt,
+			message,
+		});
+	}
+}
+
+/**
+ * Creates a sender to one address.
+ *
+ * @param options - Address, caps and clock.
+ * @returns The sender.
+ */
+export function createSender(options: SenderOptions): Sender {
+	const {address, connections, connectTimeoutMs} = options;
+	const pool = new Pool(`http://${address}`, {
+		connections,
+		pipelining: 1,
+		connectTimeout: connectTimeoutMs,
+		keepAliveTimeout: idleTimeoutMs,
+		keepAliveMaxTimeout: idleTimeoutMs,
+		allowH2: false,
+	});
+
+	return {
+		async sendRequest({method, path, headers, body}, timeout) {
+			return new Promise(resolve => {
+				pool.dispatch({
+					method,
+					path,
+					headers,
+					body: body && Buffer.from(body.buffer, body.byteOffset, body.byteLength),
+					idempotent: false,
+					headersTimeout: 0,
+					bodyTimeout: 0,
+				}, new Exchange(options, timeout, resolve));
+			});
+		},
+		async [Symbol.asyncDispose]() {
+			await pool.close();
+		},
+	};
+}
--- a/src/adapters/target/caller.ts
+++ b/src/adapters/target/caller.ts
@@ -1,15 +1,11 @@
 /**
  * Calls the target over HTTP, each task at most once.
- *
- * The HTTP library calls `onRequestStart` right before it writes a request to a socket. A call that ends
- * without it never reached the target. After it, the call is neither repeated nor held to be unstarted.
  */
 import {Buffer} from 'node:buffer';
-import Pool from 'undici/lib/dispatcher/pool.js';
-import type {Dispatcher} from 'undici';
-import type {Clock, Milliseconds, Timer} from '../../ports/clock.ts';
+import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {TaskStart, TaskStatus} from '../../ports/messages.ts';
 import type {TargetCaller, TargetOutcome} from '../../ports/target.ts';
+import {createSender, type SendEnding, type SendOutcome} from '../http/send.ts';
 
 /** What a caller of one target needs. */
 export type TargetCallerOptions = {
@@ -26,143 +22,75 @@
 
 const defaultMaxAnswerBytes = 1_048_576;
 const defaultConnectTimeoutMs = 1000;
-const idleTimeoutMs = 4000;
 const maxErrorLength = 200;
 const headerPattern = /^[ -~]*$/;
 
-/** State of one call. */
-type Call = {
-	started: boolean;
-	settled: boolean;
-	startedAt: Milliseconds;
-	httpStatus: number | undefined;
-	size: number;
-	readonly chunks: Uint8Array[];
-	controller: Dispatcher.DispatchController | undefined;
-};
-
 function encodeHeaderValue(value: string): string {
 	// Names may hold any character; a header may not.
 	return headerPattern.test(value) ? value : encodeURIComponent(value);
 }
 
-function createRequest(task: TaskStart): Dispatcher.DispatchOptions {
+function createHeaders(task: TaskStart): Record<string, string> {
 	return {
-		path: '/tasks',
-		method: 'POST',
-		idempotent: false,
-		headersTimeout: 0,
-		bodyTimeout: 0,
-		headers: {
-			'content-type': 'application/json',
-			'medlardale-job': encodeHeaderValue(task.job),
-			'medlardale-task': String(task.index),
-			'medlardale-customer': encodeHeaderValue(task.customer),
-			'medlardale-kind': encodeHeaderValue(task.kind),
-			'medlardale-deadline-ms': String(Math.max(0, Math.floor(task.deadline))),
-		},
-		body: Buffer.from(task.body.buffer, task.body.byteOffset, task.body.byteLength),
+		'content-type': 'application/json',
+		'medlardale-job': encodeHeaderValue(task.job),
+		'medlardale-task': String(task.index),
+		'medlardale-customer': encodeHeaderValue(task.customer),
+		'medlardale-kind': encodeHeaderValue(task.kind),
+		'medlardale-deadline-ms': String(Math.max(0, Math.floor(task.deadline))),
 	};
 }
 
-function isSuccess(httpStatus: number): boolean {
-	return httpStatus >= 200 && httpStatus < 300;
+function isSuccess(httpStatus: number | undefined): boolean {
+	return httpStatus !== undefined && httpStatus >= 200 && httpStatus < 300;
 }
 
-/** Status of a call that ended before the whole answer had arrived. */
-function getBrokenStatus({started, httpStatus}: Call): TaskStatus {
-	if (!started) {
+function getBrokenStatus({written, httpStatus}: SendOutcome): TaskStatus {
+	if (!written) {
 		return 'not-started';
 	}
 
+	// A success that broke off may have been announced before the task had run to its end.
 	return httpStatus === undefined || isSuccess(httpStatus) ? 'unknown' : 'failed';
 }
 
+/** Status of a task by how its request ended. */
+const statusByEnding: Record<SendEnding, (outcome: SendOutcome) => TaskStatus> = {
+	whole: ({httpStatus}) => isSuccess(httpStatus) ? 'done' : 'failed',
+	broken: getBrokenStatus,
+	timeout: getBrokenStatus,
+	'too-large': () => 'failed',
+};
+
+function describeFailure({ending, httpStatus, body, message}: SendOutcome): string {
+	const text = ending === 'whole' ? `status ${httpStatus}: ${Buffer.from(body).toString('utf8', 0, maxErrorLength)}` : message;
+	return `call of the target: ${text}`.slice(0, maxErrorLength);
+}
+
 /**
  * Creates the caller of one target.
  *
  * @param options - Address, caps and clock.
- * @returns The caller; disposing of it ends what still runs as `unknown`.
+ * @returns The caller; disposing of it starts nothing more and waits for what still runs.
  */
 export function createTargetCaller(options: TargetCallerOptions): TargetCaller {
-	const {address, connections, clock, maxAnswerBytes = defaultMaxAnswerBytes, connectTimeoutMs = defaultConnectTimeoutMs} = options;
-	const pool = new Pool(`http://${address}`, {
-		connections, pipelining: 1, connectTimeout: connectTimeoutMs, keepAliveTimeout: idleTimeoutMs, keepAliveMaxTimeout: idleTimeoutMs, allowH2: false,
+	const sender = createSender({
+		...options,
+		maxAnswerBytes: options.maxAnswerBytes ?? defaultMaxAnswerBytes,
+		connectTimeoutMs: options.connectTimeoutMs ?? defaultConnectTimeoutMs,
 	});
 
-	async function callTarget(task: TaskStart, timeout: Milliseconds): Promise<TargetOutcome> {
-		return new Promise(resolve => {
-			const call: Call = {
-				started: false, settled: false, startedAt: 0, httpStatus: undefined, size: 0, chunks: [], controller: undefined,
-			};
-			const timer: Timer = clock.startTimer(timeout, () => {
-				stop(getBrokenStatus(call), `the target did not answer within ${timeout} ms`);
-			});
-
-			function settle(status: TaskStatus, body: Uint8Array): void {
-				if (call.settled) {
-					return;
-				}
-
-				call.settled = true;
-				timer[Symbol.dispose]();
-				resolve({status, body, runTime: call.started ? clock.getTime() - call.startedAt : 0});
-			}
-
-			function settleError(status: TaskStatus, text: string): void {
-				settle(status, Buffer.from(text.slice(0, maxErrorLength)));
-			}
-
-			function stop(status: TaskStatus, text: string): void {
-				settleError(status, text);
-				call.controller?.abort(new Error(text));
-			}
-
-			const handler: Dispatcher.DispatchHandler = {
-				onRequestStart(controller) {
-					if (call.settled || call.started) {
-						// Aborting here keeps the library from writing the request, late or for a second time.
-						controller.abort(new Error('the call has ended'));
-						return;
-					}
-
-					call.started = true;
-					call.startedAt = clock.getTime();
-					call.controller = controller;
-				},
-				onResponseStart(_controller, httpStatus) {
-					// A status below 200 announces that the answer is still to come.
-					call.httpStatus = httpStatus < 200 ? undefined : httpStatus;
-				},
-				onResponseData(_controller, chunk) {
-					call.size += chunk.length;
-					call.chunks.push(chunk);
-					if (call.size > maxAnswerBytes) {
-						stop('failed', `the target's answer has more than ${maxAnswerBytes} bytes`);
-					}
-				},
-				onResponseEnd() {
-					const httpStatus = call.httpStatus ?? 0;
-					const body = Buffer.concat(call.chunks);
-					if (isSuccess(httpStatus)) {
-						settle('done', body);
-					} else {
-						settleError('failed', `the target answered with status ${httpStatus}: ${body.toString('utf8', 0, maxErrorLength)}`);
-					}
-				},
-				onResponseError(_controller, error) {
-					settleError(getBrokenStatus(call), `the target could not be called: ${error.message}`);
-				},
-			};
-
-			pool.dispatch(createRequest(task), handler);
-		});
-	}
-
 	return {
-		callTarget,
+		async callTarget(task, timeout): Promise<TargetOutcome> {
+			const outcome = await sender.sendRequest({
+				method: 'POST', path: '/tasks', headers: createHeaders(task), body: task.body,
+			}, timeout);
+			const status = statusByEnding[outcome.ending](outcome);
+			const body = status === 'done' ? outcome.body : Buffer.from(describeFailure(outcome));
+			return {status, body, runTime: outcome.runTime};
+		},
 		async [Symbol.asyncDispose]() {
-			await pool.destroy();
+			await sender[Symbol.asyncDispose]();
 		},
 	};
 }
