Keep slots for short work by its load, and order customers by service after their next task

Change: a kind is long by the run time of the task that holds a slot at a random moment, while one of its tasks overruns, and while it is new; free slots follow the recent load of short work, but long tasks keep their weight's part; no customer holds all slots for long tasks while another sends some; urgency weights 1, 2, 4, 8, so that other kinds of a customer keep theirs.

--- a/src/core/scheduling/heap.ts
+++ b/src/core/scheduling/heap.ts
@@ -113,3 +113,30 @@
 	advanceUp(heap, last);
 	advanceDown(heap, last);
 }
+
+/**
+ * Finds the entry with the least key among those that pass a check. Visits at most two entries for each
+ * one that fails and has a lesser key.
+ *
+ * @param heap - The heap.
+ * @param isCandidate - Whether an item may be chosen.
+ * @returns The entry, if one passes.
+ */
+export function findEntry<Item>(heap: Heap<Item>, isCandidate: (item: Item) => boolean): HeapEntry<Item> | undefined {
+	let best: HeapEntry<Item> | undefined;
+	const positions = [0];
+	for (let position = positions.pop(); position !== undefined; position = positions.pop()) {
+		const entry = heap[position];
+		if (position >= heap.length || (best !== undefined && entry.key >= best.key)) {
+			continue;
+		}
+
+		if (isCandidate(entry.item)) {
+			best = entry;
+		} else {
+			positions.push((2 * position) + 2, (2 * position) + 1);
+		}
+	}
+
+	return best;
+}
--- a/src/core/scheduling/logic.ts
+++ b/src/core/scheduling/logic.ts
@@ -4,13 +4,17 @@
 import {Ok, type Result} from 'ts-results-es';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {SchedulingError} from './errors.ts';
-import {createEntry, updateEntry} from './heap.ts';
+import {
+	createEntry, findEntry, updateEntry, type HeapEntry,
+} from './heap.ts';
 import {checkLimits} from './limits.ts';
 import {
 	assertCounts, assertState, removeAsDropped, removeTask, updateWork,
 } from './removal.ts';
-import {recordRunTime} from './run-times.ts';
-import {computeLongSlots, isLongKind, recordShortArrival} from './slots.ts';
+import {computeCharge, recordRunTime} from './run-times.ts';
+import {
+	computeCustomerLongSlots, computeLongSlots, isLongKind, recordLongArrival, recordShortArrival,
+} from './slots.ts';
 import {
 	chooseKind, getKind, pruneCustomers, pruneLingering, updateCustomer,
 } from './state.ts';
@@ -31,8 +35,8 @@
 	readonly isSuccess: boolean;
 };
 
-function updateClass(state: ScheduleState, kind: KindQueue): void {
-	kind.isLong = isLongKind(state, kind);
+function updateClass(state: ScheduleState, kind: KindQueue, now: Milliseconds): void {
+	kind.isLong = isLongKind(state, kind, now);
 }
 
 function canTry(state: ScheduleState, kind: KindQueue, now: Milliseconds): boolean {
@@ -70,7 +74,8 @@
 		deadlineEntry: undefined,
 		state: 'queued',
 		charged: 0,
-		startedLong: false,
+		runsLong: false,
+		isOverrunning: false,
 		startedAt: 0,
 		previous: undefined,
 		next: undefined,
@@ -103,7 +108,8 @@
 
 	const task = createTask(state, spec, kind, isTrial, now);
 	applyActivation(state, kind);
-	updateClass(state, kind);
+	updateClass(state, kind, now);
+	kind.lastAddedAt = now;
 	addToList(task);
 	addToJob(state, task);
 	updateEntry(state.deadlines, task.deadlineEntry!, spec.deadlineAt);
@@ -113,7 +119,9 @@
 	kind.customer.queued++;
 	kind.customer.bytes += spec.bytes;
 	updateWork(state, kind.customer, kind.runTime.mean);
-	if (!kind.isLong) {
+	if (kind.isLong) {
+		recordLongArrival(state, kind.customer, now);
+	} else {
 		recordShortArrival(state, kind.runTime.mean, now);
 	}
 
@@ -121,15 +129,46 @@
 	return Ok(task);
 }
 
+function findLongEntry(state: ScheduleState, now: Milliseconds): HeapEntry<string> | undefined {
+	if (state.longHeap.length === 0) {
+		return undefined;
+	}
+
+	const slots = computeLongSlots(state, now);
+	const customerSlots = computeCustomerLongSlots(state, slots, now);
+	return state.runningLong < slots ? findEntry(state.longHeap, name => state.customers.get(name)!.runningLong < customerSlots) : undefined;
+}
+
 function findCandidate(state: ScheduleState, now: Milliseconds): QueuedTask | undefined {
-	const short = state.shortHeap[0];
-	const long = state.runningLong < computeLongSlots(state, now) ? state.longHeap[0] : undefined;
+	const short = state.shortHeap.at(0);
+	const long = findLongEntry(state, now);
 	const isLong = long !== undefined && (short === undefined || long.key < short.key);
 	const entry = isLong ? long : short;
 	const customer = entry && state.customers.get(entry.item);
 	return customer && chooseKind(state, customer, isLong)?.head;
 }
 
+/** Counts running tasks as long once they have run longer than short ones do. */
+function recordOverruns(state: ScheduleState, now: Milliseconds): void {
+	for (const task of state.running) {
+		if (task.isOverrunning || now - task.startedAt <= state.options.longTaskMs) {
+			continue;
+		}
+
+		const {queue: kind} = task;
+		task.isOverrunning = true;
+		kind.overrunning++;
+		if (!task.runsLong) {
+			task.runsLong = true;
+			kind.customer.runningLong++;
+			state.runningLong++;
+		}
+
+		updateClass(state, kind, now);
+		updateCustomer(state, kind.customer, now);
+	}
+}
+
 function isLate(task: QueuedTask, now: Milliseconds): boolean {
 	const runTime = task.isTrial ? 0 : task.queue.runTime.low;
 	return now >= task.spec.deadlineAt || now + runTime > task.spec.deadlineAt;
@@ -146,6 +185,7 @@
 export function findTask(state: ScheduleState, now: Milliseconds): Selection {
 	const dropped: DroppedTask[] = [];
 	pruneLingering(state, now);
+	recordOverruns(state, now);
 	while (state.running.size < state.slots) {
 		const task = findCandidate(state, now);
 		if (task === undefined || !isLate(task, now)) {
@@ -188,18 +228,19 @@
 	removeTask(state, task);
 	task.state = 'running';
 	task.startedAt = now;
-	task.charged = kind.runTime.mean;
-	task.startedLong = kind.isLong;
+	task.charged = computeCharge(kind.runTime, state.options.trialChargeMs);
+	task.runsLong = kind.isLong;
 	recordCharge(state, kind, task.charged);
+	kind.firstStartedAt = Math.min(kind.firstStartedAt, now);
 	kind.running++;
 	kind.customer.running++;
 	state.running.add(task);
-	if (task.startedLong) {
+	if (task.runsLong) {
 		kind.customer.runningLong++;
 		state.runningLong++;
 	}
 
-	updateClass(state, kind);
+	updateClass(state, kind, now);
 	updateCustomer(state, kind.customer, now);
 	assertCounts(state);
 }
@@ -236,8 +277,9 @@
 	state.ended++;
 	state.running.delete(task);
 	kind.running--;
+	kind.overrunning -= task.isOverrunning ? 1 : 0;
 	customer.running--;
-	if (task.startedLong) {
+	if (task.runsLong) {
 		customer.runningLong--;
 		state.runningLong--;
 	}
@@ -246,7 +288,7 @@
 	const previousMean = kind.runTime.mean;
 	recordRunTime(kind.runTime, measurement.runTime, measurement.isSuccess);
 	updateWork(state, customer, kind.queued * (kind.runTime.mean - previousMean));
-	updateClass(state, kind);
+	updateClass(state, kind, now);
 	updateCustomer(state, customer, now);
 	pruneCustomers(state, now);
 	assertCounts(state);
--- a/src/core/scheduling/policies.ts
+++ b/src/core/scheduling/policies.ts
@@ -1,7 +1,8 @@
 /**
  * The table of policies that choose the next task.
  */
-import type {KindQueue, SchedulingPolicy} from './types.ts';
+import {computeCharge} from './run-times.ts';
+import type {KindQueue, ScheduleOptions, SchedulingPolicy} from './types.ts';
 
 /** How a policy orders work; the lowest key goes first. */
 export type PolicyHandler = {
@@ -10,7 +11,7 @@
 	/** Returns the key of a kind among those of its customer. */
 	readonly computeKindKey: (kind: KindQueue) => number;
 	/** Returns the key of a customer whose next task is of `kind`. */
-	readonly computeCustomerKey: (kind: KindQueue) => number;
+	readonly computeCustomerKey: (kind: KindQueue, options: ScheduleOptions) => number;
 };
 
 function getHeadSequence(kind: KindQueue): number {
@@ -20,14 +21,15 @@
 /**
  * Policies by name.
  *
- * - `fair`: least weighted service first, between customers and then between the customer's kinds.
+ * - `fair`: between customers, the one that would have had the least weighted service after its next task;
+ *   between the kinds of a customer, the one that has had the least.
  * - `fifo`: order of arrival.
  */
 export const policies: Readonly<Record<SchedulingPolicy, PolicyHandler>> = {
 	fair: {
 		isWeighted: true,
 		computeKindKey: kind => kind.tag,
-		computeCustomerKey: kind => kind.customer.tag,
+		computeCustomerKey: ({customer, runTime}, {trialChargeMs}) => customer.tag + (computeCharge(runTime, trialChargeMs) / customer.weight),
 	},
 	fifo: {
 		isWeighted: false,
--- a/src/core/scheduling/run-times.ts
+++ b/src/core/scheduling/run-times.ts
@@ -4,7 +4,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {RunTimeEstimate} from './types.ts';
 
-const meanGain = 0.2;
+const meanGain = 0.05;
 const lowGainDown = 0.3;
 const lowGainUp = 0.05;
 
@@ -15,7 +15,9 @@
  * @returns The estimate.
  */
 export function createRunTime(initialRunMs: Milliseconds): RunTimeEstimate {
-	return {samples: 0, mean: initialRunMs, low: 0};
+	return {
+		samples: 0, mean: initialRunMs, meanSquare: initialRunMs * initialRunMs, low: 0,
+	};
 }
 
 /**
@@ -31,13 +33,36 @@
 		return;
 	}
 
-	if (estimate.samples === 0) {
-		estimate.mean = runTime;
+	estimate.samples++;
+	if (estimate.samples === 1) {
 		estimate.low = runTime;
 	} else {
-		estimate.mean += meanGain * (runTime - estimate.mean);
 		estimate.low += (runTime < estimate.low ? lowGainDown : lowGainUp) * (runTime - estimate.low);
 	}
 
-	estimate.samples++;
+	const gain = Math.max(meanGain, 1 / estimate.samples);
+	estimate.mean += gain * (runTime - estimate.mean);
+	estimate.meanSquare += gain * ((runTime * runTime) - estimate.meanSquare);
+}
+
+/**
+ * Computes how long the kind's tasks are to those that wait behind them: the mean run time of the task
+ * that holds a slot at a random moment. A few long tasks among many short ones raise it far above the mean.
+ *
+ * @param estimate - Estimate of the kind.
+ * @returns The length, in ms.
+ */
+export function computeLength(estimate: RunTimeEstimate): Milliseconds {
+	return estimate.mean > 0 ? estimate.meanSquare / estimate.mean : 0;
+}
+
+/**
+ * Computes the run time to charge at the start of a task.
+ *
+ * @param estimate - Estimate of the task's kind.
+ * @param trialChargeMs - Run time to charge while nothing has been measured, in ms.
+ * @returns The run time, in ms.
+ */
+export function computeCharge(estimate: RunTimeEstimate, trialChargeMs: Milliseconds): Milliseconds {
+	return estimate.samples === 0 ? trialChargeMs : estimate.mean;
 }
--- a/src/core/scheduling/slots.ts
+++ b/src/core/scheduling/slots.ts
@@ -3,10 +3,14 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import {policies} from './policies.ts';
-import type {KindQueue, ScheduleState} from './types.ts';
+import {computeLength} from './run-times.ts';
+import type {CustomerQueue, KindQueue, ScheduleState} from './types.ts';
 
 const shortLoadWindowMs = 2000;
 
+/** A kind counts as long for this many times the run time of a short task after its first start. */
+const newKindFactor = 2;
+
 /**
  * Records that short work arrived.
  *
@@ -20,6 +24,38 @@
 	state.lastShortAt = now;
 }
 
+/**
+ * Records that long work of a customer arrived.
+ *
+ * @param state - The queue of the agent.
+ * @param customer - The customer.
+ * @param now - The present time.
+ */
+export function recordLongArrival(state: ScheduleState, customer: CustomerQueue, now: Milliseconds): void {
+	if (state.longCustomer !== customer) {
+		state.longCustomer = customer;
+		state.longRivalAt = now;
+	}
+}
+
+/**
+ * Computes how many of the slots for long tasks one customer may hold. While several customers have
+ * sent long work recently, a share stays free of the long tasks of any one of them.
+ *
+ * @param state - The queue of the agent.
+ * @param longSlots - Slots that long tasks may hold.
+ * @param now - The present time.
+ * @returns The number of slots, at least 1 of any.
+ */
+export function computeCustomerLongSlots(state: ScheduleState, longSlots: number, now: Milliseconds): number {
+	const {options} = state;
+	if (!policies[options.policy].isWeighted || now - state.longRivalAt >= options.longHoldMs) {
+		return longSlots;
+	}
+
+	return Math.max(Math.min(longSlots, 1), longSlots - Math.ceil(longSlots * options.reservedShare));
+}
+
 function computeShortLoad(state: ScheduleState, now: Milliseconds): number {
 	return state.shortLoad * Math.exp((state.shortLoadAt - now) / shortLoadWindowMs);
 }
@@ -49,13 +85,16 @@
 }
 
 /**
- * Answers whether a kind's tasks are long: its mean run time exceeds the setting, or it is unknown and
- * already runs a task that will tell.
+ * Answers whether a kind's tasks are long: to those that wait behind them they take longer than the
+ * setting, or one of them does so now, or the kind is too new for that to be known.
  *
  * @param state - The queue of the agent.
  * @param kind - The kind.
+ * @param now - The present time.
  * @returns Whether it is long.
  */
-export function isLongKind(state: ScheduleState, kind: KindQueue): boolean {
-	return kind.runTime.samples === 0 ? kind.running > 0 : kind.runTime.mean > state.options.longTaskMs;
+export function isLongKind(state: ScheduleState, kind: KindQueue, now: Milliseconds): boolean {
+	const {longTaskMs} = state.options;
+	const isKnown = kind.runTime.samples > 0 && now - kind.firstStartedAt >= newKindFactor * longTaskMs;
+	return !isKnown || kind.overrunning > 0 || computeLength(kind.runTime) > longTaskMs;
 }
--- a/src/core/scheduling/state.ts
+++ b/src/core/scheduling/state.ts
@@ -35,6 +35,8 @@
 		work: 0,
 		activeWeight: 0,
 		longWeight: 0,
+		longCustomer: undefined,
+		longRivalAt: Number.NEGATIVE_INFINITY,
 		shortLoad: 0,
 		shortLoadAt: 0,
 		lastShortAt: Number.NEGATIVE_INFINITY,
@@ -93,9 +95,12 @@
 			runTime: createRunTime(state.options.initialRunMs),
 			urgency: spec.urgency,
 			tag: 0,
-			isLong: false,
+			isLong: true,
 			queued: 0,
 			running: 0,
+			overrunning: 0,
+			firstStartedAt: Number.POSITIVE_INFINITY,
+			lastAddedAt: Number.NEGATIVE_INFINITY,
 			lastTrialAt: Number.NEGATIVE_INFINITY,
 			head: undefined,
 			tail: undefined,
@@ -135,11 +140,26 @@
 		if (kind === undefined) {
 			removeEntry(heap, entry);
 		} else {
-			updateEntry(heap, entry, computeCustomerKey(kind));
+			updateEntry(heap, entry, computeCustomerKey(kind, state.options));
 		}
 	}
 }
 
+/** Computes which part of a customer's weight falls to its busy long kinds, by urgency. */
+function computeLongPart(state: ScheduleState, customer: CustomerQueue, now: Milliseconds): number {
+	const {urgencyWeights, reserveHoldMs} = state.options;
+	let long = 0;
+	let sum = 0;
+	for (const kind of customer.kinds.values()) {
+		const isBusy = kind.queued + kind.running > 0;
+		const weight = urgencyWeights[kind.urgency];
+		long += isBusy && kind.isLong ? weight : 0;
+		sum += isBusy || now - kind.lastAddedAt < reserveHoldMs ? weight : 0;
+	}
+
+	return sum === 0 ? 0 : long / sum;
+}
+
 function updateWeights(state: ScheduleState, customer: CustomerQueue, now: Milliseconds): void {
 	const isBusy = customer.queued + customer.running > 0;
 	customer.lastActiveAt = now;
@@ -152,7 +172,7 @@
 	const activeWeight = isBusy || customer.activeWeight > 0 ? customer.weight : 0;
 	state.activeWeight += activeWeight - customer.activeWeight;
 	customer.activeWeight = activeWeight;
-	const longWeight = customer.runningLong > 0 || customer.longEntry.position >= 0 ? customer.weight : 0;
+	const longWeight = customer.weight * computeLongPart(state, customer, now);
 	state.longWeight += longWeight - customer.longWeight;
 	customer.longWeight = longWeight;
 }
--- a/src/core/scheduling/types.ts
+++ b/src/core/scheduling/types.ts
@@ -21,10 +21,12 @@
 	readonly maxCustomerBytes: number;
 	readonly maxWaitMs: Milliseconds;
 	readonly initialRunMs: Milliseconds;
+	readonly trialChargeMs: Milliseconds;
 	readonly longTaskMs: Milliseconds;
 	readonly reservedShare: number;
 	readonly maxReservedShare: number;
 	readonly reserveHoldMs: Milliseconds;
+	readonly longHoldMs: Milliseconds;
 	readonly trialIntervalMs: Milliseconds;
 	readonly idleMs: Milliseconds;
 	readonly urgencyWeights: Readonly<Record<Urgency, number>>;
@@ -66,8 +68,10 @@
 	state: TaskState;
 	/** Run time charged to the customer at the start. */
 	charged: Milliseconds;
-	/** Whether the task counted as long when it started. */
-	startedLong: boolean;
+	/** Whether the task counts as long while it runs. */
+	runsLong: boolean;
+	/** Whether the task has run longer than a short task. */
+	isOverrunning: boolean;
 	startedAt: Milliseconds;
 	previous: QueuedTask | undefined;
 	next: QueuedTask | undefined;
@@ -84,6 +88,8 @@
 	samples: number;
 	/** Exponential average. */
 	mean: Milliseconds;
+	/** Exponential average of the squares, in ms². */
+	meanSquare: number;
 	/** Low expectile: a run time that most tasks of the kind exceed. */
 	low: Milliseconds;
 };
@@ -99,6 +105,11 @@
 	isLong: boolean;
 	queued: number;
 	running: number;
+	/** Running tasks that have exceeded the run time of a short task. */
+	overrunning: number;
+	/** Start of the kind's first task; infinite before. */
+	firstStartedAt: Milliseconds;
+	lastAddedAt: Milliseconds;
 	lastTrialAt: Milliseconds;
 	head: QueuedTask | undefined;
 	tail: QueuedTask | undefined;
@@ -123,7 +134,7 @@
 	runningLong: number;
 	/** Weight that is part of the schedule's `activeWeight`; 0 while inactive. */
 	activeWeight: number;
-	/** Weight that is part of the schedule's `longWeight`; 0 without long tasks. */
+	/** Part of the weight that falls to long kinds with tasks queued or running. */
 	longWeight: number;
 	lastActiveAt: Milliseconds;
 };
@@ -151,8 +162,11 @@
 	work: Milliseconds;
 	/** Sum of the weights of active customers. */
 	activeWeight: number;
-	/** Sum of the weights of customers with long tasks queued or running. */
+	/** Sum of the customers' weights for their long kinds. */
 	longWeight: number;
+	/** Last customer whose long tasks were queued, and the last time that those of another were. */
+	longCustomer: CustomerQueue | undefined;
+	longRivalAt: Milliseconds;
 	/** Recent mean number of slots that short tasks need, as of `shortLoadAt`. */
 	shortLoad: number;
 	shortLoadAt: Milliseconds;
