--- a/src/adapters/contracts/watch.ts
+++ b/src/adapters/contracts/watch.ts
@@ -58,7 +58,8 @@
 	}
 
 	async function callStore(): Promise<void> {
-		const result = keyRevision === undefined
+		// A short read after a failure finds a store that answers again sooner than a watch that hangs.
+		const result = keyRevision === undefined || pacing.failures > 0
 			? await store!.readKey(options.storeKey)
 			: await store!.watchKey(options.storeKey, keyRevision, options.watchMs);
 		if (life.closed) {
--- a/src/core/contracts/logic.ts
+++ b/src/core/contracts/logic.ts
@@ -7,7 +7,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {Err, Ok, type Result} from 'ts-results-es';
-import type {ContractError} from './errors.ts';
+import {assertInvariant, type ContractError} from './errors.ts';
 import {encodeDocument} from './parse.ts';
 import type {Contract, ContractChange, ContractDocument} from './types.ts';
 
@@ -101,6 +101,7 @@
  * @returns A new document with the next revision, or why the change was refused.
  */
 export function applyChange(document: ContractDocument, request: ChangeRequest, author: ChangeAuthor): Result<ContractDocument, ContractError> {
+	assertInvariant(findChange(document, author.changeId) === undefined, `change ${author.changeId} would be applied twice`);
 	const compute = computeContract[request.action] as (document: ContractDocument, request: ChangeRequest) => ContractAfter;
 	return compute(document, request).andThen(contract => {
 		const {customer, action} = request;
--- a/src/core/contracts/schema.ts
+++ b/src/core/contracts/schema.ts
@@ -4,7 +4,7 @@
  * A contract given by an operator is checked strictly: an unknown key is a fault. A document that
  * was accepted before is checked loosely, so that a process can serve what a newer release wrote.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {urgencies} from './types.ts';
 
 /** Greatest number of tasks in a job that a contract can allow. */
--- a/stand-ins/store-service.ts
+++ b/stand-ins/store-service.ts
@@ -99,6 +99,11 @@
 		return {...this.#calls};
 	}
 
+	/** Returns the number of watches that wait. */
+	countWatches(): number {
+		return this.#endWatches.size;
+	}
+
 	/** Reads a key. */
 	async read(key: string): Promise<StoreAnswer> {
 		return this.#handleCall('reads', () => this.#readEntry(key));
