Add the client library

Cause: callers need one place that knows when a job may be sent again, and under which id. Ruled out: a new id after any refusal (an earlier submission under the first id may run); trust in a status alone (a balancer gives 502 to 504 of its own); one mint per job (a round trip more). Change: src/client: ids kept ready and fetched in the background, the same id to the next entry after lost, unreadable or passing answers, a new id only after an answer that speaks of the whole job and says not-run, with jitter, Retry-After, a retry budget and a bound per job. Conclusion: not-run reaches the caller only where it is proved.

--- a/src/adapters/http/body.ts
+++ b/src/adapters/http/body.ts
@@ -58,12 +58,12 @@
 	const {maxBodyBytes, maxBufferedBytes} = limits;
 	let bufferedBytes = 0;
 
-	async function collectBody(request: IncomingMessage): Promise<Result<Uint8Array, HttpError>> {
+	async function readChunks(request: IncomingMessage): Promise<Result<Uint8Array, HttpError>> {
 		const chunks: Uint8Array[] = [];
 		let size = 0;
 
 		return new Promise(resolve => {
-			function settle(result: Result<Uint8Array, HttpError>): void {
+			function handleResult(result: Result<Uint8Array, HttpError>): void {
 				request.off('data', handleChunk).off('end', handleEnd).off('close', handleClose);
 				bufferedBytes -= size;
 				resolve(result);
@@ -73,20 +73,20 @@
 				size += chunk.length;
 				bufferedBytes += chunk.length;
 				if (size > maxBodyBytes) {
-					settle(createSizeError(`more than ${maxBodyBytes} bytes`, maxBodyBytes));
+					handleResult(createSizeError(`more than ${maxBodyBytes} bytes`, maxBodyBytes));
 				} else if (bufferedBytes > maxBufferedBytes) {
-					settle(Err({kind: 'overloaded', message: `more than ${maxBufferedBytes} bytes of requests are being received`, retryAfter: overloadRetryMs}));
+					handleResult(Err({kind: 'overloaded', message: `more than ${maxBufferedBytes} bytes of requests are being received`, retryAfter: overloadRetryMs}));
 				} else {
 					chunks.push(chunk);
 				}
 			}
 
 			function handleEnd(): void {
-				settle(Ok(Buffer.concat(chunks, size)));
+				handleResult(Ok(Buffer.concat(chunks, size)));
 			}
 
 			function handleClose(): void {
-				settle(Err({kind: 'body-incomplete', message: 'the connection was closed before the whole body had arrived'}));
+				handleResult(Err({kind: 'body-incomplete', message: 'the connection was closed before the whole body had arrived'}));
 			}
 
 			request.on('data', handleChunk).on('end', handleEnd).on('close', handleClose).on('error', () => undefined);
@@ -96,7 +96,7 @@
 	return {
 		async readBody(request) {
 			const checked = checkHeader(request, maxBodyBytes);
-			return checked.isErr() ? checked : collectBody(request);
+			return checked.isErr() ? checked : readChunks(request);
 		},
 	};
 }
--- a/src/adapters/http/send.ts
+++ b/src/adapters/http/send.ts
@@ -114,19 +114,19 @@
 	}
 
 	onResponseEnd(): void {
-		this.#settle('whole', '');
+		this.#handleEnd('whole', '');
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-		this.#settle('broken', error.message);
+		this.#handleEnd('broken', error.message);
 	}
 
 	#stop(ending: SendEnding, message: string): void {
-		this.#settle(ending, message);
+		this.#handleEnd(ending, message);
 		this.#controller?.abort(new Error(message));
 	}
 
-	#settle(ending: SendEnding, message: string): void {
+	#handleEnd(ending: SendEnding, message: string): void {
 		if (this.#settled) {
 			return;
 		}
--- /dev/null
+++ b/src/client/client.ts
@@ -0,0 +1,101 @@
+/**
+ * The client library: submits jobs to the entries, safely again where an answer was lost.
+ */
+import PQueue from 'p-queue';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {createSystemClock} from '../adapters/system/clock.ts';
+import {createSystemRandom} from '../adapters/system/random.ts';
+import {createRetryBudget} from './budget.ts';
+import {createClientError} from './decide.ts';
+import {createEntries} from './entries.ts';
+import type {ClientError} from './errors.ts';
+import {createIdStock} from './id-stock.ts';
+import type {ProblemReply, Reply} from './replies.ts';
+import {submitJob} from './submit.ts';
+import type {
+	CancelledJob, Client, ClientOptions, CompleteJob, PendingJob,
+} from './types.ts';
+
+export type {ClientError, ClientErrorKind} from './errors.ts';
+export type {
+	CancelledJob, Client, ClientOptions, CompleteJob, JobDescription, PendingJob, SubmitOptions,
+} from './types.ts';
+
+const queryTimeoutMs = 3000;
+
+const defaults = {
+	idStock: 16,
+	maxIdAgeMs: 30_000,
+	connections: 128,
+	maxRetries: 3,
+	maxNewIds: 1,
+	retryBudget: 0.1,
+	defaultDeadlineMs: 60_000,
+	attemptTimeoutMs: undefined,
+};
+
+/**
+ * Creates a client.
+ *
+ * @param options - Entries, token and limits on retries.
+ * @returns The client.
+ */
+export function createClient(options: ClientOptions): Client {
+	const settings = {...defaults, ...options};
+	const clock = options.clock ?? createSystemClock();
+	const random = options.random ?? createSystemRandom();
+	const entries = createEntries({
+		addresses: options.entries, token: options.token, connections: settings.connections, clock, random,
+	});
+	const ids = createIdStock({
+		entries, size: settings.idStock, maxAgeMs: settings.maxIdAgeMs, clock,
+	});
+	const context = {
+		...settings, entries, ids, clock, random, budget: createRetryBudget(settings.retryBudget),
+	};
+
+	// Runs every job at once, and tells when none is left.
+	const jobs = new PQueue();
+
+	/** Asks one entry after another until one gives an answer of medlardale; a query may be repeated freely. */
+	async function queryEntries(method: 'GET' | 'DELETE', id: string): Promise<Reply> {
+		const turn = entries.getTurn();
+		let reply: Reply | undefined;
+		for (let attempt = 0; attempt < entries.countEntries(); attempt++) {
+			reply = await entries.sendRequest({method, path: `/v1/jobs/${encodeURIComponent(id)}`}, turn + attempt, queryTimeoutMs);
+			if (reply.type !== 'problem' || reply.scope === 'job' || (reply.status ?? 500) < 500) {
+				return reply;
+			}
+		}
+
+		return reply!;
+	}
+
+	function createQueryError(reply: Reply, id: string): Err<ClientError> {
+		const problem = reply as ProblemReply;
+		// A query that was not answered says nothing of the job.
+		return Err(createClientError(problem, problem.scope === 'job' ? problem.outcome : 'unknown', id));
+	}
+
+	async function getJob(id: string): Promise<Result<CompleteJob | PendingJob, ClientError>> {
+		const reply = await queryEntries('GET', id);
+		return reply.type === 'complete' || reply.type === 'pending' ? Ok(reply) : createQueryError(reply, id);
+	}
+
+	async function cancelJob(id: string): Promise<Result<CompleteJob | PendingJob | CancelledJob, ClientError>> {
+		const reply = await queryEntries('DELETE', id);
+		return reply.type === 'complete' || reply.type === 'pending' || reply.type === 'cancelled' ? Ok(reply) : createQueryError(reply, id);
+	}
+
+	return {
+		mintId: async () => ids.mintId(),
+		submitJob: async (job, submitOptions = {}) => jobs.add(async () => submitJob(context, job, submitOptions)),
+		getJob,
+		cancelJob,
+		async [Symbol.asyncDispose]() {
+			await jobs.onIdle();
+			await ids[Symbol.asyncDispose]();
+			await entries[Symbol.asyncDispose]();
+		},
+	};
+}
--- /dev/null
+++ b/src/client/id-stock.ts
@@ -0,0 +1,134 @@
+/**
+ * Keeps job ids ready, so that a submission costs no extra round trip.
+ */
+import PQueue from 'p-queue';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {Clock, Milliseconds} from '../ports/clock.ts';
+import type {Entries} from './entries.ts';
+import type {ClientError} from './errors.ts';
+import type {ProblemReply, Reply} from './replies.ts';
+
+/** Job ids kept ready; disposing of it waits for the fetch in flight. */
+export type IdStock = AsyncDisposable & {
+	/** Takes an id; fetches one if none is ready; jobs that wait share a fetch. */
+	mintId(): Promise<Result<string, ClientError>>;
+};
+
+/** What the stock needs. */
+export type IdStockOptions = {
+	readonly entries: Entries;
+	/** Ids to keep ready. */
+	readonly size: number;
+	/** Age after which an id is dropped, in ms. */
+	readonly maxAgeMs: Milliseconds;
+	readonly clock: Clock;
+};
+
+type StockedId = {readonly id: string; readonly mintedAt: Milliseconds};
+
+const fetchTimeoutMs = 2000;
+const maxIdsPerFetch = 100;
+
+function createError(reply: Exclude<Reply, {type: 'ids'}>): ClientError {
+	const {status, reason, message, field, retryAfterMs} = reply as ProblemReply;
+	// Minting writes nothing, so that no job can have run, whatever became of the answer.
+	return {
+		kind: 'not-run', reason: reason ?? 'no-answer', message: message ?? 'no ids arrived', status, field, retryAfterMs,
+	};
+}
+
+/**
+ * Creates an empty stock.
+ *
+ * @param options - Entries, size and age limit.
+ * @returns The stock.
+ */
+export function createIdStock({entries, size, maxAgeMs, clock}: IdStockOptions): IdStock {
+	const stock: StockedId[] = [];
+	const waiting: Array<(result: Result<string, ClientError>) => void> = [];
+	const background = new PQueue({concurrency: 1});
+
+	async function fetchIds(count: number): Promise<Result<readonly string[], ClientError>> {
+		const turn = entries.getTurn();
+		let result: Result<readonly string[], ClientError> | undefined;
+		for (let attempt = 0; attempt < entries.countEntries(); attempt++) {
+			const reply = await entries.sendRequest({method: 'POST', path: `/v1/job-ids?count=${count}`}, turn + attempt, fetchTimeoutMs);
+			if (reply.type === 'ids' && reply.ids.length > 0) {
+				return Ok(reply.ids);
+			}
+
+			result = Err(createError(reply as ProblemReply));
+			if (reply.type === 'problem' && reply.status !== undefined && reply.status < 500) {
+				return result;
+			}
+		}
+
+		return result!;
+	}
+
+	function removeId(): string | undefined {
+		const oldest = clock.getTime() - maxAgeMs;
+		while (stock[0] !== undefined && stock[0].mintedAt < oldest) {
+			stock.shift();
+		}
+
+		return stock.shift()?.id;
+	}
+
+	function replyToWaiting(): void {
+		while (waiting.length > 0) {
+			const id = removeId();
+			if (id === undefined) {
+				return;
+			}
+
+			waiting.shift()!(Ok(id));
+		}
+	}
+
+	async function fetchMissing(): Promise<void> {
+		const count = Math.min(maxIdsPerFetch, waiting.length + size - stock.length);
+		if (count <= 0) {
+			return;
+		}
+
+		const mintedAt = clock.getTime();
+		const ids = await fetchIds(count);
+		if (ids.isErr()) {
+			for (const resolve of waiting.splice(0)) {
+				resolve(ids);
+			}
+
+			return;
+		}
+
+		stock.push(...ids.value.map(id => ({id, mintedAt})));
+		replyToWaiting();
+		startFetch();
+	}
+
+	function startFetch(): void {
+		// One fetch at a time; those that follow find nothing left to fetch.
+		if (waiting.length > 0 || stock.length < size / 2) {
+			void background.add(fetchMissing);
+		}
+	}
+
+	return {
+		async mintId() {
+			const id = waiting.length === 0 ? removeId() : undefined;
+			if (id !== undefined) {
+				startFetch();
+				return Ok(id);
+			}
+
+			return new Promise(resolve => {
+				waiting.push(resolve);
+				startFetch();
+			});
+		},
+		async [Symbol.asyncDispose]() {
+			await background.onIdle();
+		},
+	};
+}
--- /dev/null
+++ b/src/client/submit.ts
@@ -0,0 +1,164 @@
+/**
+ * Submits one job: sends it until an answer settles it, within its deadline and the retry budget.
+ */
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {Clock, Milliseconds} from '../ports/clock.ts';
+import type {Random} from '../ports/random.ts';
+import type {RetryBudget} from './budget.ts';
+import {chooseNextStep, computeOutcome, createClientError} from './decide.ts';
+import type {Entries} from './entries.ts';
+import type {ClientError} from './errors.ts';
+import type {IdStock} from './id-stock.ts';
+import type {ProblemReply, Reply} from './replies.ts';
+import type {CompleteJob, JobDescription, SubmitOptions} from './types.ts';
+
+/** What submissions share. */
+export type SubmitContext = {
+	readonly entries: Entries;
+	readonly ids: IdStock;
+	readonly budget: RetryBudget;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly maxRetries: number;
+	readonly maxNewIds: number;
+	readonly defaultDeadlineMs: Milliseconds;
+	readonly attemptTimeoutMs: Milliseconds | undefined;
+};
+
+const minAttemptMs = 1000;
+const graceMs = 500;
+const firstDelayMs = 20;
+const maxDelayMs = 1000;
+
+/** Time before a retry: what the answer asks for, and a random part that doubles with each retry. */
+function computeDelay(retryAfter: Milliseconds, retries: number, random: Random): Milliseconds {
+	const spread = Math.min(maxDelayMs, firstDelayMs * (2 ** retries));
+	return retryAfter + (random.getFloat() * spread);
+}
+
+async function wait(clock: Clock, delay: Milliseconds): Promise<void> {
+	await new Promise<void>(resolve => {
+		clock.startTimer(delay, resolve);
+	});
+}
+
+function createPendingProblem(): ProblemReply {
+	return {
+		type: 'problem', status: 202, reason: 'no-answer', message: 'the job still runs', outcome: 'unknown', scope: 'request',
+	};
+}
+
+/** One job on its way. */
+class Submission {
+	readonly #context: SubmitContext;
+	readonly #job: JobDescription;
+	readonly #tasks: ReadonlyArray<{readonly body: unknown}>;
+	readonly #endsAt: Milliseconds;
+	readonly #attemptMs: Milliseconds;
+	readonly #ownId: string | undefined;
+	#turn: number;
+	#id: string | undefined;
+	#isAmbiguous: boolean;
+	#retries = 0;
+	#newIds = 0;
+
+	constructor(context: SubmitContext, job: JobDescription, {id}: SubmitOptions) {
+		const deadline = job.deadlineMs ?? context.defaultDeadlineMs;
+		this.#context = context;
+		this.#job = job;
+		this.#tasks = job.tasks.map(body => ({body: body ?? null}));
+		this.#endsAt = context.clock.getTime() + deadline;
+		this.#attemptMs = context.attemptTimeoutMs ?? Math.max(minAttemptMs, deadline / 2);
+		this.#turn = context.entries.getTurn();
+		this.#ownId = id;
+		this.#id = id;
+		this.#isAmbiguous = id !== undefined;
+	}
+
+	async run(): Promise<Result<CompleteJob, ClientError>> {
+		this.#context.budget.recordFirstTry();
+		for (;;) {
+			const minted = await this.#getId();
+			if (minted.isErr()) {
+				return minted;
+			}
+
+			const reply = await this.#send(minted.value);
+			if (reply.type === 'complete') {
+				return Ok(reply);
+			}
+
+			const problem = reply.type === 'problem' ? reply : createPendingProblem();
+			const error = await this.#handleProblem(problem);
+			if (error !== undefined) {
+				return Err(error);
+			}
+		}
+	}
+
+	async #getId(): Promise<Result<string, ClientError>> {
+		if (this.#id !== undefined) {
+			return Ok(this.#id);
+		}
+
+		const minted = await this.#context.ids.mintId();
+		if (minted.isOk()) {
+			this.#id = minted.value;
+		}
+
+		return minted;
+	}
+
+	async #send(id: string): Promise<Reply> {
+		const {kind, idempotent = false, deadlineMs} = this.#job;
+		const left = Math.max(1, Math.floor(this.#endsAt - this.#context.clock.getTime()));
+		return this.#context.entries.sendRequest({
+			method: 'PUT',
+			path: `/v1/jobs/${encodeURIComponent(id)}`,
+			body: {
+				kind, idempotent, tasks: this.#tasks, ...(deadlineMs !== undefined && {deadlineMs: left}),
+			},
+		}, this.#turn, Math.min(this.#attemptMs, left + graceMs));
+	}
+
+	/** Prepares the next try; answers with the error if there is none. */
+	async #handleProblem(problem: ProblemReply): Promise<ClientError | undefined> {
+		const {maxNewIds, maxRetries, budget, clock, random} = this.#context;
+		const step = chooseNextStep(problem, {isAmbiguous: this.#isAmbiguous, canRenew: this.#ownId === undefined && this.#newIds < maxNewIds});
+		const error = createClientError(problem, computeOutcome(problem, this.#isAmbiguous), this.#id);
+		if (step.type === 'end') {
+			return error;
+		}
+
+		const delay = computeDelay(step.delay, this.#retries, random);
+		const isInTime = clock.getTime() + delay < this.#endsAt;
+		if (!isInTime || this.#retries >= maxRetries || !budget.admitRetry()) {
+			return error;
+		}
+
+		this.#retries++;
+		this.#turn++;
+		if (step.type === 'renew') {
+			this.#newIds++;
+			this.#id = undefined;
+			this.#isAmbiguous = false;
+		} else {
+			this.#isAmbiguous ||= problem.outcome === 'unknown';
+		}
+
+		await wait(clock, delay);
+		return undefined;
+	}
+}
+
+/**
+ * Submits a job.
+ *
+ * @param context - What submissions share.
+ * @param job - The job.
+ * @param options - The id, if the caller has one.
+ * @returns The whole answer, or what is known of the job.
+ */
+export async function submitJob(context: SubmitContext, job: JobDescription, options: SubmitOptions): Promise<Result<CompleteJob, ClientError>> {
+	return new Submission(context, job, options).run();
+}
--- a/stand-ins/target.ts
+++ b/stand-ins/target.ts
@@ -161,7 +161,7 @@
 	server.maxConnections = connections;
 	const address = await listenServer(server, host, port);
 
-	async function announce(): Promise<void> {
+	async function callAgent(): Promise<void> {
 		if (agent !== undefined) {
 			await sendAnnouncement(agent, {
 				address, slots, connections, leaving,
@@ -171,7 +171,7 @@
 
 	async function startLeaving(): Promise<void> {
 		leaving = true;
-		await announce();
+		await callAgent();
 	}
 
 	async function stopAtOnce(): Promise<void> {
@@ -184,8 +184,8 @@
 		});
 	}
 
-	const timer = setInterval(announce, options.announceMs ?? defaultAnnounceMs);
-	await announce();
+	const timer = setInterval(callAgent, options.announceMs ?? defaultAnnounceMs);
+	await callAgent();
 
 	return {
 		address,
