--- a/features/target/registration.feature
+++ b/features/target/registration.feature
@@ -29,6 +29,16 @@
     When a target announces itself at "10.0.0.5:9000" with 8 slots
     Then the registration finds the target "10.0.0.5:9000"
 
+  Scenario Outline: An announcement that comes from <sender> is <answer>
+    When an announcement comes from "<sender>"
+    Then it is <answer>
+
+    Examples:
+      | sender           | answer   |
+      | 127.0.0.1        | accepted |
+      | ::ffff:10.0.0.5  | accepted |
+      | 10.0.0.6         | refused  |
+
   Scenario Outline: An announcement with <fault> is refused and changes nothing
     When a target announces itself at "127.0.0.1:9000" with 8 slots
     And the announcement <body> arrives
--- a/features/target/registration.steps.ts
+++ b/features/target/registration.steps.ts
@@ -39,6 +39,15 @@
 	}).unwrap();
 });
 
+When('an announcement comes from {string}', function (this: RegistrationWorld, sender: string) {
+	this.reply = this.registration.handleAnnouncement({address: '127.0.0.1:9000', slots: 8, connections: 64}, sender);
+});
+
+Then(/^it is (accepted|refused)$/, function (this: RegistrationWorld, answer: string) {
+	assert.equal(this.reply.isOk(), answer === 'accepted');
+	assert.equal(this.registration.findTarget() === undefined, answer === 'refused');
+});
+
 When(/^the announcement (.*) arrives$/, function (this: RegistrationWorld, text: string) {
 	this.reply = this.registration.handleAnnouncement(JSON.parse(text));
 });
--- a/src/adapters/target/registration.ts
+++ b/src/adapters/target/registration.ts
@@ -20,8 +20,14 @@
 
 /** Registration with the entry point for announcements. */
 export type TargetRegistrationHandler = TargetRegistration & {
-	/** Takes in one announcement, given as a parsed JSON value; answers with the time until the next one is due. */
-	handleAnnouncement(body: unknown): Result<{readonly leaseMs: Milliseconds}, AnnouncementError>;
+	/**
+	 * Takes in one announcement.
+	 *
+	 * @param body - The announcement as a parsed JSON value.
+	 * @param sender - IP number from which it came; one of another host is refused.
+	 * @returns The time for which the announcement holds, or why it was refused.
+	 */
+	handleAnnouncement(body: unknown, sender?: string): Result<{readonly leaseMs: Milliseconds}, AnnouncementError>;
 };
 
 type TargetListener = (target: TargetAnnouncement | undefined) => void;
@@ -31,6 +37,7 @@
 const maxPort = 65_535;
 const addressPattern = /^(?:\[([\da-f:.]+)]|([\d.]+)):(\d{1,5})$/i;
 const loopbackPattern = /^(?:127\.|::1$)/;
+const mappedPrefix = '::ffff:';
 
 type Check = (value: unknown, allowedHosts: readonly string[]) => string | undefined;
 
@@ -38,6 +45,11 @@
 	return Number.isInteger(value) && Number(value) >= 1 && Number(value) <= max ? undefined : `must be a whole number from 1 to ${max}`;
 }
 
+function isOwnHost(host: string, allowedHosts: readonly string[]): boolean {
+	const plain = host.startsWith(mappedPrefix) ? host.slice(mappedPrefix.length) : host;
+	return loopbackPattern.test(plain) || allowedHosts.includes(plain);
+}
+
 function checkAddress(value: unknown, allowedHosts: readonly string[]): string | undefined {
 	const match = typeof value === 'string' ? addressPattern.exec(value) : null;
 	const host = match?.[1] ?? match?.[2] ?? '';
@@ -46,7 +58,7 @@
 		return 'must be an IP number and a port, such as 127.0.0.1:9000';
 	}
 
-	return loopbackPattern.test(host) || allowedHosts.includes(host) ? undefined : 'must be at loopback or at the host of the agent';
+	return isOwnHost(host, allowedHosts) ? undefined : 'must be at loopback or at the host of the agent';
 }
 
 /** What is allowed for each key of an announcement; a check answers `undefined` when the value is allowed. */
@@ -149,7 +161,11 @@
 				},
 			};
 		},
-		handleAnnouncement(body) {
+		handleAnnouncement(body, sender) {
+			if (sender !== undefined && !isOwnHost(sender, allowedHosts)) {
+				return Err({kind: 'forbidden', field: 'sender', message: `an announcement must come from the host of the agent (value: ${sender})`});
+			}
+
 			return parseAnnouncement(body, allowedHosts).map(next => {
 				renewLease(next);
 				return {leaseMs};
