Add a bench over separate processes, metrics, and load reports that ride on answers

Ruled out: the dispatch messages themselves (submit and answer are 2 per task, start and result 0.6). Change: answers and results carry the load; other reports at most every 400 ms to an entry and every 1000 ms to an agent, at once when slots or leaving change; entries count what they sent; the deadline check runs only while jobs are open. bench/bench.ts (open loop, HDR histograms), metrics by prom-client, loaded at the first scrape.

--- /dev/null
+++ b/bench/load/report.ts
@@ -0,0 +1,122 @@
+/**
+ * Turns records of jobs and samples of processes into tables and JSON.
+ */
+import {build, type Histogram} from 'hdr-histogram-js';
+import type {JobRecord} from './generator.ts';
+import type {Phase} from './plan.ts';
+
+/** Figures of one stream in one phase. */
+export type StreamReport = {
+	readonly phase: string;
+	readonly stream: string;
+	readonly jobs: number;
+	readonly tasksPerSecond: number;
+	/** Share of jobs that completed. */
+	readonly success: number;
+	readonly reasons: Readonly<Record<string, number>>;
+	/** Response time, in ms. */
+	readonly p50: number;
+	readonly p99: number;
+	readonly p999: number;
+	/** Response time divided by the ideal. */
+	readonly ratio50: number;
+	readonly ratio99: number;
+	/** Response time beyond the ideal, in ms. */
+	readonly overhead50: number;
+};
+
+const precision = 1000;
+const roundTripMs = 1;
+
+function computeIdealMs({job}: JobRecord, slots: number): number {
+	const total = job.runMs.reduce((sum, runMs) => sum + runMs, 0);
+	return Math.max(...job.runMs, total / slots) + roundTripMs;
+}
+
+function addValue(histogram: Histogram, value: number): void {
+	histogram.recordValue(Math.max(0, Math.round(value * precision)));
+}
+
+function getPercentile(histogram: Histogram, percentile: number): number {
+	return Math.round(histogram.getValueAtPercentile(percentile) / 10) / (precision / 10);
+}
+
+function countReasons(records: readonly JobRecord[]): Record<string, number> {
+	const reasons: Record<string, number> = {};
+	for (const {outcome, reason} of records) {
+		if (outcome !== 'complete') {
+			const key = `${outcome} ${reason}`.trim();
+			reasons[key] = (reasons[key] ?? 0) + 1;
+		}
+	}
+
+	return reasons;
+}
+
+function createStreamReport(phase: Phase, stream: string, records: readonly JobRecord[], slots: number): StreamReport {
+	const times = build({numberOfSignificantValueDigits: 3});
+	const ratios = build({numberOfSignificantValueDigits: 3});
+	const overheads = build({numberOfSignificantValueDigits: 3});
+	let tasks = 0;
+	for (const record of records.filter(({outcome}) => outcome === 'complete')) {
+		const ideal = computeIdealMs(record, slots);
+		addValue(times, record.responseMs);
+		addValue(ratios, record.responseMs / ideal);
+		addValue(overheads, record.responseMs - ideal);
+		tasks += record.job.runMs.length;
+	}
+
+	const seconds = (phase.durationMs - phase.warmupMs) / 1000;
+	return {
+		phase: phase.name,
+		stream,
+		jobs: records.length,
+		tasksPerSecond: Math.round(tasks / seconds * 10) / 10,
+		success: records.length === 0 ? 0 : Math.round(times.totalCount / records.length * 10_000) / 10_000,
+		reasons: countReasons(records),
+		p50: getPercentile(times, 50),
+		p99: getPercentile(times, 99),
+		p999: getPercentile(times, 99.9),
+		ratio50: getPercentile(ratios, 50),
+		ratio99: getPercentile(ratios, 99),
+		overhead50: getPercentile(overheads, 50),
+	};
+}
+
+/**
+ * Creates the figures of every stream of a phase.
+ *
+ * @param phase - The phase.
+ * @param records - Records of its jobs.
+ * @param slots - All slots of the fleet.
+ * @returns One report per customer and kind.
+ */
+export function createPhaseReport(phase: Phase, records: readonly JobRecord[], slots: number): StreamReport[] {
+	const groups = new Map<string, JobRecord[]>();
+	for (const record of records.filter(({job}) => job.at >= phase.warmupMs)) {
+		const {customer, kind} = record.job.stream;
+		const name = `${customer}/${kind}`;
+		groups.set(name, [...groups.get(name) ?? [], record]);
+	}
+
+	return [...groups].sort(([left], [right]) => left.localeCompare(right)).map(([name, group]) => createStreamReport(phase, name, group, slots));
+}
+
+type Cell = string | number | Readonly<Record<string, number>>;
+
+function formatCell(cell: Cell): string {
+	return typeof cell === 'object' ? JSON.stringify(cell) : String(cell);
+}
+
+/**
+ * Formats rows as a table of text.
+ *
+ * @param rows - Rows with the same keys.
+ * @returns Lines.
+ */
+export function formatTable(rows: ReadonlyArray<Readonly<Record<string, Cell>>>): string {
+	const keys = Object.keys(rows[0] ?? {});
+	const lines = [keys, ...rows.map(row => keys.map(key => formatCell(row[key])))];
+	const widths = keys.map((_, column) => Math.max(...lines.map(line => line[column].length)));
+	return lines.map(line => line.map((cell, column) => cell.padEnd(widths[column])).join('  ').trimEnd()).join('\n');
+}
--- /dev/null
+++ b/src/adapters/metrics/metrics.ts
@@ -0,0 +1,59 @@
+/**
+ * Renders metrics in the text format of Prometheus; `prom-client` is loaded at the first call.
+ */
+import type * as Prometheus from 'prom-client';
+import type {Counter, Gauge, Registry} from 'prom-client';
+import type {Metric, MetricSource} from '../../ports/metrics.ts';
+
+/** Metrics of one process. */
+export type Metrics = {
+	/** Adds the metrics of a part. */
+	addSource(source: MetricSource): void;
+	/** Renders all metrics. */
+	renderMetrics(): Promise<string>;
+};
+
+type Library = typeof Prometheus;
+
+type MetricObject = Counter | Gauge;
+
+const objectTypes: Record<Metric['type'], (library: Library) => new (config: {name: string; help: string; labelNames: string[]; registers: Registry[]}) => MetricObject> = {
+	counter: library => library.Counter,
+	gauge: library => library.Gauge,
+};
+
+function addMetric(library: Library, registry: Registry, metric: Metric): void {
+	const MetricType = objectTypes[metric.type](library);
+	const labelNames = [...new Set(metric.samples.flatMap(({labels}) => Object.keys(labels)))];
+	const object = new MetricType({
+		name: metric.name, help: metric.help, labelNames, registers: [registry],
+	});
+	for (const {labels, value} of metric.samples) {
+		object.inc(labels, value);
+	}
+}
+
+/**
+ * Creates the metrics of a process.
+ *
+ * @returns Metrics without sources.
+ */
+export function createMetrics(): Metrics {
+	const sources: MetricSource[] = [];
+
+	return {
+		addSource(source) {
+			sources.push(source);
+		},
+		async renderMetrics() {
+			const library = await import('prom-client');
+			const registry = new library.Registry();
+			library.collectDefaultMetrics({register: registry});
+			for (const metric of sources.flatMap(source => source())) {
+				addMetric(library, registry, metric);
+			}
+
+			return registry.metrics();
+		},
+	};
+}
--- a/src/ports/messages.ts
+++ b/src/ports/messages.ts
@@ -127,7 +127,7 @@
 	| {readonly type: 'query'; readonly id: JobId; readonly customer: string}
 	| {readonly type: 'cancel'; readonly id: JobId; readonly customer: string}
 	| {readonly type: 'pending'; readonly id: JobId}
-	| {readonly type: 'answer'; readonly id: JobId; readonly answer: JobAnswer}
+	| {readonly type: 'answer'; readonly id: JobId; readonly answer: JobAnswer; readonly load?: LoadReport}
 	| {readonly type: 'start'; readonly tasks: readonly TaskStart[]}
 	| {readonly type: 'result'; readonly results: readonly TaskResult[]; readonly load: LoadReport}
 	| {readonly type: 'drop'; readonly jobs: readonly JobDrop[]}
--- /dev/null
+++ b/src/ports/metrics.ts
@@ -0,0 +1,24 @@
+/**
+ * Metrics as a port: parts list samples when asked, so that counting costs an addition.
+ */
+
+/** Labels of a sample. */
+export type MetricLabels = Readonly<Record<string, string>>;
+
+/** One value of a metric. */
+export type MetricSample = {
+	readonly labels: MetricLabels;
+	readonly value: number;
+};
+
+/** A metric with its present samples; `counter` values never fall within one process. */
+export type Metric = {
+	/** Name with unit, such as `medlardale_home_bytes`. */
+	readonly name: string;
+	readonly help: string;
+	readonly type: 'counter' | 'gauge';
+	readonly samples: readonly MetricSample[];
+};
+
+/** Lists the metrics of one part of the program. */
+export type MetricSource = () => readonly Metric[];
--- a/src/processes/agent/execution-task.ts
+++ b/src/processes/agent/execution-task.ts
@@ -13,8 +13,10 @@
 import type {
 	JobDrop, LoadReport, NotStartedReason, TaskResult, TaskStart,
 } from '../../ports/messages.ts';
+import type {Metric} from '../../ports/metrics.ts';
 import type {TargetAnnouncement, TargetCaller, TargetRegistration} from '../../ports/target.ts';
 import type {Node} from '../shared/node.ts';
+import {LoadReporter} from './load-reporter.ts';
 
 const pruneIntervalMs = 1000;
 
@@ -43,7 +45,8 @@
 	#caller: TargetCaller | undefined;
 	#target: TargetAnnouncement | undefined;
 	#isLeaving = false;
-	#loadTold = '';
+	readonly #reports: LoadReporter;
+	readonly #counts = new Map<string, number>();
 
 	/** @param input - What the task needs. */
 	constructor(input: ExecutionInput) {
@@ -63,17 +66,16 @@
 				this.#refuse(task, reason);
 			},
 		});
+		this.#reports = new LoadReporter(node, () => this.getLoad());
 		this.#setTarget(registration.findTarget());
 		this.#resources.push(
+			this.#reports,
 			registration.addListener(target => {
 				this.#setTarget(target);
 			}),
 			clock.startInterval(pruneIntervalMs, () => {
 				pruneRecords(this.#records, clock.getTime());
 			}),
-			clock.startInterval(settings.peer.loadReportMs, () => {
-				this.#sendLoad();
-			}),
 		);
 		node.setHandler('start', (from, message) => {
 			this.#handleStart(from, message.tasks);
@@ -82,9 +84,6 @@
 			this.#handleDrop(message.jobs);
 		});
 		node.addStreamListener({
-			onOpen: peer => {
-				node.sendMessage(peer, {type: 'load', load: this.getLoad()});
-			},
 			onClose: peer => {
 				this.#unconfirmed.delete(peer.name);
 			},
@@ -107,16 +106,38 @@
 		};
 	}
 
-	/** Returns the number of task records kept. */
-	countRecords(): number {
-		return this.#records.taskCount;
+	/** Records that a process was told the load by another message. */
+	recordReport(to: NodeRef, load: LoadReport): void {
+		this.#reports.recordReport(to, load);
+	}
+
+	/** Lists the metrics of the slots and records. */
+	listMetrics(): Metric[] {
+		const {slots, freeSlots, queued} = this.getLoad();
+		return [
+			{
+				name: 'medlardale_slots', help: 'Slots of the target', type: 'gauge', samples: [{labels: {state: 'free'}, value: freeSlots}, {labels: {state: 'busy'}, value: slots - freeSlots}],
+			},
+			{
+				name: 'medlardale_queued_tasks', help: 'Tasks queued at this agent', type: 'gauge', samples: [{labels: {}, value: queued}],
+			},
+			{
+				name: 'medlardale_task_records', help: 'Start records kept', type: 'gauge', samples: [{labels: {}, value: this.#records.taskCount}],
+			},
+			{
+				name: 'medlardale_tasks_total',
+				help: 'Tasks by how they ended at this agent',
+				type: 'counter',
+				samples: [...this.#counts].map(([status, value]) => ({labels: {status}, value})),
+			},
+		];
 	}
 
 	/** Refuses new tasks from now on and gives back those that have not started. */
 	startLeaving(): void {
 		this.#isLeaving = true;
 		this.#queue.removeAll('leaving');
-		this.#sendLoad();
+		this.#reports.sendReports();
 	}
 
 	/** Resolves once no task runs. */
@@ -152,7 +173,7 @@
 		}
 
 		this.#queue.setSlots(target?.slots ?? 0);
-		this.#sendLoad();
+		this.#reports.sendReports();
 	}
 
 	#handleStart(home: NodeRef, tasks: readonly TaskStart[]): void {
@@ -218,6 +239,8 @@
 	}
 
 	#reply(home: NodeRef, result: TaskResult): void {
+		const status = result.reason ?? result.status;
+		this.#counts.set(status, (this.#counts.get(status) ?? 0) + 1);
 		if (this.#outbox.size === 0) {
 			setImmediate(() => {
 				this.#flush();
@@ -237,6 +260,7 @@
 		for (const {home, results} of this.#outbox.values()) {
 			const isSent = this.#node.sendMessage(home, {type: 'result', results, load});
 			if (isSent) {
+				this.#reports.recordReport(home, load);
 				this.#recordSent(home, results);
 			}
 		}
@@ -267,19 +291,4 @@
 			clearResult(this.#records, result);
 		}
 	}
-
-	#sendLoad(): void {
-		const load = this.getLoad();
-		const text = JSON.stringify([load.freeSlots, load.slots, load.queued, load.leaving]);
-		if (text === this.#loadTold) {
-			return;
-		}
-
-		this.#loadTold = text;
-		this.#node.sendMessage(this.#node.self, {type: 'load', load});
-		for (const peer of this.#node.network.listStreams()) {
-			this.#node.sendMessage(peer, {type: 'load', load});
-		}
-	}
 }
-
--- a/src/processes/agent/home-task.ts
+++ b/src/processes/agent/home-task.ts
@@ -2,7 +2,7 @@
  * Is home to jobs: takes submissions from entries, places tasks on agents, collects and keeps answers.
  */
 import {verifyJobId} from '../../core/identity/logic.ts';
-import type {JobIdParts, NodeRef} from '../../core/identity/types.ts';
+import type {JobId, JobIdParts, NodeRef} from '../../core/identity/types.ts';
 import {
 	advanceHome, cancelJob, listSentTasks, queryJob, recordResults, refuseJob, removeAgent, sendTask, submitJob,
 } from '../../core/outcome/logic.ts';
@@ -13,13 +13,15 @@
 import type {
 	HomeEffect, JobCall, JobRecord, PendingTask, Refusal,
 } from '../../core/outcome/types.ts';
-import type {Clock} from '../../ports/clock.ts';
+import type {Clock, Timer} from '../../ports/clock.ts';
 import type {MemberChange} from '../../ports/membership.ts';
 import type {
 	JobAnswer, JobRequest, PeerMessage, TaskResult, TaskStart,
 } from '../../ports/messages.ts';
+import type {Metric} from '../../ports/metrics.ts';
 import type {FleetView} from '../shared/fleet-view.ts';
 import type {Node} from '../shared/node.ts';
+import type {ExecutionTask} from './execution-task.ts';
 
 const deadlineCheckMs = 5;
 const pruneIntervalMs = 1000;
@@ -34,6 +36,7 @@
 export type HomeInput = {
 	readonly node: Node;
 	readonly fleet: FleetView;
+	readonly execution: ExecutionTask;
 };
 
 /** The home of the jobs whose ids name this process. */
@@ -41,16 +44,18 @@
 	readonly state: HomeState;
 	readonly #node: Node;
 	readonly #fleet: FleetView;
+	readonly #execution: ExecutionTask;
 	readonly #clock: Clock;
 	readonly #pending = new PendingQueue();
 	readonly #resources: Disposable[] = [];
 	readonly #idleWaiters: Array<() => void> = [];
 	#isLeaving = false;
 	#isPlacing = false;
+	#deadlineTimer: Timer | undefined;
 
 	readonly #effectHandlers: EffectHandlers = {
 		reply: ({to, id, answer}) => {
-			this.#node.sendMessage(to, {type: 'answer', id, answer});
+			this.#sendAnswer(to, id, answer);
 		},
 		pending: ({to, id}) => {
 			this.#node.sendMessage(to, {type: 'pending', id});
@@ -67,19 +72,15 @@
 	};
 
 	/** @param input - What the task needs. */
-	constructor({node, fleet}: HomeInput) {
+	constructor({node, fleet, execution}: HomeInput) {
 		const {settings, clock} = node.input;
 		this.#node = node;
 		this.#fleet = fleet;
+		this.#execution = execution;
 		this.#clock = clock;
 		this.state = createHome(node.self, settings.home);
 		this.#setHandlers();
 		this.#resources.push(
-			clock.startInterval(deadlineCheckMs, () => {
-				advanceHome(this.state, clock.getTime());
-				this.#applyEffects();
-				this.#place();
-			}),
 			clock.startInterval(pruneIntervalMs, () => {
 				pruneJobs(this.state, clock.getTime());
 				pruneRefusals(this.state, clock.getTime());
@@ -106,7 +107,31 @@
 		});
 	}
 
+	/** Lists the metrics of the home. */
+	listMetrics(): Metric[] {
+		const {jobs, openJobs, refusals, bytes} = this.state;
+		return [
+			{
+				name: 'medlardale_home_jobs',
+				help: 'Jobs at this home',
+				type: 'gauge',
+				samples: [
+					{labels: {state: 'open'}, value: openJobs.size},
+					{labels: {state: 'answered'}, value: jobs.size - openJobs.size},
+					{labels: {state: 'refused'}, value: refusals.size},
+				],
+			},
+			{
+				name: 'medlardale_home_bytes', help: 'Memory accounted to jobs and kept answers', type: 'gauge', samples: [{labels: {}, value: bytes}],
+			},
+			{
+				name: 'medlardale_home_pending_tasks', help: 'Tasks that wait to be placed', type: 'gauge', samples: [{labels: {}, value: this.#pending.countTasks()}],
+			},
+		];
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
+		this.#deadlineTimer?.[Symbol.dispose]();
 		for (const resource of this.#resources) {
 			resource[Symbol.dispose]();
 		}
@@ -149,7 +174,7 @@
 		const parts = this.#verifyId(request.id, request.customer);
 		const isKnown = this.state.jobs.has(request.id);
 		if (parts === undefined || (this.#isLeaving && !isKnown)) {
-			this.#node.sendMessage(from, {type: 'answer', id: request.id, answer: parts === undefined ? forgedAnswer : leavingAnswer});
+			this.#sendAnswer(from, request.id, parts === undefined ? forgedAnswer : leavingAnswer);
 			return;
 		}
 
@@ -164,7 +189,7 @@
 	): void {
 		const parts = this.#verifyId(id, customer);
 		if (parts === undefined) {
-			this.#node.sendMessage(from, {type: 'answer', id, answer: forgedAnswer});
+			this.#sendAnswer(from, id, forgedAnswer);
 			return;
 		}
 
@@ -225,6 +250,31 @@
 		for (const effect of takeEffects(this.state)) {
 			(this.#effectHandlers[effect.type] as (effect: HomeEffect) => void)(effect);
 		}
+
+		this.#updateTimer();
+	}
+
+	/** Runs the deadline check only while there are jobs without an answer. */
+	#updateTimer(): void {
+		if (this.state.openJobs.size === 0) {
+			this.#deadlineTimer?.[Symbol.dispose]();
+			this.#deadlineTimer = undefined;
+			return;
+		}
+
+		this.#deadlineTimer ??= this.#clock.startInterval(deadlineCheckMs, () => {
+			advanceHome(this.state, this.#clock.getTime());
+			this.#applyEffects();
+			this.#place();
+		});
+	}
+
+	#sendAnswer(to: NodeRef, id: JobId, answer: JobAnswer): void {
+		const load = this.#execution.getLoad();
+		this.#node.sendMessage(to, {
+			type: 'answer', id, answer, load,
+		});
+		this.#execution.recordReport(to, load);
 	}
 
 	#addPending(job: JobRecord): void {
--- a/src/processes/entry/calls.ts
+++ b/src/processes/entry/calls.ts
@@ -6,6 +6,7 @@
 import type {Clock, Milliseconds, Timer} from '../../ports/clock.ts';
 import type {MemberChange} from '../../ports/membership.ts';
 import type {JobAnswer, PeerMessage} from '../../ports/messages.ts';
+import type {FleetView} from '../shared/fleet-view.ts';
 import type {Node} from '../shared/node.ts';
 
 /** How a call ended. */
@@ -35,10 +36,17 @@
 	readonly #timer: Timer;
 	readonly #listener: Disposable;
 
-	/** @param node - The entry. */
-	constructor(private readonly node: Node) {
+	/**
+	 * @param node - The entry.
+	 * @param fleet - Its view of the agents.
+	 */
+	constructor(private readonly node: Node, fleet: FleetView) {
 		this.#clock = node.input.clock;
-		node.setHandler('answer', (from, {id, answer}) => {
+		node.setHandler('answer', (from, {id, answer, load}) => {
+			if (load !== undefined) {
+				fleet.recordLoad(from, load, 'result');
+			}
+
 			this.#settleCalls(id, from, {type: 'answer', answer});
 		});
 		node.setHandler('pending', (from, {id}) => {
--- a/src/processes/entry/entry.ts
+++ b/src/processes/entry/entry.ts
@@ -31,7 +31,7 @@
 	await using stack = new ResourceStack();
 	const node = stack.addResource(await startNode(input));
 	const fleet = stack.addResource(new FleetView(node, () => listEntries(node)));
-	const calls = stack.addResource(new HomeCalls(node));
+	const calls = stack.addResource(new HomeCalls(node, fleet));
 	const admission = stack.addResource(new AdmissionTask(node));
 	const jobs = new EntryJobService({
 		node, fleet, calls, admission,
@@ -43,7 +43,7 @@
 		log: createLog('http'),
 		host: settings.host,
 		port: settings.publicPort,
-		renderMetrics: () => '',
+		renderMetrics: async () => node.metrics.renderMetrics(),
 	}));
 	log.info(`entry "${settings.name}" serves callers on ${settings.host}:${http.port}`);
 
--- a/src/processes/entry/job-service.ts
+++ b/src/processes/entry/job-service.ts
@@ -211,7 +211,12 @@
 			digest: submission.digest,
 			tasks: submission.tasks,
 		};
-		return this.#calls.callHome(home, {type: 'submit', request}, deadline + answerGraceMs);
+		this.#fleet.recordSent(home, 1);
+		const result = await this.#calls.callHome(home, {type: 'submit', request}, deadline + answerGraceMs);
+		this.#fleet.recordEnd(home, {
+			customer: contract.customer, kind: submission.kind, status: 'unknown', runTime: 0,
+		});
+		return result;
 	}
 
 	#computeDeadline(contract: Contract, submission: JobSubmission): Milliseconds {
--- a/src/processes/shared/connector.ts
+++ b/src/processes/shared/connector.ts
@@ -7,7 +7,7 @@
 import type {Member} from '../../ports/membership.ts';
 import type {Node} from './node.ts';
 
-const checkIntervalMs = 100;
+const checkIntervalMs = 250;
 const maxBackoffFactor = 20;
 
 type Backoff = {
--- a/src/processes/shared/node.ts
+++ b/src/processes/shared/node.ts
@@ -4,6 +4,7 @@
 import {startContractSource, type RunningContractSource} from '../../adapters/contracts/source.ts';
 import {startGossip} from '../../adapters/gossip/gossip.ts';
 import {createLog} from '../../adapters/log/log.ts';
+import {createMetrics, type Metrics} from '../../adapters/metrics/metrics.ts';
 import {PeerNetwork} from '../../adapters/peer/network.ts';
 import {ResourceStack} from '../../adapters/system/resources.ts';
 import type {NodeRef} from '../../core/identity/types.ts';
@@ -16,6 +17,7 @@
 import type {Store} from '../../ports/store.ts';
 import type {Settings} from '../../settings/schema.ts';
 import {DocumentExchange} from './documents.ts';
+import {listNodeMetrics} from './node-metrics.ts';
 import {startNodeServer, type NodeServer} from './server.ts';
 
 /** What a process starts from. */
@@ -49,6 +51,7 @@
 	readonly network: PeerNetwork;
 	readonly membership: Membership;
 	readonly contracts: RunningContractSource;
+	readonly metrics: Metrics;
 	/** Sets the handler of a type of message. */
 	setHandler<Type extends PeerMessageType>(type: Type, handler: MessageHandler<Type>): void;
 	addStreamListener(listener: StreamListener): void;
@@ -91,6 +94,12 @@
 		log: createLog('contracts'),
 	}));
 
+	const metrics = createMetrics();
+	metrics.addSource(() => listNodeMetrics(network, membership, contracts));
+	server.addRoute('GET /metrics', async (_request, response) => {
+		const text = await metrics.renderMetrics();
+		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(text);
+	});
 	const handlers = new Map<PeerMessageType, MessageHandler<PeerMessageType>>();
 	const streamListeners: StreamListener[] = [];
 	const node: Omit<Node, typeof Symbol.asyncDispose> = {
@@ -100,6 +109,7 @@
 		network,
 		membership,
 		contracts,
+		metrics,
 		setHandler(type, handler) {
 			handlers.set(type, handler as unknown as MessageHandler<PeerMessageType>);
 		},
--- a/src/settings/sections/peer.ts
+++ b/src/settings/sections/peer.ts
@@ -13,6 +13,8 @@
 		.describe('Shortest time before a closed stream is opened again, in ms; doubles up to 20 times this.'),
 	maxFrameBytes: z.int().min(65_536).default(16_777_216)
 		.describe('Greatest length of a frame, in bytes; a longer one closes the stream.'),
-	loadReportMs: z.int().min(5).default(100)
-		.describe('Shortest time between two load reports of an agent to one peer, in ms.'),
+	entryReportMs: z.int().min(10).default(400)
+		.describe('Shortest time between two load reports of an agent to one entry, in ms; answers carry reports too.'),
+	agentReportMs: z.int().min(10).default(1000)
+		.describe('Shortest time between two load reports of an agent to another agent, in ms; results carry reports too.'),
 }).prefault({});
