Use one test clock in the features of the target

Cause: features/target had a clock of its own beside features/contracts/clock.ts. Ruled out: dropping the count of pending timers, which shows that no timer is left behind. Conclusion: one clock for these tests.

--- a/features/target/registration.steps.ts
+++ b/features/target/registration.steps.ts
@@ -5,7 +5,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {createLog, setLogOptions} from '../../src/adapters/log/log.ts';
 import {createTargetRegistration, type TargetRegistrationHandler} from '../../src/adapters/target/registration.ts';
-import {createFakeClock, type FakeClock} from './fake-clock.ts';
+import {FakeClock} from './fake-clock.ts';
 
 type RegistrationWorld = {
 	clock: FakeClock;
@@ -16,7 +16,7 @@
 
 Given('a registration with a lease of {int} ms at host {string}', function (this: RegistrationWorld, leaseMs: number, host: string) {
 	setLogOptions({level: 'silent', format: 'text', processName: 'test'});
-	this.clock = createFakeClock();
+	this.clock = new FakeClock();
 	this.registration = createTargetRegistration({
 		leaseMs, allowedHosts: [host], clock: this.clock, log: createLog('target'),
 	});
@@ -52,8 +52,8 @@
 	this.reply = this.registration.handleAnnouncement(JSON.parse(text));
 });
 
-When(/^(\d+) ms pass(?:es)?$/, function (this: RegistrationWorld, duration: string) {
-	this.clock.advance(Number(duration));
+When(/^(\d+) ms pass(?:es)?$/, async function (this: RegistrationWorld, duration: string) {
+	await this.clock.advance(Number(duration));
 });
 
 Then('the registration finds the target {string}', function (this: RegistrationWorld, address: string) {
--- a/features/target/target-calls.steps.ts
+++ b/features/target/target-calls.steps.ts
@@ -11,7 +11,7 @@
 import type {TaskStart} from '../../src/ports/messages.ts';
 import type {TargetCaller, TargetOutcome} from '../../src/ports/target.ts';
 import {startTargetStandIn, type TargetStandIn} from '../../stand-ins/target.ts';
-import {createFakeClock, type FakeClock} from './fake-clock.ts';
+import {FakeClock} from './fake-clock.ts';
 import {startRawTarget, type RawTarget} from './raw-target.ts';
 
 type CallWorld = {
@@ -36,7 +36,7 @@
 }
 
 function createCaller(world: CallWorld, address: string, connections = 1): void {
-	world.clock = createFakeClock();
+	world.clock = new FakeClock();
 	world.caller = createTargetCaller({
 		address, connections, maxAnswerBytes, clock: world.clock,
 	});
@@ -56,7 +56,7 @@
 		await item[Symbol.asyncDispose]();
 	}
 
-	this.clock?.advance(timeoutMs * 10);
+	await this.clock?.advance(timeoutMs * 10);
 });
 
 Given('a raw target that {}', async function (this: CallWorld, fault: string) {
@@ -91,13 +91,13 @@
 When('a task is handed to the raw target and its time runs out once it has arrived', async function (this: CallWorld) {
 	const call = this.caller.callTarget(createTask(), timeoutMs);
 	await waitUntil(() => this.rawTarget.countRequests() === 1);
-	this.clock.advance(timeoutMs);
+	await this.clock.advance(timeoutMs);
 	this.outcome = await call;
 });
 
 When('a task is handed to the raw target and its time runs out in the queue', async function (this: CallWorld) {
 	const call = this.caller.callTarget(createTask(), timeoutMs);
-	this.clock.advance(timeoutMs);
+	await this.clock.advance(timeoutMs);
 	this.outcome = await call;
 });
 
@@ -127,7 +127,7 @@
 });
 
 Then('once the connection is free the raw target receives the next task only', async function (this: CallWorld) {
-	this.clock.advance(timeoutMs * 10);
+	await this.clock.advance(timeoutMs * 10);
 	const {status} = await this.holding;
 	assert.equal(status, 'unknown');
 	void this.caller.callTarget(createTask({index: 2}), timeoutMs);
