--- a/features/contracts/distribution.feature
+++ b/features/contracts/distribution.feature
@@ -68,6 +68,13 @@
     And peers do not answer for 4 s
     Then a process that starts is ready with revision 2 within 8000 ms
 
+  Scenario: Answers of peers that arrive late, with revisions passed meanwhile, change nothing
+    Given answers of peers take 700 ms
+    When an operator applies a change
+    And an operator applies a change
+    And an operator applies a change
+    Then revision 4 is in force everywhere within 3000 ms
+
   Scenario: A half that was cut off returns
     When half of the processes are cut off
     And an operator applies a change
--- a/features/contracts/distribution.steps.ts
+++ b/features/contracts/distribution.steps.ts
@@ -136,6 +136,10 @@
 	this.contractFleet.answersAt = this.contractFleet.clock.getTime() + (seconds * 1000);
 });
 
+Given('answers of peers take {int} ms', function (this: FleetWorld, duration: number) {
+	this.contractFleet.fetchMs = duration;
+});
+
 When('half of the processes are cut off', function (this: FleetWorld) {
 	for (const [index, process] of [...this.contractFleet.processes.values()].entries()) {
 		process.group = index % 2;
--- a/features/contracts/fleet.ts
+++ b/features/contracts/fleet.ts
@@ -32,7 +32,6 @@
 };
 
 const gossipMs = 500;
-const fetchMs = 5;
 
 /** The fleet, its store and its network. */
 export class SimulatedFleet {
@@ -41,6 +40,8 @@
 	readonly logLines: string[] = [];
 	/** Time before which no process answers a peer. */
 	answersAt = 0;
+	/** Time that a peer's answer travels. */
+	fetchMs = 5;
 
 	constructor(readonly clock: TestClock, private readonly random: Random, private readonly lives = new Map<string, number>()) {
 		this.service = new StoreService(clock);
@@ -125,11 +126,13 @@
 	}
 
 	async #fetch(seat: Seat, peer: PeerAddress) {
+		const process = this.processes.get(peer.name);
+		const canAnswer = process?.group === seat.group && this.clock.getTime() >= this.answersAt;
+		const document = canAnswer ? process.source.getDocument() : undefined;
 		await new Promise<void>(resolve => {
-			this.clock.startTimer(fetchMs, resolve);
+			this.clock.startTimer(this.fetchMs, resolve);
 		});
-		const process = this.processes.get(peer.name);
-		return process?.group === seat.group && this.clock.getTime() >= this.answersAt ? process.source.getDocument() : undefined;
+		return document;
 	}
 
 	#createMembership(seat: Seat): Membership {
--- a/src/adapters/contracts/pull.ts
+++ b/src/adapters/contracts/pull.ts
@@ -38,7 +38,7 @@
 		return !options.expectPeers || clock.getTime() - startedAt >= options.joinMs;
 	}
 
-	async function askPeer(peer: Member): Promise<void> {
+	async function fetchFromPeer(peer: Member): Promise<void> {
 		const {name} = peer.address;
 		const before = task.getVersion();
 		const document = await waitAtMost(clock, options.pullTimeoutMs, fetchDocument(peer.address));
@@ -67,7 +67,7 @@
 	async function run(): Promise<void> {
 		while (!life.closed) {
 			const peer = choose();
-			await (peer === undefined ? wake.wait(options.checkMs) : askPeer(peer));
+			await (peer === undefined ? wake.wait(options.checkMs) : fetchFromPeer(peer));
 		}
 	}
 
--- a/src/adapters/contracts/source.ts
+++ b/src/adapters/contracts/source.ts
@@ -72,7 +72,7 @@
 	const readiness = createWake(clock);
 	let findByToken = createTokenLookup(state.document);
 
-	function publishMove(from: string): void {
+	function applyMove(from: string): void {
 		const {document, version} = state;
 		findByToken = createTokenLookup(document);
 		membership.setMetadata({configRevision: version.revision, configDigest: version.digest});
@@ -84,9 +84,9 @@
 		readiness.wake();
 	}
 
-	const reportMove: Record<DocumentMove['type'], (document: ContractDocument, from: string) => void> = {
+	const moveHandlers: Record<DocumentMove['type'], (document: ContractDocument, from: string) => void> = {
 		moved(_document, from) {
-			publishMove(from);
+			applyMove(from);
 		},
 		same() {
 			// Nothing to do.
@@ -107,9 +107,9 @@
 		}
 
 		const move = applyDocument(state, document.value);
-		reportMove[move.type](document.value, from);
+		moveHandlers[move.type](document.value, from);
 		if (move.type === 'conflict' && move.moved) {
-			publishMove(from);
+			applyMove(from);
 		}
 	}
 
--- a/src/adapters/store/client.ts
+++ b/src/adapters/store/client.ts
@@ -7,7 +7,7 @@
  * | `GET /v1/keys/KEY?after=N&timeout=MS` | the same, once the revision exceeds N or MS have passed |
  * | `PUT /v1/keys/KEY?expected=N`, the value as body | 200 `{revision, value}`, or 409 `{revision, value}` and nothing written |
  * | `DELETE /v1/keys/KEY?expected=N` | as for `PUT` |
- * | `POST /v1/leases?ttl=MS` | 201 `{lease}` |
+ * | `POST /v1/leases?ttl=MS` | 200 `{lease}` |
  * | `PUT /v1/leases/ID` | 200 when renewed, 404 when lapsed |
  * | `DELETE /v1/leases/ID` | 200 |
  *
--- a/src/commands/contract/write.ts
+++ b/src/commands/contract/write.ts
@@ -104,7 +104,7 @@
 			}
 		}
 
-		return this.#settle();
+		return this.#findLastOutcome();
 	}
 
 	/** Reads the store and goes on from what it says. */
@@ -211,7 +211,7 @@
 	}
 
 	/** Says what is known after the time is up; the fleet may have the change when the store cannot be read. */
-	async #settle(): Promise<ChangeOutcome> {
+	async #findLastOutcome(): Promise<ChangeOutcome> {
 		await this.#updateFleet();
 		const known = findOutcome(this.#fleetState.document ?? emptyDocument, this.#change);
 		const type = this.#outstanding === undefined ? 'unavailable' : 'unknown';
--- a/src/core/contracts/distribution.ts
+++ b/src/core/contracts/distribution.ts
@@ -1,9 +1,9 @@
 /**
  * Who reads the contract document from the store, and from which peer the others take it.
  *
- * Every entry watches the store, and of each data centre the agents with the lowest hash, so that
- * the number of watchers does not grow with the agents. The others learn of a higher revision by
- * the metadata of the members and fetch the document from one that tells it.
+ * Of each data centre the few entries and agents with the lowest hash watch the store, so that the
+ * number of watchers does not grow with the fleet. The others learn of a higher revision by the
+ * metadata of the members and fetch the document from one that tells it.
  */
 import {Buffer} from 'node:buffer';
 import type {Milliseconds} from '../../ports/clock.ts';
--- a/src/core/contracts/versions.ts
+++ b/src/core/contracts/versions.ts
@@ -19,7 +19,7 @@
 /** The document before the first change. */
 export const emptyDocument: ContractDocument = {revision: 0, contracts: {}, history: []};
 
-function orderKeys(_key: string, value: unknown): unknown {
+function encodeOrdered(_key: string, value: unknown): unknown {
 	if (typeof value !== 'object' || value === null || Array.isArray(value)) {
 		return value;
 	}
@@ -35,7 +35,7 @@
  * @returns 12 hexadecimal digits.
  */
 export function computeDigest(document: ContractDocument): string {
-	return createHash('sha256').update(JSON.stringify(document, orderKeys)).digest('hex').slice(0, digestLength);
+	return createHash('sha256').update(JSON.stringify(document, encodeOrdered)).digest('hex').slice(0, digestLength);
 }
 
 /**
--- a/stand-ins/store-memory.ts
+++ b/stand-ins/store-memory.ts
@@ -30,9 +30,9 @@
 			const timer = clock.startTimer(limit, () => {
 				resolve(Err({kind: 'unknown', message: `no answer within ${limit} ms`}));
 			});
-			void settle();
+			void handleAnswer();
 
-			async function settle(): Promise<void> {
+			async function handleAnswer(): Promise<void> {
 				const answer = await call;
 				timer[Symbol.dispose]();
 				resolve((results[answer.type] as (answer: StoreAnswer) => EntryResult)(answer));
--- a/stand-ins/store-service.ts
+++ b/stand-ins/store-service.ts
@@ -143,7 +143,7 @@
 		this.#clearWatches();
 	}
 
-	async #handleCall(sort: Exclude<keyof StoreCalls, 'total'>, takeEffect: () => Promise<StoreAnswer> | StoreAnswer): Promise<StoreAnswer> {
+	async #handleCall(sort: Exclude<keyof StoreCalls, 'total'>, applyCall: () => Promise<StoreAnswer> | StoreAnswer): Promise<StoreAnswer> {
 		this.#calls[sort]++;
 		this.#calls.total++;
 		if (this.#faults.hang) {
@@ -152,17 +152,17 @@
 			});
 		}
 
-		await this.#delay();
+		await this.#waitDelay();
 		if (this.#faults.outage) {
 			return {type: 'refused'};
 		}
 
-		const answer = await takeEffect();
-		await this.#delay();
+		const answer = await applyCall();
+		await this.#waitDelay();
 		return answer;
 	}
 
-	async #delay(): Promise<void> {
+	async #waitDelay(): Promise<void> {
 		const delay = this.#faults.delayMs / 2;
 		if (delay > 0) {
 			await new Promise<void>(resolve => {
