--- a/bench/simulations/floods.ts
+++ b/bench/simulations/floods.ts
@@ -4,7 +4,7 @@
 import type {SchedulingPolicy} from '../../src/core/scheduling/types.ts';
 import {schedulingSchema} from '../../src/settings/sections/scheduling.ts';
 import {
-	computeFigures, runSimulation, type SimulationResult, type Stream, type StreamFigures,
+	computeFigures, runSimulation, type Stream, type StreamFigures, type StreamResult,
 } from './agent-queue.ts';
 import {floods, steadyStreams, type FloodName} from './workloads.ts';
 
@@ -15,6 +15,8 @@
 	readonly policy: SchedulingPolicy;
 	readonly slots: number;
 	readonly seed: number;
+	/** Number of runs that are put together, with seeds from `seed` on. */
+	readonly runs: number;
 };
 
 /** What streams keep of their figures without the flood; the worst customer counts. */
@@ -38,10 +40,10 @@
 	readonly idleShare: number;
 };
 
-function computeKept(before: SimulationResult, after: SimulationResult, streams: readonly Stream[]): KeptFigures {
+function computeKept(before: readonly StreamResult[], after: readonly StreamResult[], streams: readonly Stream[]): KeptFigures {
 	const customers = new Set(streams.map(({customer}) => customer));
 	const figures = [...customers].map(customer => {
-		const compute = (result: SimulationResult) => computeFigures(result.streams.filter(({stream}) => stream.customer === customer && streams.includes(stream)));
+		const compute = (results: readonly StreamResult[]) => computeFigures(results.filter(({stream}) => stream.customer === customer && streams.includes(stream)));
 		return {left: compute(before), right: compute(after)};
 	});
 	return {
@@ -56,25 +58,27 @@
  * Runs the steady streams alone and with a flood, on the same arrivals.
  *
  * @param name - The flood.
- * @param input - Policy, slots and seed.
+ * @param input - Policy, slots, seed and number of runs.
  * @returns What each side got.
  */
-export function runFlood(name: FloodName, {policy, slots, seed}: FloodInput): FloodFigures {
+export function runFlood(name: FloodName, {policy, slots, seed, runs}: FloodInput): FloodFigures {
 	const options = schedulingSchema.parse({policy});
 	const floodStreams: readonly Stream[] = floods[name];
-	const before = runSimulation({
-		options, slots, seed, streams: steadyStreams,
-	});
-	const after = runSimulation({
-		options, slots, seed, streams: [...steadyStreams, ...floodStreams],
-	});
+	const seeds = Array.from({length: runs}, (_, index) => seed + index);
+	const run = (streams: readonly Stream[]) => seeds.map(runSeed => runSimulation({
+		options, slots, seed: runSeed, streams,
+	}));
+	const before = run(steadyStreams).flatMap(result => result.streams);
+	const results = run([...steadyStreams, ...floodStreams]);
+	const after = results.flatMap(result => result.streams);
 	const isFlooding = ({customer}: Stream) => floodStreams.some(stream => stream.customer === customer);
-	const flooding = computeFigures(after.streams.slice(steadyStreams.length));
+	const flooding = computeFigures(after.filter(({stream}) => floodStreams.includes(stream)));
 	const [{startAt, endAt}] = floodStreams;
+	const idleTime = results.reduce((sum, result) => sum + result.idleTime, 0);
 	return {
 		others: computeKept(before, after, steadyStreams.filter(stream => !isFlooding(stream))),
 		ownKinds: computeKept(before, after, steadyStreams.filter(stream => isFlooding(stream))),
-		flooding: {...flooding, rate: flooding.succeeded * msPerSecond / (endAt - startAt)},
-		idleShare: after.idleTime / (steadyStreams[0].endAt * slots),
+		flooding: {...flooding, rate: flooding.succeeded * msPerSecond / (endAt - startAt) / runs},
+		idleShare: idleTime / (steadyStreams[0].endAt * slots * runs),
 	};
 }
--- a/bench/simulations/workloads.ts
+++ b/bench/simulations/workloads.ts
@@ -27,7 +27,7 @@
 		...steady, customer: 'warehouse', kind: 'scan', urgency: 'normal', rate: 2, runTime: [200, 600], deadline: 3000,
 	},
 	{
-		...steady, customer: 'surveyor', kind: 'plan', urgency: 'normal', rate: 0.4, runTime: [1500, 2500], deadline: 10_000,
+		...steady, weight: 8, customer: 'surveyor', kind: 'plan', urgency: 'normal', rate: 0.4, runTime: [1500, 2500], deadline: 10_000,
 	},
 ];
 
--- a/src/core/scheduling/logic.ts
+++ b/src/core/scheduling/logic.ts
@@ -4,41 +4,28 @@
 import {Ok, type Result} from 'ts-results-es';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {SchedulingError} from './errors.ts';
-import {
-	createEntry, findEntry, updateEntry, type HeapEntry,
-} from './heap.ts';
+import {createEntry, updateEntry} from './heap.ts';
 import {checkLimits} from './limits.ts';
 import {
-	assertCounts, assertState, removeAsDropped, removeTask, updateWork,
+	assertCounts, assertState, removeTask, updateWork,
 } from './removal.ts';
 import {computeCharge, recordRunTime} from './run-times.ts';
+import {findTask, type Selection} from './selection.ts';
+import {recordLongArrival, recordShortArrival, updateClass} from './slots.ts';
 import {
-	computeCustomerLongSlots, computeLongSlots, isLongKind, recordLongArrival, recordShortArrival,
-} from './slots.ts';
-import {
-	chooseKind, getKind, pruneCustomers, pruneLingering, updateCustomer,
+	getKind, pruneCustomers, pruneLingering, updateCustomer,
 } from './state.ts';
 import {addToList} from './task-list.ts';
 import type {
-	DroppedTask, KindQueue, QueuedTask, ScheduleState, TaskSpec,
+	KindQueue, QueuedTask, ScheduleState, TaskSpec,
 } from './types.ts';
 
-/** The task to start next, and the tasks found on the way that will never start. */
-export type Selection = {
-	readonly task: QueuedTask | undefined;
-	readonly dropped: readonly DroppedTask[];
-};
-
 /** How a task ran. */
 export type TaskMeasurement = {
 	readonly runTime: Milliseconds;
 	readonly isSuccess: boolean;
 };
 
-function updateClass(state: ScheduleState, kind: KindQueue, now: Milliseconds): void {
-	kind.isLong = isLongKind(state, kind, now);
-}
-
 function canTry(state: ScheduleState, kind: KindQueue, now: Milliseconds): boolean {
 	return kind.runTime.samples === 0 || (kind.queued + kind.running === 0 && now - kind.lastTrialAt >= state.options.trialIntervalMs);
 }
@@ -129,76 +116,6 @@
 	return Ok(task);
 }
 
-function findLongEntry(state: ScheduleState, now: Milliseconds): HeapEntry<string> | undefined {
-	if (state.longHeap.length === 0) {
-		return undefined;
-	}
-
-	const slots = computeLongSlots(state, now);
-	const customerSlots = computeCustomerLongSlots(state, slots, now);
-	return state.runningLong < slots ? findEntry(state.longHeap, name => state.customers.get(name)!.runningLong < customerSlots) : undefined;
-}
-
-function findCandidate(state: ScheduleState, now: Milliseconds): QueuedTask | undefined {
-	const short = state.shortHeap.at(0);
-	const long = findLongEntry(state, now);
-	const isLong = long !== undefined && (short === undefined || long.key < short.key);
-	const entry = isLong ? long : short;
-	const customer = entry && state.customers.get(entry.item);
-	return customer && chooseKind(state, customer, isLong)?.head;
-}
-
-/** Counts running tasks as long once they have run longer than short ones do. */
-function recordOverruns(state: ScheduleState, now: Milliseconds): void {
-	for (const task of state.running) {
-		if (task.isOverrunning || now - task.startedAt <= state.options.longTaskMs) {
-			continue;
-		}
-
-		const {queue: kind} = task;
-		task.isOverrunning = true;
-		kind.overrunning++;
-		if (!task.runsLong) {
-			task.runsLong = true;
-			kind.customer.runningLong++;
-			state.runningLong++;
-		}
-
-		updateClass(state, kind, now);
-		updateCustomer(state, kind.customer, now);
-	}
-}
-
-function isLate(task: QueuedTask, now: Milliseconds): boolean {
-	const runTime = task.isTrial ? 0 : task.queue.runTime.low;
-	return now >= task.spec.deadlineAt || now + runTime > task.spec.deadlineAt;
-}
-
-/**
- * Finds the task to start next without starting it. Tasks that it meets and that can no longer meet
- * their deadline are dropped.
- *
- * @param state - The queue of the agent.
- * @param now - The present time.
- * @returns The task, if a slot is free for one, and the dropped tasks.
- */
-export function findTask(state: ScheduleState, now: Milliseconds): Selection {
-	const dropped: DroppedTask[] = [];
-	pruneLingering(state, now);
-	recordOverruns(state, now);
-	while (state.running.size < state.slots) {
-		const task = findCandidate(state, now);
-		if (task === undefined || !isLate(task, now)) {
-			return {task, dropped};
-		}
-
-		dropped.push(removeAsDropped(state, task, 'deadline'));
-		updateCustomer(state, task.queue.customer, now);
-	}
-
-	return {task: undefined, dropped};
-}
-
 function advanceVirtualTime(state: ScheduleState, kind: KindQueue): void {
 	const {customer} = kind;
 	let least = customer.tag;
--- a/src/core/scheduling/policies.ts
+++ b/src/core/scheduling/policies.ts
@@ -4,6 +4,12 @@
 import {computeCharge} from './run-times.ts';
 import type {KindQueue, ScheduleOptions, SchedulingPolicy} from './types.ts';
 
+/**
+ * Part of a customer's next task that counts in its order. With 0, many small customers delay the others
+ * by a long task each; with 1, customers of long tasks wait behind those of short ones.
+ */
+const nextTaskPart = 0.5;
+
 /** How a policy orders work; the lowest key goes first. */
 export type PolicyHandler = {
 	/** Whether weights give shares to customers and kinds, and slots are kept free of long tasks. */
@@ -21,15 +27,15 @@
 /**
  * Policies by name.
  *
- * - `fair`: between customers, the one that would have had the least weighted service after its next task;
- *   between the kinds of a customer, the one that has had the least.
+ * - `fair`: the customer with the least weighted service, counting a part of its next task; among its
+ *   kinds, the one with the least service weighted by urgency.
  * - `fifo`: order of arrival.
  */
 export const policies: Readonly<Record<SchedulingPolicy, PolicyHandler>> = {
 	fair: {
 		isWeighted: true,
 		computeKindKey: kind => kind.tag,
-		computeCustomerKey: ({customer, runTime}, {trialChargeMs}) => customer.tag + (computeCharge(runTime, trialChargeMs) / customer.weight),
+		computeCustomerKey: ({customer, runTime}, {trialChargeMs}) => customer.tag + (nextTaskPart * computeCharge(runTime, trialChargeMs) / customer.weight),
 	},
 	fifo: {
 		isWeighted: false,
--- /dev/null
+++ b/src/core/scheduling/selection.ts
@@ -0,0 +1,93 @@
+/**
+ * Finds the task of an agent's queue that starts next, and drops the late ones on the way.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import {findEntry} from './heap.ts';
+import {removeAsDropped} from './removal.ts';
+import {computeCustomerLongSlots, computeLongSlots, updateClass} from './slots.ts';
+import {
+	chooseKind, isShort, pruneLingering, updateCustomer,
+} from './state.ts';
+import type {DroppedTask, QueuedTask, ScheduleState} from './types.ts';
+
+/** The task to start next, and the tasks found on the way that will never start. */
+export type Selection = {
+	readonly task: QueuedTask | undefined;
+	readonly dropped: readonly DroppedTask[];
+};
+
+/** Returns a check of whether a customer's long tasks may start. */
+function createLongCheck(state: ScheduleState, now: Milliseconds): (name: string) => boolean {
+	const slots = computeLongSlots(state, now);
+	if (state.runningLong >= slots) {
+		return () => false;
+	}
+
+	const customerSlots = computeCustomerLongSlots(state, slots, now);
+	return name => state.customers.get(name)!.runningLong < customerSlots;
+}
+
+function findCandidate(state: ScheduleState, now: Milliseconds): QueuedTask | undefined {
+	const canStartLong = createLongCheck(state, now);
+	const short = state.shortHeap.at(0);
+	const long = findEntry(state.longHeap, canStartLong);
+	const entry = long !== undefined && (short === undefined || long.key < short.key) ? long : short;
+	if (entry === undefined) {
+		return undefined;
+	}
+
+	const customer = state.customers.get(entry.item)!;
+	const canStart = canStartLong(entry.item) ? () => true : isShort;
+	return chooseKind(state, customer, canStart)?.head;
+}
+
+/** Counts running tasks as long once they have run longer than short ones do. */
+function recordOverruns(state: ScheduleState, now: Milliseconds): void {
+	for (const task of state.running) {
+		if (task.isOverrunning || now - task.startedAt <= state.options.longTaskMs) {
+			continue;
+		}
+
+		const {queue: kind} = task;
+		task.isOverrunning = true;
+		kind.overrunning++;
+		if (!task.runsLong) {
+			task.runsLong = true;
+			kind.customer.runningLong++;
+			state.runningLong++;
+		}
+
+		updateClass(state, kind, now);
+		updateCustomer(state, kind.customer, now);
+	}
+}
+
+function isLate(task: QueuedTask, now: Milliseconds): boolean {
+	const runTime = task.isTrial ? 0 : task.queue.runTime.low;
+	return now >= task.spec.deadlineAt || now + runTime > task.spec.deadlineAt;
+}
+
+/**
+ * Finds the task to start next without starting it. Tasks that it meets and that can no longer meet
+ * their deadline are dropped.
+ *
+ * @param state - The queue of the agent.
+ * @param now - The present time.
+ * @returns The task, if a slot is free for one, and the dropped tasks.
+ */
+export function findTask(state: ScheduleState, now: Milliseconds): Selection {
+	const dropped: DroppedTask[] = [];
+	pruneLingering(state, now);
+	recordOverruns(state, now);
+	while (state.running.size < state.slots) {
+		const task = findCandidate(state, now);
+		if (task === undefined || !isLate(task, now)) {
+			return {task, dropped};
+		}
+
+		dropped.push(removeAsDropped(state, task, 'deadline'));
+		updateCustomer(state, task.queue.customer, now);
+	}
+
+	return {task: undefined, dropped};
+}
--- a/src/core/scheduling/slots.ts
+++ b/src/core/scheduling/slots.ts
@@ -32,10 +32,11 @@
  * @param now - The present time.
  */
 export function recordLongArrival(state: ScheduleState, customer: CustomerQueue, now: Milliseconds): void {
-	if (state.longCustomer !== customer) {
-		state.longCustomer = customer;
+	if (state.longCustomer !== undefined && state.longCustomer !== customer) {
 		state.longRivalAt = now;
 	}
+
+	state.longCustomer = customer;
 }
 
 /**
@@ -87,14 +88,20 @@
 /**
  * Answers whether a kind's tasks are long: to those that wait behind them they take longer than the
  * setting, or one of them does so now, or the kind is too new for that to be known.
- *
- * @param state - The queue of the agent.
- * @param kind - The kind.
- * @param now - The present time.
- * @returns Whether it is long.
  */
-export function isLongKind(state: ScheduleState, kind: KindQueue, now: Milliseconds): boolean {
+function isLongKind(state: ScheduleState, kind: KindQueue, now: Milliseconds): boolean {
 	const {longTaskMs} = state.options;
 	const isKnown = kind.runTime.samples > 0 && now - kind.firstStartedAt >= newKindFactor * longTaskMs;
 	return !isKnown || kind.overrunning > 0 || computeLength(kind.runTime) > longTaskMs;
 }
+
+/**
+ * Brings up to date whether a kind's tasks count as long.
+ *
+ * @param state - The queue of the agent.
+ * @param kind - The kind; the caller brings its customer up to date.
+ * @param now - The present time.
+ */
+export function updateClass(state: ScheduleState, kind: KindQueue, now: Milliseconds): void {
+	kind.isLong = isLongKind(state, kind, now);
+}
--- a/src/core/scheduling/state.ts
+++ b/src/core/scheduling/state.ts
@@ -113,18 +113,18 @@
 }
 
 /**
- * Chooses the customer's next kind among its short or its long ones.
+ * Chooses the customer's next kind.
  *
  * @param state - The queue of the agent.
  * @param customer - The customer.
- * @param isLong - Whether to choose among long kinds.
+ * @param isAllowed - Whether a kind may be chosen.
  * @returns The kind, if one has a task queued.
  */
-export function chooseKind(state: ScheduleState, customer: CustomerQueue, isLong: boolean): KindQueue | undefined {
+export function chooseKind(state: ScheduleState, customer: CustomerQueue, isAllowed: (kind: KindQueue) => boolean): KindQueue | undefined {
 	const {computeKindKey} = policies[state.options.policy];
 	let best: KindQueue | undefined;
 	for (const kind of customer.kinds.values()) {
-		const isCandidate = kind.queued > 0 && kind.isLong === isLong;
+		const isCandidate = kind.queued > 0 && isAllowed(kind);
 		if (isCandidate && (best === undefined || computeKindKey(kind) < computeKindKey(best))) {
 			best = kind;
 		}
@@ -133,10 +133,30 @@
 	return best;
 }
 
+/**
+ * Answers whether a kind's tasks count as long.
+ *
+ * @param kind - The kind.
+ * @returns Whether they do.
+ */
+export function isLong(kind: KindQueue): boolean {
+	return kind.isLong;
+}
+
+/**
+ * Answers whether a kind's tasks count as short.
+ *
+ * @param kind - The kind.
+ * @returns Whether they do.
+ */
+export function isShort(kind: KindQueue): boolean {
+	return !kind.isLong;
+}
+
 function updateHeaps(state: ScheduleState, customer: CustomerQueue): void {
 	const {computeCustomerKey} = policies[state.options.policy];
-	for (const [isLong, heap, entry] of [[false, state.shortHeap, customer.shortEntry], [true, state.longHeap, customer.longEntry]] as const) {
-		const kind = chooseKind(state, customer, isLong);
+	for (const [isAllowed, heap, entry] of [[isShort, state.shortHeap, customer.shortEntry], [isLong, state.longHeap, customer.longEntry]] as const) {
+		const kind = chooseKind(state, customer, isAllowed);
 		if (kind === undefined) {
 			removeEntry(heap, entry);
 		} else {
@@ -145,19 +165,24 @@
 	}
 }
 
-/** Computes which part of a customer's weight falls to its busy long kinds, by urgency. */
-function computeLongPart(state: ScheduleState, customer: CustomerQueue, now: Milliseconds): number {
+/**
+ * Computes the part of a customer's weight that falls to its busy long kinds, by urgency, but no more
+ * than gives each of their tasks a slot.
+ */
+function computeLongWeight(state: ScheduleState, customer: CustomerQueue, now: Milliseconds): number {
 	const {urgencyWeights, reserveHoldMs} = state.options;
+	let tasks = 0;
 	let long = 0;
 	let sum = 0;
 	for (const kind of customer.kinds.values()) {
-		const isBusy = kind.queued + kind.running > 0;
+		const busy = kind.queued + kind.running;
 		const weight = urgencyWeights[kind.urgency];
-		long += isBusy && kind.isLong ? weight : 0;
-		sum += isBusy || now - kind.lastAddedAt < reserveHoldMs ? weight : 0;
+		tasks += kind.isLong ? busy : 0;
+		long += busy > 0 && kind.isLong ? weight : 0;
+		sum += busy > 0 || now - kind.lastAddedAt < reserveHoldMs ? weight : 0;
 	}
 
-	return sum === 0 ? 0 : long / sum;
+	return tasks === 0 ? 0 : Math.min(customer.weight * long / sum, tasks * state.activeWeight / Math.max(state.slots, 1));
 }
 
 function updateWeights(state: ScheduleState, customer: CustomerQueue, now: Milliseconds): void {
@@ -172,7 +197,7 @@
 	const activeWeight = isBusy || customer.activeWeight > 0 ? customer.weight : 0;
 	state.activeWeight += activeWeight - customer.activeWeight;
 	customer.activeWeight = activeWeight;
-	const longWeight = customer.weight * computeLongPart(state, customer, now);
+	const longWeight = computeLongWeight(state, customer, now);
 	state.longWeight += longWeight - customer.longWeight;
 	customer.longWeight = longWeight;
 }
