Count a long customer as a rival only soon after its tasks

A customer whose long tasks lay far back still counted as a rival of another's, which cost that one a slot.

Ruled out: a longer pause in the test, which would have hidden the fault.

Change: a long task makes a rival only if one of another customer was queued within longHoldMs before.

--- a/src/core/scheduling/slots.ts
+++ b/src/core/scheduling/slots.ts
@@ -32,11 +32,13 @@
  * @param now - The present time.
  */
 export function recordLongArrival(state: ScheduleState, customer: CustomerQueue, now: Milliseconds): void {
-	if (state.longCustomer !== undefined && state.longCustomer !== customer) {
+	const isRecent = now - state.longCustomerAt < state.options.longHoldMs;
+	if (isRecent && state.longCustomer !== customer) {
 		state.longRivalAt = now;
 	}
 
 	state.longCustomer = customer;
+	state.longCustomerAt = now;
 }
 
 /**
--- a/src/core/scheduling/state.ts
+++ b/src/core/scheduling/state.ts
@@ -36,6 +36,7 @@
 		activeWeight: 0,
 		longWeight: 0,
 		longCustomer: undefined,
+		longCustomerAt: Number.NEGATIVE_INFINITY,
 		longRivalAt: Number.NEGATIVE_INFINITY,
 		shortLoad: 0,
 		shortLoadAt: 0,
--- a/src/core/scheduling/types.ts
+++ b/src/core/scheduling/types.ts
@@ -164,8 +164,10 @@
 	activeWeight: number;
 	/** Sum of the customers' weights for their long kinds. */
 	longWeight: number;
-	/** Last customer whose long tasks were queued, and the last time that those of another were. */
+	/** Customer of the last long task that was queued, and when that was. */
 	longCustomer: CustomerQueue | undefined;
+	longCustomerAt: Milliseconds;
+	/** Last time that a long task was queued soon after one of another customer. */
 	longRivalAt: Milliseconds;
 	/** Recent mean number of slots that short tasks need, as of `shortLoadAt`. */
 	shortLoad: number;
