Wire ejection, the time line and outcome counts into the processes

Cause: health, time line and success rates existed as pure logic only; entries saw jobs fail without knowing at which agent. Ruled out: each home judging alone (11 homes would need five failures each); telling ejections by gossip (more state at every member for a rare event). Change: answers carry how tasks ended per agent; entries judge agents by them and tell homes whom they eject with each submission; one-task jobs serve as trials. Every frame carries a stamp of the hybrid logical clock; processes record submission, refusal, home, placement, start, end, retry, answer, membership and configuration. Success rate over five minutes, job totals and a response time histogram per customer.

--- a/features/outcome/simulation.ts
+++ b/features/outcome/simulation.ts
@@ -146,7 +146,9 @@
 
 	/** Sends a submission of the caller's id from an entry. */
 	submit(caller: SimCaller, entry = 'entry-1'): void {
-		this.#sendToHome(caller, entry, {type: 'submit', request: caller.request});
+		this.#sendToHome(caller, entry, {
+			type: 'submit', request: caller.request, isTrial: false, ejected: [],
+		});
 	}
 
 	/** Sends a query, cancellation or refusal of the caller's id from an entry. */
--- a/src/adapters/metrics/metrics.ts
+++ b/src/adapters/metrics/metrics.ts
@@ -3,12 +3,16 @@
  */
 import type * as Prometheus from 'prom-client';
 import type {Counter, Gauge, Registry} from 'prom-client';
-import type {Metric, MetricSource} from '../../ports/metrics.ts';
+import type {
+	Histogram, HistogramConfig, Metric, MetricSource,
+} from '../../ports/metrics.ts';
 
 /** Metrics of one process. */
 export type Metrics = {
 	/** Adds the metrics of a part. */
 	addSource(source: MetricSource): void;
+	/** Creates a histogram; loads `prom-client`. */
+	createHistogram(config: HistogramConfig): Promise<Histogram>;
 	/** Renders all metrics. */
 	renderMetrics(): Promise<string>;
 };
@@ -40,11 +44,24 @@
  */
 export function createMetrics(): Metrics {
 	const sources: MetricSource[] = [];
+	let histograms: Registry | undefined;
 
 	return {
 		addSource(source) {
 			sources.push(source);
 		},
+		async createHistogram({name, help, labelNames, bounds}) {
+			const library = await import('prom-client');
+			histograms ??= new library.Registry();
+			const histogram = new library.Histogram({
+				name, help, labelNames: [...labelNames], buckets: [...bounds], registers: [histograms],
+			});
+			return {
+				observeValue(labels, value) {
+					histogram.observe(labels, value);
+				},
+			};
+		},
 		async renderMetrics() {
 			const library = await import('prom-client');
 			const registry = new library.Registry();
@@ -53,7 +70,8 @@
 				addMetric(library, registry, metric);
 			}
 
-			return registry.metrics();
+			const texts = [await registry.metrics(), await histograms?.metrics() ?? ''];
+			return texts.join('\n');
 		},
 	};
 }
--- a/src/adapters/peer/network.ts
+++ b/src/adapters/peer/network.ts
@@ -34,6 +34,8 @@
 	readonly server: Server;
 	readonly options: StreamOptions;
 	readonly clock: Clock;
+	/** Hybrid logical clock whose stamps go with every frame. */
+	readonly stamps: {getStamp(): number; observeStamp(stamp: number): void};
 	readonly log: Log;
 };
 
@@ -203,6 +205,10 @@
 			onMessages: (from, messages) => {
 				this.#handleMessages(from, messages);
 			},
+			getStamp: () => this.input.stamps.getStamp(),
+			observeStamp: stamp => {
+				this.input.stamps.observeStamp(stamp);
+			},
 			onClose: closed => {
 				this.#handleClose(closed);
 			},
--- a/src/adapters/peer/stream.ts
+++ b/src/adapters/peer/stream.ts
@@ -18,6 +18,10 @@
 export type StreamHandlers = {
 	readonly onMessages: (stream: PeerStream, messages: readonly PeerMessage[]) => void;
 	readonly onClose: (stream: PeerStream) => void;
+	/** Returns the stamp of the hybrid logical clock for a frame. */
+	readonly getStamp: () => number;
+	/** Takes in the stamp of a received frame. */
+	readonly observeStamp: (stamp: number) => void;
 	/** Everything sent before the marker `sent` has reached the other process. */
 	readonly onConfirm: (stream: PeerStream, sent: number) => void;
 };
@@ -119,7 +123,7 @@
 			return;
 		}
 
-		const frame = packr.pack(this.#queue);
+		const frame = packr.pack([this.handlers.getStamp(), this.#queue]);
 		this.#queue = [];
 		this.socket.send(frame);
 	}
@@ -127,16 +131,17 @@
 	#handleFrame(data: Uint8Array): void {
 		this.#heardAt = this.clock.getTime();
 		this.usedAt = this.#heardAt;
-		let messages: unknown;
+		let frame: unknown;
 		try {
-			messages = unpackr.unpack(data);
+			frame = unpackr.unpack(data);
 		} catch {
 			this.close();
 			return;
 		}
 
-		if (Array.isArray(messages)) {
-			this.handlers.onMessages(this, messages as PeerMessage[]);
+		if (Array.isArray(frame) && Array.isArray(frame[1])) {
+			this.handlers.observeStamp(Number(frame[0]));
+			this.handlers.onMessages(this, frame[1] as PeerMessage[]);
 		}
 	}
 
--- a/src/core/outcome/state.ts
+++ b/src/core/outcome/state.ts
@@ -2,7 +2,7 @@
  * State of a home: its jobs, its kept answers and the memory they take.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {JobAnswer} from '../../ports/messages.ts';
+import type {JobAnswer, TaskTally} from '../../ports/messages.ts';
 import {isSameNode} from '../identity/logic.ts';
 import type {JobId, NodeRef} from '../identity/types.ts';
 import {assertInvariant} from './errors.ts';
@@ -108,6 +108,22 @@
 	return job;
 }
 
+function computeTallies(job: JobRecord): TaskTally[] {
+	const tallies = new Map<string, {agent: string; done: number; failed: number}>();
+	for (const task of job.tasks) {
+		if (task.agent === undefined || (task.state !== 'done' && task.state !== 'failed')) {
+			continue;
+		}
+
+		const {name} = task.agent;
+		const tally = tallies.get(name) ?? {agent: name, done: 0, failed: 0};
+		tally[task.state]++;
+		tallies.set(name, tally);
+	}
+
+	return [...tallies.values()];
+}
+
 /**
  * Sets the answer of a job, once, and sends it to all that wait.
  *
@@ -123,7 +139,9 @@
 	);
 	job.answer = answer;
 	state.openJobs.delete(job.id);
-	state.effects.push({type: 'answered', job, answer});
+	state.effects.push({
+		type: 'answered', job, answer, tallies: computeTallies(job),
+	});
 	for (const to of job.waiters.values()) {
 		state.effects.push({
 			type: 'reply', to, id: job.id, answer,
--- a/src/core/outcome/types.ts
+++ b/src/core/outcome/types.ts
@@ -3,7 +3,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {
-	FailureReason, JobAnswer, JobRequest, TaskStart,
+	FailureReason, JobAnswer, JobRequest, TaskStart, TaskTally,
 } from '../../ports/messages.ts';
 import type {JobId, JobIdParts, NodeRef} from '../identity/types.ts';
 
@@ -79,7 +79,7 @@
 	| {readonly type: 'pending'; readonly to: NodeRef; readonly id: JobId}
 	| {readonly type: 'drop'; readonly to: NodeRef; readonly job: JobRecord}
 	| {readonly type: 'queued'; readonly job: JobRecord}
-	| {readonly type: 'answered'; readonly job: JobRecord; readonly answer: JobAnswer};
+	| {readonly type: 'answered'; readonly job: JobRecord; readonly answer: JobAnswer; readonly tallies: readonly TaskTally[]};
 
 /** A submission as it reaches the home, with the verified parts of its id. */
 export type Submission = {
--- a/src/ports/messages.ts
+++ b/src/ports/messages.ts
@@ -121,13 +121,20 @@
 	readonly leaving: boolean;
 };
 
+/** How the tasks of a job ended at one agent. */
+export type TaskTally = {
+	readonly agent: NodeName;
+	readonly done: number;
+	readonly failed: number;
+};
+
 /** Every message between processes, told apart by `type`. */
 export type PeerMessage =
-	| {readonly type: 'submit'; readonly request: JobRequest}
+	| {readonly type: 'submit'; readonly request: JobRequest; readonly isTrial: boolean; readonly ejected: readonly NodeName[]}
 	| {readonly type: 'query'; readonly id: JobId; readonly customer: string}
 	| {readonly type: 'cancel'; readonly id: JobId; readonly customer: string}
 	| {readonly type: 'pending'; readonly id: JobId}
-	| {readonly type: 'answer'; readonly id: JobId; readonly answer: JobAnswer; readonly load?: LoadReport}
+	| {readonly type: 'answer'; readonly id: JobId; readonly answer: JobAnswer; readonly load?: LoadReport; readonly tallies?: readonly TaskTally[]}
 	| {readonly type: 'start'; readonly tasks: readonly TaskStart[]}
 	| {readonly type: 'result'; readonly results: readonly TaskResult[]; readonly load: LoadReport}
 	| {readonly type: 'drop'; readonly jobs: readonly JobDrop[]}
--- a/src/ports/metrics.ts
+++ b/src/ports/metrics.ts
@@ -20,5 +20,20 @@
 	readonly samples: readonly MetricSample[];
 };
 
+/** Counts observed values by size. */
+export type Histogram = {
+	/** Takes in one value, in the unit of the metric's name. */
+	observeValue(labels: MetricLabels, value: number): void;
+};
+
+/** Describes a histogram. */
+export type HistogramConfig = {
+	readonly name: string;
+	readonly help: string;
+	readonly labelNames: readonly string[];
+	/** Upper bounds, in the unit of the name. */
+	readonly bounds: readonly number[];
+};
+
 /** Lists the metrics of one part of the program. */
 export type MetricSource = () => readonly Metric[];
--- a/src/processes/agent/execution-task.ts
+++ b/src/processes/agent/execution-task.ts
@@ -8,6 +8,7 @@
 } from '../../core/execution/logic.ts';
 import {createExecutionRecords, pruneRecords, type ExecutionRecords} from '../../core/execution/state.ts';
 import type {NodeName, NodeRef} from '../../core/identity/types.ts';
+import type {EventFields} from '../../core/timeline/types.ts';
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {Log} from '../../ports/log.ts';
 import type {
@@ -211,6 +212,7 @@
 	async #run(task: TaskStart, queuedAt: Milliseconds): Promise<Milliseconds> {
 		const startedAt = this.#clock.getTime();
 		startTask(this.#records, task);
+		this.#record('start', task, {duration: startedAt - queuedAt});
 		const outcome = await this.#caller!.callTarget(task, Math.max(1, queuedAt + task.deadline - startedAt));
 		const result: TaskResult = {
 			job: task.job,
@@ -222,10 +224,17 @@
 			runTime: outcome.runTime,
 			waitTime: startedAt - queuedAt,
 		};
+		this.#record('end', task, {duration: outcome.runTime, reason: outcome.status});
 		this.#reply(endTask(this.#records, result), result);
 		return outcome.runTime;
 	}
 
+	#record(type: 'start' | 'end', task: TaskStart, fields: Pick<EventFields, 'duration' | 'reason'>): void {
+		this.#node.timeline.record({
+			type, job: task.job, customer: task.customer, kind: task.kind, task: task.index, ...fields,
+		});
+	}
+
 	#refuse(task: Pick<TaskStart, 'job' | 'index'>, reason: NotStartedReason): void {
 		this.#reply(getHome(this.#records, task), refuseTask(this.#records, task, reason));
 	}
--- a/src/processes/agent/home-task.ts
+++ b/src/processes/agent/home-task.ts
@@ -13,10 +13,11 @@
 import type {
 	HomeEffect, JobCall, JobRecord, PendingTask, Refusal,
 } from '../../core/outcome/types.ts';
-import type {Clock, Timer} from '../../ports/clock.ts';
+import type {Assignment} from '../../core/placement/types.ts';
+import type {Clock, Milliseconds, Timer} from '../../ports/clock.ts';
 import type {MemberChange} from '../../ports/membership.ts';
 import type {
-	JobAnswer, JobRequest, PeerMessage, TaskResult, TaskStart,
+	JobAnswer, JobRequest, PeerMessage, TaskResult, TaskStart, TaskTally,
 } from '../../ports/messages.ts';
 import type {Metric} from '../../ports/metrics.ts';
 import type {FleetView} from '../shared/fleet-view.ts';
@@ -32,6 +33,9 @@
 
 type EffectHandlers = {[Type in HomeEffect['type']]: (effect: Extract<HomeEffect, {type: Type}>) => void};
 
+/** Greatest number of agents whose results go with an answer. */
+const maxTallies = 32;
+
 /** What the home task needs. */
 export type HomeInput = {
 	readonly node: Node;
@@ -51,11 +55,15 @@
 	readonly #idleWaiters: Array<() => void> = [];
 	#isLeaving = false;
 	#isPlacing = false;
+	/** How tasks ended, of the jobs answered in this turn. */
+	readonly #tallies = new Map<JobId, readonly TaskTally[]>();
+	/** Tasks that are trials of their agent, as `job/index`. */
+	readonly #trials = new Set<string>();
 	#deadlineTimer: Timer | undefined;
 
 	readonly #effectHandlers: EffectHandlers = {
 		reply: ({to, id, answer}) => {
-			this.#sendAnswer(to, id, answer);
+			this.#sendAnswer(to, id, answer, this.#tallies.get(id));
 		},
 		pending: ({to, id}) => {
 			this.#node.sendMessage(to, {type: 'pending', id});
@@ -66,7 +74,9 @@
 		queued: ({job}) => {
 			this.#addPending(job);
 		},
-		answered: () => {
+		answered: ({job, answer, tallies}) => {
+			this.#tallies.set(job.id, tallies.slice(0, maxTallies));
+			this.#recordAnswer(job, answer);
 			this.#checkIdle();
 		},
 	};
@@ -139,8 +149,9 @@
 
 	#setHandlers(): void {
 		const node = this.#node;
-		node.setHandler('submit', (from, {request}) => {
-			this.#handleSubmit(from, request);
+		node.setHandler('submit', (from, {request, isTrial, ejected}) => {
+			this.#fleet.health.setHint(from.name, ejected);
+			this.#handleSubmit(from, request, isTrial);
 		});
 		node.setHandler('query', (from, message) => {
 			this.#handleCall(from, message, queryJob);
@@ -170,7 +181,7 @@
 		return parts.isOk() ? parts.value : undefined;
 	}
 
-	#handleSubmit(from: NodeRef, request: JobRequest): void {
+	#handleSubmit(from: NodeRef, request: JobRequest, isTrial: boolean): void {
 		const parts = this.#verifyId(request.id, request.customer);
 		const isKnown = this.state.jobs.has(request.id);
 		if (parts === undefined || (this.#isLeaving && !isKnown)) {
@@ -180,6 +191,9 @@
 
 		submitJob(this.state, {request, from, ...parts}, this.#clock.getTime());
 		this.#applyEffects();
+		if (isTrial) {
+			this.#startTrial(this.#node.self);
+		}
 	}
 
 	#handleCall(
@@ -210,6 +224,25 @@
 		this.#schedulePlacing();
 	}
 
+	/** Sends the next pending task to an agent whatever its load, to see whether it succeeds there. */
+	#startTrial(agent: NodeRef): void {
+		const pending = this.#pending.selectTask(() => true);
+		if (pending === undefined) {
+			return;
+		}
+
+		this.#trials.add(`${pending.job.id}/${pending.index}`);
+		this.#sendStart(agent, [sendTask(this.state, pending, agent, this.#clock.getTime())]);
+	}
+
+	#recordAnswer(job: JobRecord, answer: JobAnswer): void {
+		const {id, customer, kind} = job;
+		const failure = answer.outcome === 'complete' ? undefined : {reason: `${answer.outcome} ${answer.reason}`, detail: answer.detail};
+		this.#node.timeline.record({
+			type: 'answer', job: id, customer, kind, ...failure ?? {reason: 'complete'},
+		});
+	}
+
 	#recordEnd(from: NodeRef, result: TaskResult): void {
 		const job = this.state.jobs.get(result.job);
 		if (job === undefined) {
@@ -223,6 +256,14 @@
 			...(result.reason && {reason: result.reason}),
 			runTime: result.runTime,
 		});
+		this.#fleet.health.recordOutcome({
+			agent: from, customer: job.customer, kind: job.kind, status: result.status, trial: this.#trials.delete(`${job.id}/${result.index}`),
+		});
+		if (result.status === 'not-started') {
+			this.#node.timeline.record({
+				type: 'retry', job: job.id, customer: job.customer, task: result.index, peer: from.name, reason: result.reason ?? 'not-started',
+			});
+		}
 	}
 
 	#handleMemberChange({member, previous}: MemberChange): void {
@@ -251,6 +292,7 @@
 			(this.#effectHandlers[effect.type] as (effect: HomeEffect) => void)(effect);
 		}
 
+		this.#tallies.clear();
 		this.#updateTimer();
 	}
 
@@ -269,10 +311,10 @@
 		});
 	}
 
-	#sendAnswer(to: NodeRef, id: JobId, answer: JobAnswer): void {
+	#sendAnswer(to: NodeRef, id: JobId, answer: JobAnswer, tallies: readonly TaskTally[] = []): void {
 		const load = this.#execution.getLoad();
 		this.#node.sendMessage(to, {
-			type: 'answer', id, answer, load,
+			type: 'answer', id, answer, load, tallies,
 		});
 		this.#execution.recordReport(to, load);
 	}
@@ -304,14 +346,22 @@
 			return;
 		}
 
-		for (const {agent, count: room} of this.#fleet.chooseAgents(count)) {
-			this.#sendTasks(agent, room);
+		const trialAgent = this.#fleet.health.startTrial();
+		if (trialAgent !== undefined && this.#isReachable(trialAgent)) {
+			this.#startTrial(trialAgent);
 		}
+
+		for (const assignment of this.#fleet.chooseAgents(count)) {
+			this.#sendTasks(assignment);
+		}
+	}
+
+	#isReachable(agent: NodeRef): boolean {
+		return agent.name === this.#node.self.name || this.#node.network.hasStream(agent);
 	}
 
-	#sendTasks(agent: NodeRef, room: number): void {
-		const isReachable = agent.name === this.#node.self.name || this.#node.network.hasStream(agent);
-		if (!isReachable) {
+	#sendTasks({agent, count: room, candidates, expectedWait}: Assignment): void {
+		if (!this.#isReachable(agent)) {
 			return;
 		}
 
@@ -326,8 +376,28 @@
 		}
 
 		if (tasks.length > 0) {
-			this.#fleet.recordSent(agent, tasks.length);
-			this.#node.sendMessage(agent, {type: 'start', tasks});
+			this.#recordPlacement(tasks, agent, candidates.join(' '), expectedWait);
+			this.#sendStart(agent, tasks);
+		}
+	}
+
+	#sendStart(agent: NodeRef, tasks: readonly TaskStart[]): void {
+		this.#fleet.recordSent(agent, tasks.length);
+		this.#node.sendMessage(agent, {type: 'start', tasks});
+	}
+
+	#recordPlacement(tasks: readonly TaskStart[], agent: NodeRef, detail: string, duration: Milliseconds): void {
+		const counts = new Map<TaskStart['job'], {first: TaskStart; count: number}>();
+		for (const task of tasks) {
+			const entry = counts.get(task.job) ?? {first: task, count: 0};
+			entry.count++;
+			counts.set(task.job, entry);
+		}
+
+		for (const {first, count} of counts.values()) {
+			this.#node.timeline.record({
+				type: 'placement', job: first.job, customer: first.customer, task: first.index, count, peer: agent.name, detail, duration,
+			});
 		}
 	}
 
--- a/src/processes/entry/calls.ts
+++ b/src/processes/entry/calls.ts
@@ -5,13 +5,13 @@
 import {isSameNode} from '../../core/identity/logic.ts';
 import type {Clock, Milliseconds, Timer} from '../../ports/clock.ts';
 import type {MemberChange} from '../../ports/membership.ts';
-import type {JobAnswer, PeerMessage} from '../../ports/messages.ts';
+import type {JobAnswer, PeerMessage, TaskTally} from '../../ports/messages.ts';
 import type {FleetView} from '../shared/fleet-view.ts';
 import type {Node} from '../shared/node.ts';
 
 /** How a call ended. */
 export type CallResult =
-	| {readonly type: 'answer'; readonly answer: JobAnswer}
+	| {readonly type: 'answer'; readonly answer: JobAnswer; readonly tallies: readonly TaskTally[]}
 	| {readonly type: 'pending'}
 	/** The home incarnation is gone or did not answer in time; `isSent` tells whether the call may have reached it. */
 	| {readonly type: 'lost'; readonly reason: 'home-lost' | 'deadline'; readonly isSent: boolean};
@@ -42,12 +42,12 @@
 	 */
 	constructor(private readonly node: Node, fleet: FleetView) {
 		this.#clock = node.input.clock;
-		node.setHandler('answer', (from, {id, answer, load}) => {
+		node.setHandler('answer', (from, {id, answer, load, tallies = []}) => {
 			if (load !== undefined) {
 				fleet.recordLoad(from, load, 'result');
 			}
 
-			this.#settleCalls(id, from, {type: 'answer', answer});
+			this.#settleCalls(id, from, {type: 'answer', answer, tallies});
 		});
 		node.setHandler('pending', (from, {id}) => {
 			this.#settleCalls(id, from, {type: 'pending'}, call => call.message.type === 'query');
--- a/src/processes/entry/entry.ts
+++ b/src/processes/entry/entry.ts
@@ -9,8 +9,12 @@
 import {waitAtMost} from '../shared/wait.ts';
 import {AdmissionTask, listEntries} from './admission-task.ts';
 import {HomeCalls} from './calls.ts';
+import {OutcomeCounts} from './outcomes.ts';
 import {EntryJobService} from './job-service.ts';
 
+/** Upper bounds of the histogram of response times, in seconds. */
+const responseBounds = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+
 /** A running entry. */
 export type Entry = AsyncDisposable & {
 	readonly node: Node;
@@ -33,8 +37,13 @@
 	const fleet = stack.addResource(new FleetView(node, () => listEntries(node)));
 	const calls = stack.addResource(new HomeCalls(node, fleet));
 	const admission = stack.addResource(new AdmissionTask(node));
+	const responses = await node.metrics.createHistogram({
+		name: 'medlardale_job_response_seconds', help: 'Time from the request to the whole answer', labelNames: ['customer'], bounds: responseBounds,
+	});
+	const outcomes = new OutcomeCounts(responses);
+	node.metrics.addSource(() => outcomes.listMetrics(clock.getTime()));
 	const jobs = new EntryJobService({
-		node, fleet, calls, admission,
+		node, fleet, calls, admission, outcomes,
 	});
 	const http = stack.addResource(await startHttpInterface({
 		jobs,
--- a/src/processes/entry/job-service.ts
+++ b/src/processes/entry/job-service.ts
@@ -4,9 +4,12 @@
 import {randomBytes} from 'node:crypto';
 import {mintJobId, verifyJobId} from '../../core/identity/logic.ts';
 import type {IdentityErrorKind} from '../../core/identity/errors.ts';
-import type {JobId, JobIdParts, NodeRef} from '../../core/identity/types.ts';
+import type {
+	JobId, JobIdParts, NodeName, NodeRef,
+} from '../../core/identity/types.ts';
 import type {AdmissionError, AdmissionErrorKind} from '../../core/admission/errors.ts';
 import type {Contract} from '../../core/contracts/types.ts';
+import type {EventFields} from '../../core/timeline/types.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {JobReply, JobService, JobSubmission} from '../../ports/jobs.ts';
 import type {JobAnswer, JobRequest} from '../../ports/messages.ts';
@@ -14,6 +17,7 @@
 import type {Node} from '../shared/node.ts';
 import type {AdmissionTask} from './admission-task.ts';
 import type {CallResult, HomeCalls} from './calls.ts';
+import type {OutcomeCounts} from './outcomes.ts';
 
 const nonceBytes = 6;
 
@@ -28,6 +32,9 @@
 /** Greatest number of open calls that make refusals of job ids final. */
 const maxRefusalCalls = 64;
 
+/** Greatest number of results of one job and agent that count for the agent's health. */
+const maxTallied = 3;
+
 const refusalStatuses: Record<AdmissionErrorKind, number> = {
 	'unknown-kind': 422,
 	deadline: 422,
@@ -45,6 +52,7 @@
 	readonly fleet: FleetView;
 	readonly calls: HomeCalls;
 	readonly admission: AdmissionTask;
+	readonly outcomes: OutcomeCounts;
 };
 
 function createRefusal(status: number, field: string, message: string): JobReply {
@@ -74,10 +82,16 @@
 	readonly #fleet: FleetView;
 	readonly #calls: HomeCalls;
 	readonly #admission: AdmissionTask;
+	readonly #outcomes: OutcomeCounts;
+	/** Jobs whose home is an agent on trial. */
+	readonly #trials = new Map<JobId, NodeName>();
 	#refusalCalls = 0;
 
 	/** @param input - What the service needs. */
-	constructor({node, fleet, calls, admission}: JobServiceInput) {
+	constructor({
+		node, fleet, calls, admission, outcomes,
+	}: JobServiceInput) {
+		this.#outcomes = outcomes;
 		this.#node = node;
 		this.#fleet = fleet;
 		this.#calls = calls;
@@ -109,14 +123,17 @@
 		}
 
 		const deadline = this.#computeDeadline(contract, submission);
+		this.#record(contract, id, {type: 'submission', kind: submission.kind, count: submission.tasks.length});
+		const startedAt = this.#node.input.clock.getTime();
 		const refusal = this.#admission.admitJob(contract, submission, deadline);
 		if (refusal !== undefined) {
+			this.#recordRefusal(contract, id, submission, refusal);
 			return this.#refuseId(contract, id, parts.value.home, refusal, deadline);
 		}
 
 		try {
 			const result = await this.#callSubmit(contract, id, parts.value.home, submission);
-			return this.#createReply(id, result);
+			return this.#recordReply(contract, startedAt, this.#createReply(id, result));
 		} finally {
 			this.#admission.recordAnswer(contract, submission);
 		}
@@ -125,11 +142,13 @@
 	async submitNewJob(contract: Contract, submission: JobSubmission): Promise<JobReply> {
 		const refusal = this.#admission.admitJob(contract, submission, this.#computeDeadline(contract, submission));
 		if (refusal !== undefined) {
+			this.#recordRefusal(contract, undefined, submission, refusal);
 			return createAdmissionRefusal(refusal);
 		}
 
+		const startedAt = this.#node.input.clock.getTime();
 		try {
-			return await this.#submitToAnyHome(contract, submission);
+			return this.#recordReply(contract, startedAt, await this.#submitToAnyHome(contract, submission));
 		} finally {
 			this.#admission.recordAnswer(contract, submission);
 		}
@@ -149,11 +168,17 @@
 
 	async #submitToAnyHome(contract: Contract, submission: JobSubmission): Promise<JobReply> {
 		for (let attempt = 0; attempt < maxHomes; attempt++) {
-			const minted = this.#mintId(contract);
+			const trialAgent = submission.tasks.length === 1 ? this.#fleet.health.startTrial() : undefined;
+			const minted = this.#mintId(contract, trialAgent);
 			if (minted === undefined) {
 				break;
 			}
 
+			if (trialAgent !== undefined) {
+				this.#trials.set(minted.id, trialAgent.name);
+			}
+
+			this.#record(contract, minted.id, {type: 'submission', kind: submission.kind, count: submission.tasks.length});
 			const result = await this.#callSubmit(contract, minted.id, minted.parts.home, submission);
 			const isUnsent = result.type === 'lost' && !result.isSent;
 			const isLeaving = result.type === 'answer' && result.answer.outcome === 'not-run' && result.answer.reason === 'leaving';
@@ -211,20 +236,74 @@
 			digest: submission.digest,
 			tasks: submission.tasks,
 		};
+		const {health} = this.#fleet;
+		const trialOf = this.#trials.get(id);
+		const message = {
+			type: 'submit', request, isTrial: trialOf !== undefined, ejected: health.listEjected().map(({name}) => name),
+		} as const;
 		this.#fleet.recordSent(home, 1);
-		const result = await this.#calls.callHome(home, {type: 'submit', request}, deadline + answerGraceMs);
+		this.#record(contract, id, {
+			type: 'home', kind: submission.kind, count: submission.tasks.length, peer: home.name,
+		});
+		const result = await this.#calls.callHome(home, message, deadline + answerGraceMs);
 		this.#fleet.recordEnd(home, {
 			customer: contract.customer, kind: submission.kind, status: 'unknown', runTime: 0,
 		});
+		this.#trials.delete(id);
+		this.#recordTallies(contract.customer, submission.kind, result, trialOf);
 		return result;
 	}
 
+	/** Records how tasks ended at their agents, a few of each job, so that one wide job does not outweigh others. */
+	#recordTallies(customer: string, kind: string, result: CallResult, trialOf: NodeName | undefined): void {
+		if (result.type !== 'answer') {
+			return;
+		}
+
+		for (const {agent, done, failed} of result.tallies) {
+			const member = this.#node.membership.findMember(agent);
+			if (member === undefined) {
+				continue;
+			}
+
+			const statuses = [
+				...Array.from({length: Math.min(done, maxTallied)}, () => 'done' as const),
+				...Array.from({length: Math.min(failed, maxTallied)}, () => 'failed' as const),
+			];
+			for (const status of statuses) {
+				this.#fleet.health.recordOutcome({
+					agent: member.address, customer, kind, status, trial: agent === trialOf,
+				});
+			}
+		}
+	}
+
+	#record(contract: Contract, id: JobId | undefined, fields: Omit<EventFields, 'job' | 'customer'>): void {
+		this.#node.timeline.record({...fields, customer: contract.customer, ...(id !== undefined && {job: id})});
+	}
+
+	#recordRefusal(contract: Contract, id: JobId | undefined, submission: JobSubmission, {kind, message}: AdmissionError): void {
+		this.#outcomes.recordRefusal(contract.customer, kind);
+		this.#record(contract, id, {
+			type: 'refusal', kind: submission.kind, count: submission.tasks.length, reason: kind, detail: message,
+		});
+	}
+
+	#recordReply(contract: Contract, startedAt: Milliseconds, reply: JobReply): JobReply {
+		const now = this.#node.input.clock.getTime();
+		const answer = reply.type === 'answer' ? reply.answer : undefined;
+		const failure = answer === undefined ? 'not-run no-capacity' : undefined;
+		const outcome = answer?.outcome === 'complete' ? 'complete' : failure ?? `${answer!.outcome} ${(answer!).reason}`;
+		this.#outcomes.recordEnd(contract.customer, outcome, now - startedAt, now);
+		this.#record(contract, reply.type === 'refused' ? undefined : reply.id, {type: 'answer', reason: outcome, duration: now - startedAt});
+		return reply;
+	}
+
 	#computeDeadline(contract: Contract, submission: JobSubmission): Milliseconds {
 		return submission.deadline ?? contract.kinds[submission.kind]?.deadlineMs ?? this.#node.input.settings.limits.maxDeadlineMs;
 	}
 
-	#mintId(contract: Contract): {id: JobId; parts: JobIdParts} | undefined {
-		const home = this.#fleet.chooseHome();
+	#mintId(contract: Contract, home: NodeRef | undefined = this.#fleet.chooseHome()): {id: JobId; parts: JobIdParts} | undefined {
 		if (home === undefined) {
 			return undefined;
 		}
--- a/src/processes/shared/fleet-view.ts
+++ b/src/processes/shared/fleet-view.ts
@@ -4,13 +4,17 @@
 import {recordEnd, recordReport, recordSent} from '../../core/placement/accounting.ts';
 import {chooseAgents, chooseHome} from '../../core/placement/logic.ts';
 import {choosePeers} from '../../core/placement/peers.ts';
-import {createPlacementState, setAgents, type PlacementState} from '../../core/placement/state.ts';
+import {
+	createPlacementState, setAgents, setEjected, type PlacementState,
+} from '../../core/placement/state.ts';
 import type {Assignment, PlacementAgent, TaskEnd} from '../../core/placement/types.ts';
 import type {NodeRef} from '../../core/identity/types.ts';
 import type {LoadReport} from '../../ports/messages.ts';
 import type {Member, MemberStatus} from '../../ports/membership.ts';
 import type {Settings} from '../../settings/schema.ts';
+import {createLog} from '../../adapters/log/log.ts';
 import {Connector} from './connector.ts';
+import {FleetHealth} from './fleet-health.ts';
 import type {Node} from './node.ts';
 
 const usableStatuses = new Set<MemberStatus>(['alive', 'suspect']);
@@ -37,6 +41,7 @@
 /** What one process knows of the agents, and the streams it keeps to them. */
 export class FleetView implements Disposable {
 	readonly placement: PlacementState;
+	readonly health: FleetHealth;
 	readonly #connector: Connector;
 	readonly #listener: Disposable;
 
@@ -47,6 +52,9 @@
 	constructor(private readonly node: Node, private readonly listOthers: () => readonly Member[] = () => []) {
 		const {settings, role} = node.input;
 		this.placement = createPlacementState(createOptions(settings, role === 'agent' ? node.self.name : undefined));
+		this.health = new FleetHealth(node, createLog('health'), names => {
+			setEjected(this.placement, names);
+		});
 		this.#listener = node.membership.addListener(() => {
 			this.#updateAgents();
 		});
@@ -89,6 +97,7 @@
 	}
 
 	[Symbol.dispose](): void {
+		this.health[Symbol.dispose]();
 		this.#connector[Symbol.dispose]();
 		this.#listener[Symbol.dispose]();
 	}
@@ -105,6 +114,7 @@
 		}
 
 		setAgents(this.placement, agents, this.node.input.clock.getTime());
+		this.health.setAgents(agents);
 	}
 
 	#listPeers(): readonly Member[] {
--- a/src/processes/shared/node.ts
+++ b/src/processes/shared/node.ts
@@ -7,6 +7,7 @@
 import {createMetrics, type Metrics} from '../../adapters/metrics/metrics.ts';
 import {PeerNetwork} from '../../adapters/peer/network.ts';
 import {ResourceStack} from '../../adapters/system/resources.ts';
+import {createTimeline, type Timeline} from '../../core/timeline/logic.ts';
 import type {NodeRef} from '../../core/identity/types.ts';
 import type {Clock} from '../../ports/clock.ts';
 import type {Membership} from '../../ports/membership.ts';
@@ -52,6 +53,7 @@
 	readonly membership: Membership;
 	readonly contracts: RunningContractSource;
 	readonly metrics: Metrics;
+	readonly timeline: Timeline;
 	/** Sets the handler of a type of message. */
 	setHandler<Type extends PeerMessageType>(type: Type, handler: MessageHandler<Type>): void;
 	addStreamListener(listener: StreamListener): void;
@@ -77,8 +79,9 @@
 		host: settings.host,
 		port: server.port,
 	};
+	const timeline = createTimeline({node: self.name, capacity: settings.timeline.capacity, maxDrift: settings.timeline.maxDriftMs}, clock);
 	const network = stack.addResource(new PeerNetwork({
-		self, secret, server: server.server, options: settings.peer, clock, log: createLog('peer'),
+		self, secret, server: server.server, options: settings.peer, clock, stamps: timeline, log: createLog('peer'),
 	}));
 	const membership = stack.addResource(await startGossip({
 		self, peers: settings.peers, secret, options: settings.membership, clock, random, log: createLog('membership'),
@@ -110,6 +113,7 @@
 		membership,
 		contracts,
 		metrics,
+		timeline,
 		setHandler(type, handler) {
 			handlers.set(type, handler as unknown as MessageHandler<PeerMessageType>);
 		},
@@ -154,6 +158,14 @@
 		},
 	});
 
+	membership.addListener(({member, previous}) => {
+		if (member.status !== previous?.status) {
+			timeline.record({type: 'membership', peer: member.address.name, reason: member.status});
+		}
+	});
+	contracts.addListener(({revision}) => {
+		timeline.record({type: 'configuration', detail: `revision ${revision}`});
+	});
 	const owned = stack.moveResources();
 	return {
 		...node,
