Let the client pass over entries that are gone

A third of the jobs began at the dead entry and each spent a retry, until the budget was empty. Ruled out: a larger share alone (it would also multiply refusals). Change: an entry that gave no answer, is leaving or is not ready is passed over for a second; a try that was never written costs no retry; up to 50 retries are saved, for the answers that a dead entry takes with it. Mutations, each fails one scenario or more: unsent tries charged (1), entries not passed over (1), same entry again (9), first entry when all are avoided (1).

--- a/features/client/client.feature
+++ b/features/client/client.feature
@@ -45,11 +45,20 @@
     Then the client's job ends as not-run
     And the entries received the ids own in turn
 
-  Scenario: An entry that can't be reached is passed over
-    Given a client of two entries that answer complete, complete
+  Scenario: An entry that can't be reached is passed over, at no cost to the retry budget
+    Given a client of two entries that always answer complete
+    When the client submits a job
     And the first of the entries is closed
-    When the client submits 2 jobs
-    Then 2 of the client's jobs ended as complete
+    And the client submits 40 jobs
+    Then 41 of the client's jobs ended as complete
+
+  Scenario: An entry that is leaving is passed over for a while
+    Given a client of two entries that answer 503 not-run request leaving, complete, complete, complete
+    When the client submits a job
+    And the client submits a job
+    And the client submits a job
+    Then 3 of the client's jobs ended as complete
+    And the entries received 1 submission at the one that is leaving
 
   Scenario: Refusals do not multiply the load
     Given a client of two entries that always answer 503 not-run request leaving
--- a/features/client/client.steps.ts
+++ b/features/client/client.steps.ts
@@ -42,6 +42,8 @@
 		entries: this.entries.addresses,
 		token: 'token-1',
 		retryBudget: 0.1,
+		maxSavedRetries: 10,
+		idStock: 64,
 		clock: {
 			...clock,
 			getTime: () => clock.getTime() + this.clockShift,
@@ -114,6 +116,11 @@
 	}
 });
 
+Then('the entries received {int} submission at the one that is leaving', function (this: ClientWorld, count: number) {
+	const [{entry: leaving}] = this.entries.received;
+	assert.equal(this.entries.received.filter(({entry}) => entry === leaving).length, count);
+});
+
 Then('the entries received at most {int} submissions', function (this: ClientWorld, count: number) {
 	assert.ok(this.entries.received.length <= count, String(this.entries.received.length));
 });
--- a/src/client/budget.ts
+++ b/src/client/budget.ts
@@ -10,15 +10,14 @@
 	admitRetry(): boolean;
 };
 
-const maxSaved = 10;
-
 /**
  * Creates a budget that starts full.
  *
  * @param share - Retries per first try, such as 0.1.
- * @returns The budget; it saves at most 10 retries.
+ * @param maxSaved - Greatest number of retries that are saved up.
+ * @returns The budget.
  */
-export function createRetryBudget(share: number): RetryBudget {
+export function createRetryBudget(share: number, maxSaved: number): RetryBudget {
 	let saved = maxSaved;
 
 	return {
--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -30,6 +30,8 @@
 	maxRetries: 3,
 	maxNewIds: 1,
 	retryBudget: 0.1,
+	maxSavedRetries: 50,
+	avoidMs: 1000,
 	defaultDeadlineMs: 60_000,
 	attemptTimeoutMs: undefined,
 };
@@ -45,13 +47,13 @@
 	const clock = options.clock ?? createSystemClock();
 	const random = options.random ?? createSystemRandom();
 	const entries = createEntries({
-		addresses: options.entries, token: options.token, connections: settings.connections, clock, random,
+		addresses: options.entries, token: options.token, connections: settings.connections, avoidMs: settings.avoidMs, clock, random,
 	});
 	const ids = createIdStock({
 		entries, size: settings.idStock, maxAgeMs: settings.maxIdAgeMs, clock,
 	});
 	const context = {
-		...settings, entries, ids, clock, random, budget: createRetryBudget(settings.retryBudget),
+		...settings, entries, ids, clock, random, budget: createRetryBudget(settings.retryBudget, settings.maxSavedRetries),
 	};
 
 	// Runs every job at once, and tells when none is left.
@@ -59,10 +61,12 @@
 
 	/** Asks one entry after another until one gives an answer of medlardale; a query may be repeated freely. */
 	async function queryEntries(method: 'GET' | 'DELETE', id: string): Promise<Reply> {
-		const turn = entries.getTurn();
+		let turn = entries.getTurn();
 		let reply: Reply | undefined;
 		for (let attempt = 0; attempt < entries.countEntries(); attempt++) {
-			reply = await entries.sendRequest({method, path: `/v1/jobs/${encodeURIComponent(id)}`}, turn + attempt, queryTimeoutMs);
+			const answer = await entries.sendRequest({method, path: `/v1/jobs/${encodeURIComponent(id)}`}, turn, queryTimeoutMs);
+			reply = answer.reply;
+			turn = answer.entry + 1;
 			if (reply.type !== 'problem' || reply.scope === 'job' || (reply.status ?? 500) < 500) {
 				return reply;
 			}
--- a/src/client/entries.ts
+++ b/src/client/entries.ts
@@ -13,12 +13,18 @@
 	readonly body?: unknown;
 };
 
+/** An answer and the index of the entry that was asked. */
+export type EntryReply = {
+	readonly reply: Reply;
+	readonly entry: number;
+};
+
 /** The entries; disposing of it waits for what is in flight. */
 export type Entries = AsyncDisposable & {
 	/** Returns the number of entries. */
 	countEntries(): number;
-	/** Sends a request to the next entry after those that this call counts from `turn`. */
-	sendRequest(request: EntryRequest, turn: number, timeout: Milliseconds): Promise<Reply>;
+	/** Sends a request to the first entry from `turn` on that is not avoided. */
+	sendRequest(request: EntryRequest, turn: number, timeout: Milliseconds): Promise<EntryReply>;
 	/** Returns the turn to begin a job with. */
 	getTurn(): number;
 };
@@ -28,6 +34,8 @@
 	readonly addresses: readonly string[];
 	readonly token: string;
 	readonly connections: number;
+	/** Time for which an entry that gave no answer or is leaving is avoided, in ms. */
+	readonly avoidMs: Milliseconds;
 	readonly clock: Clock;
 	readonly random: Random;
 };
@@ -35,31 +43,53 @@
 const connectTimeoutMs = 500;
 const maxAnswerBytes = 268_435_456;
 
+/** Reasons for which an entry serves nobody for a while. */
+const avoidableReasons: ReadonlySet<string> = new Set(['leaving', 'not-ready']);
+
+function isAvoidable(reply: Reply): boolean {
+	return reply.type === 'problem' && reply.scope === 'request' && (reply.status === undefined || avoidableReasons.has(reply.reason));
+}
+
 /**
  * Creates the senders to all entries.
  *
  * @param options - Addresses and token.
  * @returns The entries.
  */
-export function createEntries({addresses, token, connections, clock, random}: EntriesOptions): Entries {
+export function createEntries({addresses, token, connections, avoidMs, clock, random}: EntriesOptions): Entries {
 	const senders = addresses.map(address => createSender({
 		address, connections, connectTimeoutMs, maxAnswerBytes, clock,
 	}));
+	const avoidedUntil = addresses.map(() => 0);
 	// Clients that start together begin at different entries.
 	let nextTurn = random.getInteger(senders.length);
 
+	function chooseEntry(turn: number): number {
+		const now = clock.getTime();
+		for (let offset = 0; offset < senders.length; offset++) {
+			const entry = (turn + offset) % senders.length;
+			if (avoidedUntil[entry] <= now) {
+				return entry;
+			}
+		}
+
+		return turn % senders.length;
+	}
+
 	return {
 		countEntries: () => senders.length,
 		getTurn: () => nextTurn++,
 		async sendRequest({method, path, body}, turn, timeout) {
-			const sender = senders[turn % senders.length];
-			const outcome = await sender.sendRequest({
+			const entry = chooseEntry(turn);
+			const outcome = await senders[entry].sendRequest({
 				method,
 				path,
 				headers: {authorization: `Bearer ${token}`, ...(body !== undefined && {'content-type': 'application/json'})},
 				...(body !== undefined && {body: Buffer.from(JSON.stringify(body))}),
 			}, timeout);
-			return parseReply(outcome);
+			const reply = parseReply(outcome);
+			avoidedUntil[entry] = isAvoidable(reply) ? clock.getTime() + avoidMs : 0;
+			return {reply, entry};
 		},
 		async [Symbol.asyncDispose]() {
 			await Promise.all(senders.map(async sender => sender[Symbol.asyncDispose]()));
--- a/src/client/id-stock.ts
+++ b/src/client/id-stock.ts
@@ -49,10 +49,11 @@
 	const background = new PQueue({concurrency: 1});
 
 	async function fetchIds(count: number): Promise<Result<readonly string[], ClientError>> {
-		const turn = entries.getTurn();
+		let turn = entries.getTurn();
 		let result: Result<readonly string[], ClientError> | undefined;
 		for (let attempt = 0; attempt < entries.countEntries(); attempt++) {
-			const reply = await entries.sendRequest({method: 'POST', path: `/v1/job-ids?count=${count}`}, turn + attempt, fetchTimeoutMs);
+			const {reply, entry} = await entries.sendRequest({method: 'POST', path: `/v1/job-ids?count=${count}`}, turn, fetchTimeoutMs);
+			turn = entry + 1;
 			if (reply.type === 'ids' && reply.ids.length > 0) {
 				return Ok(reply.ids);
 			}
--- a/src/client/submit.ts
+++ b/src/client/submit.ts
@@ -6,10 +6,10 @@
 import type {Random} from '../ports/random.ts';
 import type {RetryBudget} from './budget.ts';
 import {chooseNextStep, computeOutcome, createClientError} from './decide.ts';
-import type {Entries} from './entries.ts';
+import type {Entries, EntryReply} from './entries.ts';
 import type {ClientError} from './errors.ts';
 import type {IdStock} from './id-stock.ts';
-import type {ProblemReply, Reply} from './replies.ts';
+import type {ProblemReply} from './replies.ts';
 import type {CompleteJob, JobDescription, SubmitOptions} from './types.ts';
 
 /** What submissions share. */
@@ -36,6 +36,11 @@
 	return retryAfter + (random.getFloat() * spread);
 }
 
+/** Returns whether the try put no load on any entry, so that the next one is no retry to count. */
+function isUnsent({status, outcome}: ProblemReply): boolean {
+	return status === undefined && outcome === 'not-run';
+}
+
 async function wait(clock: Clock, delay: Milliseconds): Promise<void> {
 	await new Promise<void>(resolve => {
 		clock.startTimer(delay, resolve);
@@ -83,7 +88,8 @@
 				return minted;
 			}
 
-			const reply = await this.#send(minted.value);
+			const {reply, entry} = await this.#send(minted.value);
+			this.#turn = entry + 1;
 			if (reply.type === 'complete') {
 				return Ok(reply);
 			}
@@ -109,7 +115,7 @@
 		return minted;
 	}
 
-	async #send(id: string): Promise<Reply> {
+	async #send(id: string): Promise<EntryReply> {
 		const {kind, idempotent = false, deadlineMs} = this.#job;
 		const left = Math.max(1, Math.floor(this.#endsAt - this.#context.clock.getTime()));
 		return this.#context.entries.sendRequest({
@@ -132,12 +138,11 @@
 
 		const delay = computeDelay(step.delay, this.#retries, random);
 		const isInTime = clock.getTime() + delay < this.#endsAt;
-		if (!isInTime || this.#retries >= maxRetries || !budget.admitRetry()) {
+		if (!isInTime || this.#retries >= maxRetries || !(isUnsent(problem) || budget.admitRetry())) {
 			return error;
 		}
 
 		this.#retries++;
-		this.#turn++;
 		if (step.type === 'renew') {
 			this.#newIds++;
 			this.#id = undefined;
--- a/src/client/types.ts
+++ b/src/client/types.ts
@@ -24,6 +24,10 @@
 	readonly maxNewIds?: number;
 	/** Retries per first try over all jobs, such as 0.1. */
 	readonly retryBudget?: number;
+	/** Greatest number of retries that are saved up. */
+	readonly maxSavedRetries?: number;
+	/** Time for which an entry that can't be reached or is leaving is passed over, in ms. */
+	readonly avoidMs?: Milliseconds;
 	/** Time for a job that states no deadline, in ms. */
 	readonly defaultDeadlineMs?: Milliseconds;
 	/** Time for one answer, in ms, after which the job is sent again; half of the deadline if absent. */
