Answer operators over tRPC: status, revisions in force, events

Ruled out: the callers' HTTP interface (other secret, other port); loading tRPC at the start of every agent (memory). Change: a tRPC router on each process's own port, loaded at the first call, with the operators' secret compared in constant time; `status` (processes, data centres, customers; JSON, watch); the contract commands reach the fleet through any process.

--- a/src/processes/agent/agent.ts
+++ b/src/processes/agent/agent.ts
@@ -44,6 +44,7 @@
 	const fleet = stack.addResource(new FleetView(node));
 	const execution = stack.addResource(new ExecutionTask({node, registration, log: createLog('execution')}));
 	const home = stack.addResource(new HomeTask({node, fleet, execution}));
+	node.setStatusSource(() => ({ejected: fleet.health.listEjected(), load: execution.getLoad(), home: home.getReport()}));
 	node.metrics.addSource(() => home.listMetrics());
 	node.metrics.addSource(() => execution.listMetrics());
 	log.info(`agent "${settings.name}" listens on ${settings.host}:${node.server.port}`);
--- a/src/processes/agent/home-task.ts
+++ b/src/processes/agent/home-task.ts
@@ -19,6 +19,7 @@
 import type {
 	JobAnswer, JobRequest, PeerMessage, TaskResult, TaskStart, TaskTally,
 } from '../../ports/messages.ts';
+import type {HomeReport} from '../../ports/control.ts';
 import type {Metric} from '../../ports/metrics.ts';
 import type {FleetView} from '../shared/fleet-view.ts';
 import type {Node} from '../shared/node.ts';
@@ -117,6 +118,14 @@
 		});
 	}
 
+	/** Returns what the home keeps. */
+	getReport(): HomeReport {
+		const {jobs, openJobs, bytes} = this.state;
+		return {
+			openJobs: openJobs.size, keptAnswers: jobs.size - openJobs.size, pendingTasks: this.#pending.countTasks(), bytes,
+		};
+	}
+
 	/** Lists the metrics of the home. */
 	listMetrics(): Metric[] {
 		const {jobs, openJobs, refusals, bytes} = this.state;
--- a/src/processes/entry/entry.ts
+++ b/src/processes/entry/entry.ts
@@ -42,6 +42,7 @@
 	});
 	const outcomes = new OutcomeCounts(responses);
 	node.metrics.addSource(() => outcomes.listMetrics(clock.getTime()));
+	node.setStatusSource(() => ({ejected: fleet.health.listEjected(), customers: outcomes.listReports(clock.getTime())}));
 	const jobs = new EntryJobService({
 		node, fleet, calls, admission, outcomes,
 	});
--- a/src/processes/entry/outcomes.ts
+++ b/src/processes/entry/outcomes.ts
@@ -2,6 +2,7 @@
  * Counts the outcomes of jobs per customer: totals for metrics, and the success rate over a window.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
+import type {CustomerReport} from '../../ports/control.ts';
 import type {Histogram, Metric} from '../../ports/metrics.ts';
 
 const bucketMs = 10_000;
@@ -23,16 +24,6 @@
 	readonly buckets: Bucket[];
 };
 
-/** Outcomes of one customer, as told to operators. */
-export type CustomerReport = {
-	readonly customer: string;
-	/** Jobs of the window that were admitted and have ended. */
-	readonly ended: number;
-	/** Those of them that completed. */
-	readonly complete: number;
-	readonly totals: Readonly<Record<string, number>>;
-};
-
 /** Counts outcomes at one entry. */
 export class OutcomeCounts {
 	readonly #customers = new Map<string, CustomerOutcomes>();
--- a/src/processes/shared/node.ts
+++ b/src/processes/shared/node.ts
@@ -6,10 +6,12 @@
 import {createLog} from '../../adapters/log/log.ts';
 import {createMetrics, type Metrics} from '../../adapters/metrics/metrics.ts';
 import {PeerNetwork} from '../../adapters/peer/network.ts';
+import {controlPath} from '../../adapters/control/server-path.ts';
 import {ResourceStack} from '../../adapters/system/resources.ts';
 import {createTimeline, type Timeline} from '../../core/timeline/logic.ts';
 import type {NodeRef} from '../../core/identity/types.ts';
 import type {Clock} from '../../ports/clock.ts';
+import type {ControlService, ProcessStatus} from '../../ports/control.ts';
 import type {Membership} from '../../ports/membership.ts';
 import type {
 	PeerAddress, PeerMessage, PeerMessageType, Role,
@@ -18,6 +20,7 @@
 import type {Store} from '../../ports/store.ts';
 import type {Settings} from '../../settings/schema.ts';
 import {DocumentExchange} from './documents.ts';
+import {createNodeStatus} from './node-status.ts';
 import {listNodeMetrics} from './node-metrics.ts';
 import {startNodeServer, type NodeServer} from './server.ts';
 
@@ -34,6 +37,9 @@
 	readonly random: Random;
 };
 
+/** What a role adds to the status of its process. */
+export type RoleStatus = Pick<ProcessStatus, 'ejected' | 'load' | 'home' | 'customers'>;
+
 /** Handles messages of one type. */
 export type MessageHandler<Type extends PeerMessageType> = (from: NodeRef, message: Extract<PeerMessage, {type: Type}>) => void;
 
@@ -57,6 +63,8 @@
 	/** Sets the handler of a type of message. */
 	setHandler<Type extends PeerMessageType>(type: Type, handler: MessageHandler<Type>): void;
 	addStreamListener(listener: StreamListener): void;
+	/** Sets what the role of this process adds to its status. */
+	setStatusSource(source: () => RoleStatus): void;
 	/** Sends a message; one to this process itself is handled in a later turn. */
 	sendMessage(to: NodeRef, message: PeerMessage): boolean;
 };
@@ -105,6 +113,7 @@
 	});
 	const handlers = new Map<PeerMessageType, MessageHandler<PeerMessageType>>();
 	const streamListeners: StreamListener[] = [];
+	let getRoleStatus = (): RoleStatus => ({ejected: []});
 	const node: Omit<Node, typeof Symbol.asyncDispose> = {
 		input,
 		self,
@@ -120,6 +129,9 @@
 		addStreamListener(listener) {
 			streamListeners.push(listener);
 		},
+		setStatusSource(source) {
+			getRoleStatus = source;
+		},
 		sendMessage(to, message) {
 			if (to.name !== self.name) {
 				return network.sendMessage(to, message);
@@ -166,6 +178,21 @@
 	contracts.addListener(({revision}) => {
 		timeline.record({type: 'configuration', detail: `revision ${revision}`});
 	});
+	const control: ControlService = {
+		getStatus: () => ({
+			...createNodeStatus(node),
+			...getRoleStatus(),
+		}),
+		listEvents: selection => timeline.listEvents(selection),
+		getDocument: () => contracts.getDocument(),
+	};
+	for (const method of ['GET', 'POST']) {
+		server.addRoute(`${method} ${controlPath}`, async (request, response) => {
+			const {handleControlRequest} = await import('../../adapters/control/server.ts');
+			await handleControlRequest(request, response, control, input.operatorSecret);
+		});
+	}
+
 	const owned = stack.moveResources();
 	return {
 		...node,
