--- a/bench/membership-network.ts
+++ b/bench/membership-network.ts
@@ -12,6 +12,7 @@
 	Datagram, Endpoint, MembershipEffect, MembershipEvent, MembershipOptions,
 } from '../src/core/membership/types.ts';
 import {membershipSchema} from '../src/settings/sections/membership.ts';
+import {TaskHeap} from './task-heap.ts';
 
 /** Default settings of membership. */
 export const defaultOptions = membershipSchema.parse({});
@@ -56,8 +57,6 @@
 	readonly onChange?: (observed: ObservedChange) => void;
 };
 
-type Task = {readonly time: number; readonly order: number; readonly run: () => void};
-
 const startTime = 1_700_000_000_000;
 const firstPort = 7000;
 const frozenBufferSize = 200;
@@ -71,10 +70,9 @@
 	now = startTime;
 	sentDatagrams = 0;
 	readonly #byPort = new Map<number, SimulatedNode>();
-	readonly #tasks: Task[] = [];
+	readonly #tasks = new TaskHeap();
 	readonly #options: MembershipOptions;
 	readonly #onChange: (observed: ObservedChange) => void;
-	#order = 0;
 
 	constructor(private readonly config: NetworkConfig) {
 		this.random = createSeededRandom(config.seed);
@@ -139,7 +137,7 @@
 
 	/** Runs a callback after a delay. */
 	startTimer(delay: number, callback: () => void): void {
-		this.#addTask(delay, callback);
+		this.#tasks.addTask(this.now + delay, callback);
 	}
 
 	/** Applies an event to a node that runs. */
@@ -164,8 +162,8 @@
 	/** Lets time pass. */
 	run(duration: number): void {
 		const end = this.now + duration;
-		for (let task = this.#tasks[0]; task !== undefined && task.time <= end; task = this.#tasks[0]) {
-			this.#removeFirst();
+		for (let task = this.#tasks.findFirst(); task !== undefined && task.time <= end; task = this.#tasks.findFirst()) {
+			this.#tasks.removeFirst();
 			this.now = task.time;
 			task.run();
 		}
@@ -209,11 +207,11 @@
 		const tick = () => {
 			if (node.isUp) {
 				this.applyEvent(node, {type: 'tick'});
-				this.#addTask(defaultOptions.tickMs, tick);
+				this.#tasks.addTask(this.now + defaultOptions.tickMs, tick);
 			}
 		};
 
-		this.#addTask(this.random.getFloat() * defaultOptions.tickMs, tick);
+		this.#tasks.addTask(this.now + (this.random.getFloat() * defaultOptions.tickMs), tick);
 	}
 
 	#handleEffect(node: SimulatedNode, effect: MembershipEffect): void {
@@ -237,57 +235,10 @@
 
 		const [least, greatest] = this.faults.delayMs;
 		const delay = least + (this.random.getFloat() * (greatest - least)) + from.lagMs + receiver.lagMs;
-		this.#addTask(delay, () => {
+		this.#tasks.addTask(this.now + delay, () => {
 			if (!this.faults.isCut(from.address.name, receiver.address.name)) {
 				this.applyEvent(this.#byPort.get(to.port)!, {type: 'receive', datagram: arrived, from: from.address});
 			}
 		});
 	}
-
-	/** Adds to the binary heap of tasks. */
-	#addTask(delay: number, run: () => void): void {
-		const task = {time: this.now + delay, order: this.#order++, run};
-		const tasks = this.#tasks;
-		let index = tasks.push(task) - 1;
-		while (index > 0) {
-			const parent = (index - 1) >>> 1;
-			if (isBefore(tasks[parent], task)) {
-				break;
-			}
-
-			tasks[index] = tasks[parent];
-			index = parent;
-		}
-
-		tasks[index] = task;
-	}
-
-	#removeFirst(): void {
-		const tasks = this.#tasks;
-		const last = tasks.pop()!;
-		if (tasks.length === 0) {
-			return;
-		}
-
-		let index = 0;
-		for (;;) {
-			let child = (2 * index) + 1;
-			if (child + 1 < tasks.length && isBefore(tasks[child + 1], tasks[child])) {
-				child++;
-			}
-
-			if (child >= tasks.length || isBefore(last, tasks[child])) {
-				break;
-			}
-
-			tasks[index] = tasks[child];
-			index = child;
-		}
-
-		tasks[index] = last;
-	}
-}
-
-function isBefore(left: Task, right: Task): boolean {
-	return left.time < right.time || (left.time === right.time && left.order < right.order);
 }
--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -2,14 +2,12 @@
  * Measures membership on the pure logic: detection, false alarms, bytes, spread of revisions, CPU time.
  *
  * Usage: node --import tsx bench/membership.ts --members 11,50,200 --seed 1 [--minutes 10] [--trials 20]
+ * With --convergence it measures instead how long views take to agree: start of all, leaving, two halves.
  */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
-import {createGossipKey, decodeDatagram, encodeDatagram} from '../src/adapters/gossip/codec.ts';
-import {createUpdate} from '../src/core/membership/records.ts';
-import {maxKey} from '../src/core/membership/keys.ts';
-import type {Datagram} from '../src/core/membership/types.ts';
-import {SimulatedNetwork, type ObservedChange} from './membership-network.ts';
+import {runConvergence, type ConvergenceFigures} from './membership-convergence.ts';
+import {computeSum, createBench, type Bench} from './membership-fleet.ts';
 
 /** Figures of one size of fleet; rates are per member and second, of sent datagrams with UDP and IP headers. */
 type Figures = {
@@ -29,13 +27,6 @@
 	longestDatagram: number;
 };
 
-type Bench = {
-	readonly network: SimulatedNetwork;
-	readonly bytesBySender: Map<string, number>;
-	longest: number;
-	onChange: (observed: ObservedChange) => void;
-};
-
 const {values: args} = parseArgs({
 	options: {
 		members: {type: 'string', default: '11,50,200'},
@@ -43,74 +34,22 @@
 		minutes: {type: 'string', default: '10'},
 		trials: {type: 'string', default: '20'},
 		loss: {type: 'string', default: '0.2'},
+		convergence: {type: 'boolean', default: false},
 	},
 });
 
-const headerBytes = 28;
+const seed = Number(args.seed);
 const second = 1000;
 const idleMs = 60 * second;
 const limitMs = 120 * second;
 const settleMs = 15 * second;
 const adoptionMs = 20;
-const key = createGossipKey('bench');
-
-function createBench(members: number): Bench {
-	const bytesBySender = new Map<string, number>();
-	const network = new SimulatedNetwork({
-		seed: Number(args.seed),
-		transport(datagram, from) {
-			const bytes = encodeDatagram(key, datagram);
-			bytesBySender.set(from, (bytesBySender.get(from) ?? 0) + bytes.length + headerBytes);
-			bench.longest = Math.max(bench.longest, bytes.length);
-			return decodeDatagram(key, bytes).unwrap();
-		},
-		onChange(observed) {
-			bench.onChange(observed);
-		},
-	});
-	const bench: Bench = {
-		network, bytesBySender, longest: 0, onChange: () => undefined,
-	};
-	for (let index = 0; index < members; index++) {
-		network.startNode(`agent-${index}`, [], `dc-${index % 4}`);
-	}
-
-	introduceMembers(network);
-	network.run(settleMs);
-	return bench;
-}
-
-/** Gives every member the whole view, as a finished join does. */
-function introduceMembers(network: SimulatedNetwork): void {
-	const nodes = network.listUp();
-	const updates = nodes.map(node => createUpdate(node.state.self, '', true));
-	for (const [index, node] of nodes.entries()) {
-		const neighbour = nodes[(index + 1) % nodes.length];
-		const datagram: Datagram = {
-			sender: neighbour.state.self,
-			body: {
-				type: 'page', after: -1, through: maxKey, purpose: 'join',
-			},
-			updates,
-		};
-		network.applyEvent(node, {type: 'receive', datagram, from: neighbour.address});
-	}
-}
 
 function computePercentile(values: readonly number[], share: number): number {
 	const sorted = [...values].sort((left, right) => left - right);
 	return Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? Number.NaN);
 }
 
-function sum(values: Iterable<number>): number {
-	let total = 0;
-	for (const value of values) {
-		total += value;
-	}
-
-	return total;
-}
-
 function measureIdle(bench: Bench, members: number): Pick<Figures, 'idleBytesPerSecond' | 'cpuMicrosPerSecond'> {
 	bench.bytesBySender.clear();
 	const before = process.cpuUsage();
@@ -118,7 +57,7 @@
 	const {user, system} = process.cpuUsage(before);
 	const memberSeconds = members * idleMs / second;
 	return {
-		idleBytesPerSecond: Math.round(sum(bench.bytesBySender.values()) / memberSeconds),
+		idleBytesPerSecond: Math.round(computeSum(bench.bytesBySender.values()) / memberSeconds),
 		cpuMicrosPerSecond: Math.round((user + system) / memberSeconds),
 	};
 }
@@ -209,14 +148,14 @@
 	return {
 		lossDeaths: counts.dead,
 		lossSuspicions: counts.suspect,
-		lossBytesPerSecond: Math.round(sum(sent) / members / seconds),
+		lossBytesPerSecond: Math.round(computeSum(sent) / members / seconds),
 		worstBytesPerSecond: Math.round(computePercentile(sent, 1) / seconds),
 	};
 }
 
 function runBench(members: number): Figures {
 	const trials = Number(args.trials);
-	const bench = createBench(members);
+	const bench = createBench(members, seed);
 	return {
 		members,
 		...measureIdle(bench, members),
@@ -227,10 +166,10 @@
 	};
 }
 
-const results: Figures[] = [];
+const results: Array<Figures | ConvergenceFigures> = [];
 for (const text of args.members.split(',')) {
-	results.push(runBench(Number(text)));
+	results.push(args.convergence ? runConvergence(Number(text), seed) : runBench(Number(text)));
 }
 
 console.table(results);
-console.log(JSON.stringify({command: process.argv.slice(2).join(' '), seed: Number(args.seed), results}));
+console.log(JSON.stringify({command: process.argv.slice(2).join(' '), seed, results}));
