Add features of admission and of limits over several entries

Cause: neither the refusals nor the overshoot over several entries had a test. Writing them showed that a flood of ten times the rate kept its share for seconds after it had moved to another entry, and that ten first tries at a budget of 0.1 earned a little less than one retry.

Ruled out: shares by the plain offered rate, since a flood's demand takes as long to fade as it is high.

--- /dev/null
+++ b/features/admission/shares.steps.ts
@@ -0,0 +1,113 @@
+/**
+ * Steps of the feature of limits over several entries.
+ */
+import assert from 'node:assert/strict';
+import process from 'node:process';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {links, loads, moveMs} from '../../bench/simulations/entry-loads.ts';
+import {
+	computeOvershoot, runEntries, type EntriesResult,
+} from '../../bench/simulations/entries.ts';
+import {
+	applySummary, computeSummary, parseSummary, setEntries,
+} from '../../src/core/admission/shares.ts';
+import {createAdmission} from '../../src/core/admission/state.ts';
+import type {Contract} from '../../src/core/contracts/types.ts';
+import {admissionSchema} from '../../src/settings/sections/admission.ts';
+
+const seed = Number(process.env.SEED ?? 1);
+const {exchangeMs, ...settings} = admissionSchema.parse(undefined);
+const options = {...settings, maxDeadlineMs: 60_000};
+const tasksPerJob = 10;
+const duration = 30_000;
+
+type SharesWorld = {contract: Contract; entryCount: number; result: EntriesResult; isMoving: boolean; isConnected: boolean; answerAfter: number};
+
+Given('{int} entries and a contract for {int} tasks a second and a burst of {int}', function (this: SharesWorld, entries: number, rate: number, burst: number) {
+	this.entryCount = entries;
+	this.answerAfter = 500;
+	this.contract = {
+		customer: 'a', tokenDigests: [], weight: 1, rate, burst, maxJobsInFlight: 10_000, maxTasksInFlight: 2000, maxTasksPerJob: tasksPerJob, maxJobBytes: 1000,
+		retryBudget: 0.1, successRate: 0.99, kinds: {scan: {urgency: 'normal', deadlineMs: 1000}},
+	};
+});
+
+Given('{int} tasks in flight, answered after {int} ms', function (this: SharesWorld, tasks: number, time: number) {
+	this.contract = {...this.contract, maxTasksInFlight: tasks};
+	this.answerAfter = time;
+});
+
+When('jobs come {string} while the entries are {string}', function (this: SharesWorld, load: string, link: string) {
+	this.isMoving = load === 'in a flood that moves around';
+	this.isConnected = link === 'connected';
+	this.result = runEntries({
+		contract: this.contract,
+		options,
+		entries: this.entryCount,
+		exchangeMs,
+		duration,
+		seed,
+		getRate: loads[load](this.entryCount),
+		tasksPerJob,
+		answerAfter: this.answerAfter,
+		isConnected: links[link](this.entryCount),
+	});
+});
+
+/** Part of a contract by which shares can exceed it while the entries' views differ. */
+function computeExcess(entries: number): number {
+	return 1 - (1 / entries) + options.floorShare;
+}
+
+Then('the admitted tasks exceed the contract by no more than the stated bound', function (this: SharesWorld) {
+	const {contract, entryCount: entries, result, isMoving} = this;
+	const lag = options.staleMs + (2 * exchangeMs);
+	const changes = isMoving ? duration / moveMs : 2;
+	const bound = (entries * tasksPerJob) + (changes * contract.rate * lag * computeExcess(entries) / 1000);
+	const part = 1 + options.floorShare;
+	const overshoot = computeOvershoot(result, tasksPerJob, contract.rate * part, contract.burst * part);
+	assert.ok(overshoot <= bound, `overshoot is ${overshoot} tasks, the bound ${bound}, SEED=${seed}`);
+});
+
+Then('no more tasks are in flight than the stated bound', function (this: SharesWorld) {
+	const {contract: {rate, maxTasksInFlight}, entryCount} = this;
+	const lost = maxTasksInFlight * (1 - (1 / entryCount));
+	const moved = this.isMoving ? Math.min(rate * 2 * exchangeMs / 1000, lost) : 0;
+	const excess = this.isConnected ? moved : lost;
+	const bound = (maxTasksInFlight * (1 + options.floorShare)) + excess + (entryCount * tasksPerJob);
+	assert.ok(this.result.mostTasksInFlight <= bound, `${this.result.mostTasksInFlight} tasks in flight, the bound is ${bound}, SEED=${seed}`);
+});
+
+Then('at least {int}% of what the contract allows is admitted', function (this: SharesWorld, percent: number) {
+	const part = this.result.admittedAt.length * tasksPerJob * 1000 / (this.contract.rate * duration);
+	assert.ok(part * 100 >= percent, `${part * 100}% was admitted, SEED=${seed}`);
+});
+
+When('another entry has taken all of a customer\'s work for a while', function (this: SharesWorld) {
+	const getRate = loads['in a flood at one entry'](this.entryCount);
+	this.result = runEntries({
+		contract: this.contract, options, entries: this.entryCount, exchangeMs, duration: 10_000, seed, tasksPerJob, answerAfter: 500,
+		isConnected: () => true,
+		getRate: (entry, now) => entry === 1 && now >= 9000 ? 0.001 : getRate(entry, now),
+	});
+});
+
+Then('the first job of the customer at a second entry is admitted', function (this: SharesWorld) {
+	assert.equal(this.result.firstAdmitted[1], true);
+});
+
+Then('a summary is read back as it was computed', () => {
+	const summary = computeSummary(createAdmission(options, 'entry-0'), 0);
+	assert.deepEqual(parseSummary(structuredClone(summary)).unwrap(), summary);
+});
+
+Then('a summary with a negative demand is refused', () => {
+	const state = createAdmission(options, 'entry-1');
+	setEntries(state, ['entry-0']);
+	const told = {
+		customer: 'a', demand: -1, jobsInFlight: 0, tasksInFlight: 0,
+	};
+	assert.ok(parseSummary({entry: 'entry-0', hearsAll: true, customers: [told]}).isErr());
+	applySummary(state, parseSummary({entry: 'entry-0', hearsAll: true, customers: [{...told, demand: 1}]}).unwrap(), 0);
+	assert.equal(state.entries.get('entry-0')?.customers.get('a')?.demand, 1);
+});
--- a/src/core/admission/logic.ts
+++ b/src/core/admission/logic.ts
@@ -12,6 +12,9 @@
 
 const msPerSecond = 1000;
 
+/** Ten times a budget of 0.1 is a little less than 1. */
+const roundingError = 1e-9;
+
 type Check = (state: AdmissionState, usage: CustomerUsage, contract: Contract, job: JobDemand) => AdmissionError | undefined;
 
 type Refusal = Omit<AdmissionError, 'outcome' | 'message'>;
@@ -59,7 +62,7 @@
 }
 
 function checkRetry({options}: AdmissionState, {retries}: CustomerUsage, _contract: Contract, {isRetry}: JobDemand): AdmissionError | undefined {
-	if (!isRetry || retries >= 1) {
+	if (!isRetry || retries >= 1 - roundingError) {
 		return undefined;
 	}
 
@@ -157,7 +160,7 @@
 		return Err(misshapen);
 	}
 
-	usage.demand += job.tasks * msPerSecond / state.options.demandMs;
+	usage.demand = Math.min(usage.demand + (job.tasks * msPerSecond / state.options.demandMs), contract.rate);
 	const refusal = findRefusal(usageChecks, state, usage, contract, job);
 	if (refusal !== undefined) {
 		return Err(refusal);
--- a/src/core/admission/shares.ts
+++ b/src/core/admission/shares.ts
@@ -2,7 +2,7 @@
  * Divides each contract among the entries by their recent demand, through small summaries.
  */
 import {Err, Ok, type Result} from 'ts-results-es';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {NodeName} from '../identity/types.ts';
 import {advanceDemand, advanceTokens, computeEqualShare} from './state.ts';
@@ -126,7 +126,7 @@
 		}
 
 		advanceDemand(usage, state.options.demandMs, now);
-		usage.toldDemand = Math.min(usage.demand, usage.rate);
+		usage.toldDemand = usage.demand;
 		if (usage.toldDemand >= minDemand || usage.jobsInFlight > 0) {
 			customers.push(describeUsage(customer, usage));
 		}
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -59,7 +59,7 @@
 	/** Tasks that may be submitted now; below 0 after a job larger than this entry's share of the burst. */
 	tokens: number;
 	tokensAt: Milliseconds;
-	/** Recently submitted tasks per second, as of `demandAt`. */
+	/** Recently submitted tasks per second, at most the contract's rate, as of `demandAt`. */
 	demand: number;
 	demandAt: Milliseconds;
 	/** Demand as last told to the other entries. */
