--- a/src/adapters/scheduling/queue-class.ts
+++ b/src/adapters/scheduling/queue-class.ts
@@ -2,7 +2,8 @@
  * Gives p-queue the schedule of `core/scheduling` as its queue class.
  */
 import type {Queue, QueueAddOptions} from 'p-queue';
-import {findTask, recordStart} from '../../core/scheduling/logic.ts';
+import {recordStart} from '../../core/scheduling/logic.ts';
+import {findTask} from '../../core/scheduling/selection.ts';
 import type {DroppedTask, QueuedTask, ScheduleState} from '../../core/scheduling/types.ts';
 import type {Clock} from '../../ports/clock.ts';
 
