--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -163,6 +163,14 @@
     Then in 60 seconds each member sends at most 500 bytes a second
     And no datagram was longer than 1200 bytes
 
+  Scenario Outline: Settings that cannot work together are refused
+    Then a probe interval of <interval> ms with "<key>" at <value> ms is refused
+
+    Examples:
+      | interval | key            | value |
+      | 1000     | probeTimeoutMs | 300   |
+      | 400      | tickMs         | 300   |
+
   Scenario: Random faults leave the view sound
     Given a fleet of 14 members with a seed from SEED
     When random faults happen for 300 seconds and then stop
--- a/features/membership/membership.steps.ts
+++ b/features/membership/membership.steps.ts
@@ -8,6 +8,7 @@
 import {createGossipKey, decodeDatagram, encodeDatagram} from '../../src/adapters/gossip/codec.ts';
 import {createUpdate} from '../../src/core/membership/records.ts';
 import type {Health} from '../../src/core/membership/types.ts';
+import {membershipSchema} from '../../src/settings/sections/membership.ts';
 import {SimulatedNetwork, type SimulatedNode} from '../../bench/membership-network.ts';
 import {assertRules, startRandomFaults} from './random-faults.ts';
 
@@ -350,6 +351,11 @@
 	assert.ok(this.longest <= limit, `a datagram had ${this.longest} bytes`);
 });
 
+Then('a probe interval of {int} ms with {string} at {int} ms is refused', (interval: number, key: string, value: number) => {
+	const parsed = membershipSchema.safeParse({probeTimeoutMs: 20, probeIntervalMs: interval, [key]: value});
+	assert.deepEqual(parsed.error?.issues.map(issue => issue.path), [[key]]);
+});
+
 Then('no view ever broke a rule', function (this: MembershipWorld) {
 	assertRules(this.network);
 });
