Run separate processes under kills, freezes and outages, and mend what that showed

Cause: the first soak never ended: a replaced agent did not exit, since its server waited for a stream that had been replaced by a newer one to the same process and was in no table. The second told "unauthorized" to valid callers of an entry that had restarted and had no contracts yet. Ruled out: the drain itself (jobs were answered, the log said finished); the contract source (it closes at once). Change: the network keeps and closes every stream; an entry answers 503 not-ready until it has had contracts that no peer had newer ones of; bench/soak.ts with kills, freezes, replacements and store outages, checked against the ledgers of the targets.

--- /dev/null
+++ b/bench/soak/soak.ts
@@ -0,0 +1,135 @@
+/**
+ * Runs callers and faults against separate processes for a time, and checks what was told against the ledgers.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {createSeededRandom, type Random} from '../../src/ports/random.ts';
+import {createRigCustomer, Rig} from '../rig/rig.ts';
+import {Callers, type SoakJob} from './callers.ts';
+import {faults} from './faults.ts';
+
+/** Size of a soak. */
+export type SoakOptions = {
+	readonly seed: number;
+	readonly durationMs: number;
+	readonly entries: number;
+	readonly agents: number;
+	/** Callers that each run one job at a time. */
+	readonly callers: number;
+	/** Names of faults; empty for none. */
+	readonly faults: readonly string[];
+	/** Mean time between two faults. */
+	readonly faultIntervalMs: number;
+	readonly useBinary: boolean;
+};
+
+/** What a soak found. */
+export type SoakReport = {
+	readonly jobs: number;
+	readonly calls: number;
+	readonly starts: number;
+	readonly faults: Readonly<Record<string, number>>;
+	/** What was told, by outcome and reason. */
+	readonly told: Readonly<Record<string, number>>;
+	readonly slowestMs: number;
+	/** Broken promises; empty if all held. */
+	readonly violations: readonly string[];
+	readonly logs: string;
+};
+
+const deadlineMs = 4000;
+const maxTasks = 24;
+const maxRunMs = 80;
+
+type Ledger = ReadonlyMap<string, ReadonlyMap<number, number>>;
+
+type LedgerEntry = {readonly job: string; readonly task: number};
+
+async function readLedger(rig: Rig): Promise<Ledger> {
+	const ledger = new Map<string, Map<number, number>>();
+	for (const target of rig.listTargets()) {
+		const response = await fetch(`http://${target}/ledger`);
+		for (const {job, task} of await response.json() as LedgerEntry[]) {
+			const tasks = ledger.get(job) ?? new Map<number, number>();
+			tasks.set(Number(task), (tasks.get(Number(task)) ?? 0) + 1);
+			ledger.set(job, tasks);
+		}
+	}
+
+	return ledger;
+}
+
+function listJobViolations({id, tasks, told}: SoakJob, ledger: Ledger): string[] {
+	const started = ledger.get(id)?.size ?? 0;
+	const proved = new Set(told.filter(({outcome, scope}) => scope === 'job' && ['complete', 'failed', 'not-run'].includes(outcome)).map(({outcome}) => outcome));
+	const violations = [
+		...[...ledger.get(id) ?? []].filter(([, starts]) => starts > 1).map(([task, starts]) => `task ${task} started ${starts} times`),
+		...(proved.size > 1 ? [`told ${[...proved].join(' and ')}`] : []),
+		...(proved.has('not-run') && started > 0 ? [`told not-run with ${started} starts`] : []),
+		...(proved.has('complete') && started !== tasks ? [`told complete with ${started} of ${tasks} starts`] : []),
+		...(told.some(({isWhole}) => !isWhole) ? ['told a partial or foreign answer'] : []),
+		...(told.some(({outcome}) => outcome === 'none') ? ['told no outcome'] : []),
+	];
+	return violations.map(violation => `job ${id}: ${violation}`);
+}
+
+function countTold(jobs: Iterable<SoakJob>): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (const {outcome, reason} of [...jobs].flatMap(({told}) => told)) {
+		const key = outcome === 'error' ? 'error' : `${outcome} ${reason}`.trim();
+		counts[key] = (counts[key] ?? 0) + 1;
+	}
+
+	return counts;
+}
+
+async function runFaults(rig: Rig, options: SoakOptions, random: Random, endsAt: number): Promise<Record<string, number>> {
+	const counts: Record<string, number> = {};
+	while (options.faults.length > 0 && Date.now() < endsAt) {
+		await delay(options.faultIntervalMs * (0.5 + random.getFloat()));
+		const name = options.faults[random.getInteger(options.faults.length)];
+		counts[name] = (counts[name] ?? 0) + 1;
+		await faults[name](rig, random);
+	}
+
+	return counts;
+}
+
+async function runCaller(callers: Callers, endsAt: number): Promise<void> {
+	while (Date.now() < endsAt) {
+		await callers.runJob();
+	}
+}
+
+/**
+ * Runs a soak.
+ *
+ * @param options - Size, seed and faults.
+ * @returns What was found.
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+	const random = createSeededRandom(options.seed);
+	const customer = createRigCustomer('hill-country', {booking: {urgency: 'high', deadlineMs}});
+	await using rig = await Rig.start({
+		entries: options.entries, agents: options.agents, dataCentres: 4, customers: [customer], useBinary: options.useBinary, settings: {limits: {drainMs: 10_000}},
+	});
+	await using callers = new Callers({
+		urls: rig.listEntryUrls(), token: customer.token, kind: 'booking', random: createSeededRandom(options.seed + 1), deadlineMs, maxTasks, maxRunMs,
+	});
+	const endsAt = Date.now() + options.durationMs;
+	const [counts] = await Promise.all([
+		runFaults(rig, options, random, endsAt),
+		...Array.from({length: options.callers}, async () => runCaller(callers, endsAt)),
+	]);
+	const ledger = await readLedger(rig);
+	const jobs = [...callers.jobs.values()];
+	return {
+		jobs: jobs.length,
+		calls: jobs.reduce((sum, {told}) => sum + told.length, 0),
+		starts: [...ledger.values()].reduce((sum, tasks) => sum + [...tasks.values()].reduce((total, starts) => total + starts, 0), 0),
+		faults: counts,
+		told: countTold(jobs),
+		slowestMs: Math.round(Math.max(0, ...jobs.flatMap(({told}) => told.map(({tookMs}) => tookMs)))),
+		violations: jobs.flatMap(job => listJobViolations(job, ledger)),
+		logs: rig.folder,
+	};
+}
--- a/features/http/http-interface.feature
+++ b/features/http/http-interface.feature
@@ -110,6 +110,11 @@
     When a caller sends POST /v1/job-ids with body none
     Then the response is problem "not-ready" with status 503, outcome "not-run" and field ""
 
+  Scenario: An entry that has no contracts yet says nothing of a token
+    Given an entry that has no contracts yet
+    When a caller sends PUT /v1/jobs/id-7 with body {"kind":"k","tasks":[{"body":1}]}
+    Then the response is problem "not-ready" with status 503, outcome "not-run" and field ""
+
   Scenario: A job service that throws leaves the outcome unknown and tells no detail
     Given a job service that replies by throwing
     When a caller sends PUT /v1/jobs/id-7 with body {"kind":"k","tasks":[{"body":1}]}
--- a/features/http/http.steps.ts
+++ b/features/http/http.steps.ts
@@ -25,6 +25,7 @@
 	waiting: Promise<Response>;
 	raw: RawCall[];
 	reply: () => void;
+	hasNoContracts: boolean | undefined;
 };
 
 type RawCall = {readonly socket: Socket; readonly received: Promise<string>};
@@ -110,6 +111,7 @@
 	world.http = await startHttpInterface({
 		jobs: world.jobs,
 		contracts: {
+			isReady: () => !world.hasNoContracts,
 			getDocument: () => ({revision: 1, contracts: {}, history: []}),
 			findContract: () => undefined,
 			findContractByToken: presented => presented === token ? contract : undefined,
@@ -148,6 +150,10 @@
 	this.jobs.ready = false;
 });
 
+Given('an entry that has no contracts yet', function (this: HttpWorld) {
+	this.hasNoContracts = true;
+});
+
 Given('a job service that replies when told to', function (this: HttpWorld) {
 	const reply = new Promise<void>(resolve => {
 		this.reply = resolve;
--- a/src/adapters/contracts/source.ts
+++ b/src/adapters/contracts/source.ts
@@ -124,11 +124,15 @@
 	const pull = startPullTask(task);
 	const watch = startWatchTask(task);
 
+	let wasReady = false;
+
 	function isReady(): boolean {
-		return state.version.revision > 0 && pull.hasAskedPeers() && !pull.isBehind();
+		wasReady ||= state.version.revision > 0 && pull.hasAskedPeers() && !pull.isBehind();
+		return wasReady;
 	}
 
 	return {
+		isReady,
 		getDocument: () => state.document,
 		findContract: customer => findContract(state.document, customer),
 		findContractByToken: token => findByToken(token),
--- a/src/adapters/http/routes.ts
+++ b/src/adapters/http/routes.ts
@@ -71,6 +71,11 @@
 			return;
 		}
 
+		if (!contracts.isReady()) {
+			writeError(request, response, {kind: 'not-ready', message: 'this entry has no contracts yet; submit again under the same id'});
+			return;
+		}
+
 		const token = findToken(request);
 		const contract = token === undefined ? undefined : contracts.findContractByToken(token);
 		if (contract === undefined) {
--- a/src/adapters/peer/network.ts
+++ b/src/adapters/peer/network.ts
@@ -46,6 +46,8 @@
 export class PeerNetwork implements AsyncDisposable {
 	readonly counts: MessageCounts = {sent: new Map(), received: new Map()};
 	readonly #streams = new Map<NodeName, PeerStream>();
+	/** Every open stream, also those replaced by a newer one to the same process. */
+	readonly #open = new Set<PeerStream>();
 	readonly #opening = new Map<NodeName, Promise<PeerStream>>();
 	readonly #acceptor: WebSocketServer;
 	#handlers: NetworkHandlers | undefined;
@@ -136,10 +138,14 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		for (const stream of this.#streams.values()) {
+		for (const stream of this.#open) {
 			stream.close();
 		}
 
+		for (const socket of this.#acceptor.clients) {
+			socket.terminate();
+		}
+
 		this.#acceptor.close();
 	}
 
@@ -219,6 +225,7 @@
 			},
 		});
 		this.#streams.set(node.name, stream);
+		this.#open.add(stream);
 		if (previous !== undefined && !isSameNode(previous.node, node)) {
 			previous.close();
 		}
@@ -236,6 +243,7 @@
 	}
 
 	#handleClose(stream: PeerStream): void {
+		this.#open.delete(stream);
 		if (this.#streams.get(stream.node.name) !== stream) {
 			return;
 		}
--- a/src/ports/contracts.ts
+++ b/src/ports/contracts.ts
@@ -5,6 +5,8 @@
 
 /** Source of the contracts in force; the revision never falls. */
 export type ContractSource = {
+	/** Returns whether the process may serve by its contracts: it has had a document that no peer had a newer one of. */
+	isReady(): boolean;
 	/** Returns the document in force; revision 0 before the first one has arrived. */
 	getDocument(): ContractDocument;
 	/** Returns the contract of a customer, if there is one. */
--- a/src/processes/entry/job-service.ts
+++ b/src/processes/entry/job-service.ts
@@ -99,7 +99,7 @@
 	}
 
 	isReady(): boolean {
-		return this.#node.contracts.getDocument().revision > 0 && this.#fleet.chooseHome() !== undefined;
+		return this.#node.contracts.isReady() && this.#fleet.chooseHome() !== undefined;
 	}
 
 	mintIds(contract: Contract, count: number): readonly JobId[] {
