--- a/src/core/placement/accounting.ts
+++ b/src/core/placement/accounting.ts
@@ -65,6 +65,7 @@
 
 	const reflectedUntil = now - getDelay(state, record.agent);
 	record.load = load;
+	record.reportedAt = now;
 	record.recentSends = record.recentSends.filter(send => send.at > reflectedUntil);
 }
 
--- a/src/core/placement/estimate.ts
+++ b/src/core/placement/estimate.ts
@@ -5,8 +5,12 @@
 import type {AgentRecord, Candidate, PlacementAgent} from './types.ts';
 import {findExclusion, type PlacementState} from './state.ts';
 
+/** A suspect is weighed as if its tasks ran this much longer. */
+const suspectSlowness = 4;
 const medianInterval: Milliseconds = 100;
 const minSlownessSamples = 10;
+/** Ratio of the logistic distribution's scale to that of the normal one. */
+const logisticScale = 1.7;
 
 /**
  * Returns the round trip to an agent.
@@ -77,7 +81,8 @@
 		agent: record.agent,
 		record,
 		delay: getDelay(state, record.agent),
-		slowness: estimateSlowness(state, record, now),
+		slowness: Math.max(estimateSlowness(state, record, now), state.suspects.has(record.agent.name) ? suspectSlowness : 1),
+		age: record.agent.name === state.options.self ? 0 : Math.max(0, now - record.reportedAt),
 		free,
 		credit: free + state.options.queuePerAgent,
 	};
@@ -96,22 +101,35 @@
 		.map(record => createCandidate(state, record, now));
 }
 
+/**
+ * Estimates how likely all slots are taken although the last report showed some free.
+ *
+ * Others send work there too and tasks end, so the number of free slots drifts from what was
+ * reported: its variance grows by two changes per slot and run time.
+ */
+function estimateTakenShare(state: PlacementState, {age, free, record}: Candidate): number {
+	const {slots} = record.load!;
+	const deviation = Math.sqrt(2 * slots * age / state.runTime);
+	return deviation === 0 ? 0 : 1 / (1 + Math.exp(logisticScale * (free - 0.5) / deviation));
+}
+
 /**
  * Estimates the time until a task sent now would start at an agent.
  *
  * @param state - State of placement.
  * @param candidate - The agent.
- * @returns The wait in ms without the round trip; 0 if a slot is expected to be free.
+ * @returns The wait in ms without the round trip; near 0 if a slot is expected to be free.
  */
 export function estimateWait(state: PlacementState, candidate: Candidate): Milliseconds {
+	const load = candidate.record.load!;
+	const slotTime = state.runTime * candidate.slowness / load.slots;
 	if (candidate.free > 0) {
-		return 0;
+		return estimateTakenShare(state, candidate) * slotTime;
 	}
 
-	const load = candidate.record.load!;
 	const reported = load.freeSlots === 0 ? load.expectedWait : 0;
 	const tasksAhead = 1 - candidate.free;
-	return Math.max(reported, tasksAhead * state.runTime * candidate.slowness / load.slots);
+	return Math.max(reported, tasksAhead * slotTime);
 }
 
 /**
--- a/src/core/placement/state.ts
+++ b/src/core/placement/state.ts
@@ -13,6 +13,8 @@
 	readonly agents: Map<NodeName, AgentRecord>;
 	/** Agents that get no tasks but trials. */
 	ejected: ReadonlySet<NodeName>;
+	/** Agents that failed lately; others are preferred. */
+	suspects: ReadonlySet<NodeName>;
 	/** The agents that this process talks to; `undefined` before the first draw, when all are. */
 	peers: Set<NodeName> | undefined;
 	nextRedrawAt: Milliseconds;
@@ -39,6 +41,7 @@
 		options,
 		agents: new Map(),
 		ejected: new Set(),
+		suspects: new Set(),
 		peers: undefined,
 		nextRedrawAt: 0,
 		nextIndex: 0,
@@ -56,6 +59,7 @@
 	return {
 		agent,
 		load: undefined,
+		reportedAt: 0,
 		outstanding: 0,
 		recentSends: [],
 		slowness: {ratio: 1, samples: 0, updatedAt: now},
@@ -105,6 +109,16 @@
 	state.ejected = new Set(names);
 }
 
+/**
+ * Sets the agents that failed lately and have not been judged yet.
+ *
+ * @param state - State of placement.
+ * @param names - Names of the agents.
+ */
+export function setSuspects(state: PlacementState, names: Iterable<NodeName>): void {
+	state.suspects = new Set(names);
+}
+
 /**
  * Finds the record of one life of an agent.
  *
--- a/src/core/placement/types.ts
+++ b/src/core/placement/types.ts
@@ -62,6 +62,8 @@
 	readonly agent: PlacementAgent;
 	/** The last report; `undefined` before the first one. */
 	load: LoadReport | undefined;
+	/** When the last report arrived. */
+	reportedAt: Milliseconds;
 	/** Tasks sent from here that have not ended. */
 	outstanding: number;
 	/** Sends that the last report may not reflect, oldest first. */
@@ -104,8 +106,10 @@
 	readonly record: AgentRecord;
 	/** Round trip to the agent. */
 	readonly delay: Milliseconds;
-	/** Measured run time relative to the peers; 1 unless the agent is slow. */
+	/** Measured run time relative to the peers; 1 unless the agent is slow or a suspect. */
 	readonly slowness: number;
+	/** Time since the last report. */
+	readonly age: Milliseconds;
 	/** Slots expected to be free; negative if tasks are expected to wait. */
 	free: number;
 	/** Tasks that may still be sent. */
