--- a/src/settings/sections/admission.ts
+++ b/src/settings/sections/admission.ts
@@ -9,7 +9,7 @@
 		.describe('Time between two summaries of demand told to the other entries, in ms.'),
 	staleMs: z.int().min(50).max(600_000).default(1000)
 		.describe('Time, in ms, after which an entry that was not heard makes this one fall back to an equal share of each contract.'),
-	demandMs: z.int().min(100).max(600_000).default(1000)
+	demandMs: z.int().min(100).max(600_000).default(500)
 		.describe('Time constant of the average of a customer\'s demand, in ms.'),
 	floorShare: z.number().min(0.001).max(1).default(0.1)
 		.describe('Part of an equal share that an entry keeps for a customer without recent demand there.'),
