--- a/bench/simulations/entries.ts
+++ b/bench/simulations/entries.ts
@@ -59,7 +59,7 @@
 	}
 }
 
-function exchangeSummary(run: Entries, from: number, now: Milliseconds): void {
+function sendSummary(run: Entries, from: number, now: Milliseconds): void {
 	const {input, states, random} = run;
 	const summary = computeSummary(states[from], now);
 	for (const [to, state] of states.entries()) {
@@ -71,7 +71,7 @@
 	}
 
 	addEvent(run, now + input.exchangeMs, next => {
-		exchangeSummary(run, from, next);
+		sendSummary(run, from, next);
 	});
 }
 
@@ -133,7 +133,7 @@
 		setEntries(state, names);
 		getUsage(state, input.contract, 0);
 		addEvent(run, run.random.getInteger(input.exchangeMs), now => {
-			exchangeSummary(run, index, now);
+			sendSummary(run, index, now);
 		});
 		addEvent(run, 0, now => {
 			handleArrival(run, index, now);
--- a/features/admission/admission.steps.ts
+++ b/features/admission/admission.steps.ts
@@ -27,7 +27,7 @@
 	return world.error;
 }
 
-function answerJob(world: AdmissionWorld, tasks: number): void {
+function recordEnd(world: AdmissionWorld, tasks: number): void {
 	recordAnswer(world.state, world.contract.customer, tasks);
 }
 
@@ -67,9 +67,9 @@
 
 When('the first job is answered', function (this: AdmissionWorld) {
 	this.now += 1000;
-	answerJob(this, 20);
+	recordEnd(this, 20);
 	assert.throws(() => {
-		answerJob(this, 20);
+		recordEnd(this, 20);
 	}, /fewer jobs or tasks in flight/);
 });
 
@@ -85,10 +85,10 @@
 	assert.equal(submitJob(this, this.last), undefined);
 });
 
-function retryJob(world: AdmissionWorld, isRetry: boolean): AdmissionError | undefined {
+function submitRetry(world: AdmissionWorld, isRetry: boolean): AdmissionError | undefined {
 	const error = submitJob(world, {isRetry});
 	if (error === undefined) {
-		answerJob(world, 1);
+		recordEnd(world, 1);
 	}
 
 	return error;
@@ -96,26 +96,26 @@
 
 When('{int} retries are submitted', function (this: AdmissionWorld, count: number) {
 	for (let index = 0; index < count; index++) {
-		assert.equal(retryJob(this, true), undefined);
+		assert.equal(submitRetry(this, true), undefined);
 	}
 });
 
 When('{int} first tries are submitted', function (this: AdmissionWorld, count: number) {
 	for (let index = 0; index < count; index++) {
-		assert.equal(retryJob(this, false), undefined);
+		assert.equal(submitRetry(this, false), undefined);
 	}
 });
 
 Then('the next retry is refused as {string}', function (this: AdmissionWorld, kind: string) {
-	assert.equal(retryJob(this, true)?.kind, kind);
+	assert.equal(submitRetry(this, true)?.kind, kind);
 });
 
 Then('{int} more retry is admitted, and the next is refused as {string}', function (this: AdmissionWorld, count: number, kind: string) {
 	for (let index = 0; index < count; index++) {
-		assert.equal(retryJob(this, true), undefined);
+		assert.equal(submitRetry(this, true), undefined);
 	}
 
-	assert.equal(retryJob(this, true)?.kind, kind);
+	assert.equal(submitRetry(this, true)?.kind, kind);
 });
 
 When('{int} ms go by without a submission', function (this: AdmissionWorld, time: number) {
--- a/features/scheduling/schedule.steps.ts
+++ b/features/scheduling/schedule.steps.ts
@@ -23,7 +23,7 @@
 	};
 }
 
-function offerTask(world: QueueWorld, fields: Partial<TaskSpec>): SchedulingError | undefined {
+function submitTask(world: QueueWorld, fields: Partial<TaskSpec>): SchedulingError | undefined {
 	const added = addTask(world.state, createSpec(fields), world.now);
 	const error = added.isErr() ? added.error : undefined;
 	world.errors.push(error);
@@ -45,7 +45,7 @@
 
 When('customer {string} queues {int} tasks of {int} bytes', function (this: QueueWorld, customer: string, count: number, bytes: number) {
 	for (let index = 0; index < count; index++) {
-		offerTask(this, {customer, bytes});
+		submitTask(this, {customer, bytes});
 	}
 });
 
@@ -56,20 +56,20 @@
 
 Then('customer {string} can queue {int} tasks of {int} bytes', function (this: QueueWorld, customer: string, count: number, bytes: number) {
 	for (let index = 0; index < count; index++) {
-		assert.equal(offerTask(this, {customer, bytes}), undefined);
+		assert.equal(submitTask(this, {customer, bytes}), undefined);
 	}
 });
 
 Then('customer {string} can queue {int} tasks of another kind', function (this: QueueWorld, customer: string, count: number) {
 	for (let index = 0; index < count; index++) {
-		assert.equal(offerTask(this, {customer, kind: 'booking'}), undefined);
+		assert.equal(submitTask(this, {customer, kind: 'booking'}), undefined);
 	}
 });
 
 Given('a kind whose tasks were measured to take {int} ms', function (this: QueueWorld, runTime: number) {
 	startQueue(this, 8);
 	for (let index = 0; index < 20; index++) {
-		offerTask(this, {deadlineAt: Number.POSITIVE_INFINITY});
+		submitTask(this, {deadlineAt: Number.POSITIVE_INFINITY});
 		const {task} = selectTask(this.state, this.now);
 		this.now += runTime;
 		recordEnd(this.state, task!, {runTime, isSuccess: true}, this.now);
@@ -82,11 +82,11 @@
 
 When('a task with a deadline of {int} ms is offered behind {int} queued ones', function (this: QueueWorld, deadline: number, queued: number) {
 	for (let index = 0; index < queued; index++) {
-		offerTask(this, {deadlineAt: this.now + 60_000});
+		submitTask(this, {deadlineAt: this.now + 60_000});
 		selectTask(this.state, this.now);
 	}
 
-	offerTask(this, {deadlineAt: this.now + deadline});
+	submitTask(this, {deadlineAt: this.now + deadline});
 });
 
 When('the queue waits for {int} ms', function (this: QueueWorld, time: number) {
@@ -112,7 +112,7 @@
 	startQueue(this, 1, {maxWaitMs: 600_000});
 	for (const urgency of urgencies) {
 		for (let index = 0; index < count; index++) {
-			assert.equal(offerTask(this, {kind: urgency, urgency, deadlineAt: 600_000}), undefined);
+			assert.equal(submitTask(this, {kind: urgency, urgency, deadlineAt: 600_000}), undefined);
 		}
 	}
 });
@@ -134,7 +134,7 @@
 
 type Ledger = {accepted: Set<QueuedTask>; running: Set<QueuedTask>; settled: Map<QueuedTask, string>};
 
-function settleTask(ledger: Ledger, task: QueuedTask, end: string): void {
+function recordSettled(ledger: Ledger, task: QueuedTask, end: string): void {
 	assert.ok(ledger.accepted.has(task) && !ledger.settled.has(task), `task ${task.sequence} was settled twice, SEED=${seed}`);
 	ledger.settled.set(task, end);
 }
@@ -153,7 +153,7 @@
 	(state, ledger, _random, now) => {
 		const {task, dropped} = selectTask(state, now);
 		for (const drop of dropped) {
-			settleTask(ledger, drop.task, 'dropped');
+			recordSettled(ledger, drop.task, 'dropped');
 		}
 
 		if (task !== undefined) {
@@ -166,14 +166,14 @@
 		const task = [...ledger.running].at(random.getInteger(Math.max(ledger.running.size, 1)));
 		if (task !== undefined) {
 			ledger.running.delete(task);
-			settleTask(ledger, task, 'ended');
+			recordSettled(ledger, task, 'ended');
 			recordEnd(state, task, {runTime: now - task.startedAt, isSuccess: random.getInteger(10) > 0}, now);
 		}
 	},
 	(state, ledger, random, now) => {
 		const dropped = random.getInteger(4) === 0 ? removeJobs(state, [`job-${random.getInteger(50)}`], 'cancelled', now) : pruneExpired(state, now);
 		for (const drop of dropped) {
-			settleTask(ledger, drop.task, 'dropped');
+			recordSettled(ledger, drop.task, 'dropped');
 		}
 	},
 ];
--- a/features/scheduling/slot-queue.steps.ts
+++ b/features/scheduling/slot-queue.steps.ts
@@ -44,7 +44,7 @@
 	};
 }
 
-function queueTasks(world: SlotWorld, count: number, customer: string, kind = 'scan'): void {
+function addTasks(world: SlotWorld, count: number, customer: string, kind = 'scan'): void {
 	for (let index = 0; index < count; index++) {
 		const task = {
 			job: `job-${world.count++}`, index: 0, customer, kind, bytes: 1, deadlineAt: world.clock.getTime() + deadlineMs,
@@ -62,7 +62,7 @@
 	}
 }
 
-async function endTasks(world: SlotWorld, kind?: string): Promise<void> {
+async function stopTasks(world: SlotWorld, kind?: string): Promise<void> {
 	for (const task of [...world.running].filter(task => kind === undefined || task.kind === kind)) {
 		world.running.delete(task);
 		task.end();
@@ -91,8 +91,8 @@
 });
 
 When('{int} tasks of customer {string} and {int} tasks of customer {string} are queued', async function (this: SlotWorld, first: number, customer: string, second: number, other: string) {
-	queueTasks(this, first, customer);
-	queueTasks(this, second, other);
+	addTasks(this, first, customer);
+	addTasks(this, second, other);
 	await waitTurn();
 });
 
@@ -105,7 +105,7 @@
 	const idle = this.queue.waitIdle();
 	for (let turn = 0; turn < count; turn++) {
 		this.clock.advance(100);
-		await endTasks(this);
+		await stopTasks(this);
 	}
 
 	await idle;
@@ -126,19 +126,19 @@
 	assert.equal(this.queue.removeJobs([...jobs, ...jobs], 'cancelled'), this.count - 1);
 	assert.equal(this.queue.removeJobs(jobs, 'cancelled'), 0);
 	await waitTurn();
-	await endTasks(this);
+	await stopTasks(this);
 });
 
 When('the deadlines pass', async function (this: SlotWorld) {
 	this.clock.advance(deadlineMs);
 	await waitTurn();
-	await endTasks(this);
+	await stopTasks(this);
 });
 
 When('the queue is closed', async function (this: SlotWorld) {
 	const closed = this.queue[Symbol.asyncDispose]();
 	await waitTurn();
-	await endTasks(this);
+	await stopTasks(this);
 	await closed;
 });
 
@@ -158,10 +158,10 @@
 	});
 	for (const [kind, runTime] of [['long', 2000], ['short', 50]] as const) {
 		for (let round = 0; round < 30; round++) {
-			queueTasks(this, 1, kind, kind);
+			addTasks(this, 1, kind, kind);
 			await waitTurn();
 			this.clock.advance(runTime);
-			await endTasks(this);
+			await stopTasks(this);
 		}
 	}
 
@@ -169,8 +169,8 @@
 });
 
 When('{int} long tasks and {int} short task are queued', async function (this: SlotWorld, long: number, short: number) {
-	queueTasks(this, short, 'short', 'short');
-	queueTasks(this, long, 'long', 'long');
+	addTasks(this, short, 'short', 'short');
+	addTasks(this, long, 'long', 'long');
 	await waitTurn();
 });
 
@@ -180,7 +180,7 @@
 });
 
 When('the short task ends and {int} ms pass without another', async function (this: SlotWorld, time: number) {
-	await endTasks(this, 'short');
+	await stopTasks(this, 'short');
 	assert.equal(this.running.size, 3);
 	this.clock.advance(time);
 	await waitTurn();
@@ -197,7 +197,7 @@
 	}, async () => {
 		throw new Error('runner failed');
 	}).unwrap();
-	queueTasks(this, count, 'a');
+	addTasks(this, count, 'a');
 	await this.rejection;
 	for (const listener of listeners) {
 		process.on('unhandledRejection', listener);
--- a/src/adapters/scheduling/fair-queue.ts
+++ b/src/adapters/scheduling/fair-queue.ts
@@ -134,7 +134,7 @@
 		startTasks();
 	}
 
-	function dropAll(reason: DropReason): number {
+	function removeAll(reason: DropReason): number {
 		const dropped = removeJobs(schedule, [...schedule.jobs.keys()], reason, clock.getTime());
 		recordDrops(dropped);
 		return dropped.length;
@@ -181,11 +181,11 @@
 			recordDrops(dropped);
 			return dropped.length;
 		},
-		removeAll: dropAll,
+		removeAll,
 		getLoad: () => computeLoad(schedule, clock.getTime()),
 		waitIdle,
 		async [Symbol.asyncDispose]() {
-			dropAll('leaving');
+			removeAll('leaving');
 			await waitIdle();
 			timer?.[Symbol.dispose]();
 		},
--- a/src/core/admission/shares.ts
+++ b/src/core/admission/shares.ts
@@ -42,7 +42,7 @@
 	return heard !== undefined && now - heard.heardAt <= state.options.staleMs;
 }
 
-function hearsAllEntries(state: AdmissionState, now: Milliseconds): boolean {
+function hasHeardAll(state: AdmissionState, now: Milliseconds): boolean {
 	for (const heard of state.entries.values()) {
 		if (!isFresh(state, heard, now)) {
 			return false;
@@ -132,7 +132,7 @@
 		}
 	}
 
-	return {entry: state.self, hearsAll: hearsAllEntries(state, now), customers};
+	return {entry: state.self, hearsAll: hasHeardAll(state, now), customers};
 }
 
 /**
