--- a/features/timeline/rendering.feature
+++ b/features/timeline/rendering.feature
@@ -16,6 +16,10 @@
       | completed            | answered "complete"                                      |
       | has no events        | No event of this job is recorded                         |
 
+  Scenario: Tasks that ended are not called open
+    Given the events of a job that completed
+    Then its explanation does not say "no end"
+
   Scenario: Text from outside is escaped in the page
     Given the events of a job that has a customer named "<script>alert(1)</script>"
     Then the page does not contain "<script>alert"
--- a/features/timeline/rendering.steps.ts
+++ b/features/timeline/rendering.steps.ts
@@ -70,6 +70,10 @@
 	assert.ok(description.includes(text), description);
 });
 
+Then('its explanation does not say {string}', function (this: RenderingWorld, text: string) {
+	assert.equal(describeJob(this.report.events).includes(text), false);
+});
+
 Then('the page does not contain {string}', function (this: RenderingWorld, text: string) {
 	assert.equal(renderers.html(this.report).includes(text), false);
 });
