Name placement's functions by the listed verbs

Cause: a few functions of placement and its bench began with verbs outside docs/VERBS.md. Ruled out: new verbs for one use each. Change: names only.

--- a/bench/event-queue.ts
+++ b/bench/event-queue.ts
@@ -17,7 +17,7 @@
 	return left.at < right.at || (left.at === right.at && left.order < right.order);
 }
 
-function pushUp(heap: QueuedEvent[], event: QueuedEvent): void {
+function addToHeap(heap: QueuedEvent[], event: QueuedEvent): void {
 	let index = heap.length;
 	heap.push(event);
 	while (index > 0) {
@@ -33,7 +33,7 @@
 	heap[index] = event;
 }
 
-function popFirst(heap: QueuedEvent[]): QueuedEvent {
+function removeFirst(heap: QueuedEvent[]): QueuedEvent {
 	const first = heap[0];
 	const last = heap.pop()!;
 	let index = 0;
@@ -68,11 +68,11 @@
 	return {
 		getTime: () => now,
 		addEvent(delay, run) {
-			pushUp(heap, {at: now + delay, order: order++, run});
+			addToHeap(heap, {at: now + delay, order: order++, run});
 		},
 		runUntil(end) {
 			while (heap.length > 0 && heap[0].at <= end) {
-				const event = popFirst(heap);
+				const event = removeFirst(heap);
 				now = event.at;
 				event.run();
 			}
--- a/bench/placement-model.ts
+++ b/bench/placement-model.ts
@@ -102,7 +102,7 @@
 }
 
 /** Draws a run time: 50 ms and an exponential rest, or 2 to 5 s. */
-export function drawRunTime(random: Random, longShare: number): number {
+export function chooseRunTime(random: Random, longShare: number): number {
 	if (random.getFloat() < longShare) {
 		return longBase + (random.getFloat() * longSpread);
 	}
--- a/bench/placement-simulation.ts
+++ b/bench/placement-simulation.ts
@@ -22,7 +22,7 @@
 import {
 	computeMeanRunTime,
 	createAgent,
-	drawRunTime,
+	chooseRunTime,
 	getOneWay,
 	type SimulatedAgent,
 	type SimulatedEnd,
@@ -54,7 +54,7 @@
 	readonly loadMessages: number;
 	readonly tasksSent: number;
 	/** Returns the number of tasks submitted after the warm-up and before a time of the run. */
-	submittedBy(end: number): number;
+	countSubmitted(end: number): number;
 };
 
 type Home = {
@@ -153,7 +153,7 @@
 				queue.addEvent(delay, () => {
 					handleResult(simulation, home, agent, task, end);
 					recordReport(home.placement, getRef(agent), load, 'result', queue.getTime());
-					dispatch(simulation, home);
+					sendPending(simulation, home);
 				});
 			});
 		}
@@ -182,7 +182,7 @@
 	}
 }
 
-function dispatch(simulation: Simulation, home: Home): void {
+function sendPending(simulation: Simulation, home: Home): void {
 	sendTrials(simulation, home);
 	if (home.pending.length === 0) {
 		return;
@@ -199,7 +199,7 @@
 
 function createTask(simulation: Simulation, job: SimulatedTask['job'], customer: number): SimulatedTask {
 	return {
-		customer, runTime: drawRunTime(simulation.work, simulation.options.longShare), submittedAt: simulation.queue.getTime(),
+		customer, runTime: chooseRunTime(simulation.work, simulation.options.longShare), submittedAt: simulation.queue.getTime(),
 		job, starts: 0, hasEnded: false, isTrial: false,
 	};
 }
@@ -225,7 +225,7 @@
 	queue.addEvent(delay, () => {
 		const target = simulation.homes.get(home.name)!;
 		target.pending.push(...tasks);
-		dispatch(simulation, target);
+		sendPending(simulation, target);
 	});
 }
 
@@ -257,7 +257,7 @@
 				if (home.self !== agent && isNews(home.placement, load)) {
 					queue.addEvent(getOneWay(agent.dataCentre, home.self.dataCentre), () => {
 						recordReport(home.placement, getRef(agent), load, 'load', queue.getTime());
-						dispatch(simulation, home);
+						sendPending(simulation, home);
 					});
 				}
 			}
@@ -281,7 +281,7 @@
 				applyChanges(simulation, home, advanceHealth(home.health, simulation.queue.getTime()));
 			}
 
-			dispatch(simulation, home);
+			sendPending(simulation, home);
 		}
 
 		simulation.queue.addEvent(tickInterval, tick);
@@ -290,7 +290,7 @@
 	simulation.queue.addEvent(tickInterval, tick);
 }
 
-function createDraw(simulation: Simulation, index: number) {
+function createOutcomes(simulation: Simulation, index: number) {
 	const {options, queue, random} = simulation;
 	return (task: SimulatedTask): {status: 'done' | 'failed'; runTime: number} => {
 		const time = queue.getTime() - start;
@@ -305,7 +305,7 @@
 	};
 }
 
-function sumCounts(simulation: Simulation) {
+function countMessages(simulation: Simulation) {
 	const counts = [...simulation.homes.values()].map(home => home.placement.counts);
 	const sum = (key: keyof (typeof counts)[number]) => counts.reduce((total, count) => total + count[key], 0);
 	return {
@@ -329,7 +329,7 @@
 		options, queue, work: createSeededRandom(options.seed), random: createSeededRandom(options.seed + 1), agents: new Map(), homes: new Map(), tasks: [], changes: [], submissions: [],
 	};
 	for (let index = 0; index < options.agents; index++) {
-		const agent = createAgent(index, options, queue, createDraw(simulation, index));
+		const agent = createAgent(index, options, queue, createOutcomes(simulation, index));
 		simulation.agents.set(agent.name, agent);
 	}
 
@@ -346,10 +346,10 @@
 	return {
 		tasks: simulation.tasks.filter(task => task.submittedAt >= options.warmUp),
 		changes: simulation.changes,
-		submittedBy(end) {
+		countSubmitted(end) {
 			const counted = simulation.submissions.filter(({at}) => at >= options.warmUp && at < end);
 			return counted.reduce((total, {count}) => total + count, 0);
 		},
-		...sumCounts(simulation),
+		...countMessages(simulation),
 	};
 }
--- a/bench/timeline.ts
+++ b/bench/timeline.ts
@@ -10,13 +10,13 @@
 const records = 2_000_000;
 const nanosecondsPerMs = 1_000_000;
 
-function measureHeap(): number {
+function getHeapBytes(): number {
 	globalThis.gc?.();
 	return process.memoryUsage().heapUsed;
 }
 
 function run(): void {
-	const before = measureHeap();
+	const before = getHeapBytes();
 	const timeline = createTimeline({node: 'agent-1', capacity, maxDrift: 60_000}, createSystemClock());
 	const start = performance.now();
 	for (let index = 0; index < records; index++) {
@@ -26,7 +26,7 @@
 	}
 
 	const nanoseconds = (performance.now() - start) * nanosecondsPerMs / records;
-	const bytes = (measureHeap() - before) / capacity;
+	const bytes = (getHeapBytes() - before) / capacity;
 	const {events} = timeline.listEvents({limit: 1});
 	process.stdout.write(JSON.stringify({nanosecondsPerRecord: Math.round(nanoseconds), bytesPerEvent: Math.round(bytes), lastTask: events[0]?.task}) + '\n');
 }
--- a/features/placement/load.steps.ts
+++ b/features/placement/load.steps.ts
@@ -72,5 +72,5 @@
 Then('no task of an early job is left over', function (this: LoadWorld) {
 	const end = this.loadOptions.duration / 2;
 	const ended = this.loadResult.tasks.filter(task => task.submittedAt < end).length;
-	assert.equal(this.loadResult.submittedBy(end), ended);
+	assert.equal(this.loadResult.countSubmitted(end), ended);
 });
--- a/src/core/placement/peers.ts
+++ b/src/core/placement/peers.ts
@@ -25,7 +25,7 @@
 }
 
 /** Draws without replacement, each agent in proportion to its weight (Efraimidis and Spirakis 2006). */
-function drawAgents(state: PlacementState, records: readonly AgentRecord[], count: number, random: Random): NodeName[] {
+function selectAgents(state: PlacementState, records: readonly AgentRecord[], count: number, random: Random): NodeName[] {
 	const keyed = records.map(record => ({
 		name: record.agent.name,
 		key: Math.log(1 - random.getFloat()) / computeWeight(state, record),
@@ -63,7 +63,7 @@
 	}
 
 	const others = drawable.filter(record => !kept.has(record.agent.name));
-	for (const name of drawAgents(state, others, Math.max(0, peerCount - kept.size), random)) {
+	for (const name of selectAgents(state, others, Math.max(0, peerCount - kept.size), random)) {
 		kept.add(name);
 	}
 
