Tell when the slot of a timed-out call is free

Cause: a call that timed out gave its slot back while the target still ran the task. Trial with one agent of 8 slots: 8 tasks of 3 s with a deadline of 300 ms, then 40 tasks of 50 ms: all 40 were handed to a full target and failed. Ruled out: closing the connection, which stops a task only at targets that watch for it. Change: the connection of a timed-out call stays open for up to a minute, and the outcome of a call has ended, which resolves once the target answers, the connection closes or the minute is over. The trial is not repeated: the agent does not wait for ended yet. Conclusion: the agent has to keep the slot until ended resolves.

--- a/features/target/raw-target.ts
+++ b/features/target/raw-target.ts
@@ -25,6 +25,8 @@
 	listTasks(): readonly number[];
 	/** Returns how many connections were opened. */
 	countConnections(): number;
+	/** Writes a whole answer on every connection. */
+	writeAnswers(): void;
 	/** Closes every connection from this side. */
 	closeConnections(): Promise<void>;
 };
@@ -128,6 +130,11 @@
 		countRequests: () => requests,
 		listTasks: () => tasks,
 		countConnections: () => connections,
+		writeAnswers() {
+			for (const socket of sockets) {
+				socket.write(okAnswer);
+			}
+		},
 		async closeConnections() {
 			await Promise.all([...sockets].map(async socket => new Promise(resolve => {
 				socket.once('close', resolve).end();
--- a/features/target/target-calls.feature
+++ b/features/target/target-calls.feature
@@ -62,6 +62,20 @@
     Then the call of the target ends as "unknown"
     And the raw target received 1 request
 
+  Scenario Outline: The slot of a call that timed out is free once <event>
+    Given a raw target that never answers
+    When a task is handed to the raw target and its time runs out once it has arrived
+    Then the slot of the call is taken
+    When <event>
+    Then the slot of the call is free
+
+    Examples:
+      | event                             |
+      | the raw target answers after all  |
+      | the raw target closes             |
+      | the hold of the call ends         |
+      | the caller of the target closes   |
+
   Scenario: A call that times out in the queue for a connection is never written
     Given a raw target that never answers
     And a task that holds the only connection to the raw target
--- a/features/target/target-calls.steps.ts
+++ b/features/target/target-calls.steps.ts
@@ -7,9 +7,8 @@
 import {
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
-import {createTargetCaller} from '../../src/adapters/target/caller.ts';
+import {createTargetCaller, type HeldOutcome} from '../../src/adapters/target/caller.ts';
 import type {TaskStart} from '../../src/ports/messages.ts';
-import type {TargetCaller, TargetOutcome} from '../../src/ports/target.ts';
 import {startTargetStandIn, type TargetStandIn} from '../../stand-ins/target.ts';
 import {FakeClock} from './fake-clock.ts';
 import {startRawTarget, type RawTarget} from './raw-target.ts';
@@ -18,14 +17,17 @@
 	rawTarget: RawTarget;
 	standIn: TargetStandIn;
 	clock: FakeClock;
-	caller: TargetCaller;
-	outcome: TargetOutcome;
-	holding: Promise<TargetOutcome>;
+	caller: ReturnType<typeof createTargetCaller>;
+	outcome: HeldOutcome;
+	holding: Promise<HeldOutcome>;
+	/** Timers of calls that timed out and hold their slot. */
+	holdTimers?: number;
 	owned: AsyncDisposable[];
 };
 
 const timeoutMs = 1000;
 const maxAnswerBytes = 2000;
+const holdMs = 5000;
 // Longer than the default of socket buffers on the way, so that a body arrives in parts.
 const bodyText = `"${'x'.repeat(200_000)}END"`;
 
@@ -38,7 +40,7 @@
 function createCaller(world: CallWorld, address: string, connections = 1): void {
 	world.clock = new FakeClock();
 	world.caller = createTargetCaller({
-		address, connections, maxAnswerBytes, clock: world.clock,
+		address, connections, maxAnswerBytes, holdMs, clock: world.clock,
 	});
 	world.owned = [...world.owned ?? [], world.caller];
 }
@@ -92,6 +94,7 @@
 	const call = this.caller.callTarget(createTask(), timeoutMs);
 	await waitUntil(() => this.rawTarget.countRequests() === 1);
 	await this.clock.advance(timeoutMs);
+	this.holdTimers = 1;
 	this.outcome = await call;
 });
 
@@ -117,9 +120,43 @@
 	await waitUntil(() => this.rawTarget.countRequests() >= connections);
 });
 
+Then('the slot of the call is taken', async function (this: CallWorld) {
+	let isFree = false;
+	void (async () => {
+		await this.outcome.ended;
+		isFree = true;
+	})();
+
+	await waitTurn();
+	assert.equal(isFree, false);
+});
+
+When('the raw target answers after all', function (this: CallWorld) {
+	this.rawTarget.writeAnswers();
+});
+
+When('the raw target closes', async function (this: CallWorld) {
+	await this.rawTarget[Symbol.asyncDispose]();
+	this.owned = [this.caller];
+});
+
+When('the hold of the call ends', async function (this: CallWorld) {
+	await this.clock.advance(holdMs);
+});
+
+When('the caller of the target closes', async function (this: CallWorld) {
+	await this.caller[Symbol.asyncDispose]();
+	this.owned = [this.rawTarget];
+});
+
+Then('the slot of the call is free', async function (this: CallWorld) {
+	await this.outcome.ended;
+	assert.equal(this.clock.countTimers(), 0);
+});
+
 Then('the call of the target ends as {string}', function (this: CallWorld, status: string) {
 	assert.equal(this.outcome.status, status, Buffer.from(this.outcome.body).toString());
-	assert.equal(this.clock.countTimers(), this.holding === undefined ? 0 : 1);
+	assert.equal(this.clock.countTimers(), (this.holding === undefined ? 0 : 1) + (this.holdTimers ?? 0));
 });
 
 Then('the raw target received {int} request(s)', function (this: CallWorld, count: number) {
@@ -127,7 +164,7 @@
 });
 
 Then('once the connection is free the raw target receives the next task only', async function (this: CallWorld) {
-	await this.clock.advance(timeoutMs * 10);
+	await this.clock.advance((timeoutMs * 10) + holdMs);
 	const {status} = await this.holding;
 	assert.equal(status, 'unknown');
 	void this.caller.callTarget(createTask({index: 2}), timeoutMs);
--- a/src/adapters/http/send.ts
+++ b/src/adapters/http/send.ts
@@ -19,6 +19,8 @@
 	readonly connectTimeoutMs: Milliseconds;
 	/** Greatest size of an answer's body, in bytes. */
 	readonly maxAnswerBytes: number;
+	/** Time for which the connection of a request that timed out stays open, in ms; closed at once if absent. */
+	readonly holdMs?: Milliseconds;
 	readonly clock: Clock;
 };
 
@@ -53,9 +55,11 @@
 	readonly runTime: Milliseconds;
 	/** Why the request did not end `whole`. */
 	readonly message: string;
+	/** Resolves once the other side has answered or the connection is closed, which may be after a time-out. */
+	readonly ended: Promise<void>;
 };
 
-/** Sends requests over a pool of connections; disposing of it sends nothing more and waits for what still runs. */
+/** Sends requests over a pool of connections; disposing of it sends nothing more and waits for requests that have not timed out. */
 export type Sender = AsyncDisposable & {
 	/** Sends one request and waits for the whole answer, at most `timeout`. */
 	sendRequest(request: HttpRequest, timeout: Milliseconds): Promise<SendOutcome>;
@@ -67,8 +71,12 @@
 class Exchange implements Dispatcher.DispatchHandler {
 	readonly #clock: Clock;
 	readonly #maxAnswerBytes: number;
+	readonly #holdMs: Milliseconds;
+	readonly #held: Set<Exchange>;
 	readonly #resolve: (outcome: SendOutcome) => void;
-	readonly #timer: Disposable;
+	readonly #ended: Promise<void>;
+	#timer: Disposable;
+	#resolveEnded!: () => void;
 	readonly #chunks: Uint8Array[] = [];
 	#controller: Dispatcher.DispatchController | undefined;
 	#settled = false;
@@ -77,15 +85,25 @@
 	#headers: SendOutcome['headers'] = {};
 	#size = 0;
 
-	constructor({clock, maxAnswerBytes}: SenderOptions, timeout: Milliseconds, resolve: (outcome: SendOutcome) => void) {
+	constructor({clock, maxAnswerBytes, holdMs = 0}: SenderOptions, held: Set<Exchange>, timeout: Milliseconds, resolve: (outcome: SendOutcome) => void) {
 		this.#clock = clock;
 		this.#maxAnswerBytes = maxAnswerBytes;
+		this.#holdMs = holdMs;
+		this.#held = held;
 		this.#resolve = resolve;
+		this.#ended = new Promise(_resolve => {
+			this.#resolveEnded = _resolve;
+		});
 		this.#timer = clock.startTimer(timeout, () => {
-			this.#stop('timeout', `no whole answer within ${Math.round(timeout)} ms`);
+			this.#handleTimeout(`no whole answer within ${Math.round(timeout)} ms`);
 		});
 	}
 
+	/** Closes the connection of a request that timed out. */
+	close(): void {
+		this.#controller?.abort(new Error('the answer is no longer waited for'));
+	}
+
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		if (this.#settled || this.#startedAt !== undefined) {
 			// Aborting here keeps the library from writing the request, late or for a second time.
@@ -107,7 +125,10 @@
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		this.#size += chunk.length;
-		this.#chunks.push(chunk);
+		if (!this.#settled) {
+			this.#chunks.push(chunk);
+		}
+
 		if (this.#size > this.#maxAnswerBytes) {
 			this.#stop('too-large', `the answer has more than ${this.#maxAnswerBytes} bytes`);
 		}
@@ -121,18 +142,35 @@
 		this.#handleEnd('broken', error.message);
 	}
 
+	#handleTimeout(message: string): void {
+		if (this.#holdMs === 0 || this.#startedAt === undefined) {
+			this.#stop('timeout', message);
+			return;
+		}
+
+		this.#reply('timeout', message);
+		this.#held.add(this);
+		this.#timer = this.#clock.startTimer(this.#holdMs, () => {
+			this.close();
+		});
+	}
+
 	#stop(ending: SendEnding, message: string): void {
 		this.#handleEnd(ending, message);
 		this.#controller?.abort(new Error(message));
 	}
 
 	#handleEnd(ending: SendEnding, message: string): void {
-		if (this.#settled) {
-			return;
+		this.#timer[Symbol.dispose]();
+		this.#held.delete(this);
+		this.#resolveEnded();
+		if (!this.#settled) {
+			this.#reply(ending, message);
 		}
+	}
 
+	#reply(ending: SendEnding, message: string): void {
 		this.#settled = true;
-		this.#timer[Symbol.dispose]();
 		this.#resolve({
 			ending,
 			written: this.#startedAt !== undefined,
@@ -141,6 +179,7 @@
 			body: Buffer.concat(this.#chunks),
 			runTime: this.#startedAt === undefined ? 0 : this.#clock.getTime() - this.#startedAt,
 			message,
+			ended: this.#ended,
 		});
 	}
 }
@@ -153,6 +192,7 @@
  */
 export function createSender(options: SenderOptions): Sender {
 	const {address, connections, connectTimeoutMs} = options;
+	const held = new Set<Exchange>();
 	const pool = new Pool(`http://${address}`, {
 		connections,
 		pipelining: 1,
@@ -173,10 +213,14 @@
 					idempotent: false,
 					headersTimeout: 0,
 					bodyTimeout: 0,
-				}, new Exchange(options, timeout, resolve));
+				}, new Exchange(options, held, timeout, resolve));
 			});
 		},
 		async [Symbol.asyncDispose]() {
+			for (const exchange of held) {
+				exchange.close();
+			}
+
 			await pool.close();
 		},
 	};
--- a/src/adapters/target/caller.ts
+++ b/src/adapters/target/caller.ts
@@ -17,11 +17,25 @@
 	readonly maxAnswerBytes?: number;
 	/** Time in which a connection must open, in ms. */
 	readonly connectTimeoutMs?: Milliseconds;
+	/** Time for which a task that timed out counts as running at the target unless it answers, in ms. */
+	readonly holdMs?: Milliseconds;
 	readonly clock: Clock;
 };
 
+/** How a call ended, and when its slot is free. */
+export type HeldOutcome = TargetOutcome & {
+	/** Resolves once the target no longer runs the task: after the answer, or the hold of a task that timed out. */
+	readonly ended: Promise<void>;
+};
+
+/** A caller that tells when the slot of a call is free. */
+export type HeldTargetCaller = Omit<TargetCaller, 'callTarget'> & {
+	readonly callTarget: (task: TaskStart, timeout: Milliseconds) => Promise<HeldOutcome>;
+};
+
 const defaultMaxAnswerBytes = 1_048_576;
 const defaultConnectTimeoutMs = 1000;
+const defaultHoldMs = 60_000;
 const maxErrorLength = 200;
 const headerPattern = /^[ -~]*$/;
 
@@ -73,21 +87,24 @@
  * @param options - Address, caps and clock.
  * @returns The caller; disposing of it starts nothing more and waits for what still runs.
  */
-export function createTargetCaller(options: TargetCallerOptions): TargetCaller {
+export function createTargetCaller(options: TargetCallerOptions): HeldTargetCaller {
 	const sender = createSender({
 		...options,
 		maxAnswerBytes: options.maxAnswerBytes ?? defaultMaxAnswerBytes,
 		connectTimeoutMs: options.connectTimeoutMs ?? defaultConnectTimeoutMs,
+		holdMs: options.holdMs ?? defaultHoldMs,
 	});
 
 	return {
-		async callTarget(task, timeout): Promise<TargetOutcome> {
+		async callTarget(task, timeout): Promise<HeldOutcome> {
 			const outcome = await sender.sendRequest({
 				method: 'POST', path: '/tasks', headers: createHeaders(task), body: task.body,
 			}, timeout);
 			const status = statusByEnding[outcome.ending](outcome);
 			const body = status === 'done' ? outcome.body : Buffer.from(describeFailure(outcome));
-			return {status, body, runTime: outcome.runTime};
+			return {
+				status, body, runTime: outcome.runTime, ended: outcome.ended,
+			};
 		},
 		async [Symbol.asyncDispose]() {
 			await sender[Symbol.asyncDispose]();
