Test that placement weighs stragglers and the age of reports

Cause: with either guard off every scenario still passed. Ruled out: bounds of the simulation, which hide one guard behind another. Change: a scenario of a straggler and an outline of old reports. Conclusion: both guards are held.

--- a/features/placement/choice.feature
+++ b/features/placement/choice.feature
@@ -58,6 +58,22 @@
       | 0    | 80  | another place |
       | 0    | 200 | another place |
 
+  Scenario Outline: An old report of few free slots is not relied on
+    Given placement on "a1" over agents "a1 a2" here and "b1" in another data centre
+    And in placement "a1" is full and "a2" reported 1 free slot <age> ms ago
+    Then the next task goes to <place>
+
+    Examples:
+      | age | place         |
+      | 0   | agent a2      |
+      | 100 | another place |
+
+  Scenario: A straggler gets nothing while others have room
+    Given an entry's placement over agents "a1 a2 a3" in one data centre
+    When in placement 40 tasks run 100 ms at each agent but 500 ms at "a2"
+    Then placing 16 tasks gives agent "a2" 0 tasks
+    And placing 24 tasks gives agent "a2" 4 tasks
+
   Scenario Outline: Every policy hands out what there is room for, and no more
     Given placement by "<policy>" over agents "a1 a2 a3 a4"
     Then placing 760 tasks gives every agent 10 tasks
--- a/features/placement/choice.steps.ts
+++ b/features/placement/choice.steps.ts
@@ -90,6 +90,11 @@
 	}
 });
 
+Given('in placement "a1" is full and "a2" reported 1 free slot {int} ms ago', function (this: PlacementWorld, age: number) {
+	report(this, 'a1', createLoad(0));
+	report(this, 'a2', createLoad(1), start - age);
+});
+
 const changes: Record<string, (world: PlacementWorld, name: string) => void> = {
 	'in order': () => undefined,
 	full(world, name) {
@@ -123,6 +128,15 @@
 	}
 });
 
+When('in placement {int} tasks run {int} ms at each agent but {int} ms at {string}', function (this: PlacementWorld, count: number, usual: number, slow: number, name: string) {
+	for (const agent of Array.from({length: count}, () => ['a1', 'a2', 'a3']).flat()) {
+		const runTime = agent === name ? slow : usual;
+		recordEnd(this.placement, getRef(agent), {
+			customer: 'c', kind: 'k', status: 'done', runTime,
+		}, start);
+	}
+});
+
 When('in placement agent {string} restarts', function (this: PlacementWorld, name: string) {
 	const agents = [...this.placement.agents.values()]
 		.map(({agent}) => agent.name === name ? {...agent, incarnation: 2} : agent);
@@ -174,9 +188,9 @@
 	assert.equal(total, expected);
 });
 
-Then(/^the next task goes to (this process|another place)$/, function (this: PlacementWorld, place: string) {
+Then(/^the next task goes to (this process|agent a2|another place)$/, function (this: PlacementWorld, place: string) {
 	const [name] = countPlaced(this, 1).keys();
-	assert.equal(name, place === 'this process' ? 'a1' : 'b1');
+	assert.equal(name, {'this process': 'a1', 'agent a2': 'a2'}[place] ?? 'b1');
 });
 
 Then('a report of the earlier life of {string} changes nothing', function (this: PlacementWorld, name: string) {
