Measure the slopes behind the capacity page

Cause: no figure told what a process spends per member, customer, job and task at the target size. Ruled out: the rig of bench/rig for idle fleets (a target process per agent doubles the processes), and metrics alone for bytes on streams (they count messages); bytes come from the kernel's write counters.

--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,68 @@
+/**
+ * Measures the slopes behind docs/CAPACITY.md on this machine and prints them with their fits.
+ *
+ * Run by `npm run capacity -- --seed 1 [--only idle,view,records,documents,load] [--sizes 11,25,50] [--out FILE]`;
+ * the built binary must exist. Each part prints one JSON line.
+ */
+import {writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {measureDocuments} from './capacity/documents.ts';
+import {measureIdle} from './capacity/idle.ts';
+import {measureLoad} from './capacity/load.ts';
+import {measureRecords} from './capacity/records.ts';
+import {renderFigures, type Figures} from './capacity/report.ts';
+import {measureView} from './capacity/view.ts';
+
+const {values} = parseArgs({
+	options: {
+		seed: {type: 'string', default: '1'},
+		only: {type: 'string', default: 'records,documents,view,load,idle'},
+		sizes: {type: 'string', default: '11,25,50,100,200'},
+		out: {type: 'string', default: ''},
+	},
+});
+
+const seed = Number(values.seed);
+const maxProcesses = 50;
+const entries = 2;
+const viewSizes = [11, 25, 50, 100, 200];
+
+async function measureIdleSizes(): Promise<Figures['idle']> {
+	const results: Array<Awaited<ReturnType<typeof measureIdle>>> = [];
+	for (const members of values.sizes.split(',').map(Number)) {
+		const agents = members <= maxProcesses ? members - entries : 4;
+		const inProcess = members - entries - agents;
+		results.push(await measureIdle({
+			entries, agents, inProcess, seed,
+		}, {settleMs: inProcess > 0 ? 20_000 : 12_000, windowMs: 10_000}));
+	}
+
+	return results;
+}
+
+const parts: {readonly [Name in keyof Figures]-?: () => Figures[Name] | Promise<Figures[Name]>} = {
+	records: measureRecords,
+	documents: measureDocuments,
+	view() {
+		measureView(viewSizes[0], seed);
+		return viewSizes.map(members => measureView(members, seed));
+	},
+	load: async () => measureLoad(seed),
+	idle: measureIdleSizes,
+};
+
+const figures: Record<string, unknown> = {};
+for (const name of values.only.split(',') as Array<keyof Figures>) {
+	const startedAt = performance.now();
+	figures[name] = await parts[name]();
+	process.stderr.write(`${name}: ${((performance.now() - startedAt) / 1000).toFixed(0)} s\n`);
+}
+
+process.stdout.write(`${renderFigures(figures)}\n`);
+if (values.out !== '') {
+	await writeFile(values.out, `${JSON.stringify({seed, figures}, undefined, '\t')}\n`);
+}
+
+// Agents inside this process have no further use.
+process.exit(0);
