Add the commands timeline, submit and demo

Cause: operators could not gather the time line from the processes, callers had no command to submit a job, and a newcomer no command that runs the whole system. Ruled out: a stand-in store over HTTP in the demonstration, because the store port on the stand-in itself needs no server; graceful exit by ending the process, because timers of a stopped fleet would hide in it. Change: `timeline` asks every process, merges their answers and names those that are missing; `submit` maps the outcome of a job to an exit code and says what can be done; `demo` runs two entries, four agents with stand-in targets and a store in one process, with a clock whose timers end with the fleet.

--- a/src/commands/status.ts
+++ b/src/commands/status.ts
@@ -4,22 +4,40 @@
 import process from 'node:process';
 import type {CommandOptions, CommandRunner} from '../api/commands.ts';
 import {exitCodes} from './exit-codes.ts';
-import {FleetUnreachableError, openFleet, readOperatorSecret} from './fleet.ts';
+import {
+	FleetUnreachableError, openFleet, readOperatorSecret, type Fleet,
+} from './fleet.ts';
 import {createFleetStatus, type FleetStatus} from './status-rows.ts';
 import {formatTable} from './table-text.ts';
 
 const clearScreen = '\u001B[2J\u001B[H';
 const defaultWatchMs = 2000;
 
-async function readFleetStatus(options: CommandOptions): Promise<FleetStatus> {
-	const secret = await readOperatorSecret(String(options['secret-file'] ?? ''));
-	const fleet = await openFleet(String(options.address), secret);
+/**
+ * Asks every process of a fleet for its status.
+ *
+ * @param fleet - The processes.
+ * @returns Rows for tables.
+ */
+export async function fetchFleetStatus(fleet: Fleet): Promise<FleetStatus> {
 	const answers = await fleet.gatherAnswers(async (client, signal) => client.getStatus.query(undefined, {signal}));
 	const document = await fleet.gatherAnswers(async (client, signal) => client.getDocument.query(undefined, {signal}));
 	return createFleetStatus(answers, document.find(({value}) => value !== undefined)?.value);
 }
 
-function renderStatus(status: FleetStatus, isJson: boolean): string {
+async function readFleetStatus(options: CommandOptions): Promise<FleetStatus> {
+	const secret = await readOperatorSecret(String(options['secret-file'] ?? ''));
+	return fetchFleetStatus(await openFleet(String(options.address), secret));
+}
+
+/**
+ * Renders the status of a fleet.
+ *
+ * @param status - The status.
+ * @param isJson - Whether it is for programs.
+ * @returns Lines of text.
+ */
+export function renderStatus(status: FleetStatus, isJson: boolean): string {
 	if (isJson) {
 		return `${JSON.stringify(status)}\n`;
 	}
--- a/src/commands/table.ts
+++ b/src/commands/table.ts
@@ -38,6 +38,43 @@
 		example: 'check entry.json',
 		load: async () => import('./check.ts'),
 	},
+	{
+		usage: 'timeline',
+		summary: 'Show what all processes recorded of jobs and of one another',
+		options: [
+			addressOption,
+			secretOption,
+			['--job', 'Only events of this job'],
+			['--customer', 'Only events of this customer'],
+			['--since', 'Only events since then: 10m, an ISO time, or ms since the epoch'],
+			['--limit', 'Greatest number of events; the latest are kept', '10000'],
+			['--format', 'table, jsonl, chrome (for Perfetto) or html; table unless --html is given'],
+			['--html', 'Write a page with a picture to this file'],
+			['--explain', 'Say in a few sentences what became of the job; needs --job', false],
+		],
+		example: 'timeline --address 127.0.0.1:7100 --since 10m',
+		load: async () => import('./timeline.ts'),
+	},
+	{
+		usage: 'submit <file>',
+		summary: 'Submit the job in a file and print its whole answer',
+		options: [
+			['--entry', 'Addresses of entries for callers', '127.0.0.1:8080'],
+			['--token', 'Token of the customer'],
+			['--token-file', 'File with the token of the customer'],
+			['--id', 'Id under which the job may have been submitted before'],
+			['--json', 'Print JSON', false],
+		],
+		example: 'submit job.json --entry 127.0.0.1:8080 --token-file token',
+		load: async () => import('./submit.ts'),
+	},
+	{
+		usage: 'demo',
+		summary: 'Run a whole fleet in this process, submit a job, and show what operators see',
+		options: [['--log-level', 'Least severe level of log lines', 'warn']],
+		example: 'demo',
+		load: async () => import('./demo.ts'),
+	},
 	...contractDescriptions,
 ];
 
