Hold the slot of a task that timed out, and generate load in processes of its own

Cause: in the flood bench target stand-ins answered 503 "all slots are taken" to 1 in 4 tasks of customers that did not flood: the agent freed the slot of a task at its deadline while the target still ran it. The generator itself was late by seconds (one thread for 1,500 jobs a second). Ruled out: admission (refusals were the flooder's only); wrong slot counts (the stand-in's peak was 8). Change: the agent waits for the end of the call at the target before it frees the slot; the measured run time goes to the schedule with its success; each stream of the bench has processes of its own and its lag is reported.

--- a/bench/load/generator.ts
+++ b/bench/load/generator.ts
@@ -1,6 +1,9 @@
 /**
  * Submits planned jobs at their times, whatever the answers do (open loop), and measures the answers.
  */
+import {once} from 'node:events';
+import {fork} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
 import {Agent, request} from 'undici';
 import type {PlannedJob} from './schedule.ts';
 
@@ -12,6 +15,8 @@
 	readonly reason: string;
 	/** Time from the planned arrival to the whole answer, in ms. */
 	readonly responseMs: number;
+	/** Time by which the submission was late, in ms. */
+	readonly lagMs: number;
 	readonly isWhole: boolean;
 };
 
@@ -24,6 +29,12 @@
 const connectionsPerEntry = 1024;
 const answerTimeoutMs = 70_000;
 
+/** Time in which the processes of the generator start. */
+const workerStartMs = 1500;
+
+/** Processes of one stream that floods. */
+const floodProcesses = 2;
+
 type Answer = {
 	readonly outcome?: string;
 	readonly type?: string;
@@ -39,7 +50,7 @@
 	}
 }
 
-async function submitJob(job: PlannedJob, url: string, token: string, agent: Agent): Promise<Omit<JobRecord, 'responseMs'>> {
+async function submitJob(job: PlannedJob, url: string, token: string, agent: Agent): Promise<Omit<JobRecord, 'responseMs' | 'lagMs'>> {
 	const tasks = job.runMs.map((runMs, number) => ({body: {runMs, number}}));
 	try {
 		const response = await request(`${url}/v1/jobs`, {
@@ -64,23 +75,24 @@
 }
 
 /**
- * Runs the planned jobs.
+ * Runs the planned jobs in this process.
  *
  * @param jobs - The jobs by time.
- * @param options - Entries and tokens.
+ * @param options - Entries, tokens and the start in ms since the epoch.
  * @returns One record per job, in the order of the answers.
  */
-export async function runJobs(jobs: readonly PlannedJob[], options: GeneratorOptions): Promise<JobRecord[]> {
-	const {urls, tokens} = options;
+export async function runJobsHere(jobs: readonly PlannedJob[], options: GeneratorOptions & {readonly startAt: number}): Promise<JobRecord[]> {
+	const {urls, tokens, startAt} = options;
 	const agent = new Agent({connections: connectionsPerEntry, pipelining: 1});
 	const records: JobRecord[] = [];
 	const running: Array<Promise<void>> = [];
-	const startedAt = performance.now();
+	const startedAt = startAt - performance.timeOrigin;
 	for (const [index, job] of jobs.entries()) {
 		await waitUntil(startedAt + job.at);
+		const lagMs = performance.now() - startedAt - job.at;
 		running.push((async () => {
-			const record = await submitJob(job, urls[index % urls.length], tokens.get(job.stream.customer)!, agent);
-			records.push({...record, responseMs: performance.now() - startedAt - job.at});
+			const record = await submitJob(job, urls[index % urls.length]!, tokens.get(job.stream.customer)!, agent);
+			records.push({...record, lagMs, responseMs: performance.now() - startedAt - job.at});
 		})());
 	}
 
@@ -88,3 +100,32 @@
 	await agent.close();
 	return records;
 }
+
+async function runInProcess(jobs: readonly PlannedJob[], options: GeneratorOptions & {readonly startAt: number}): Promise<JobRecord[]> {
+	const worker = fork(fileURLToPath(new URL('worker.ts', import.meta.url)), {execArgv: ['--import', 'tsx'], serialization: 'advanced'});
+	worker.send({jobs, options});
+	const [records] = await once(worker, 'message') as [JobRecord[]];
+	return records;
+}
+
+/**
+ * Runs the planned jobs, each stream in processes of its own, so that a flood does not delay the others' submissions.
+ *
+ * @param jobs - The jobs by time.
+ * @param options - Entries and tokens.
+ * @returns One record per job.
+ */
+export async function runJobs(jobs: readonly PlannedJob[], options: GeneratorOptions): Promise<JobRecord[]> {
+	const startAt = Date.now() + workerStartMs;
+	const groups = new Map<string, PlannedJob[]>();
+	for (const [index, job] of jobs.entries()) {
+		const {customer, kind, isFlood} = job.stream;
+		const key = `${customer}/${kind}/${isFlood ? index % floodProcesses : 0}`;
+		const group = groups.get(key) ?? [];
+		group.push(job);
+		groups.set(key, group);
+	}
+
+	const records = await Promise.all([...groups.values()].map(async group => runInProcess(group, {...options, startAt})));
+	return records.flat();
+}
--- a/bench/load/report.ts
+++ b/bench/load/report.ts
@@ -23,6 +23,8 @@
 	readonly ratio99: number;
 	/** Response time beyond the ideal, in ms. */
 	readonly overhead50: number;
+	/** Time by which the generator was late, in ms. */
+	readonly lag99: number;
 };
 
 const precision = 1000;
@@ -57,6 +59,11 @@
 	const times = build({numberOfSignificantValueDigits: 3});
 	const ratios = build({numberOfSignificantValueDigits: 3});
 	const overheads = build({numberOfSignificantValueDigits: 3});
+	const lags = build({numberOfSignificantValueDigits: 3});
+	for (const {lagMs} of records) {
+		addValue(lags, lagMs);
+	}
+
 	let tasks = 0;
 	for (const record of records.filter(({outcome}) => outcome === 'complete')) {
 		const ideal = computeIdealMs(record, slots);
@@ -80,6 +87,7 @@
 		ratio50: getPercentile(ratios, 50),
 		ratio99: getPercentile(ratios, 99),
 		overhead50: getPercentile(overheads, 50),
+		lag99: getPercentile(lags, 99),
 	};
 }
 
--- a/src/processes/agent/execution-task.ts
+++ b/src/processes/agent/execution-task.ts
@@ -2,12 +2,13 @@
  * Owns the slots of the target beside this agent: takes tasks from homes, starts them, reports results.
  */
 import {createSlotQueue, type SlotQueue} from '../../adapters/scheduling/fair-queue.ts';
-import {createTargetCaller} from '../../adapters/target/caller.ts';
+import {createTargetCaller, type HeldTargetCaller} from '../../adapters/target/caller.ts';
 import {
 	acceptTask, clearResult, dropJob, endTask, getHome, refuseTask, startTask,
 } from '../../core/execution/logic.ts';
 import {createExecutionRecords, pruneRecords, type ExecutionRecords} from '../../core/execution/state.ts';
 import type {NodeName, NodeRef} from '../../core/identity/types.ts';
+import type {TaskMeasurement} from '../../core/scheduling/logic.ts';
 import type {EventFields} from '../../core/timeline/types.ts';
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {Log} from '../../ports/log.ts';
@@ -15,7 +16,7 @@
 	JobDrop, LoadReport, NotStartedReason, TaskResult, TaskStart,
 } from '../../ports/messages.ts';
 import type {Metric} from '../../ports/metrics.ts';
-import type {TargetAnnouncement, TargetCaller, TargetRegistration} from '../../ports/target.ts';
+import type {TargetAnnouncement, TargetRegistration} from '../../ports/target.ts';
 import type {Node} from '../shared/node.ts';
 import {LoadReporter} from './load-reporter.ts';
 
@@ -43,7 +44,7 @@
 	readonly #outbox = new Map<NodeName, {home: NodeRef; results: TaskResult[]}>();
 	readonly #unconfirmed = new Map<NodeName, SentResults[]>();
 	readonly #resources: Disposable[] = [];
-	#caller: TargetCaller | undefined;
+	#caller: HeldTargetCaller | undefined;
 	#target: TargetAnnouncement | undefined;
 	#isLeaving = false;
 	readonly #reports: LoadReporter;
@@ -209,7 +210,7 @@
 		}
 	}
 
-	async #run(task: TaskStart, queuedAt: Milliseconds): Promise<Milliseconds> {
+	async #run(task: TaskStart, queuedAt: Milliseconds): Promise<TaskMeasurement> {
 		const startedAt = this.#clock.getTime();
 		startTask(this.#records, task);
 		this.#record('start', task, {duration: startedAt - queuedAt});
@@ -226,7 +227,9 @@
 		};
 		this.#record('end', task, {duration: outcome.runTime, reason: outcome.status});
 		this.#reply(endTask(this.#records, result), result);
-		return outcome.runTime;
+		// A task that timed out still takes its slot at the target until it ends there.
+		await outcome.ended;
+		return {runTime: this.#clock.getTime() - startedAt, isSuccess: outcome.status === 'done'};
 	}
 
 	#record(type: 'start' | 'end', task: TaskStart, fields: Pick<EventFields, 'duration' | 'reason'>): void {
