Let customers with few tasks pass a flood at the home, and avoid suspect agents

The home also knew its own load from a report up to 1 s old. Change: a customer with fewer than 8 tasks at agents from this home is sent on without known room, with a pause and jitter after a refusal; the home takes its own load afresh; suspects of the health logic are avoided; a task whose end was not awaited is reported as deadline, not as a lost agent; announcements from other hosts are refused.

--- a/src/core/outcome/logic.ts
+++ b/src/core/outcome/logic.ts
@@ -10,7 +10,7 @@
 	closeJob, failJob, settleTask, updateAnswer,
 } from './settle.ts';
 import {
-	addJob, addRefusal, estimateBytes, type HomeState,
+	addJob, addRefusal, estimateBytes, updateSentTasks, type HomeState,
 } from './state.ts';
 import type {
 	JobCall, JobRecord, PendingTask, Refusal, Submission, TaskRecord,
@@ -235,6 +235,7 @@
 	task.agent = agent;
 	task.placements++;
 	job.pendingTasks--;
+	updateSentTasks(state, job.customer, 1);
 	return createTaskStart(job, index, now);
 }
 
@@ -278,6 +279,7 @@
 	const task = job.tasks[index];
 	const canPlaceAgain = job.failure === undefined && placeableReasons.has(result.reason) && task.placements < state.options.maxPlacements;
 	if (canPlaceAgain) {
+		updateSentTasks(state, job.customer, -1);
 		task.state = 'pending';
 		task.agent = undefined;
 		job.pendingTasks++;
@@ -285,24 +287,25 @@
 		return;
 	}
 
-	settleTask(job, task, 'not-started');
+	settleTask(state, job, task, 'not-started');
 	const reason = result.reason === 'deadline' ? 'deadline' : 'no-capacity';
 	failJob(state, job, {reason, detail: `task ${index} was not started: ${result.reason ?? 'refused'}`, taskIndex: index});
 }
 
 const resultHandlers: Record<TaskResult['status'], ResultHandler> = {
-	done(_state, {job, index}, result) {
+	done(state, {job, index}, result) {
 		const task = job.tasks[index];
-		settleTask(job, task, 'done');
+		settleTask(state, job, task, 'done');
 		task.result = result.body;
 	},
 	failed(state, {job, index}, result) {
-		settleTask(job, job.tasks[index], 'failed');
+		settleTask(state, job, job.tasks[index], 'failed');
 		failJob(state, job, {reason: 'task-failed', detail: new TextDecoder().decode(result.body), taskIndex: index});
 	},
 	unknown(state, {job, index}, result) {
-		settleTask(job, job.tasks[index], 'unknown');
-		failJob(state, job, {reason: 'agent-lost', detail: new TextDecoder().decode(result.body), taskIndex: index});
+		settleTask(state, job, job.tasks[index], 'unknown');
+		const reason = result.reason === 'deadline' ? 'deadline' : 'agent-lost';
+		failJob(state, job, {reason, detail: new TextDecoder().decode(result.body), taskIndex: index});
 	},
 	'not-started': applyNotStarted,
 };
@@ -348,7 +351,7 @@
 		let isLost = false;
 		for (const task of job.tasks) {
 			if (task.state === 'sent' && isSameNode(task.agent!, agent)) {
-				settleTask(job, task, 'unknown');
+				settleTask(state, job, task, 'unknown');
 				isLost = true;
 			}
 		}
--- a/src/core/outcome/settle.ts
+++ b/src/core/outcome/settle.ts
@@ -3,7 +3,9 @@
  */
 import type {JobAnswer, JobOutcome} from '../../ports/messages.ts';
 import {assertInvariant} from './errors.ts';
-import {clearTasks, setAnswer, type HomeState} from './state.ts';
+import {
+	clearTasks, setAnswer, updateSentTasks, type HomeState,
+} from './state.ts';
 import type {
 	JobFailure, JobRecord, TaskRecord, TaskState,
 } from './types.ts';
@@ -11,10 +13,12 @@
 type SettledState = Exclude<TaskState, 'pending' | 'sent'>;
 
 /** Settles one task; a settled task never changes again. */
-export function settleTask(job: JobRecord, task: TaskRecord, state: SettledState): void {
+export function settleTask(home: HomeState, job: JobRecord, task: TaskRecord, state: SettledState): void {
 	assertInvariant(task.state === 'pending' || task.state === 'sent', `a task of job ${job.id} is settled twice`);
 	if (task.state === 'pending') {
 		job.pendingTasks--;
+	} else {
+		updateSentTasks(home, job.customer, -1);
 	}
 
 	task.state = state;
@@ -82,7 +86,7 @@
 	const agents = new Map<string, TaskRecord['agent']>();
 	for (const task of job.tasks) {
 		if (task.state === 'pending') {
-			settleTask(job, task, 'not-started');
+			settleTask(state, job, task, 'not-started');
 		} else if (task.state === 'sent') {
 			agents.set(task.agent!.name, task.agent);
 		}
--- a/src/core/outcome/state.ts
+++ b/src/core/outcome/state.ts
@@ -25,6 +25,8 @@
 	readonly openJobs: Map<JobId, JobRecord>;
 	/** Ids that were refused before they became jobs. */
 	readonly refusals: Map<JobId, RefusalRecord>;
+	/** Tasks at agents that are not settled, by customer. */
+	readonly sentTasks: Map<string, number>;
 	/** Memory accounted to all jobs, in bytes. */
 	bytes: number;
 	/** Effects since the last call of `takeEffects`. */
@@ -40,7 +42,7 @@
  */
 export function createHome(self: NodeRef, options: HomeOptions): HomeState {
 	return {
-		self, options, jobs: new Map(), openJobs: new Map(), refusals: new Map(), bytes: 0, effects: [],
+		self, options, jobs: new Map(), openJobs: new Map(), refusals: new Map(), sentTasks: new Map(), bytes: 0, effects: [],
 	};
 }
 
@@ -170,6 +172,23 @@
 	job.tasks = [];
 }
 
+/**
+ * Counts a task of a customer that was sent to an agent, or came back.
+ *
+ * @param state - The home.
+ * @param customer - The customer.
+ * @param change - 1 or -1.
+ */
+export function updateSentTasks(state: HomeState, customer: string, change: 1 | -1): void {
+	const count = (state.sentTasks.get(customer) ?? 0) + change;
+	assertInvariant(count >= 0, `customer ${customer} has ${count} tasks at agents`);
+	if (count === 0) {
+		state.sentTasks.delete(customer);
+	} else {
+		state.sentTasks.set(customer, count);
+	}
+}
+
 /**
  * Remembers that an id was refused, so that no later submission of it runs.
  *
--- a/src/ports/messages.ts
+++ b/src/ports/messages.ts
@@ -100,6 +100,7 @@
 	readonly status: TaskStatus;
 	/** The target's answer when `done`, a short error text when `failed` or `unknown`. */
 	readonly body: Uint8Array;
+	/** Why the task was not started, or `deadline` if its end was not awaited. */
 	readonly reason?: NotStartedReason;
 	/** Time between the start at the target and its answer; 0 when not started. */
 	readonly runTime: Milliseconds;
--- a/src/processes/agent/agent.ts
+++ b/src/processes/agent/agent.ts
@@ -3,6 +3,7 @@
  */
 import {createLog} from '../../adapters/log/log.ts';
 import {ResourceStack} from '../../adapters/system/resources.ts';
+import type {AnnouncementErrorKind} from '../../adapters/target/errors.ts';
 import {createTargetRegistration} from '../../adapters/target/registration.ts';
 import {FleetView} from '../shared/fleet-view.ts';
 import {startNode, type Node, type NodeInput} from '../shared/node.ts';
@@ -13,6 +14,8 @@
 
 const maxAnnouncementBytes = 4096;
 
+const announcementStatuses: Record<AnnouncementErrorKind, number> = {'invalid-value': 400, forbidden: 403};
+
 /** A running agent. */
 export type Agent = AsyncDisposable & {
 	readonly node: Node;
@@ -37,9 +40,9 @@
 		leaseMs: settings.target.leaseMs, allowedHosts: [settings.host], clock, log: createLog('target'),
 	});
 	node.server.addRoute('POST /target', async (request, response) => {
-		const answer = registration.handleAnnouncement(await readJsonBody(request, maxAnnouncementBytes));
+		const answer = registration.handleAnnouncement(await readJsonBody(request, maxAnnouncementBytes), request.socket.remoteAddress);
 		const body = answer.isOk() ? answer.value : {error: answer.error.message};
-		response.writeHead(answer.isOk() ? 200 : 400, {'content-type': 'application/json'}).end(JSON.stringify(body));
+		response.writeHead(answer.isOk() ? 200 : announcementStatuses[answer.error.kind], {'content-type': 'application/json'}).end(JSON.stringify(body));
 	});
 	const fleet = stack.addResource(new FleetView(node));
 	const execution = stack.addResource(new ExecutionTask({node, registration, log: createLog('execution')}));
--- a/src/processes/agent/execution-task.ts
+++ b/src/processes/agent/execution-task.ts
@@ -13,7 +13,7 @@
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {Log} from '../../ports/log.ts';
 import type {
-	JobDrop, LoadReport, NotStartedReason, TaskResult, TaskStart,
+	JobDrop, LoadReport, NotStartedReason, TaskResult, TaskStart, TaskStatus,
 } from '../../ports/messages.ts';
 import type {Metric} from '../../ports/metrics.ts';
 import type {TargetAnnouncement, TargetRegistration} from '../../ports/target.ts';
@@ -221,7 +221,7 @@
 			attempt: task.attempt,
 			status: outcome.status,
 			body: outcome.body,
-			...(outcome.status === 'not-started' && {reason: 'no-target' as const}),
+			...this.#findReason(outcome.status, queuedAt + task.deadline),
 			runTime: outcome.runTime,
 			waitTime: startedAt - queuedAt,
 		};
@@ -232,6 +232,15 @@
 		return {runTime: this.#clock.getTime() - startedAt, isSuccess: outcome.status === 'done'};
 	}
 
+	/** Finds why a task did not start or has no known end; undefined if the target answered. */
+	#findReason(status: TaskStatus, deadlineAt: Milliseconds): {readonly reason?: NotStartedReason} {
+		if (status === 'not-started') {
+			return {reason: 'no-target'};
+		}
+
+		return status === 'unknown' && this.#clock.getTime() >= deadlineAt ? {reason: 'deadline'} : {};
+	}
+
 	#record(type: 'start' | 'end', task: TaskStart, fields: Pick<EventFields, 'duration' | 'reason'>): void {
 		this.#node.timeline.record({
 			type, job: task.job, customer: task.customer, kind: task.kind, task: task.index, ...fields,
--- a/src/processes/agent/home-task.ts
+++ b/src/processes/agent/home-task.ts
@@ -34,6 +34,12 @@
 
 type EffectHandlers = {[Type in HomeEffect['type']]: (effect: Extract<HomeEffect, {type: Type}>) => void};
 
+/** Greatest number of a customer's tasks at agents with which further ones are sent without known room. */
+const maxBypassTasks = 8;
+
+/** Least time, in ms, before a customer whose task was refused is sent without room again. */
+const bypassDelayMs = 50;
+
 /** Greatest number of agents whose results go with an answer. */
 const maxTallies = 32;
 
@@ -58,6 +64,8 @@
 	#isPlacing = false;
 	/** How tasks ended, of the jobs answered in this turn. */
 	readonly #tallies = new Map<JobId, readonly TaskTally[]>();
+	/** Time from which a customer's tasks may be sent without room again. */
+	readonly #bypassAfter = new Map<string, Milliseconds>();
 	/** Tasks that are trials of their agent, as `job/index`. */
 	readonly #trials = new Set<string>();
 	#deadlineTimer: Timer | undefined;
@@ -223,11 +231,12 @@
 	}
 
 	#handleResult(from: NodeRef, message: Extract<PeerMessage, {type: 'result'}>): void {
-		this.#fleet.recordLoad(from, message.load, 'result');
 		for (const result of message.results) {
 			this.#recordEnd(from, result);
 		}
 
+		this.#fleet.recordLoad(from, message.load, 'result');
+
 		recordResults(this.state, from, message.results);
 		this.#applyEffects();
 		this.#schedulePlacing();
@@ -269,6 +278,7 @@
 			agent: from, customer: job.customer, kind: job.kind, status: result.status, trial: this.#trials.delete(`${job.id}/${result.index}`),
 		});
 		if (result.status === 'not-started') {
+			this.#delayBypass(job.customer);
 			this.#node.timeline.record({
 				type: 'retry', job: job.id, customer: job.customer, task: result.index, peer: from.name, reason: result.reason ?? 'not-started',
 			});
@@ -355,6 +365,8 @@
 			return;
 		}
 
+		this.#fleet.recordLoad(this.#node.self, this.#execution.getLoad(), 'result');
+
 		const trialAgent = this.#fleet.health.startTrial();
 		if (trialAgent !== undefined && this.#isReachable(trialAgent)) {
 			this.#startTrial(trialAgent);
@@ -363,6 +375,40 @@
 		for (const assignment of this.#fleet.chooseAgents(count)) {
 			this.#sendTasks(assignment);
 		}
+
+		this.#placeWithoutRoom();
+	}
+
+	/**
+	 * Sends tasks of customers that have few at agents although no agent is known to have room: the queue of
+	 * an agent orders customers by their shares, and a customer that floods must not keep others at the home.
+	 */
+	#placeWithoutRoom(): void {
+		const now = this.#clock.getTime();
+		for (;;) {
+			const agent = this.#fleet.chooseHome();
+			if (agent === undefined || !this.#isReachable(agent)) {
+				return;
+			}
+
+			const pending = this.#pending.selectTask(customer => this.#canBypass(customer, now));
+			if (pending === undefined) {
+				return;
+			}
+
+			this.#sendStart(agent, [sendTask(this.state, pending, agent, now)]);
+		}
+	}
+
+	#canBypass(customer: string, now: Milliseconds): boolean {
+		const sent = this.state.sentTasks.get(customer) ?? 0;
+		return sent < maxBypassTasks && now >= (this.#bypassAfter.get(customer) ?? 0);
+	}
+
+	/** Keeps a customer whose tasks were refused from being sent without room for a while. */
+	#delayBypass(customer: string): void {
+		const delay = bypassDelayMs * (1 + this.#node.input.random.getFloat());
+		this.#bypassAfter.set(customer, this.#clock.getTime() + delay);
 	}
 
 	#isReachable(agent: NodeRef): boolean {
--- a/src/processes/shared/fleet-health.ts
+++ b/src/processes/shared/fleet-health.ts
@@ -2,7 +2,7 @@
  * Keeps sick agents out of the placement of one process, and tries them again now and then.
  */
 import {createHealthOptions} from '../../core/health/options.ts';
-import {advanceHealth, recordOutcome} from '../../core/health/logic.ts';
+import {advanceHealth, listSuspects, recordOutcome} from '../../core/health/logic.ts';
 import {createHealthState, setHealthAgents, type HealthState} from '../../core/health/state.ts';
 import {isTrialDue, listEjected, startTrial} from '../../core/health/trials.ts';
 import type {EjectedAgent, HealthChange, HealthOutcome} from '../../core/health/types.ts';
@@ -16,6 +16,12 @@
 /** Time for which the ejections told by an entry are followed, in ms. */
 const hintLifeMs = 3000;
 
+/** Take what the health of the agents means for placement. */
+export type HealthHandlers = {
+	readonly setEjected: (names: ReadonlySet<NodeName>) => void;
+	readonly setSuspects: (names: ReadonlySet<NodeName>) => void;
+};
+
 type Hint = {
 	readonly names: readonly NodeName[];
 	readonly at: Milliseconds;
@@ -27,17 +33,19 @@
 	readonly #clock: Clock;
 	readonly #timer: Disposable;
 	readonly #hints = new Map<NodeName, Hint>();
+	#hasSuspects = false;
 
 	/**
 	 * @param node - The process.
 	 * @param log - Log of this part.
-	 * @param setEjected - Takes the agents that get no tasks but trials.
+	 * @param handlers - Take the agents that get no tasks but trials, and those that are avoided.
 	 */
-	constructor(private readonly node: Node, private readonly log: Log, private readonly setEjected: (names: ReadonlySet<NodeName>) => void) {
+	constructor(private readonly node: Node, private readonly log: Log, private readonly handlers: HealthHandlers) {
 		this.#state = createHealthState(createHealthOptions(node.input.settings.health));
 		this.#clock = node.input.clock;
 		this.#timer = this.#clock.startInterval(advanceIntervalMs, () => {
 			this.#applyChanges(advanceHealth(this.#state, this.#clock.getTime()));
+			this.#updateSuspects();
 			this.#pruneHints();
 		});
 	}
@@ -51,6 +59,7 @@
 	/** Records what became of a task at an agent. */
 	recordOutcome(outcome: HealthOutcome): void {
 		this.#applyChanges(recordOutcome(this.#state, outcome, this.#clock.getTime()));
+		this.#updateSuspects();
 	}
 
 	/** Lists the agents that this process itself has ejected. */
@@ -100,6 +109,15 @@
 		}
 	}
 
+	#updateSuspects(): void {
+		const names = new Set(listSuspects(this.#state));
+		if (names.size > 0 || this.#hasSuspects) {
+			this.handlers.setSuspects(names);
+		}
+
+		this.#hasSuspects = names.size > 0;
+	}
+
 	#pruneHints(): void {
 		const now = this.#clock.getTime();
 		for (const [entry, hint] of this.#hints) {
@@ -119,6 +137,6 @@
 			}
 		}
 
-		this.setEjected(names);
+		this.handlers.setEjected(names);
 	}
 }
--- a/src/processes/shared/fleet-view.ts
+++ b/src/processes/shared/fleet-view.ts
@@ -3,15 +3,15 @@
  */
 import {recordEnd, recordReport, recordSent} from '../../core/placement/accounting.ts';
 import {chooseAgents, chooseHome} from '../../core/placement/logic.ts';
+import {createPlacementOptions} from '../../core/placement/options.ts';
 import {choosePeers} from '../../core/placement/peers.ts';
 import {
-	createPlacementState, setAgents, setEjected, type PlacementState,
+	createPlacementState, setAgents, setEjected, setSuspects, type PlacementState,
 } from '../../core/placement/state.ts';
 import type {Assignment, PlacementAgent, TaskEnd} from '../../core/placement/types.ts';
 import type {NodeRef} from '../../core/identity/types.ts';
 import type {LoadReport} from '../../ports/messages.ts';
 import type {Member, MemberStatus} from '../../ports/membership.ts';
-import type {Settings} from '../../settings/schema.ts';
 import {createLog} from '../../adapters/log/log.ts';
 import {Connector} from './connector.ts';
 import {FleetHealth} from './fleet-health.ts';
@@ -19,25 +19,6 @@
 
 const usableStatuses = new Set<MemberStatus>(['alive', 'suspect']);
 
-function createOptions(settings: Settings, self: string | undefined): Parameters<typeof createPlacementState>[0] {
-	const {placement} = settings;
-	return {
-		policy: placement.policy,
-		self,
-		dataCentre: settings.dataCentre,
-		queuePerAgent: placement.queuePerAgent,
-		localDelay: placement.localDelayMs,
-		extraDelay: placement.extraDelayMs,
-		assumedRunTime: placement.assumedRunTimeMs,
-		slowFactor: placement.slowFactor,
-		slownessHalfLife: placement.slownessHalfLifeMs,
-		peerCount: placement.peerCount,
-		redrawInterval: placement.redrawMs,
-		redrawShare: placement.redrawShare,
-		localWeight: placement.localWeight,
-	};
-}
-
 /** What one process knows of the agents, and the streams it keeps to them. */
 export class FleetView implements Disposable {
 	readonly placement: PlacementState;
@@ -51,9 +32,18 @@
 	 */
 	constructor(private readonly node: Node, private readonly listOthers: () => readonly Member[] = () => []) {
 		const {settings, role} = node.input;
-		this.placement = createPlacementState(createOptions(settings, role === 'agent' ? node.self.name : undefined));
-		this.health = new FleetHealth(node, createLog('health'), names => {
-			setEjected(this.placement, names);
+		this.placement = createPlacementState(createPlacementOptions(
+			settings.placement,
+			settings.dataCentre,
+			role === 'agent' ? node.self.name : undefined,
+		));
+		this.health = new FleetHealth(node, createLog('health'), {
+			setEjected: names => {
+				setEjected(this.placement, names);
+			},
+			setSuspects: names => {
+				setSuspects(this.placement, names);
+			},
 		});
 		this.#listener = node.membership.addListener(() => {
 			this.#updateAgents();
