Measure streams, peer choice and demand summaries for the capacity page

Cause: streams of an idle agent grew faster than the 32 agents it chooses, and no figure told the cost of choosing them or of the entries' exchange among many members and customers. Ruled out: ports from the system's range of connections for the fleet's listeners; one of 25 processes failed with EADDRINUSE. Change: parts selection, demand and streams; listeners below the ephemeral range; a copy of the binary.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -1,23 +1,26 @@
 /**
  * Measures the slopes behind docs/CAPACITY.md on this machine and prints them with their fits.
  *
- * Run by `npm run capacity -- --seed 1 [--only idle,view,records,documents,load] [--sizes 11,25,50] [--out FILE]`;
+ * Run by `npm run capacity -- --seed 1 [--only records,documents,demand,selection,view,load,streams,idle] [--sizes 11,25,50] [--out FILE]`;
  * the built binary must exist. Each part prints one JSON line.
  */
 import {writeFile} from 'node:fs/promises';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {measureDemand} from './capacity/demand.ts';
 import {measureDocuments} from './capacity/documents.ts';
 import {measureIdle} from './capacity/idle.ts';
 import {measureLoad} from './capacity/load.ts';
 import {measureRecords} from './capacity/records.ts';
 import {renderFigures, type Figures} from './capacity/report.ts';
+import {measureSelection} from './capacity/selection.ts';
+import {measureStreams} from './capacity/streams.ts';
 import {measureView} from './capacity/view.ts';
 
 const {values} = parseArgs({
 	options: {
 		seed: {type: 'string', default: '1'},
-		only: {type: 'string', default: 'records,documents,view,load,idle'},
+		only: {type: 'string', default: 'records,documents,demand,selection,view,load,streams,idle'},
 		sizes: {type: 'string', default: '11,25,50,100,200'},
 		out: {type: 'string', default: ''},
 	},
@@ -44,11 +47,14 @@
 const parts: {readonly [Name in keyof Figures]-?: () => Figures[Name] | Promise<Figures[Name]>} = {
 	records: measureRecords,
 	documents: measureDocuments,
+	demand: () => ({'demand summary, bytes': measureDemand()}),
+	selection: () => measureSelection(seed),
 	view() {
 		measureView(viewSizes[0], seed);
 		return viewSizes.map(members => measureView(members, seed));
 	},
 	load: async () => measureLoad(seed),
+	streams: async () => measureStreams(seed),
 	idle: measureIdleSizes,
 };
 
--- a/bench/capacity/fleet.ts
+++ b/bench/capacity/fleet.ts
@@ -1,7 +1,9 @@
 /**
  * A fleet of the built binary, each process of its own, with stand-ins and further agents in this process.
  */
-import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {
+	copyFile, mkdtemp, rm, writeFile,
+} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as wait} from 'node:timers/promises';
@@ -14,9 +16,9 @@
 import {parseSettings} from '../../src/settings/load.ts';
 import {startStoreStandIn, type StoreStandIn} from '../../stand-ins/store.ts';
 import {startTargetStandIn, type TargetStandIn} from '../../stand-ins/target.ts';
-import {findFreePorts} from '../rig/ports.ts';
 import {RigProcess} from '../rig/process.ts';
 import {createRigCustomer, type RigCustomer} from '../rig/rig.ts';
+import {findListenPorts} from './ports.ts';
 
 /** Size of a fleet. */
 export type FleetOptions = {
@@ -28,6 +30,8 @@
 	readonly dataCentres?: number;
 	readonly slots?: number;
 	readonly seed: number;
+	/** Settings of every process besides its name and addresses. */
+	readonly settings?: Readonly<Record<string, unknown>>;
 	/** Whether every agent gets a target at the start. */
 	readonly withTargets?: boolean;
 };
@@ -135,16 +139,17 @@
 		await Promise.all([...this.targets.values()].map(async target => target.stopAtOnce()));
 		await this.#resources[Symbol.asyncDispose]();
 		await this.store[Symbol.asyncDispose]();
-		await rm(this.folder, {recursive: true, force: true});
+		await rm(this.#getBinary(), {force: true});
 	}
 
 	async #startAll(): Promise<void> {
 		const {entries, agents, inProcess = 0, withTargets = true} = this.options;
+		await copyFile('dist/medlardale', this.#getBinary());
 		const client = createStoreClient({url: this.store.url, timeout: storeTimeoutMs});
 		const document = {revision: 1, contracts: {[customer.contract.customer]: customer.contract}, history: []};
 		const written = await client.writeKey('medlardale/contracts', encodeDocument(document), 0);
 		written.unwrap();
-		const ports = await findFreePorts((2 * entries) + agents);
+		const ports = await findListenPorts((2 * entries) + agents);
 		this.#peers.push(...ports.slice(0, Math.min(3, entries + agents)).map(port => `127.0.0.1:${port}`));
 		for (let index = 0; index < entries; index++) {
 			this.entries.push(await this.#startProcess('entry', index, ports[index], ports[entries + agents + index]));
@@ -167,11 +172,17 @@
 		}
 	}
 
+	/** Returns the path of this fleet's copy of the binary, which a build meanwhile does not replace. */
+	#getBinary(): string {
+		return path.join(this.folder, 'medlardale');
+	}
+
 	#createSettings(role: string, index: number): Record<string, unknown> {
 		return {
 			name: `${role}-${index + 1}`,
 			dataCentre: `dc-${(index % (this.options.dataCentres ?? 4)) + 1}`,
 			peers: this.#peers,
+			...this.options.settings,
 		};
 	}
 
@@ -184,7 +195,7 @@
 			...settings, port, storeUrl: this.store.url, log: {level: 'info'}, ...(role === 'entry' && {publicPort}),
 		}));
 		const child = new RigProcess(name, {
-			command: path.resolve('dist/medlardale'), args: [role, '--settings', file], env: secrets, logFile,
+			command: this.#getBinary(), args: [role, '--settings', file], env: secrets, logFile,
 		});
 		child.start();
 		return {
--- a/bench/capacity/report.ts
+++ b/bench/capacity/report.ts
@@ -6,14 +6,19 @@
 import type {IdleFigures} from './idle.ts';
 import {jobRoles, type LoadFigures} from './load.ts';
 import type {RecordFigures} from './records.ts';
+import type {SelectionFigures} from './selection.ts';
+import type {StreamFigures} from './streams.ts';
 import type {ViewFigures} from './view.ts';
 
 /** Everything that was measured; a part that did not run is absent. */
 export type Figures = {
 	readonly records?: RecordFigures;
 	readonly documents?: DocumentFigures;
+	readonly demand?: Readonly<Record<string, LineFit>>;
+	readonly selection?: SelectionFigures;
 	readonly view?: readonly ViewFigures[];
 	readonly load?: LoadFigures;
+	readonly streams?: StreamFigures;
 	readonly idle?: readonly IdleFigures[];
 };
 
@@ -64,6 +69,11 @@
 	return `${renderTable(header, rows)}\n\n${renderFits(fits)}\nresident MB: ${jobRoles.map(role => `${role} ${formatNumber(residentMb[role])}`).join(', ')}`;
 }
 
+function renderStreams({members, peerCount, samples}: StreamFigures): string {
+	const rows = samples.map(({redraws, streams, writesPerSecond}) => [redraws, streams, writesPerSecond]);
+	return `${members} members, peerCount ${peerCount}\n\n${renderTable(['redraws', 'streams', 'writes/s'], rows)}`;
+}
+
 function renderIdle(idle: readonly IdleFigures[]): string {
 	const costs = ['cpuPercent', 'anonymousMb', 'fileMb', 'residentMb', 'streamBytes', 'gossipBytes', 'messages'] as const;
 	const rest = ['storeCalls', 'changeMs', 'statusMs', 'statusBytes'] as const;
@@ -89,8 +99,11 @@
 const renderers: {readonly [Name in keyof Figures]-?: (figures: NonNullable<Figures[Name]>) => string} = {
 	records: renderRecords,
 	documents: renderDocuments,
+	demand: renderFits,
+	selection: renderFits,
 	view: renderView,
 	load: renderLoad,
+	streams: renderStreams,
 	idle: renderIdle,
 };
 
