Tell entries at once when an agent becomes full or free

Cause: under a flood of 2 to 5 s tasks the p99 of the other customers was 2.4 and 2.6 times that without: entries and homes chose agents by reports up to 400 and 1000 ms old while few slots were free. Ruled out: telling every peer at once (same p99, but 4.7 instead of 3.5 messages per task at 80% load). Change: an agent reports to entries, at most every 100 ms, when its last slot is taken or one becomes free; reports to other agents at most every 2000 ms instead of 1000, since results carry them.

--- a/src/processes/agent/load-reporter.ts
+++ b/src/processes/agent/load-reporter.ts
@@ -20,6 +20,11 @@
 	return left.slots !== right.slots || left.leaving !== right.leaving;
 }
 
+/** Whether the last free slot was taken, or one became free. */
+function isFullnessChange(left: LoadReport, right: LoadReport): boolean {
+	return (left.freeSlots === 0) !== (right.freeSlots === 0);
+}
+
 /** Sends load reports until disposed of. */
 export class LoadReporter implements Disposable {
 	readonly #told = new Map<NodeName, Told>();
@@ -31,9 +36,9 @@
 	 * @param getLoad - Returns its load.
 	 */
 	constructor(private readonly node: Node, private readonly getLoad: () => LoadReport) {
-		const {entryReportMs, agentReportMs} = node.input.settings.peer;
+		const {entryReportMs, agentReportMs, fullReportMs} = node.input.settings.peer;
 		this.#intervals = {entry: entryReportMs, agent: agentReportMs};
-		this.#timer = node.input.clock.startInterval(entryReportMs, () => {
+		this.#timer = node.input.clock.startInterval(fullReportMs, () => {
 			this.sendReports();
 		});
 		node.addStreamListener({
@@ -71,8 +76,13 @@
 			return true;
 		}
 
+		const elapsed = this.node.input.clock.getTime() - told.at;
 		const role = this.node.membership.findMember(peer.name)?.address.role ?? 'agent';
-		return !isSameLoad(told.load, load) && this.node.input.clock.getTime() - told.at >= this.#intervals[role];
+		if (role === 'entry' && isFullnessChange(told.load, load) && elapsed >= this.node.input.settings.peer.fullReportMs) {
+			return true;
+		}
+
+		return !isSameLoad(told.load, load) && elapsed >= this.#intervals[role];
 	}
 
 	#sendReport(peer: NodeRef, load: LoadReport): void {
--- a/src/settings/sections/peer.ts
+++ b/src/settings/sections/peer.ts
@@ -15,6 +15,8 @@
 		.describe('Greatest length of a frame, in bytes; a longer one closes the stream.'),
 	entryReportMs: z.int().min(10).default(400)
 		.describe('Shortest time between two load reports of an agent to one entry, in ms; answers carry reports too.'),
-	agentReportMs: z.int().min(10).default(1000)
+	fullReportMs: z.int().min(10).default(100)
+		.describe('Shortest time between two load reports of an agent to one entry when its last slot is taken or one becomes free, in ms.'),
+	agentReportMs: z.int().min(10).default(2000)
 		.describe('Shortest time between two load reports of an agent to another agent, in ms; results carry reports too.'),
 }).prefault({});
