Serve callers' own keys through numbered epochs in the store

Cause: POST /v1/jobs with Idempotency-Key answered 501. Ruled out: a record per key (writes of the store), opaque keys (unknown after each change of homes). Change: a key (UUIDv7) is mapped by one table of epochs of creation time to one home incarnation, and to a job id derived from customer, key and home; the usual path of job ids does the rest. Mutations of the guards were not run.

--- /dev/null
+++ b/src/core/keys/logic.ts
@@ -0,0 +1,83 @@
+/**
+ * Finds the home of a caller's key, and the job id that the key stands for.
+ */
+import {createHash} from 'node:crypto';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {JobIdParts, NodeRef} from '../identity/types.ts';
+import type {KeyError} from './errors.ts';
+import type {
+	CallerKey, KeyEpoch, KeyOwner, KeyTable,
+} from './types.ts';
+
+const keyPattern = /^[\da-f]{8}-[\da-f]{4}-7[\da-f]{3}-[89ab][\da-f]{3}-[\da-f]{12}$/;
+const timeDigits = 12;
+const nonceDigits = 12;
+
+/**
+ * Parses a caller's key.
+ *
+ * @param text - The key as presented; upper and lower case are the same.
+ * @returns The key with its creation time, or `malformed-key`.
+ */
+export function parseCallerKey(text: string): Result<CallerKey, KeyError> {
+	const lower = text.toLowerCase();
+	if (!keyPattern.test(lower)) {
+		return Err({kind: 'malformed-key', message: 'Idempotency-Key must be a UUID of version 7, such as 018f3a5c-7b1e-7cc3-98c4-dc0c0c07398f'});
+	}
+
+	const createdAt = Number.parseInt(lower.replaceAll('-', '').slice(0, timeDigits), 16);
+	return Ok({text: lower, createdAt});
+}
+
+function computeHash(...parts: readonly string[]): string {
+	return createHash('sha256').update(parts.join('\n')).digest('hex');
+}
+
+/** Chooses the home with the greatest hash (rendezvous hashing); the digests of two homes never tie in practice. */
+function chooseOwner(customer: string, key: CallerKey, {homes}: KeyEpoch): NodeRef {
+	let best = homes[0];
+	let bestHash = '';
+	for (const home of homes) {
+		const hash = computeHash(customer, key.text, home.name, String(home.incarnation));
+		if (hash > bestHash) {
+			best = home;
+			bestHash = hash;
+		}
+	}
+
+	return best;
+}
+
+/**
+ * Finds the owner of a key: a comparison of its creation time with the intervals of the table, not with a clock.
+ *
+ * @param table - The table.
+ * @param customer - The customer that presents the key.
+ * @param key - The key.
+ * @returns The owner.
+ */
+export function findOwner(table: KeyTable, customer: string, key: CallerKey): KeyOwner {
+	const {epochs} = table;
+	const epoch = epochs.find(({from, until}) => key.createdAt >= from && key.createdAt < until);
+	if (epoch !== undefined) {
+		return {type: 'home', home: chooseOwner(customer, key, epoch)};
+	}
+
+	return {type: epochs.length > 0 && key.createdAt < epochs[0].from ? 'expired' : 'not-granted'};
+}
+
+/**
+ * Computes the parts of the job id of a key: the same for the same customer, key and home.
+ *
+ * @param customer - The customer.
+ * @param key - The key.
+ * @param home - Its owner.
+ * @returns The parts; the creation time of the key stands for the time of minting.
+ */
+export function computeKeyParts(customer: string, key: CallerKey, home: NodeRef): JobIdParts {
+	return {
+		home: {name: home.name, incarnation: home.incarnation},
+		mintedAt: key.createdAt,
+		nonce: computeHash(customer, key.text).slice(0, nonceDigits),
+	};
+}
--- a/src/processes/entry/entry.ts
+++ b/src/processes/entry/entry.ts
@@ -9,6 +9,7 @@
 import {waitAtMost} from '../shared/wait.ts';
 import {AdmissionTask, listEntries} from './admission-task.ts';
 import {HomeCalls} from './calls.ts';
+import {KeyedJobs} from './keyed-jobs.ts';
 import {OutcomeCounts} from './outcomes.ts';
 import {EntryJobService} from './job-service.ts';
 
@@ -43,8 +44,9 @@
 	const outcomes = new OutcomeCounts(responses);
 	node.metrics.addSource(() => outcomes.listMetrics(clock.getTime()));
 	node.setStatusSource(() => ({ejected: fleet.health.listEjected(), customers: outcomes.listReports(clock.getTime())}));
+	const keys = stack.addResource(new KeyedJobs(node, fleet));
 	const jobs = new EntryJobService({
-		node, fleet, calls, admission, outcomes,
+		node, fleet, calls, admission, outcomes, keys,
 	});
 	const http = stack.addResource(await startHttpInterface({
 		jobs,
--- a/src/processes/entry/job-service.ts
+++ b/src/processes/entry/job-service.ts
@@ -17,6 +17,7 @@
 import type {Node} from '../shared/node.ts';
 import type {AdmissionTask} from './admission-task.ts';
 import type {CallResult, HomeCalls} from './calls.ts';
+import type {KeyedJobs} from './keyed-jobs.ts';
 import type {OutcomeCounts} from './outcomes.ts';
 
 const nonceBytes = 6;
@@ -53,6 +54,7 @@
 	readonly calls: HomeCalls;
 	readonly admission: AdmissionTask;
 	readonly outcomes: OutcomeCounts;
+	readonly keys: KeyedJobs;
 };
 
 function createRefusal(status: number, field: string, message: string): JobReply {
@@ -83,14 +85,16 @@
 	readonly #calls: HomeCalls;
 	readonly #admission: AdmissionTask;
 	readonly #outcomes: OutcomeCounts;
+	readonly #keys: KeyedJobs;
 	/** Jobs whose home is an agent on trial. */
 	readonly #trials = new Map<JobId, NodeName>();
 	#refusalCalls = 0;
 
 	/** @param input - What the service needs. */
 	constructor({
-		node, fleet, calls, admission, outcomes,
+		node, fleet, calls, admission, outcomes, keys,
 	}: JobServiceInput) {
+		this.#keys = keys;
 		this.#outcomes = outcomes;
 		this.#node = node;
 		this.#fleet = fleet;
@@ -154,8 +158,14 @@
 		}
 	}
 
-	async submitKeyedJob(_contract: Contract, key: string, _submission: JobSubmission): Promise<JobReply> {
-		return createRefusal(501, 'Idempotency-Key', `keys of callers such as "${key}" are not supported; mint an id by POST /v1/job-ids`);
+	async submitKeyedJob(contract: Contract, key: string, submission: JobSubmission): Promise<JobReply> {
+		const startedAt = this.#node.input.clock.getTime();
+		const found = await this.#keys.findJobId(contract.customer, key);
+		if (found.type === 'id') {
+			return this.submitJob(contract, found.id, submission);
+		}
+
+		return found.type === 'answer' ? this.#recordReply(contract, startedAt, found) : found;
 	}
 
 	async queryJob(contract: Contract, id: JobId): Promise<JobReply> {
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -8,6 +8,7 @@
 import {contractsSchema} from './sections/contracts.ts';
 import {healthSchema} from './sections/health.ts';
 import {homeSchema} from './sections/home.ts';
+import {keysSchema} from './sections/keys.ts';
 import {limitsSchema} from './sections/limits.ts';
 import {membershipSchema} from './sections/membership.ts';
 import {peerSchema} from './sections/peer.ts';
@@ -49,6 +50,7 @@
 	contracts: contractsSchema,
 	health: healthSchema,
 	home: homeSchema,
+	keys: keysSchema,
 	limits: limitsSchema,
 	membership: membershipSchema,
 	peer: peerSchema,
