Run separate processes under fixed faults against the ledgers, and list the guarantees

Cause: kills, freezes, replacement and a second signal had no fixed run of separate processes. Ruled out: reading the ledger of a target that ends, since it is gone with the process; the leaving target runs inside the test. Change: feature processes with 7 scenarios; ledger checks moved from the soak to bench/soak/ledger.ts; docs/GUARANTEES.md. Conclusion: replacement of an agent and an entry is listed as known red: an id minted for the home that is replaced is told unknown.

--- a/bench/rig/rig.ts
+++ b/bench/rig/rig.ts
@@ -25,6 +25,8 @@
 export type RigOptions = {
 	readonly entries: number;
 	readonly agents: number;
+	/** Stand-in targets, for the first agents; one for each agent if absent. */
+	readonly targets?: number;
 	readonly slots?: number;
 	readonly dataCentres?: number;
 	readonly customers: readonly RigCustomer[];
@@ -41,7 +43,8 @@
 const readyTimeoutMs = 30_000;
 const pollIntervalMs = 50;
 
-const secrets = {
+/** Secrets of the fleet and of operators, as environment variables. */
+export const secrets = {
 	MEDLARDALE_SECRET: 'rig-secret-of-the-fleet',
 	MEDLARDALE_OPERATOR_SECRET: 'rig-secret-of-operators',
 };
@@ -136,6 +139,11 @@
 		return this.#targetAddresses;
 	}
 
+	/** Adds the address of a target that something else started. */
+	addTarget(address: string): void {
+		this.#targetAddresses.push(address);
+	}
+
 	/** Returns a process by name, such as `entry-1`, `agent-3`, `target-3`. */
 	getProcess(name: string): RigProcess {
 		const found = this.processes.get(name);
@@ -174,7 +182,9 @@
 
 		for (let index = 0; index < agents; index++) {
 			await this.#addNode('agent', index, {port: controlPorts[entries + index], peers});
-			this.#addTarget(index, controlPorts[entries + index], targetPorts[index]);
+			if (index < (this.options.targets ?? agents)) {
+				this.#startTarget(index, controlPorts[entries + index], targetPorts[index]);
+			}
 		}
 
 		await this.waitReady();
@@ -204,7 +214,7 @@
 		child.start();
 	}
 
-	#addTarget(index: number, agentPort: number, port: number): void {
+	#startTarget(index: number, agentPort: number, port: number): void {
 		const name = `target-${index + 1}`;
 		const {slots = 8, targetArgs = []} = this.options;
 		const child = new RigProcess(name, {
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -19,9 +19,19 @@
 export type SoakJob = {
 	readonly id: string;
 	readonly tasks: number;
+	/** Body of its submissions. */
+	readonly body: string;
 	readonly told: Told[];
 };
 
+/** Which job to add; what is absent is drawn at random. */
+export type JobChoice = {
+	readonly tasks?: number;
+	readonly runMs?: number;
+	/** Picks among minted ids. */
+	readonly canUse?: (id: string) => boolean;
+};
+
 /** What the callers need. */
 export type CallersInput = {
 	readonly urls: readonly string[];
@@ -48,25 +58,21 @@
 	readonly jobs = new Map<string, SoakJob>();
 	readonly #agent = new Agent({connections: 256});
 	readonly #ids: string[] = [];
-	#nextNumber = 0;
 
 	/** @param input - What the callers need. */
 	constructor(private readonly input: CallersInput) {}
 
 	/** Submits one new job, at times twice at once, again after its answer, cancelled or queried. */
 	async runJob(): Promise<void> {
-		const {random, maxTasks} = this.input;
-		const id = await this.#takeId();
-		if (id === undefined) {
+		const {random} = this.input;
+		const job = await this.addJob();
+		if (job === undefined) {
 			return;
 		}
 
-		const job: SoakJob = {id, tasks: 1 + random.getInteger(maxTasks), told: []};
-		this.jobs.set(id, job);
-		const body = this.#createBody(job);
-		const calls = [this.#call('PUT', job, body)];
+		const calls = [this.submitJob(job)];
 		if (random.getFloat() < 0.2) {
-			calls.push(this.#call('PUT', job, body));
+			calls.push(this.submitJob(job));
 		}
 
 		if (random.getFloat() < 0.05) {
@@ -76,21 +82,45 @@
 		await Promise.all(calls);
 		const wasLost = job.told.every(({outcome}) => outcome === 'error');
 		if (wasLost || random.getFloat() < 0.2) {
-			await this.#call(random.getFloat() < 0.3 ? 'GET' : 'PUT', job, body);
+			await this.#call(random.getFloat() < 0.3 ? 'GET' : 'PUT', job);
+		}
+	}
+
+	/** Mints an id and adds a job under it; undefined if no id could be had. */
+	async addJob({tasks, runMs, canUse = () => true}: JobChoice = {}): Promise<SoakJob | undefined> {
+		let id = await this.#takeId();
+		while (id !== undefined && !canUse(id)) {
+			id = await this.#takeId();
 		}
+
+		if (id === undefined) {
+			return undefined;
+		}
+
+		const {random, maxTasks} = this.input;
+		const count = tasks ?? 1 + random.getInteger(maxTasks);
+		const job: SoakJob = {
+			id, tasks: count, body: this.#createBody(id, count, runMs), told: [],
+		};
+		this.jobs.set(id, job);
+		return job;
+	}
+
+	/** Submits a job, also again, at an entry; resolves once something was told. */
+	async submitJob(job: SoakJob, url = this.#chooseUrl()): Promise<void> {
+		await this.#call('PUT', job, url);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		await this.#agent.destroy();
 	}
 
-	#createBody({id, tasks}: SoakJob): string {
+	#createBody(id: string, tasks: number, runMs?: number): string {
 		const {random, kind, deadlineMs, maxRunMs} = this.input;
-		this.#nextNumber++;
 		return JSON.stringify({
 			kind,
 			deadlineMs,
-			tasks: Array.from({length: tasks}, (_, task) => ({body: {job: id, task, runMs: 1 + random.getInteger(maxRunMs)}})),
+			tasks: Array.from({length: tasks}, (_, task) => ({body: {job: id, task, runMs: runMs ?? 1 + random.getInteger(maxRunMs)}})),
 		});
 	}
 
@@ -117,12 +147,12 @@
 		return {authorization: `Bearer ${this.input.token}`, 'content-type': 'application/json'};
 	}
 
-	async #call(method: 'PUT' | 'GET' | 'DELETE', job: SoakJob, body = ''): Promise<void> {
+	async #call(method: 'PUT' | 'GET' | 'DELETE', job: SoakJob, url = this.#chooseUrl()): Promise<void> {
 		const startedAt = performance.now();
 		const timeout = this.input.deadlineMs + graceMs;
 		try {
-			const response = await request(`${this.#chooseUrl()}/v1/jobs/${job.id}`, {
-				method, headers: this.#createHeaders(), ...(method === 'PUT' && {body}), dispatcher: this.#agent, headersTimeout: timeout, bodyTimeout: timeout,
+			const response = await request(`${url}/v1/jobs/${job.id}`, {
+				method, headers: this.#createHeaders(), ...(method === 'PUT' && {body: job.body}), dispatcher: this.#agent, headersTimeout: timeout, bodyTimeout: timeout,
 			});
 			const answer = await response.body.json() as Answer;
 			this.#recordTold(job, answer, performance.now() - startedAt);
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -6,6 +6,7 @@
 import {createRigCustomer, Rig} from '../rig/rig.ts';
 import {Callers, type SoakJob} from './callers.ts';
 import {faults} from './faults.ts';
+import {countStarts, listJobViolations, readLedger} from './ledger.ts';
 
 /** Size of a soak. */
 export type SoakOptions = {
@@ -40,38 +41,6 @@
 const maxTasks = 24;
 const maxRunMs = 80;
 
-type Ledger = ReadonlyMap<string, ReadonlyMap<number, number>>;
-
-type LedgerEntry = {readonly job: string; readonly task: number};
-
-async function readLedger(rig: Rig): Promise<Ledger> {
-	const ledger = new Map<string, Map<number, number>>();
-	for (const target of rig.listTargets()) {
-		const response = await fetch(`http://${target}/ledger`);
-		for (const {job, task} of await response.json() as LedgerEntry[]) {
-			const tasks = ledger.get(job) ?? new Map<number, number>();
-			tasks.set(Number(task), (tasks.get(Number(task)) ?? 0) + 1);
-			ledger.set(job, tasks);
-		}
-	}
-
-	return ledger;
-}
-
-function listJobViolations({id, tasks, told}: SoakJob, ledger: Ledger): string[] {
-	const started = ledger.get(id)?.size ?? 0;
-	const proved = new Set(told.filter(({outcome, scope}) => scope === 'job' && ['complete', 'failed', 'not-run'].includes(outcome)).map(({outcome}) => outcome));
-	const violations = [
-		...[...ledger.get(id) ?? []].filter(([, starts]) => starts > 1).map(([task, starts]) => `task ${task} started ${starts} times`),
-		...(proved.size > 1 ? [`told ${[...proved].join(' and ')}`] : []),
-		...(proved.has('not-run') && started > 0 ? [`told not-run with ${started} starts`] : []),
-		...(proved.has('complete') && started !== tasks ? [`told complete with ${started} of ${tasks} starts`] : []),
-		...(told.some(({isWhole}) => !isWhole) ? ['told a partial or foreign answer'] : []),
-		...(told.some(({outcome}) => outcome === 'none') ? ['told no outcome'] : []),
-	];
-	return violations.map(violation => `job ${id}: ${violation}`);
-}
-
 function countTold(jobs: Iterable<SoakJob>): Record<string, number> {
 	const counts: Record<string, number> = {};
 	for (const {outcome, reason} of [...jobs].flatMap(({told}) => told)) {
@@ -125,7 +94,7 @@
 	return {
 		jobs: jobs.length,
 		calls: jobs.reduce((sum, {told}) => sum + told.length, 0),
-		starts: [...ledger.values()].reduce((sum, tasks) => sum + [...tasks.values()].reduce((total, starts) => total + starts, 0), 0),
+		starts: countStarts(ledger),
 		faults: counts,
 		told: countTold(jobs),
 		slowestMs: Math.round(Math.max(0, ...jobs.flatMap(({told}) => told.map(({tookMs}) => tookMs)))),
--- /dev/null
+++ b/features/processes/processes.steps.ts
@@ -0,0 +1,57 @@
+/**
+ * Steps of separate processes under faults; `SEED` replaces the seed of the load.
+ */
+import assert from 'node:assert/strict';
+import process from 'node:process';
+import {
+	After, Given, Then, When,
+} from '@cucumber/cucumber';
+import {listJobViolations, readLedger} from '../../bench/soak/ledger.ts';
+import {processFaults} from './process-faults.ts';
+import {ProcessFleet} from './process-fleet.ts';
+
+type ProcessesWorld = {processFleet: ProcessFleet | undefined};
+
+const stepTimeoutMs = 120_000;
+
+/** Returns whether no connection came about, so that no request was handed over. */
+function isFailedConnection(reason: string): boolean {
+	return reason.startsWith('connect ECONN');
+}
+
+Given('{int} entries and {int} agents as separate processes', {timeout: stepTimeoutMs}, async function (this: ProcessesWorld, entries: number, agents: number) {
+	const seed = Number(process.env.SEED ?? 1);
+	console.log(`SEED=${seed}`);
+	this.processFleet = await ProcessFleet.start(entries, agents, seed);
+});
+
+When(/^(.+) under load$/, {timeout: stepTimeoutMs}, async function (this: ProcessesWorld, fault: string) {
+	await this.processFleet!.runUnderLoad(processFaults[fault]);
+});
+
+Then('the ledgers prove what every caller was told', {timeout: stepTimeoutMs}, async function (this: ProcessesWorld) {
+	const {rig, callers} = this.processFleet!;
+	const ledger = await readLedger(rig);
+	const jobs = [...callers.jobs.values()];
+	assert.ok(jobs.some(({told}) => told.some(({outcome}) => outcome === 'complete')), 'no job completed');
+	assert.deepEqual(jobs.flatMap(job => listJobViolations(job, ledger)), []);
+});
+
+Then('no request was cut', function (this: ProcessesWorld) {
+	const jobs = [...this.processFleet!.callers.jobs.values()];
+	assert.deepEqual(jobs.flatMap(({told}) => told).filter(({outcome, reason}) => outcome === 'error' && !isFailedConnection(reason)), []);
+});
+
+Then('of the jobs that are followed {string} was told', function (this: ProcessesWorld, outcomes: string) {
+	const {followed, rig} = this.processFleet!;
+	const expected = outcomes.split(', ');
+	assert.ok(followed.length > 0);
+	for (const {id, told} of followed) {
+		const distinct = [...new Set(told.filter(({reason}) => !isFailedConnection(reason)).map(({outcome}) => outcome))];
+		assert.deepEqual(distinct, expected, `job ${id}: ${JSON.stringify(told)}; logs in ${rig.folder}`);
+	}
+});
+
+After({tags: '@processes', timeout: stepTimeoutMs}, async function (this: ProcessesWorld) {
+	await this.processFleet?.[Symbol.asyncDispose]();
+});
