Bound the streams of a process, quiet idle heartbeats, and end a drained process

A peer that closed during the opening check ended the process (EPIPE without a listener). Ruled out: gossip (254 bytes/s). Change: a stream with nothing to confirm is pinged every 10 s instead of every second; a process closes streams that it opened and has not needed for 60 s, and one of two to the same process; the connector looks once a second and at each close; errors of an opening socket are logged; connector and network open nothing after they are closed; a drained process ends within 2 s.

--- a/src/adapters/peer/network.ts
+++ b/src/adapters/peer/network.ts
@@ -7,7 +7,7 @@
 import {WebSocket, WebSocketServer} from 'ws';
 import {isSameNode} from '../../core/identity/logic.ts';
 import type {NodeName, NodeRef} from '../../core/identity/types.ts';
-import type {Clock} from '../../ports/clock.ts';
+import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {Log} from '../../ports/log.ts';
 import type {PeerAddress, PeerMessage} from '../../ports/messages.ts';
 import {PeerError} from './errors.ts';
@@ -51,6 +51,7 @@
 	readonly #opening = new Map<NodeName, Promise<PeerStream>>();
 	readonly #acceptor: WebSocketServer;
 	#handlers: NetworkHandlers | undefined;
+	#isClosed = false;
 
 	/** @param input - What the network needs. */
 	constructor(private readonly input: NetworkInput) {
@@ -119,6 +120,10 @@
 			return;
 		}
 
+		if (this.#isClosed) {
+			throw new PeerError('unreachable', 'this process is stopping');
+		}
+
 		let opening = this.#opening.get(to.name);
 		if (opening === undefined) {
 			opening = this.#connect(to);
@@ -132,12 +137,27 @@
 		}
 	}
 
-	/** Closes the stream to a process, if one is open. */
-	closeStream(name: NodeName): void {
-		this.#streams.get(name)?.close();
+	/**
+	 * Closes streams that this process opened and does not use: those to processes that it does not need,
+	 * and the second of two streams to the same process.
+	 *
+	 * @param needed - Names of the processes that it needs streams to.
+	 * @param idleMs - Time without use, in ms.
+	 */
+	closeIdleStreams(needed: ReadonlySet<NodeName>, idleMs: Milliseconds): void {
+		const now = this.input.clock.getTime();
+		for (const stream of this.#open) {
+			const isSecond = [...this.#open].some(other => other !== stream && isSameNode(other.node, stream.node))
+				&& this.input.self.name < stream.node.name;
+			const isUnneeded = stream.isOwn && !needed.has(stream.node.name);
+			if ((isUnneeded || (stream.isOwn && isSecond)) && now - stream.usedAt >= idleMs) {
+				stream.close();
+			}
+		}
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isClosed = true;
 		for (const stream of this.#open) {
 			stream.close();
 		}
@@ -177,7 +197,7 @@
 					return;
 				}
 
-				resolve(this.#addStream(peer, socket));
+				resolve(this.#addStream(peer, socket, true));
 			});
 			socket.on('error', error => {
 				reject(new PeerError('unreachable', `cannot reach "${to.name}": ${error.message}`));
@@ -187,6 +207,9 @@
 
 	#handleUpgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void {
 		const {secret, self, clock, log} = this.input;
+		socket.on('error', error => {
+			log.debug(`a stream from ${request.socket.remoteAddress} failed to open: ${error.message}`);
+		});
 		const hello = verifyHello(secret, request.headers, clock.getTime());
 		if (request.url !== streamPath || typeof hello === 'string') {
 			log.warn(`refused a stream from ${request.socket.remoteAddress}: ${typeof hello === 'string' ? hello : 'unknown path'}`);
@@ -201,13 +224,13 @@
 			}
 		});
 		this.#acceptor.handleUpgrade(request, socket, head, webSocket => {
-			this.#addStream(hello.node, webSocket);
+			this.#addStream(hello.node, webSocket, false);
 		});
 	}
 
-	#addStream(node: NodeRef, socket: WebSocket): PeerStream {
+	#addStream(node: NodeRef, socket: WebSocket, isOwn: boolean): PeerStream {
 		const previous = this.#streams.get(node.name);
-		const stream = new PeerStream(node, socket, this.input.options, this.input.clock, {
+		const stream = new PeerStream({node, isOwn}, socket, this.input.options, this.input.clock, {
 			onMessages: (from, messages) => {
 				this.#handleMessages(from, messages);
 			},
@@ -248,6 +271,12 @@
 			return;
 		}
 
+		const other = [...this.#open].find(({node}) => isSameNode(node, stream.node));
+		if (other !== undefined) {
+			this.#streams.set(other.node.name, other);
+			return;
+		}
+
 		this.#streams.delete(stream.node.name);
 		this.input.log.debug(`stream to "${stream.node.name}" is closed`);
 		this.#handlers?.onClose(stream.node);
--- a/src/adapters/peer/stream.ts
+++ b/src/adapters/peer/stream.ts
@@ -11,9 +11,18 @@
 export type StreamOptions = {
 	readonly heartbeatMs: number;
 	readonly heartbeatTimeoutMs: number;
+	/** Time between heartbeats on a stream that has nothing to confirm. */
+	readonly idleHeartbeatMs: number;
 	readonly maxFrameBytes: number;
 };
 
+/** The other end of a stream. */
+export type StreamEnd = {
+	readonly node: NodeRef;
+	/** Whether this process opened the stream. */
+	readonly isOwn: boolean;
+};
+
 /** What a stream tells its owner. */
 export type StreamHandlers = {
 	readonly onMessages: (stream: PeerStream, messages: readonly PeerMessage[]) => void;
@@ -39,35 +48,40 @@
 
 	readonly #heartbeat: Timer;
 	#queue: PeerMessage[] = [];
-	#heardAt: number;
+	#pingedAt: number;
+	/** Time of the first heartbeat since anything was heard. */
+	#askedAt: number | undefined;
+	/** Number of sent messages that the other process has confirmed. */
+	#confirmedMessages = 0;
 	#isClosed = false;
 
 	/**
-	 * @param node - The process at the other end.
+	 * @param end - The process at the other end, and who opened the stream.
 	 * @param socket - The open socket.
 	 * @param options - Settings.
 	 * @param clock - Source of time.
 	 * @param handlers - What to tell the owner.
 	 */
 	constructor(
-		readonly node: NodeRef,
+		private readonly end: StreamEnd,
 		private readonly socket: WebSocket,
 		private readonly options: StreamOptions,
 		private readonly clock: Clock,
 		private readonly handlers: StreamHandlers,
 	) {
-		this.#heardAt = clock.getTime();
-		this.usedAt = this.#heardAt;
+		this.#pingedAt = clock.getTime();
+		this.usedAt = this.#pingedAt;
 		socket.binaryType = 'nodebuffer';
 		socket.on('message', (data: Uint8Array) => {
 			this.#handleFrame(data);
 		});
 		socket.on('pong', (data: Uint8Array) => {
-			this.#heardAt = clock.getTime();
-			handlers.onConfirm(this, Number(new TextDecoder().decode(data)));
+			this.#askedAt = undefined;
+			this.#confirmedMessages = Number(new TextDecoder().decode(data));
+			handlers.onConfirm(this, this.#confirmedMessages);
 		});
 		socket.on('ping', () => {
-			this.#heardAt = clock.getTime();
+			this.#askedAt = undefined;
 		});
 		socket.on('error', () => {
 			this.close();
@@ -80,6 +94,16 @@
 		});
 	}
 
+	/** The process at the other end. */
+	get node(): NodeRef {
+		return this.end.node;
+	}
+
+	/** Whether this process opened the stream. */
+	get isOwn(): boolean {
+		return this.end.isOwn;
+	}
+
 	/** Returns whether messages can be sent. */
 	isOpen(): boolean {
 		return !this.#isClosed;
@@ -92,7 +116,10 @@
 	 */
 	sendMessage(message: PeerMessage): void {
 		this.sentMessages++;
-		this.usedAt = this.clock.getTime();
+		if (message.type !== 'load') {
+			this.usedAt = this.clock.getTime();
+		}
+
 		this.#queue.push(message);
 		if (this.#queue.length === 1) {
 			setImmediate(() => {
@@ -129,8 +156,7 @@
 	}
 
 	#handleFrame(data: Uint8Array): void {
-		this.#heardAt = this.clock.getTime();
-		this.usedAt = this.#heardAt;
+		this.#askedAt = undefined;
 		let frame: unknown;
 		try {
 			frame = unpackr.unpack(data);
@@ -141,17 +167,30 @@
 
 		if (Array.isArray(frame) && Array.isArray(frame[1])) {
 			this.handlers.observeStamp(Number(frame[0]));
-			this.handlers.onMessages(this, frame[1] as PeerMessage[]);
+			const messages = frame[1] as PeerMessage[];
+			if (messages.some(({type}) => type !== 'load')) {
+				this.usedAt = this.clock.getTime();
+			}
+
+			this.handlers.onMessages(this, messages);
 		}
 	}
 
 	#sendHeartbeat(): void {
-		if (this.clock.getTime() - this.#heardAt > this.options.heartbeatTimeoutMs) {
+		const now = this.clock.getTime();
+		if (this.#askedAt !== undefined && now - this.#askedAt > this.options.heartbeatTimeoutMs) {
 			this.close();
 			return;
 		}
 
+		const isQuiet = this.#confirmedMessages === this.sentMessages && now - this.#pingedAt < this.options.idleHeartbeatMs;
+		if (isQuiet && this.#askedAt === undefined) {
+			return;
+		}
+
 		this.#writeFrame();
+		this.#pingedAt = now;
+		this.#askedAt ??= now;
 		this.socket.ping(String(this.sentMessages));
 	}
 }
--- a/src/commands/run-process.ts
+++ b/src/commands/run-process.ts
@@ -8,6 +8,7 @@
 import {createSystemRandom} from '../adapters/system/random.ts';
 import type {Role} from '../ports/messages.ts';
 import type {NodeInput} from '../processes/shared/node.ts';
+import {waitAtMost} from '../processes/shared/wait.ts';
 import {readSecret} from '../processes/shared/secrets.ts';
 import {loadSettings} from '../settings/load.ts';
 import type {Settings} from '../settings/schema.ts';
@@ -22,6 +23,9 @@
 /** Starts a process from its input. */
 export type ProcessStarter = (input: NodeInput) => Promise<RunningProcess>;
 
+/** Time, in ms, in which a drained process closes its connections. */
+const closeLimitMs = 2000;
+
 const endSignals = ['SIGTERM', 'SIGINT'] as const;
 
 async function createInput(role: Role, settings: Settings): Promise<NodeInput> {
@@ -77,10 +81,15 @@
 	setLogOptions({...logSettings, processName: name});
 	const log = createLog('process');
 	const input = await createInput(role, settings.value);
-	await using running = await start(input);
+	const running = await start(input);
 	const signal = await waitForSignal();
 	log.info(`${signal} received; finishing what is in flight`);
 	const isDrained = await running.drain();
 	log.info(isDrained ? 'finished' : 'the time limit came before all was finished');
-	return isDrained ? exitCodes.ok : exitCodes.failed;
+	const isClosed = await waitAtMost(input.clock, closeLimitMs, running[Symbol.asyncDispose]());
+	if (!isClosed) {
+		log.error(`connections were not closed within ${closeLimitMs} ms; ending at once`);
+	}
+
+	process.exit(isDrained ? exitCodes.ok : exitCodes.failed);
 }
--- a/src/processes/shared/connector.ts
+++ b/src/processes/shared/connector.ts
@@ -7,7 +7,7 @@
 import type {Member} from '../../ports/membership.ts';
 import type {Node} from './node.ts';
 
-const checkIntervalMs = 250;
+const checkIntervalMs = 1000;
 const maxBackoffFactor = 20;
 
 type Backoff = {
@@ -29,6 +29,7 @@
 	readonly #clock: Clock;
 	readonly #timer: Disposable;
 	readonly #listener: Disposable;
+	#isClosed = false;
 
 	/**
 	 * @param node - The process.
@@ -42,16 +43,29 @@
 		this.#listener = node.membership.addListener(() => {
 			this.#openStreams();
 		});
+		node.addStreamListener({
+			onClose: () => {
+				this.#openStreams();
+			},
+		});
 		this.#openStreams();
 	}
 
 	[Symbol.dispose](): void {
+		this.#isClosed = true;
 		this.#timer[Symbol.dispose]();
 		this.#listener[Symbol.dispose]();
 	}
 
 	#openStreams(): void {
-		for (const member of this.options.choosePeers()) {
+		if (this.#isClosed) {
+			return;
+		}
+
+		const peers = this.options.choosePeers();
+		const {network, input} = this.node;
+		network.closeIdleStreams(new Set(peers.map(({address}) => address.name)), input.settings.peer.idleCloseMs);
+		for (const member of peers) {
 			if (!this.node.network.hasStream(member.address)) {
 				void this.#openStream(member);
 			}
--- a/src/processes/shared/wait.ts
+++ b/src/processes/shared/wait.ts
@@ -11,7 +11,7 @@
  * @param promise - What to wait for.
  * @returns Whether the promise resolved in time.
  */
-export async function waitAtMost(clock: Clock, limit: Milliseconds, promise: Promise<unknown>): Promise<boolean> {
+export async function waitAtMost(clock: Clock, limit: Milliseconds, promise: PromiseLike<unknown>): Promise<boolean> {
 	let timer: Timer | undefined;
 	const expired = new Promise<boolean>(resolve => {
 		timer = clock.startTimer(limit, () => {
--- a/src/settings/sections/peer.ts
+++ b/src/settings/sections/peer.ts
@@ -7,6 +7,10 @@
 export const peerSchema = z.strictObject({
 	heartbeatMs: z.int().min(50).default(1000)
 		.describe('Time between heartbeats on a stream, in ms.'),
+	idleHeartbeatMs: z.int().min(50).default(10_000)
+		.describe('Time between heartbeats on a stream that has nothing to confirm, in ms.'),
+	idleCloseMs: z.int().min(1000).default(60_000)
+		.describe('Time without use, in ms, after which a process closes a stream that it opened and no longer needs.'),
 	heartbeatTimeoutMs: z.int().min(100).default(3000)
 		.describe('Silence on a stream, in ms, after which it is closed.'),
 	reconnectMs: z.int().min(10).default(100)
