--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -27,6 +27,15 @@
 	external: ['bufferutil', 'utf-8-validate', 'msgpackr-extract'],
 });
 
+await build({
+	...shared,
+	minify: false,
+	entryPoints: ['src/client/client.ts'],
+	format: 'esm',
+	outfile: 'dist/client.js',
+	external: ['undici', 'p-queue', 'ts-results-es'],
+});
+
 writeFileSync('dist/sea.json', JSON.stringify({
 	main: 'dist/medlardale.cjs',
 	output: 'dist/sea.blob',
--- a/src/adapters/target/registration.ts
+++ b/src/adapters/target/registration.ts
@@ -129,11 +129,11 @@
 		}
 	}
 
-	function endLease(): void {
+	function checkLease(): void {
 		timer = undefined;
 		const rest = leaseEnd - clock.getTime();
 		if (rest > 0) {
-			timer = clock.startTimer(rest, endLease);
+			timer = clock.startTimer(rest, checkLease);
 			return;
 		}
 
@@ -141,10 +141,10 @@
 		setTarget(undefined);
 	}
 
-	function renewLease(next: TargetAnnouncement): void {
+	function updateLease(next: TargetAnnouncement): void {
 		leaseEnd = clock.getTime() + leaseMs;
 		// One timer per lease: a renewal moves the end, which the timer looks up when it fires.
-		timer ??= clock.startTimer(leaseMs, endLease);
+		timer ??= clock.startTimer(leaseMs, checkLease);
 		if (!isSameAnnouncement(target, next)) {
 			log.info(`target ${next.address} ${next.leaving ? 'is leaving' : `announced ${next.slots} slots`}`);
 			setTarget(next);
@@ -167,7 +167,7 @@
 			}
 
 			return parseAnnouncement(body, allowedHosts).map(next => {
-				renewLease(next);
+				updateLease(next);
 				return {leaseMs};
 			});
 		},
--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -60,7 +60,7 @@
 	const jobs = new PQueue();
 
 	/** Asks one entry after another until one gives an answer of medlardale; a query may be repeated freely. */
-	async function queryEntries(method: 'GET' | 'DELETE', id: string): Promise<Reply> {
+	async function callEntries(method: 'GET' | 'DELETE', id: string): Promise<Reply> {
 		let turn = entries.getTurn();
 		let reply: Reply | undefined;
 		for (let attempt = 0; attempt < entries.countEntries(); attempt++) {
@@ -82,12 +82,12 @@
 	}
 
 	async function getJob(id: string): Promise<Result<CompleteJob | PendingJob, ClientError>> {
-		const reply = await queryEntries('GET', id);
+		const reply = await callEntries('GET', id);
 		return reply.type === 'complete' || reply.type === 'pending' ? Ok(reply) : createQueryError(reply, id);
 	}
 
 	async function cancelJob(id: string): Promise<Result<CompleteJob | PendingJob | CancelledJob, ClientError>> {
-		const reply = await queryEntries('DELETE', id);
+		const reply = await callEntries('DELETE', id);
 		return reply.type === 'complete' || reply.type === 'pending' || reply.type === 'cancelled' ? Ok(reply) : createQueryError(reply, id);
 	}
 
--- a/src/commands/demo.ts
+++ b/src/commands/demo.ts
@@ -50,7 +50,7 @@
 	return job.id;
 }
 
-async function showRefusal(demo: DemoFleet, {name, token}: DemoCustomer): Promise<void> {
+async function printRefusal(demo: DemoFleet, {name, token}: DemoCustomer): Promise<void> {
 	await using client = createClient({entries: demo.entryAddresses, token});
 	printTitle(`"${name}" submits the same job, but its contract allows ${smallJob} tasks`);
 	const result = await client.submitJob({kind: 'booking', tasks: Array.from({length: taskCount}, () => ({}))});
@@ -58,12 +58,12 @@
 	print(...refusal);
 }
 
-async function showStatus(fleet: Fleet): Promise<void> {
+async function printStatus(fleet: Fleet): Promise<void> {
 	printTitle('Status, as by "medlardale status"');
 	print(renderStatus(await fetchFleetStatus(fleet), false));
 }
 
-async function showTimeline(fleet: Fleet, job: string): Promise<void> {
+async function printTimeline(fleet: Fleet, job: string): Promise<void> {
 	const report = await fetchReport(fleet, {job});
 	printTitle('Time line of the first job, as by "medlardale timeline --job ID --explain"');
 	print(renderTable(report), describeJob(report.events));
@@ -93,9 +93,9 @@
 		'Two contracts are in force on all processes.',
 	);
 	const job = await submitTasks(demo, customer);
-	await showRefusal(demo, smallCustomer);
+	await printRefusal(demo, smallCustomer);
 	const fleet = await openFleet(demo.controlAddress, demo.operatorSecret);
-	await showStatus(fleet);
-	await showTimeline(fleet, job);
+	await printStatus(fleet);
+	await printTimeline(fleet, job);
 	return exitCodes.ok;
 };
