Refuse peer and host addresses that are no IP numbers

Cause: the pattern of addresses took "b:1" for an IP number and a port (b is a hexadecimal digit); the failing scenario hung the run, since unwrapping the accepted settings printed them whole. Ruled out: the settings page and the client features, which ran in the same hung run. Change: addresses are checked by node:net; a needless assertion in the load generator is gone.

--- a/bench/load/generator.ts
+++ b/bench/load/generator.ts
@@ -91,7 +91,7 @@
 		await waitUntil(startedAt + job.at);
 		const lagMs = performance.now() - startedAt - job.at;
 		running.push((async () => {
-			const record = await submitJob(job, urls[index % urls.length]!, tokens.get(job.stream.customer)!, agent);
+			const record = await submitJob(job, urls[index % urls.length], tokens.get(job.stream.customer)!, agent);
 			records.push({...record, lagMs, responseMs: performance.now() - startedAt - job.at});
 		})());
 	}
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -1,6 +1,7 @@
 /**
  * The schema of the settings file: all keys, their defaults and their meaning.
  */
+import {isIP} from 'node:net';
 import * as z from 'zod';
 import {logFormats} from '../adapters/log/log.ts';
 import {logLevels} from '../ports/log.ts';
@@ -18,9 +19,15 @@
 import {timelineSchema} from './sections/timeline.ts';
 
 const nodeNamePattern = /^[a-z\d][a-z\d.-]{0,62}$/;
-const addressPattern = /^[\da-fA-F.:]+:\d{1,5}$/;
+const addressPattern = /^(?:\[([\da-f:.]+)]|([\d.]+)):(\d{1,5})$/i;
+const maxPort = 65_535;
 
-const address = z.string().regex(addressPattern, 'must be an IP number and a port, such as 127.0.0.1:7101');
+function isAddress(text: string): boolean {
+	const [, ipv6, ipv4, port] = addressPattern.exec(text) ?? [];
+	return isIP(ipv6 ?? ipv4 ?? '') !== 0 && Number(port) >= 1 && Number(port) <= maxPort;
+}
+
+const address = z.string().refine(isAddress, 'must be an IP number and a port, such as 127.0.0.1:7101');
 
 /** Schema of the settings of one process. */
 export const settingsSchema = z.strictObject({
@@ -28,7 +35,7 @@
 		.describe('Name of the process, unique in the fleet.'),
 	dataCentre: z.string().min(1).max(63).default('default')
 		.describe('Data centre in which the process runs.'),
-	host: z.string().regex(/^[\da-fA-F.:]+$/, 'must be an IP number').default('127.0.0.1')
+	host: z.string().refine(text => isIP(text) !== 0, 'must be an IP number').default('127.0.0.1')
 		.describe('IP number on which the process listens and which it tells to others.'),
 	port: z.int().min(0).max(65_535).default(7100)
 		.describe('TCP port for streams and operators, and UDP port for gossip; 0 takes a free one.'),
