Split the placing of tasks from the home of jobs

Ruled out: splitting by message type (the parts would share all state). Change: src/processes/agent/task-placer.ts owns the pending queue, trials and the passing of floods; the home keeps submissions, results and answers. Behaviour as before.

--- a/src/processes/agent/home-task.ts
+++ b/src/processes/agent/home-task.ts
@@ -4,26 +4,25 @@
 import {verifyJobId} from '../../core/identity/logic.ts';
 import type {JobId, JobIdParts, NodeRef} from '../../core/identity/types.ts';
 import {
-	advanceHome, cancelJob, listSentTasks, queryJob, recordResults, refuseJob, removeAgent, sendTask, submitJob,
+	advanceHome, cancelJob, listSentTasks, queryJob, recordResults, refuseJob, removeAgent, submitJob,
 } from '../../core/outcome/logic.ts';
-import {PendingQueue} from '../../core/outcome/pending.ts';
 import {
 	createHome, pruneJobs, pruneRefusals, takeEffects, type HomeState,
 } from '../../core/outcome/state.ts';
 import type {
-	HomeEffect, JobCall, JobRecord, PendingTask, Refusal,
+	HomeEffect, JobCall, JobRecord, Refusal,
 } from '../../core/outcome/types.ts';
-import type {Assignment} from '../../core/placement/types.ts';
-import type {Clock, Milliseconds, Timer} from '../../ports/clock.ts';
+import type {Clock, Timer} from '../../ports/clock.ts';
 import type {MemberChange} from '../../ports/membership.ts';
 import type {
-	JobAnswer, JobRequest, PeerMessage, TaskResult, TaskStart, TaskTally,
+	JobAnswer, JobRequest, PeerMessage, TaskResult, TaskTally,
 } from '../../ports/messages.ts';
 import type {HomeReport} from '../../ports/control.ts';
 import type {Metric} from '../../ports/metrics.ts';
 import type {FleetView} from '../shared/fleet-view.ts';
 import type {Node} from '../shared/node.ts';
 import type {ExecutionTask} from './execution-task.ts';
+import {TaskPlacer} from './task-placer.ts';
 
 const deadlineCheckMs = 5;
 const pruneIntervalMs = 1000;
@@ -34,12 +33,6 @@
 
 type EffectHandlers = {[Type in HomeEffect['type']]: (effect: Extract<HomeEffect, {type: Type}>) => void};
 
-/** Greatest number of a customer's tasks at agents with which further ones are sent without known room. */
-const maxBypassTasks = 8;
-
-/** Least time, in ms, before a customer whose task was refused is sent without room again. */
-const bypassDelayMs = 50;
-
 /** Greatest number of agents whose results go with an answer. */
 const maxTallies = 32;
 
@@ -57,17 +50,12 @@
 	readonly #fleet: FleetView;
 	readonly #execution: ExecutionTask;
 	readonly #clock: Clock;
-	readonly #pending = new PendingQueue();
+	readonly #placer: TaskPlacer;
 	readonly #resources: Disposable[] = [];
 	readonly #idleWaiters: Array<() => void> = [];
 	#isLeaving = false;
-	#isPlacing = false;
 	/** How tasks ended, of the jobs answered in this turn. */
 	readonly #tallies = new Map<JobId, readonly TaskTally[]>();
-	/** Time from which a customer's tasks may be sent without room again. */
-	readonly #bypassAfter = new Map<string, Milliseconds>();
-	/** Tasks that are trials of their agent, as `job/index`. */
-	readonly #trials = new Set<string>();
 	#deadlineTimer: Timer | undefined;
 
 	readonly #effectHandlers: EffectHandlers = {
@@ -81,7 +69,7 @@
 			this.#node.sendMessage(to, {type: 'drop', jobs: [{id: job.id, mintedAt: job.mintedAt}]});
 		},
 		queued: ({job}) => {
-			this.#addPending(job);
+			this.#placer.addJob(job);
 		},
 		answered: ({job, answer, tallies}) => {
 			this.#tallies.set(job.id, tallies.slice(0, maxTallies));
@@ -98,6 +86,9 @@
 		this.#execution = execution;
 		this.#clock = clock;
 		this.state = createHome(node.self, settings.home);
+		this.#placer = new TaskPlacer({
+			node, fleet, state: this.state, getLoad: () => execution.getLoad(),
+		});
 		this.#setHandlers();
 		this.#resources.push(
 			clock.startInterval(pruneIntervalMs, () => {
@@ -130,7 +121,7 @@
 	getReport(): HomeReport {
 		const {jobs, openJobs, bytes} = this.state;
 		return {
-			openJobs: openJobs.size, keptAnswers: jobs.size - openJobs.size, pendingTasks: this.#pending.countTasks(), bytes,
+			openJobs: openJobs.size, keptAnswers: jobs.size - openJobs.size, pendingTasks: this.#placer.countTasks(), bytes,
 		};
 	}
 
@@ -152,7 +143,7 @@
 				name: 'medlardale_home_bytes', help: 'Memory accounted to jobs and kept answers', type: 'gauge', samples: [{labels: {}, value: bytes}],
 			},
 			{
-				name: 'medlardale_home_pending_tasks', help: 'Tasks that wait to be placed', type: 'gauge', samples: [{labels: {}, value: this.#pending.countTasks()}],
+				name: 'medlardale_home_pending_tasks', help: 'Tasks that wait to be placed', type: 'gauge', samples: [{labels: {}, value: this.#placer.countTasks()}],
 			},
 		];
 	}
@@ -188,7 +179,7 @@
 		node.addStreamListener({
 			onOpen: peer => {
 				this.#resendTasks(peer);
-				this.#schedulePlacing();
+				this.#placer.schedulePlacing();
 			},
 		});
 	}
@@ -209,7 +200,7 @@
 		submitJob(this.state, {request, from, ...parts}, this.#clock.getTime());
 		this.#applyEffects();
 		if (isTrial) {
-			this.#startTrial(this.#node.self);
+			this.#placer.startTrial(this.#node.self);
 		}
 	}
 
@@ -239,18 +230,7 @@
 
 		recordResults(this.state, from, message.results);
 		this.#applyEffects();
-		this.#schedulePlacing();
-	}
-
-	/** Sends the next pending task to an agent whatever its load, to see whether it succeeds there. */
-	#startTrial(agent: NodeRef): void {
-		const pending = this.#pending.selectTask(() => true);
-		if (pending === undefined) {
-			return;
-		}
-
-		this.#trials.add(`${pending.job.id}/${pending.index}`);
-		this.#sendStart(agent, [sendTask(this.state, pending, agent, this.#clock.getTime())]);
+		this.#placer.schedulePlacing();
 	}
 
 	#recordAnswer(job: JobRecord, answer: JobAnswer): void {
@@ -275,10 +255,10 @@
 			runTime: result.runTime,
 		});
 		this.#fleet.health.recordOutcome({
-			agent: from, customer: job.customer, kind: job.kind, status: result.status, trial: this.#trials.delete(`${job.id}/${result.index}`),
+			agent: from, customer: job.customer, kind: job.kind, status: result.status, trial: this.#placer.takeTrial(job.id, result.index),
 		});
 		if (result.status === 'not-started') {
-			this.#delayBypass(job.customer);
+			this.#placer.delayBypass(job.customer);
 			this.#node.timeline.record({
 				type: 'retry', job: job.id, customer: job.customer, task: result.index, peer: from.name, reason: result.reason ?? 'not-started',
 			});
@@ -296,7 +276,7 @@
 		}
 
 		this.#applyEffects();
-		this.#schedulePlacing();
+		this.#placer.schedulePlacing();
 	}
 
 	#resendTasks(agent: NodeRef): void {
@@ -326,7 +306,7 @@
 		this.#deadlineTimer ??= this.#clock.startInterval(deadlineCheckMs, () => {
 			advanceHome(this.state, this.#clock.getTime());
 			this.#applyEffects();
-			this.#place();
+			this.#placer.placeTasks();
 		});
 	}
 
@@ -338,124 +318,6 @@
 		this.#execution.recordReport(to, load);
 	}
 
-	#addPending(job: JobRecord): void {
-		const contract = this.#node.contracts.findContract(job.customer);
-		this.#pending.addJob(job, {
-			weight: contract?.weight ?? 1,
-			urgency: contract?.kinds[job.kind]?.urgency ?? 'normal',
-		});
-		this.#schedulePlacing();
-	}
-
-	#schedulePlacing(): void {
-		if (this.#isPlacing) {
-			return;
-		}
-
-		this.#isPlacing = true;
-		setImmediate(() => {
-			this.#isPlacing = false;
-			this.#place();
-		});
-	}
-
-	#place(): void {
-		const count = this.#pending.countTasks();
-		if (count === 0) {
-			return;
-		}
-
-		this.#fleet.recordLoad(this.#node.self, this.#execution.getLoad(), 'result');
-
-		const trialAgent = this.#fleet.health.startTrial();
-		if (trialAgent !== undefined && this.#isReachable(trialAgent)) {
-			this.#startTrial(trialAgent);
-		}
-
-		for (const assignment of this.#fleet.chooseAgents(count)) {
-			this.#sendTasks(assignment);
-		}
-
-		this.#placeWithoutRoom();
-	}
-
-	/**
-	 * Sends tasks of customers that have few at agents although no agent is known to have room: the queue of
-	 * an agent orders customers by their shares, and a customer that floods must not keep others at the home.
-	 */
-	#placeWithoutRoom(): void {
-		const now = this.#clock.getTime();
-		for (;;) {
-			const agent = this.#fleet.chooseHome();
-			if (agent === undefined || !this.#isReachable(agent)) {
-				return;
-			}
-
-			const pending = this.#pending.selectTask(customer => this.#canBypass(customer, now));
-			if (pending === undefined) {
-				return;
-			}
-
-			this.#sendStart(agent, [sendTask(this.state, pending, agent, now)]);
-		}
-	}
-
-	#canBypass(customer: string, now: Milliseconds): boolean {
-		const sent = this.state.sentTasks.get(customer) ?? 0;
-		return sent < maxBypassTasks && now >= (this.#bypassAfter.get(customer) ?? 0);
-	}
-
-	/** Keeps a customer whose tasks were refused from being sent without room for a while. */
-	#delayBypass(customer: string): void {
-		const delay = bypassDelayMs * (1 + this.#node.input.random.getFloat());
-		this.#bypassAfter.set(customer, this.#clock.getTime() + delay);
-	}
-
-	#isReachable(agent: NodeRef): boolean {
-		return agent.name === this.#node.self.name || this.#node.network.hasStream(agent);
-	}
-
-	#sendTasks({agent, count: room, candidates, expectedWait}: Assignment): void {
-		if (!this.#isReachable(agent)) {
-			return;
-		}
-
-		const tasks: TaskStart[] = [];
-		while (tasks.length < room) {
-			const pending: PendingTask | undefined = this.#pending.selectTask(() => true);
-			if (pending === undefined) {
-				break;
-			}
-
-			tasks.push(sendTask(this.state, pending, agent, this.#clock.getTime()));
-		}
-
-		if (tasks.length > 0) {
-			this.#recordPlacement(tasks, agent, candidates.join(' '), expectedWait);
-			this.#sendStart(agent, tasks);
-		}
-	}
-
-	#sendStart(agent: NodeRef, tasks: readonly TaskStart[]): void {
-		this.#fleet.recordSent(agent, tasks.length);
-		this.#node.sendMessage(agent, {type: 'start', tasks});
-	}
-
-	#recordPlacement(tasks: readonly TaskStart[], agent: NodeRef, detail: string, duration: Milliseconds): void {
-		const counts = new Map<TaskStart['job'], {first: TaskStart; count: number}>();
-		for (const task of tasks) {
-			const entry = counts.get(task.job) ?? {first: task, count: 0};
-			entry.count++;
-			counts.set(task.job, entry);
-		}
-
-		for (const {first, count} of counts.values()) {
-			this.#node.timeline.record({
-				type: 'placement', job: first.job, customer: first.customer, task: first.index, count, peer: agent.name, detail, duration,
-			});
-		}
-	}
-
 	#checkIdle(): void {
 		if (this.state.openJobs.size > 0) {
 			return;
