--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -124,20 +124,27 @@
 		});
 	}
 
+	/** Takes an id, minted by any entry that answers. */
 	async #takeId(): Promise<string | undefined> {
-		if (this.#ids.length === 0) {
-			try {
-				const response = await request(`${this.#chooseUrl()}/v1/job-ids?count=${idsPerCall}`, {method: 'POST', headers: this.#createHeaders(), dispatcher: this.#agent});
-				const {ids} = await response.body.json() as {ids?: string[]};
-				this.#ids.push(...ids ?? []);
-			} catch {
-				return undefined;
-			}
+		const {urls} = this.input;
+		const first = urls.indexOf(this.#chooseUrl());
+		for (let turn = 0; this.#ids.length === 0 && turn < urls.length; turn++) {
+			this.#ids.push(...await this.#mintIds(urls[(first + turn) % urls.length]));
 		}
 
 		return this.#ids.pop();
 	}
 
+	async #mintIds(url: string): Promise<readonly string[]> {
+		try {
+			const response = await request(`${url}/v1/job-ids?count=${idsPerCall}`, {method: 'POST', headers: this.#createHeaders(), dispatcher: this.#agent});
+			const {ids = []} = await response.body.json() as {ids?: string[]};
+			return ids;
+		} catch {
+			return [];
+		}
+	}
+
 	#chooseUrl(): string {
 		const {urls, random} = this.input;
 		return urls[random.getInteger(urls.length)];
