Remove two unused exports and let the bench format tables as the commands do

Cause: read-through of the whole change: listUnconfirmedResults and the type Program had no caller, and bench/load/report.ts wrote again the table of src/commands/table-text.ts. Ruled out: joining assertInvariant of the decisions (each has an error of its own layer) and the types that are alike in shape only. Change: the two exports are gone; the bench formats its cells and calls formatTable. Conclusion: behaviour as before; an empty table of the bench now prints a dash.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -9,7 +9,7 @@
 import {runJobs, type JobRecord} from './load/generator.ts';
 import {loadPlan, type Phase, type Plan} from './load/plan.ts';
 import {createUsageReport, readSamples, type UsageReport} from './load/processes.ts';
-import {createPhaseReport, formatTable, type StreamReport} from './load/report.ts';
+import {createPhaseReport, formatRows, type StreamReport} from './load/report.ts';
 import {createPlannedJobs} from './load/schedule.ts';
 import {createRigCustomer, Rig} from './rig/rig.ts';
 
@@ -97,8 +97,8 @@
 	results.push(...await runVariant(plan, variant));
 }
 
-process.stdout.write(`${formatTable(results.flatMap(({variant, streams}) => streams.map(stream => ({variant, ...stream}))))}\n\n`);
-process.stdout.write(`${formatTable(results.map(({variant, usage, wrong}) => ({variant, ...usage, wrong})))}\n`);
+process.stdout.write(`${formatRows(results.flatMap(({variant, streams}) => streams.map(stream => ({variant, ...stream}))))}\n\n`);
+process.stdout.write(`${formatRows(results.map(({variant, usage, wrong}) => ({variant, ...usage, wrong})))}\n`);
 if (values.out !== '') {
 	await writeFile(values.out, `${JSON.stringify({plan: values.plan, seed: values.seed, results}, undefined, '\t')}\n`);
 }
--- a/bench/load/report.ts
+++ b/bench/load/report.ts
@@ -2,6 +2,7 @@
  * Turns records of jobs and samples of processes into tables and JSON.
  */
 import {build, type Histogram} from 'hdr-histogram-js';
+import {formatTable} from '../../src/commands/table-text.ts';
 import type {JobRecord} from './generator.ts';
 import type {Phase} from './plan.ts';
 
@@ -117,14 +118,11 @@
 }
 
 /**
- * Formats rows as a table of text.
+ * Formats rows as a table of text; counts by name are shown as JSON.
  *
  * @param rows - Rows with the same keys.
  * @returns Lines.
  */
-export function formatTable(rows: ReadonlyArray<Readonly<Record<string, Cell>>>): string {
-	const keys = Object.keys(rows[0] ?? {});
-	const lines = [keys, ...rows.map(row => keys.map(key => formatCell(row[key])))];
-	const widths = keys.map((_, column) => Math.max(...lines.map(line => line[column].length)));
-	return lines.map(line => line.map((cell, column) => cell.padEnd(widths[column])).join('  ').trimEnd()).join('\n');
+export function formatRows(rows: ReadonlyArray<Readonly<Record<string, Cell>>>): string {
+	return formatTable(rows.map(row => Object.fromEntries(Object.entries(row).map(([key, cell]) => [key, formatCell(cell)]))));
 }
--- a/src/api/commands.ts
+++ b/src/api/commands.ts
@@ -1,7 +1,6 @@
 /**
  * The table of commands of the command line; a command's module is loaded when it is called.
  */
-import type {Sade} from 'sade';
 import {createRegistry} from './registry.ts';
 
 /** Options as the command line gives them, by name. */
@@ -35,6 +34,3 @@
 	const name = description.usage.split(/ [<[]/)[0] ?? description.usage;
 	commands.addMember(name, () => description);
 }
-
-/** The program type of `sade`, for those that declare commands on it. */
-export type Program = Sade;
--- a/src/core/execution/logic.ts
+++ b/src/core/execution/logic.ts
@@ -5,7 +5,6 @@
 import type {
 	NotStartedReason, TaskResult, TaskStart, TaskStatus,
 } from '../../ports/messages.ts';
-import {isSameNode} from '../identity/logic.ts';
 import type {JobId, NodeRef} from '../identity/types.ts';
 import {assertInvariant} from './errors.ts';
 import {findTaskEntry, getJobEntry, type ExecutionRecords} from './state.ts';
@@ -170,23 +169,3 @@
 		entry.result = undefined;
 	}
 }
-
-/**
- * Lists the settled results that a home incarnation may not have received.
- *
- * @param records - The records.
- * @param home - The home.
- * @returns The results.
- */
-export function listUnconfirmedResults(records: ExecutionRecords, home: NodeRef): TaskResult[] {
-	const results: TaskResult[] = [];
-	for (const job of records.jobs.values()) {
-		for (const entry of job.tasks.values()) {
-			if (entry.result !== undefined && isSameNode(entry.home, home)) {
-				results.push(entry.result);
-			}
-		}
-	}
-
-	return results;
-}
