--- a/src/adapters/peer/network.ts
+++ b/src/adapters/peer/network.ts
@@ -9,7 +9,7 @@
 import type {NodeName, NodeRef} from '../../core/identity/types.ts';
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {Log} from '../../ports/log.ts';
-import type {PeerAddress, PeerMessage} from '../../ports/messages.ts';
+import type {PeerAddress, PeerMessage, TypedMessage} from '../../ports/messages.ts';
 import {PeerError} from './errors.ts';
 import {createHello, verifyHello} from './handshake.ts';
 import {PeerStream, type StreamOptions} from './stream.ts';
@@ -19,9 +19,12 @@
 
 const openTimeoutMs = 2000;
 
+/** Incarnation in an address that stands for whichever life of the process answers. */
+export const anyIncarnation = 0;
+
 /** What the network tells its owner. */
-export type NetworkHandlers = {
-	readonly onMessage: (from: NodeRef, message: PeerMessage) => void;
+export type NetworkHandlers<Message extends TypedMessage = PeerMessage> = {
+	readonly onMessage: (from: NodeRef, message: Message) => void;
 	readonly onOpen: (node: NodeRef) => void;
 	readonly onClose: (node: NodeRef) => void;
 	readonly onConfirm: (node: NodeRef, sentMessages: number) => void;
@@ -40,17 +43,17 @@
 };
 
 /** Messages sent and received by type, for metrics. */
-export type MessageCounts = Record<'sent' | 'received', Map<PeerMessage['type'], number>>;
+export type MessageCounts<Message extends TypedMessage = PeerMessage> = Record<'sent' | 'received', Map<Message['type'], number>>;
 
 /** The streams of one process. */
-export class PeerNetwork implements AsyncDisposable {
-	readonly counts: MessageCounts = {sent: new Map(), received: new Map()};
-	readonly #streams = new Map<NodeName, PeerStream>();
+export class PeerNetwork<Message extends TypedMessage = PeerMessage> implements AsyncDisposable {
+	readonly counts: MessageCounts<Message> = {sent: new Map(), received: new Map()};
+	readonly #streams = new Map<NodeName, PeerStream<Message>>();
 	/** Every open stream, also those replaced by a newer one to the same process. */
-	readonly #open = new Set<PeerStream>();
-	readonly #opening = new Map<NodeName, Promise<PeerStream>>();
+	readonly #open = new Set<PeerStream<Message>>();
+	readonly #opening = new Map<NodeName, Promise<PeerStream<Message>>>();
 	readonly #acceptor: WebSocketServer;
-	#handlers: NetworkHandlers | undefined;
+	#handlers: NetworkHandlers<Message> | undefined;
 	#isClosed = false;
 
 	/** @param input - What the network needs. */
@@ -68,7 +71,7 @@
 	 *
 	 * @param handlers - The owner's functions.
 	 */
-	setHandlers(handlers: NetworkHandlers): void {
+	setHandlers(handlers: NetworkHandlers<Message>): void {
 		this.#handlers = handlers;
 	}
 
@@ -99,7 +102,7 @@
 	 * @param message - The message.
 	 * @returns Whether it was written; if not, it has not been sent.
 	 */
-	sendMessage(to: NodeRef, message: PeerMessage): boolean {
+	sendMessage(to: NodeRef, message: Message): boolean {
 		const stream = this.#streams.get(to.name);
 		if (stream === undefined || !isSameNode(stream.node, to)) {
 			return false;
@@ -116,7 +119,7 @@
 	 * @param to - The process; rejects with `PeerError` if another incarnation answers.
 	 */
 	async openStream(to: PeerAddress): Promise<void> {
-		if (this.hasStream(to)) {
+		if (this.hasStream(to) || (to.incarnation === anyIncarnation && this.#streams.has(to.name))) {
 			return;
 		}
 
@@ -169,7 +172,7 @@
 		this.#acceptor.close();
 	}
 
-	async #connect(to: PeerAddress): Promise<PeerStream> {
+	async #connect(to: PeerAddress): Promise<PeerStream<Message>> {
 		const {secret, self, clock, options} = this.input;
 		const hello = createHello(secret, self, clock.getTime());
 		const host = to.host.includes(':') ? `[${to.host}]` : to.host;
@@ -184,7 +187,7 @@
 				const answer = verifyHello(secret, response.headers, clock.getTime(), hello.nonce);
 				if (typeof answer === 'string') {
 					failure = new PeerError(answer, `process "${to.name}" failed the opening check: ${answer}`);
-				} else if (isSameNode(answer.node, to)) {
+				} else if (isSameNode(answer.node, to) || (to.incarnation === anyIncarnation && answer.node.name === to.name)) {
 					peer = answer.node;
 				} else {
 					failure = new PeerError('other-incarnation', `process "${answer.node.name}" incarnation ${answer.node.incarnation} answers for "${to.name}" incarnation ${to.incarnation}`);
@@ -228,9 +231,9 @@
 		});
 	}
 
-	#addStream(node: NodeRef, socket: WebSocket, isOwn: boolean): PeerStream {
+	#addStream(node: NodeRef, socket: WebSocket, isOwn: boolean): PeerStream<Message> {
 		const previous = this.#streams.get(node.name);
-		const stream = new PeerStream({node, isOwn}, socket, this.input.options, this.input.clock, {
+		const stream = new PeerStream<Message>({node, isOwn}, socket, this.input.options, this.input.clock, {
 			onMessages: (from, messages) => {
 				this.#handleMessages(from, messages);
 			},
@@ -258,14 +261,14 @@
 		return stream;
 	}
 
-	#handleMessages(stream: PeerStream, messages: readonly PeerMessage[]): void {
+	#handleMessages(stream: PeerStream<Message>, messages: readonly Message[]): void {
 		for (const message of messages) {
 			this.counts.received.set(message.type, (this.counts.received.get(message.type) ?? 0) + 1);
 			this.#handlers?.onMessage(stream.node, message);
 		}
 	}
 
-	#handleClose(stream: PeerStream): void {
+	#handleClose(stream: PeerStream<Message>): void {
 		this.#open.delete(stream);
 		if (this.#streams.get(stream.node.name) !== stream) {
 			return;
--- a/src/adapters/peer/stream.ts
+++ b/src/adapters/peer/stream.ts
@@ -5,7 +5,7 @@
 import type {WebSocket} from 'ws';
 import type {NodeRef} from '../../core/identity/types.ts';
 import type {Clock, Timer} from '../../ports/clock.ts';
-import type {PeerMessage} from '../../ports/messages.ts';
+import type {TypedMessage} from '../../ports/messages.ts';
 
 /** Settings of a stream, in ms and bytes. */
 export type StreamOptions = {
@@ -24,22 +24,22 @@
 };
 
 /** What a stream tells its owner. */
-export type StreamHandlers = {
-	readonly onMessages: (stream: PeerStream, messages: readonly PeerMessage[]) => void;
-	readonly onClose: (stream: PeerStream) => void;
+export type StreamHandlers<Message extends TypedMessage> = {
+	readonly onMessages: (stream: PeerStream<Message>, messages: readonly Message[]) => void;
+	readonly onClose: (stream: PeerStream<Message>) => void;
 	/** Returns the stamp of the hybrid logical clock for a frame. */
 	readonly getStamp: () => number;
 	/** Takes in the stamp of a received frame. */
 	readonly observeStamp: (stamp: number) => void;
 	/** Everything sent before the marker `sent` has reached the other process. */
-	readonly onConfirm: (stream: PeerStream, sent: number) => void;
+	readonly onConfirm: (stream: PeerStream<Message>, sent: number) => void;
 };
 
 const packr = new Packr({useRecords: false});
 const unpackr = new Unpackr({useRecords: false});
 
 /** An open stream. Messages sent in one turn of the event loop share a frame. */
-export class PeerStream implements Disposable {
+export class PeerStream<Message extends TypedMessage> implements Disposable {
 	/** Number of messages sent. */
 	sentMessages = 0;
 
@@ -47,7 +47,7 @@
 	usedAt: number;
 
 	readonly #heartbeat: Timer;
-	#queue: PeerMessage[] = [];
+	#queue: Message[] = [];
 	#pingedAt: number;
 	/** Time of the first heartbeat since anything was heard. */
 	#askedAt: number | undefined;
@@ -67,7 +67,7 @@
 		private readonly socket: WebSocket,
 		private readonly options: StreamOptions,
 		private readonly clock: Clock,
-		private readonly handlers: StreamHandlers,
+		private readonly handlers: StreamHandlers<Message>,
 	) {
 		this.#pingedAt = clock.getTime();
 		this.usedAt = this.#pingedAt;
@@ -114,7 +114,7 @@
 	 *
 	 * @param message - The message.
 	 */
-	sendMessage(message: PeerMessage): void {
+	sendMessage(message: Message): void {
 		this.sentMessages++;
 		if (message.type !== 'load') {
 			this.usedAt = this.clock.getTime();
@@ -167,7 +167,7 @@
 
 		if (Array.isArray(frame) && Array.isArray(frame[1])) {
 			this.handlers.observeStamp(Number(frame[0]));
-			const messages = frame[1] as PeerMessage[];
+			const messages = frame[1] as Message[];
 			if (messages.some(({type}) => type !== 'load')) {
 				this.usedAt = this.clock.getTime();
 			}
--- /dev/null
+++ b/src/core/dispatch/state.ts
@@ -0,0 +1,60 @@
+/**
+ * State of an entry's jobs.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {Timings} from '../bounds/types.ts';
+import type {FleetState} from '../fleet/state.ts';
+import type {Job, TaskState} from './types.ts';
+
+/** Measured run times of a queue's tasks in relation to the callers' estimates. */
+export type EstimateRatio = {
+	ratio: number;
+	samples: number;
+};
+
+/** State of the jobs; changed only by the functions of this folder. */
+export type DispatchState = {
+	timings: Timings;
+	readonly fleet: FleetState;
+	/** Jobs that are open or were answered a short while ago, by id. */
+	readonly jobs: Map<string, Job>;
+	/** Tasks by name, of jobs with open tasks. */
+	readonly tasks: Map<string, {readonly job: Job; readonly task: TaskState}>;
+	/** Jobs with tasks that no agent has. */
+	readonly waiting: Set<Job>;
+	/** By queue. */
+	readonly ratios: Map<string, EstimateRatio>;
+	/** Time from which agents that were lost are expected back. */
+	expectAgentsUntil: Milliseconds;
+	isLeaving: boolean;
+};
+
+/**
+ * Creates the state of an entry without jobs.
+ *
+ * @param fleet - The entry's view of the agents.
+ * @param timings - Time limits.
+ * @returns The state.
+ */
+export function createDispatchState(fleet: FleetState, timings: Timings): DispatchState {
+	return {
+		timings,
+		fleet,
+		jobs: new Map(),
+		tasks: new Map(),
+		waiting: new Set(),
+		ratios: new Map(),
+		expectAgentsUntil: 0,
+		isLeaving: false,
+	};
+}
+
+/** Counts the jobs without an answer. */
+export function countOpenJobs(state: DispatchState): number {
+	let count = 0;
+	for (const job of state.jobs.values()) {
+		count += job.answer === undefined ? 1 : 0;
+	}
+
+	return count;
+}
--- /dev/null
+++ b/src/core/fleet/logic.ts
@@ -0,0 +1,107 @@
+/**
+ * Chooses the agent at which a task would end first.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
+import type {Resources} from '../../ports/worker.ts';
+import type {NodeName} from '../identity/types.ts';
+import type {FleetState} from './state.ts';
+import type {AgentView, PlacementEstimate, TaskDemand} from './types.ts';
+
+/** Extra time for an agent in another data centre, in ms; a round trip between data centres. */
+const remoteMs = 3;
+
+/** Share of the run time by which a full worker counts as later than an empty one; spreads the load. */
+const loadWeight = 0.15;
+
+/** Least wait, in ms, at an agent without room. */
+const minWaitMs = 5;
+
+function canRun(view: AgentView, load: WorkerLoad, demand: TaskDemand): boolean {
+	const isOpen = load.mode === 'open' || (load.mode === 'trial' && view.unseen.length === 0);
+	return isOpen
+		&& load.target === demand.target
+		&& (demand.label === '' || load.labels.includes(demand.label))
+		&& demand.needs.cpu <= load.capacity.cpu
+		&& demand.needs.memory <= load.capacity.memory
+		&& demand.needs.accelerators <= load.capacity.accelerators;
+}
+
+function computeFree({load, unseen}: AgentView): Resources {
+	let {cpu, memory, accelerators} = load!.free;
+	for (const {needs} of unseen) {
+		cpu -= needs.cpu;
+		memory -= needs.memory;
+		accelerators -= needs.accelerators;
+	}
+
+	return {cpu, memory, accelerators};
+}
+
+function estimateWait(view: AgentView, load: WorkerLoad, free: Resources, demand: TaskDemand): Milliseconds {
+	const {needs, priority} = demand;
+	if (needs.cpu <= free.cpu && needs.memory <= free.memory && needs.accelerators <= free.accelerators) {
+		return 0;
+	}
+
+	const told = load.waits[Math.min(priority, load.waits.length - 1)] ?? 0;
+	let unseenWork = 0;
+	for (const offer of view.unseen) {
+		unseenWork += offer.needs.cpu * offer.expectedMs;
+	}
+
+	return Math.max(minWaitMs, told) + (unseenWork / load.capacity.cpu);
+}
+
+/**
+ * Computes the usual slowness of the agents, by which that of one is judged.
+ *
+ * @param state - The view.
+ * @returns The median; 1 without agents.
+ */
+export function computeUsualSlowness(state: FleetState): number {
+	const values = [...state.agents.values()].flatMap(({load}) => load === undefined ? [] : [load.slowness]).sort((left, right) => left - right);
+	return values[values.length >> 1] ?? 1;
+}
+
+/** Answers whether any agent takes tasks of a target. */
+export function hasOpenAgent(state: FleetState, target: string): boolean {
+	return [...state.agents.values()].some(({load}) => load?.target === target && load.mode === 'open');
+}
+
+/**
+ * Chooses an agent for a task.
+ *
+ * @param state - The view.
+ * @param demand - What the task asks.
+ * @param avoided - Agents that are taken only if no other can run the task.
+ * @param now - Present time.
+ * @returns The agent, if one can run the task.
+ */
+export function chooseAgent(state: FleetState, demand: TaskDemand, avoided: ReadonlySet<NodeName>, now: Milliseconds): PlacementEstimate | undefined {
+	const usual = computeUsualSlowness(state);
+	let best: PlacementEstimate | undefined;
+	let bestScore = Number.POSITIVE_INFINITY;
+	for (const [name, view] of state.agents) {
+		const {load} = view;
+		if (load === undefined || !canRun(view, load, demand)) {
+			continue;
+		}
+
+		const free = computeFree(view);
+		const wait = estimateWait(view, load, free, demand);
+		const isRemote = demand.dataRack !== '' && !load.labels.includes(demand.dataRack);
+		const run = demand.expectedMs * (load.slowness / usual) * (isRemote ? state.options.remoteFactor : 1);
+		const distance = view.dataCentre === state.options.dataCentre ? 0 : remoteMs;
+		const total = wait + run + distance;
+		const fill = 1 - Math.max(0, free.cpu / load.capacity.cpu);
+		const isAvoided = avoided.has(name) || now < view.avoidedUntil;
+		const score = total + (fill * loadWeight * run) + (isAvoided ? 1e6 : 0);
+		if (score < bestScore) {
+			best = {agent: name, wait, total};
+			bestScore = score;
+		}
+	}
+
+	return best;
+}
--- /dev/null
+++ b/src/core/routes/logic.ts
@@ -0,0 +1,51 @@
+/**
+ * Keeps the newest configuration in force and finds the route of a request.
+ */
+import type {RoutesState} from './state.ts';
+import type {Configuration, ConfigurationMove, Route} from './types.ts';
+
+function groupByHost(routes: readonly Route[]): Map<string, readonly Route[]> {
+	const groups = new Map<string, Route[]>();
+	for (const route of routes) {
+		const group = groups.get(route.host) ?? [];
+		group.push(route);
+		groups.set(route.host, group);
+	}
+
+	for (const group of groups.values()) {
+		group.sort((left, right) => right.prefix.length - left.prefix.length);
+	}
+
+	return groups;
+}
+
+/**
+ * Offers a configuration; it comes into force only if it is newer, so that none reverts.
+ *
+ * @param state - Routes of this process.
+ * @param configuration - Configuration from the store or a peer.
+ * @returns What became of it.
+ */
+export function applyConfiguration(state: RoutesState, configuration: Configuration): ConfigurationMove {
+	const current = state.configuration?.version;
+	if (current !== undefined && configuration.version <= current) {
+		return configuration.version === current ? 'same' : 'older';
+	}
+
+	state.configuration = configuration;
+	state.byHost = groupByHost(configuration.routes);
+	return 'applied';
+}
+
+/**
+ * Finds the route of a request: the longest prefix of the path on its host.
+ *
+ * @param state - Routes of this process.
+ * @param host - Host of the request; a port is ignored.
+ * @param path - Path of the request.
+ * @returns The route, if one matches.
+ */
+export function findRoute(state: RoutesState, host: string, path: string): Route | undefined {
+	const name = host.toLowerCase().replace(/:\d+$/, '');
+	return state.byHost.get(name)?.find(route => path.startsWith(route.prefix));
+}
--- /dev/null
+++ b/src/core/runs/logic.ts
@@ -0,0 +1,203 @@
+/**
+ * What an agent does with its worker as time passes and as the worker announces itself.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
+import type {HoldErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
+import {endRecord, startQueued, stopRecord} from './orders.ts';
+import {applyPendingClaims, dropLostOwners} from './owners.ts';
+import {endAllRuns, resetWorker} from './looks.ts';
+import {computeFree, estimateWaits} from './room.ts';
+import {estimateWorkerTime, noResources, type RunsState} from './state.ts';
+import {getMode} from './trust.ts';
+import type {RunsEffect} from './types.ts';
+
+/** Raise of the fencing token when the worker has seen a higher one. */
+const tokenStep = 3_600_000;
+
+/** Time, in ms, in which entries may claim runs of an earlier life before they are stopped. */
+const claimMs = 600;
+
+/** Longest time a task waits here before its entry may place it again, in ms. */
+const maxQueueMs = 1500;
+
+function isNewer(previous: WorkerAnnouncement | undefined, next: WorkerAnnouncement): boolean {
+	if (previous === undefined) {
+		return true;
+	}
+
+	const isSameLife = previous.id === next.id && previous.bornAt === next.bornAt;
+	return isSameLife ? next.sequence > previous.sequence : (next.bornAt ?? 0) >= (previous.bornAt ?? 0);
+}
+
+function returnQueue(state: RunsState, now: Milliseconds): RunsEffect[] {
+	return [...state.queue].map(record => endRecord(state, record, 'not-started', now));
+}
+
+/**
+ * Takes in a heartbeat of the worker. A delayed one of an earlier life, or older than the last, changes nothing.
+ *
+ * @param state - State of the agent.
+ * @param announcement - What the worker tells of itself.
+ * @param now - Present time.
+ * @returns What follows.
+ */
+export function handleAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
+	const {worker} = state;
+	const previous = worker.announcement;
+	if (!isNewer(previous, announcement)) {
+		return [];
+	}
+
+	const effects: RunsEffect[] = [];
+	const isOtherLife = worker.bornAt !== undefined && announcement.bornAt !== undefined && announcement.bornAt !== worker.bornAt;
+	if (isOtherLife || (previous !== undefined && previous.id !== announcement.id)) {
+		effects.push(...resetWorker(state, announcement.bornAt, now));
+	}
+
+	worker.announcement = announcement;
+	if (previous?.state !== announcement.state || previous.id !== announcement.id) {
+		effects.push({
+			type: 'note', event: 'worker-announced', details: {worker: announcement.id, state: announcement.state, capacity: announcement.capacity},
+		});
+	}
+
+	if (announcement.state === 'draining') {
+		effects.push(...returnQueue(state, now));
+	}
+
+	return [...effects, ...startQueued(state, now)];
+}
+
+/**
+ * Forgets a worker that said that it leaves.
+ *
+ * @param state - State of the agent.
+ * @param id - The worker; another one is left alone.
+ * @param now - Present time.
+ * @returns Reports of what it ran.
+ */
+export function handleDeparture(state: RunsState, id: string, now: Milliseconds): RunsEffect[] {
+	if (state.worker.announcement?.id !== id) {
+		return [];
+	}
+
+	state.worker.announcement = undefined;
+	state.worker.isReachable = false;
+	return [...endAllRuns(state, now), {type: 'note', event: 'worker-left', details: {worker: id}}];
+}
+
+/**
+ * Applies a failed renewal.
+ *
+ * @param state - State of the agent.
+ * @param kind - Why it failed.
+ * @param now - Present time.
+ * @returns What follows.
+ */
+export function applyHoldFailure(state: RunsState, kind: HoldErrorKind, now: Milliseconds): RunsEffect[] {
+	if (kind === 'fenced') {
+		state.fencingToken += tokenStep;
+		return [];
+	}
+
+	const wasReachable = state.worker.isReachable;
+	state.worker.isReachable = false;
+	const effects: RunsEffect[] = wasReachable ? [{type: 'note', event: 'worker-unreachable', details: {kind}}] : [];
+	// Nothing listens at its port: the process is gone, and its runs with it.
+	return kind === 'unreachable'
+		? [...effects, ...endAllRuns(state, now)]
+		: [...effects, ...returnQueue(state, now)];
+}
+
+/** Ends runs whose lease has surely lapsed while the worker could not be reached. */
+function dropLapsed(state: RunsState, heardAt: Milliseconds, now: Milliseconds): RunsEffect[] {
+	const {leaseMs, orderMs} = state.options.timings;
+	const lapsedAt = heardAt + ((leaseMs + orderMs) * 2);
+	return state.worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, now);
+}
+
+function stopOrphans(state: RunsState, now: Milliseconds): RunsEffect[] {
+	const effects: RunsEffect[] = [];
+	for (const orphan of state.orphans.values()) {
+		if (now - orphan.seenAt >= claimMs && now >= orphan.stopRetryAt) {
+			orphan.stopRetryAt = now + (2 * state.options.timings.orderMs);
+			effects.push({type: 'stop', ref: {task: orphan.task, run: orphan.run}, fencingToken: state.fencingToken});
+		}
+	}
+
+	return effects;
+}
+
+function retryStops(state: RunsState, now: Milliseconds): RunsEffect[] {
+	return [...state.records.values()]
+		.filter(record => record.phase === 'stopping' && record.stoppedAt === undefined && now >= record.stopRetryAt)
+		.flatMap(record => stopRecord(state, record, record.stopReason ?? 'withdrawn', now));
+}
+
+function returnOld(state: RunsState, now: Milliseconds): RunsEffect[] {
+	return state.queue.filter(record => now - record.queuedAt >= maxQueueMs).map(record => endRecord(state, record, 'not-started', now));
+}
+
+/**
+ * Advances to a point in time.
+ *
+ * @param state - State of the agent.
+ * @param heardAt - When the worker last answered.
+ * @param now - Present time.
+ * @returns What follows.
+ */
+export function advanceRuns(state: RunsState, heardAt: Milliseconds, now: Milliseconds): RunsEffect[] {
+	return [
+		...applyPendingClaims(state, now),
+		...dropLostOwners(state, now),
+		...dropLapsed(state, heardAt, now),
+		...stopOrphans(state, now),
+		...retryStops(state, now),
+		...returnOld(state, now),
+		...startQueued(state, now),
+	];
+}
+
+/**
+ * Computes the end of the lease for the next renewal.
+ *
+ * @param state - State of the agent.
+ * @param now - Present time.
+ * @returns End on the worker's clock; absent while that was never read.
+ */
+export function computeLeaseEnd(state: RunsState, now: Milliseconds): Milliseconds | undefined {
+	const workerTime = estimateWorkerTime(state, now);
+	return workerTime === undefined ? undefined : Math.floor(workerTime + state.options.timings.leaseMs);
+}
+
+/** Answers whether some run should have ended by now, so that its progress is worth a closer look. */
+export function hasOverdueRun(state: RunsState, now: Milliseconds): boolean {
+	for (const {phase, offer, orderedAt} of state.records.values()) {
+		if (phase !== 'queued' && now - orderedAt > offer.expectedMs * state.slowness) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+/**
+ * Computes the load to tell to entries.
+ *
+ * @param state - State of the agent.
+ * @param now - Present time.
+ * @returns The load.
+ */
+export function computeLoad(state: RunsState, now: Milliseconds): WorkerLoad {
+	const {announcement} = state.worker;
+	return {
+		mode: getMode(state, now),
+		target: announcement?.target ?? '',
+		labels: announcement?.labels ?? [],
+		capacity: announcement?.capacity ?? noResources,
+		free: computeFree(state),
+		waits: estimateWaits(state, now),
+		slowness: Math.round(state.slowness * 100) / 100,
+	};
+}
--- /dev/null
+++ b/src/core/runs/looks.ts
@@ -0,0 +1,235 @@
+/**
+ * What a look at the worker tells: ends, progress, and runs that are not there.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {TaskEnd} from '../../ports/dispatch-messages.ts';
+import type {EndedTask, WorkerLook} from '../../ports/worker.ts';
+import {endRecord, startQueued, stopRecord} from './orders.ts';
+import {
+	getJobId, getRunKey, recordEnd, type RunsState,
+} from './state.ts';
+import {recordFailure, recordSuccess, resetTrust} from './trust.ts';
+import type {RunRecord, RunsEffect, StopReason} from './types.ts';
+
+/** Least time without progress after which a run stands still, in ms; workers tell whole percents. */
+const minStallMs = 200;
+
+/** Share of the expected run time without progress after which a run stands still. */
+const stallShare = 0.3;
+
+/** Percent from which the rest of a run is estimated by its progress. */
+const minPercent = 3;
+
+/** Weight of a new measurement in the slowness of the worker. */
+const slownessGain = 0.12;
+
+/** Bounds of one measurement of slowness. */
+const maxSlowness = 20;
+const minSlowness = 0.2;
+
+/** Ends in an answer above which more may follow. */
+const maxListedEnds = 500;
+
+const stopEnds: Record<StopReason, TaskEnd> = {
+	withdrawn: 'stopped',
+	'owner-lost': 'stopped',
+	superseded: 'stopped',
+	unanswered: 'not-started',
+	stalled: 'abandoned',
+	slow: 'abandoned',
+	leaving: 'stopped',
+};
+
+function recordSlowness(state: RunsState, record: RunRecord, runMs: Milliseconds): void {
+	const measured = Math.min(maxSlowness, Math.max(minSlowness, runMs / Math.max(1, record.offer.expectedMs)));
+	state.slowness *= (measured / state.slowness) ** slownessGain;
+}
+
+function handleTrust(state: RunsState, record: RunRecord, isGood: boolean, now: Milliseconds): RunsEffect[] {
+	const job = getJobId(record.offer.task);
+	if (isGood) {
+		return recordSuccess(state, now) ? [{type: 'note', event: 'worker-trusted', details: {}}] : [];
+	}
+
+	return recordFailure(state, job, now)
+		? [{type: 'note', event: 'worker-distrusted', details: {jobs: [...state.trust.failedJobs]}}]
+		: [];
+}
+
+function listRecords(state: RunsState, task: string, run: number): RunRecord[] {
+	return [...state.records.values()].filter(record => record.phase !== 'queued' && record.offer.task === task && record.run === run);
+}
+
+function applyEnd(state: RunsState, ended: EndedTask, now: Milliseconds): RunsEffect[] {
+	const key = getRunKey(ended.task, ended.run);
+	if (state.orphans.delete(key)) {
+		recordEnd(state, ended.task, ended.run, ended.end);
+		return [];
+	}
+
+	const effects: RunsEffect[] = [];
+	for (const record of listRecords(state, ended.task, ended.run)) {
+		if (ended.end === 'done') {
+			recordSlowness(state, record, now - record.orderedAt);
+			effects.push(...handleTrust(state, record, true, now));
+		} else if (ended.end === 'failed') {
+			effects.push(...handleTrust(state, record, false, now));
+		}
+
+		const end: TaskEnd = ended.end === 'stopped' && record.stopReason !== undefined ? stopEnds[record.stopReason] : ended.end;
+		const isAnswered = record.stopReason === 'unanswered' && ended.end === 'stopped';
+		effects.push(endRecord(state, record, isAnswered ? 'stopped' : end, now));
+	}
+
+	return effects;
+}
+
+function estimateRest(record: RunRecord, now: Milliseconds): Milliseconds | undefined {
+	return record.percent < minPercent ? undefined : (now - record.orderedAt) * (100 - record.percent) / record.percent;
+}
+
+function checkProgress(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
+	const stallMs = Math.max(minStallMs, record.offer.expectedMs * stallShare);
+	if (now - record.progressAt >= stallMs) {
+		recordSlowness(state, record, record.offer.expectedMs * 2);
+		return [...handleTrust(state, record, false, now), ...stopRecord(state, record, 'stalled', now)];
+	}
+
+	const rest = estimateRest(record, now);
+	if (rest !== undefined && rest > record.offer.abandonMs) {
+		recordSlowness(state, record, rest + (now - record.orderedAt));
+		return stopRecord(state, record, 'slow', now);
+	}
+
+	return [];
+}
+
+function applyRunning(state: RunsState, percents: ReadonlyMap<string, number>, record: RunRecord, asked: Milliseconds, now: Milliseconds): RunsEffect[] {
+	const percent = percents.get(getRunKey(record.offer.task, record.run));
+	if (percent !== undefined) {
+		if (percent > record.percent) {
+			record.percent = percent;
+			record.progressAt = now;
+		}
+
+		if (record.phase === 'checking') {
+			record.phase = 'running';
+		}
+
+		if (record.phase === 'running') {
+			return checkProgress(state, record, now);
+		}
+
+		return record.phase === 'stopping' && now >= record.stopRetryAt ? stopRecord(state, record, record.stopReason ?? 'withdrawn', now) : [];
+	}
+
+	if (record.phase === 'checking' && asked > record.orderedAt + state.options.timings.orderMs) {
+		return stopRecord(state, record, 'unanswered', now);
+	}
+
+	if (record.phase === 'stopping' && record.stoppedAt !== undefined && asked > record.stoppedAt) {
+		return [endRecord(state, record, 'not-started', now)];
+	}
+
+	// Neither running nor listed as ended, though its start was acknowledged before this look.
+	return record.phase === 'running' && asked > record.progressAt && asked > record.orderedAt + state.options.timings.leaseMs
+		? [endRecord(state, record, 'lost', now)]
+		: [];
+}
+
+function applyOrphans(state: RunsState, look: WorkerLook, now: Milliseconds): void {
+	if (state.worker.isKnown) {
+		const present = new Set(look.running.map(({task, run}) => getRunKey(task, run)));
+		for (const key of state.orphans.keys()) {
+			if (!present.has(key)) {
+				state.orphans.delete(key);
+			}
+		}
+
+		return;
+	}
+
+	for (const {task, run} of look.running) {
+		state.orphans.set(getRunKey(task, run), {
+			task, run, seenAt: now, stopRetryAt: 0,
+		});
+	}
+
+	for (const {task, run, end} of look.ended) {
+		recordEnd(state, task, run, end);
+	}
+
+	state.worker.isKnown = true;
+}
+
+/**
+ * Ends everything when the worker has restarted or is gone.
+ *
+ * @param state - State of the agent.
+ * @param now - Present time.
+ * @returns Reports.
+ */
+export function endAllRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
+	const effects: RunsEffect[] = [];
+	for (const record of [...state.records.values()]) {
+		effects.push(endRecord(state, record, record.phase === 'queued' ? 'not-started' : 'lost', now));
+	}
+
+	state.orphans.clear();
+	state.acknowledged = 0;
+	state.clock = undefined;
+	return effects;
+}
+
+/** Takes another life of the worker as new: it has no runs and knows no fence. */
+export function resetWorker(state: RunsState, bornAt: Milliseconds | undefined, now: Milliseconds): RunsEffect[] {
+	const effects = endAllRuns(state, now);
+	state.worker.bornAt = bornAt;
+	resetTrust(state);
+	state.slowness = 1;
+	return [...effects, {type: 'note', event: 'worker-restarted', details: {bornAt}}];
+}
+
+/**
+ * Applies a look at the worker.
+ *
+ * @param state - State of the agent.
+ * @param look - What the worker has.
+ * @param asked - When the look was sent.
+ * @param now - Present time.
+ * @returns What follows.
+ */
+export function applyLook(state: RunsState, look: WorkerLook, asked: Milliseconds, now: Milliseconds): RunsEffect[] {
+	const effects: RunsEffect[] = [];
+	const {worker} = state;
+	if (worker.bornAt !== undefined && look.bornAt !== undefined && look.bornAt !== worker.bornAt) {
+		effects.push(...resetWorker(state, look.bornAt, now));
+	}
+
+	worker.bornAt ??= look.bornAt;
+	worker.isReachable = true;
+	state.clock = {workerTime: look.workerTime, at: now};
+	applyOrphans(state, look, now);
+	for (const ended of look.ended) {
+		if (ended.position > state.acknowledged) {
+			effects.push(...applyEnd(state, ended, now));
+			state.acknowledged = ended.position;
+		}
+	}
+
+	if (look.ended.length < maxListedEnds) {
+		const percents = new Map(look.running.map(({task, run, percent}) => [getRunKey(task, run), percent]));
+		for (const record of [...state.records.values()]) {
+			if (record.phase !== 'queued') {
+				effects.push(...applyRunning(state, percents, record, asked, now));
+			}
+		}
+	}
+
+	return [...effects, ...startQueued(state, now)];
+}
+
+/** Returns the end that an earlier life of this agent left behind, if any. */
+export function findEarlierEnd(state: RunsState, task: string, run: number): TaskEnd | undefined {
+	return state.earlierEnds.get(getRunKey(task, run));
+}
--- /dev/null
+++ b/src/core/runs/orders.ts
@@ -0,0 +1,277 @@
+/**
+ * Starts and stops at the worker, and what their answers mean.
+ *
+ * A start without an answer may still be carried out later. Its room stays taken until a look shows the
+ * run, or a stop of it has been acknowledged: the worker then refuses it for good.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
+import type {RunRef, StartAnswer, StopAnswer} from '../../ports/worker.ts';
+import {computeFree, hasRoom, removeResources} from './room.ts';
+import {
+	estimateWorkerTime, getRecordKey, recordEnd, type RunsState,
+} from './state.ts';
+import {getMode} from './trust.ts';
+import type {RunRecord, RunsEffect, StopReason} from './types.ts';
+
+/** Raise of the fencing token when the worker has seen a higher one; more than the ms between two lives. */
+const tokenStep = 3_600_000;
+
+/** Added to a run's number when the worker has seen an equal or higher one of the task. */
+const runStep = 16;
+
+/** Age, in ms, from which the first waiting task keeps smaller ones from passing it. */
+const maxPassedMs = 100;
+
+/**
+ * Removes a record and reports its end to the entry.
+ *
+ * @param state - State of the agent.
+ * @param record - The record.
+ * @param end - What became of the task.
+ * @param now - Present time.
+ * @returns The report.
+ */
+export function endRecord(state: RunsState, record: RunRecord, end: TaskEnd, now: Milliseconds): RunsEffect {
+	state.records.delete(getRecordKey(record.owner, record.offer.task));
+	const position = state.queue.indexOf(record);
+	if (position >= 0) {
+		state.queue.splice(position, 1);
+	}
+
+	// A claim names the number that was offered.
+	recordEnd(state, record.offer.task, record.offer.run, end);
+	const hasRun = record.phase !== 'queued' && end !== 'not-started';
+	const report: TaskReport = {
+		task: record.offer.task,
+		run: record.run,
+		end,
+		runMs: hasRun ? Math.round(now - record.orderedAt) : 0,
+		waitMs: Math.round(record.phase === 'queued' ? now - record.queuedAt : record.orderedAt - record.queuedAt),
+	};
+	return {type: 'report', owner: record.owner, reports: [report]};
+}
+
+function compareRecords(left: RunRecord, right: RunRecord): number {
+	return left.offer.priority - right.offer.priority || left.queuedAt - right.queuedAt;
+}
+
+/** Puts a record into the queue by priority, then by age. */
+export function addToQueue(state: RunsState, record: RunRecord): void {
+	let position = state.queue.length;
+	while (position > 0 && compareRecords(state.queue[position - 1], record) > 0) {
+		position--;
+	}
+
+	state.queue.splice(position, 0, record);
+}
+
+function hasOtherRun(state: RunsState, record: RunRecord): boolean {
+	for (const other of state.records.values()) {
+		if (other !== record && other.offer.task === record.offer.task && other.phase !== 'queued') {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+function createStart(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect | undefined {
+	const workerTime = estimateWorkerTime(state, now);
+	if (workerTime === undefined) {
+		return undefined;
+	}
+
+	record.phase = 'starting';
+	record.orderedAt = now;
+	record.progressAt = now;
+	record.percent = 0;
+	return {
+		type: 'start', record, leaseUntil: Math.floor(workerTime + state.options.timings.leaseMs), fencingToken: state.fencingToken,
+	};
+}
+
+/**
+ * Starts what fits, by priority and age. A smaller task passes one that does not fit only while that is new.
+ *
+ * @param state - State of the agent.
+ * @param now - Present time.
+ * @returns Starts.
+ */
+export function startQueued(state: RunsState, now: Milliseconds): RunsEffect[] {
+	const effects: RunsEffect[] = [];
+	if (state.queue.length === 0 || !state.worker.isReachable || !state.worker.isKnown) {
+		return effects;
+	}
+
+	let free = computeFree(state);
+	for (const record of [...state.queue]) {
+		const isHeard = state.owners.get(record.owner)?.lostAt === undefined;
+		if (!isHeard || hasOtherRun(state, record)) {
+			continue;
+		}
+
+		if (!hasRoom(free, record.offer.needs)) {
+			if (now - record.queuedAt >= maxPassedMs) {
+				break;
+			}
+
+			continue;
+		}
+
+		const start = createStart(state, record, now);
+		if (start === undefined) {
+			break;
+		}
+
+		state.queue.splice(state.queue.indexOf(record), 1);
+		free = removeResources(free, record.offer.needs);
+		effects.push(start);
+	}
+
+	return effects;
+}
+
+/**
+ * Orders a stop, unless one is on its way.
+ *
+ * @param state - State of the agent.
+ * @param record - A record that is not queued.
+ * @param reason - Why.
+ * @param now - Present time.
+ * @returns The stop.
+ */
+export function stopRecord(state: RunsState, record: RunRecord, reason: StopReason, now: Milliseconds): RunsEffect[] {
+	record.stopReason ??= reason;
+	if (record.stoppedAt !== undefined || now < record.stopRetryAt) {
+		return [];
+	}
+
+	const isFirst = record.phase !== 'stopping';
+	record.phase = 'stopping';
+	record.stopRetryAt = now + (2 * state.options.timings.orderMs);
+	const effects: RunsEffect[] = [{type: 'stop', ref: {task: record.offer.task, run: record.run}, fencingToken: state.fencingToken}];
+	if (isFirst) {
+		effects.push({
+			type: 'note', event: 'run-stopped', details: {task: record.offer.task, run: record.run, reason, runMs: Math.round(now - record.orderedAt), percent: record.percent},
+		});
+	}
+
+	return effects;
+}
+
+function findRecord(state: RunsState, {task, run}: RunRef): RunRecord | undefined {
+	for (const record of state.records.values()) {
+		if (record.offer.task === task && record.run === run && record.phase !== 'queued') {
+			return record;
+		}
+	}
+
+	return undefined;
+}
+
+/** Puts a start that the worker did not take back into the queue. */
+function retryRecord(state: RunsState, record: RunRecord): RunsEffect[] {
+	record.phase = 'queued';
+	addToQueue(state, record);
+	return [];
+}
+
+type StartHandler = (state: RunsState, record: RunRecord, now: Milliseconds) => RunsEffect[];
+
+function refuseStart(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
+	return [endRecord(state, record, 'not-started', now)];
+}
+
+const startHandlers: Record<StartAnswer, StartHandler> = {
+	started(_state, record) {
+		record.phase = 'running';
+		return [];
+	},
+	fenced(state, record) {
+		state.fencingToken += tokenStep;
+		return retryRecord(state, record);
+	},
+	outdated(state, record) {
+		record.run += runStep;
+		return retryRecord(state, record);
+	},
+	// The reading of the worker's clock was too old, as after a pause of this process.
+	late(state, record) {
+		return [...retryRecord(state, record), {type: 'look'}];
+	},
+	'no-room': refuseStart,
+	refused: refuseStart,
+	invalid: refuseStart,
+	'other-worker': refuseStart,
+	unanswered(_state, record) {
+		record.phase = 'checking';
+		return [{type: 'look'}];
+	},
+};
+
+/**
+ * Applies the answer to a start.
+ *
+ * @param state - State of the agent.
+ * @param ref - The run.
+ * @param answer - The worker's answer.
+ * @param now - Present time.
+ * @returns What follows.
+ */
+export function applyStartAnswer(state: RunsState, ref: RunRef, answer: StartAnswer, now: Milliseconds): RunsEffect[] {
+	const record = findRecord(state, ref);
+	if (record === undefined) {
+		return [];
+	}
+
+	if (record.phase !== 'starting') {
+		// Stopped meanwhile: a start that was refused for good needs no stop.
+		const isOver = record.phase === 'stopping' && answer !== 'started' && answer !== 'unanswered';
+		return isOver ? [endRecord(state, record, 'not-started', now)] : [];
+	}
+
+	const effects = startHandlers[answer](state, record, now);
+	if (answer !== 'started') {
+		effects.push({type: 'note', event: 'start-not-taken', details: {task: ref.task, run: ref.run, answer}});
+	}
+
+	return [...effects, ...startQueued(state, now)];
+}
+
+/**
+ * Applies the answer to a stop. An acknowledged one is settled by the next look.
+ *
+ * @param state - State of the agent.
+ * @param ref - The run.
+ * @param answer - The worker's answer.
+ * @param now - Present time.
+ * @returns What follows.
+ */
+export function applyStopAnswer(state: RunsState, ref: RunRef, answer: StopAnswer, now: Milliseconds): RunsEffect[] {
+	if (answer === 'fenced') {
+		state.fencingToken += tokenStep;
+	}
+
+	const orphan = state.orphans.get(`${ref.task}#${ref.run}`);
+	if (orphan !== undefined) {
+		return answer === 'stopped' ? [{type: 'look'}] : [];
+	}
+
+	const record = findRecord(state, ref);
+	if (record?.phase !== 'stopping') {
+		return [];
+	}
+
+	if (answer === 'stopped') {
+		record.stoppedAt ??= now;
+		return [{type: 'look'}];
+	}
+
+	return answer === 'fenced' || now >= record.stopRetryAt ? stopRecord(state, record, record.stopReason ?? 'withdrawn', now) : [];
+}
+
+/** Returns whether a new task is taken now. */
+export function canTake(state: RunsState, now: Milliseconds): boolean {
+	return getMode(state, now) !== 'closed';
+}
--- /dev/null
+++ b/src/core/runs/owners.ts
@@ -0,0 +1,209 @@
+/**
+ * What entries ask of an agent: offers, withdrawals, and claims when a stream opens again.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {TaskOffer, TaskReport} from '../../ports/dispatch-messages.ts';
+import type {NodeName} from '../identity/types.ts';
+import {addToQueue, canTake, endRecord, startQueued, stopRecord} from './orders.ts';
+import {findEarlierEnd} from './looks.ts';
+import {getRecordKey, getRunKey, type RunsState} from './state.ts';
+import type {RunRecord, RunsEffect} from './types.ts';
+
+function createRecord(owner: NodeName, offer: TaskOffer, now: Milliseconds): RunRecord {
+	return {
+		owner,
+		offer,
+		queuedAt: now,
+		phase: 'queued',
+		run: offer.run,
+		orderedAt: now,
+		percent: 0,
+		progressAt: now,
+		stopReason: undefined,
+		stoppedAt: undefined,
+		stopRetryAt: 0,
+	};
+}
+
+function refuseOffer(owner: NodeName, {task, run}: TaskOffer): RunsEffect {
+	const report: TaskReport = {
+		task, run, end: 'not-started', runMs: 0, waitMs: 0,
+	};
+	return {type: 'report', owner, reports: [report]};
+}
+
+/** Stops runs of the same task for other entries: the caller resubmitted the job elsewhere. */
+function stopOthers(state: RunsState, owner: NodeName, task: string, now: Milliseconds): RunsEffect[] {
+	const effects: RunsEffect[] = [];
+	for (const record of [...state.records.values()]) {
+		if (record.owner !== owner && record.offer.task === task) {
+			effects.push(...dropRecord(state, record, 'superseded', now));
+		}
+	}
+
+	return effects;
+}
+
+function dropRecord(state: RunsState, record: RunRecord, reason: 'withdrawn' | 'owner-lost' | 'superseded' | 'leaving', now: Milliseconds): RunsEffect[] {
+	return record.phase === 'queued'
+		? [endRecord(state, record, 'not-started', now)]
+		: stopRecord(state, record, reason, now);
+}
+
+function isSuitable(state: RunsState, offer: TaskOffer): boolean {
+	const {announcement} = state.worker;
+	return announcement?.target === offer.target && (offer.label === '' || announcement.labels.includes(offer.label));
+}
+
+/**
+ * Takes in offered tasks.
+ *
+ * @param state - State of the agent.
+ * @param owner - The entry.
+ * @param offers - Its tasks.
+ * @param now - Present time.
+ * @returns Starts, and refusals of what this agent does not take.
+ */
+export function handleOffers(state: RunsState, owner: NodeName, offers: readonly TaskOffer[], now: Milliseconds): RunsEffect[] {
+	const effects: RunsEffect[] = [];
+	for (const offer of offers) {
+		const key = getRecordKey(owner, offer.task);
+		if (!canTake(state, now) || !isSuitable(state, offer) || state.records.has(key)) {
+			effects.push(refuseOffer(owner, offer));
+			continue;
+		}
+
+		effects.push(...stopOthers(state, owner, offer.task, now));
+		const record = createRecord(owner, offer, now);
+		state.records.set(key, record);
+		addToQueue(state, record);
+	}
+
+	return [...effects, ...startQueued(state, now)];
+}
+
+/**
+ * Drops tasks that an entry no longer wants.
+ *
+ * @param state - State of the agent.
+ * @param owner - The entry.
+ * @param tasks - Names of the tasks.
+ * @param now - Present time.
+ * @returns Stops and reports.
+ */
+export function handleWithdrawal(state: RunsState, owner: NodeName, tasks: readonly string[], now: Milliseconds): RunsEffect[] {
+	const effects: RunsEffect[] = [];
+	for (const task of tasks) {
+		const record = state.records.get(getRecordKey(owner, task));
+		if (record !== undefined) {
+			effects.push(...dropRecord(state, record, 'withdrawn', now));
+		}
+	}
+
+	return [...effects, ...startQueued(state, now)];
+}
+
+function adoptOrphan(state: RunsState, owner: NodeName, offer: TaskOffer, now: Milliseconds): RunsEffect[] {
+	const key = getRunKey(offer.task, offer.run);
+	if (state.orphans.delete(key)) {
+		const record = createRecord(owner, offer, now);
+		record.phase = 'running';
+		state.records.set(getRecordKey(owner, offer.task), record);
+		return [{type: 'note', event: 'run-adopted', details: {task: offer.task, run: offer.run, owner}}];
+	}
+
+	const end = findEarlierEnd(state, offer.task, offer.run);
+	const report: TaskReport = {
+		task: offer.task, run: offer.run, end: end ?? 'not-started', runMs: 0, waitMs: 0,
+	};
+	return [{type: 'report', owner, reports: [report]}];
+}
+
+function applyClaims(state: RunsState, owner: NodeName, offers: readonly TaskOffer[], now: Milliseconds): RunsEffect[] {
+	const effects: RunsEffect[] = [];
+	const claimed = new Set(offers.map(({task}) => task));
+	for (const record of [...state.records.values()]) {
+		if (record.owner === owner && !claimed.has(record.offer.task)) {
+			effects.push(...dropRecord(state, record, 'withdrawn', now));
+		}
+	}
+
+	for (const offer of offers) {
+		if (!state.records.has(getRecordKey(owner, offer.task))) {
+			effects.push(...adoptOrphan(state, owner, offer, now));
+		}
+	}
+
+	return effects;
+}
+
+/**
+ * Takes in all tasks that an entry believes to be here: keeps them, adopts runs of an earlier life of this
+ * agent, and answers for the rest.
+ *
+ * @param state - State of the agent.
+ * @param owner - The entry.
+ * @param offers - Its tasks.
+ * @param now - Present time.
+ * @returns What follows.
+ */
+export function handleClaim(state: RunsState, owner: NodeName, offers: readonly TaskOffer[], now: Milliseconds): RunsEffect[] {
+	state.owners.set(owner, {lostAt: undefined});
+	if (!state.worker.isKnown) {
+		state.pendingClaims.set(owner, offers);
+		return [];
+	}
+
+	return [...applyClaims(state, owner, offers, now), ...startQueued(state, now)];
+}
+
+/** Applies claims that came before the worker's runs were known. */
+export function applyPendingClaims(state: RunsState, now: Milliseconds): RunsEffect[] {
+	if (!state.worker.isKnown) {
+		return [];
+	}
+
+	const effects = [...state.pendingClaims].flatMap(([owner, offers]) => applyClaims(state, owner, offers, now));
+	state.pendingClaims.clear();
+	return effects;
+}
+
+/**
+ * Notes that the stream to an entry closed.
+ *
+ * @param state - State of the agent.
+ * @param owner - The entry.
+ * @param now - Present time.
+ */
+export function handleOwnerLoss(state: RunsState, owner: NodeName, now: Milliseconds): void {
+	state.pendingClaims.delete(owner);
+	const record = state.owners.get(owner);
+	if (record !== undefined) {
+		record.lostAt ??= now;
+	}
+}
+
+/** Drops the tasks of entries that have been silent for the contact time. */
+export function dropLostOwners(state: RunsState, now: Milliseconds): RunsEffect[] {
+	const effects: RunsEffect[] = [];
+	for (const record of [...state.records.values()]) {
+		const lostAt = state.owners.get(record.owner)?.lostAt;
+		// The stream itself closes after the contact time of silence, so the loss is acted on at once.
+		if (lostAt !== undefined && now >= lostAt + state.options.timings.heartbeatMs) {
+			effects.push(...dropRecord(state, record, 'owner-lost', now));
+		}
+	}
+
+	return effects;
+}
+
+/** Gives waiting tasks back and takes no new ones. */
+export function startLeaving(state: RunsState, now: Milliseconds): RunsEffect[] {
+	state.isLeaving = true;
+	return [...state.queue].map(record => endRecord(state, record, 'not-started', now));
+}
+
+/** Stops everything that still runs, at the end of a planned stop. */
+export function stopAllRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
+	return [...state.records.values()].flatMap(record => dropRecord(state, record, 'leaving', now));
+}
--- /dev/null
+++ b/src/core/runs/room.ts
@@ -0,0 +1,116 @@
+/**
+ * Room at the worker: what is taken, what is free, and how long a new task would wait.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {Resources} from '../../ports/worker.ts';
+import {noResources, type RunsState} from './state.ts';
+import type {RunRecord} from './types.ts';
+
+/** Priorities told apart in waits; lower ones share the last. */
+export const waitClasses = 4;
+
+/** Least remaining time assumed of a run that should have ended, in ms. */
+const minRemainingMs = 20;
+
+/** Answers whether needs fit into what is free. */
+export function hasRoom(free: Resources, needs: Resources): boolean {
+	return needs.cpu <= free.cpu && needs.memory <= free.memory && needs.accelerators <= free.accelerators;
+}
+
+/** Computes `left` - `right`. */
+export function removeResources(left: Resources, right: Resources): Resources {
+	return {cpu: left.cpu - right.cpu, memory: left.memory - right.memory, accelerators: left.accelerators - right.accelerators};
+}
+
+/**
+ * Computes the free room. What is being started or stopped counts as taken until its end is listed;
+ * while runs of an earlier life are unaccounted for, nothing is free.
+ *
+ * @param state - State of the agent.
+ * @returns Free resources.
+ */
+export function computeFree(state: RunsState): Resources {
+	const capacity = state.worker.announcement?.capacity;
+	if (capacity === undefined || !state.worker.isKnown || state.orphans.size > 0) {
+		return noResources;
+	}
+
+	let free: Resources = capacity;
+	for (const record of state.records.values()) {
+		if (record.phase !== 'queued') {
+			free = removeResources(free, record.offer.needs);
+		}
+	}
+
+	return free;
+}
+
+function estimateRemaining(state: RunsState, record: RunRecord, now: Milliseconds): Milliseconds {
+	const expected = record.offer.expectedMs * state.slowness;
+	return Math.max(minRemainingMs, expected - (now - record.orderedAt));
+}
+
+type Release = {at: Milliseconds; cpu: number};
+
+/** Takes room for one task from the earliest releases; returns when it could start. */
+function takeRoom(releases: Release[], needed: number): Milliseconds {
+	let found = 0;
+	let at = 0;
+	while (releases.length > 0 && found < needed) {
+		const first = releases[0];
+		at = first.at;
+		const taken = Math.min(first.cpu, needed - found);
+		found += taken;
+		first.cpu -= taken;
+		if (first.cpu <= 0) {
+			releases.shift();
+		}
+	}
+
+	return at;
+}
+
+function addRelease(releases: Release[], release: Release): void {
+	let position = releases.length;
+	while (position > 0 && releases[position - 1].at > release.at) {
+		position--;
+	}
+
+	releases.splice(position, 0, release);
+}
+
+/**
+ * Estimates how long a usual task of each priority would wait, by processor alone.
+ *
+ * @param state - State of the agent.
+ * @param now - Present time.
+ * @returns Waits for the priorities 0 up to `waitClasses` - 1.
+ */
+export function estimateWaits(state: RunsState, now: Milliseconds): readonly Milliseconds[] {
+	const free = computeFree(state);
+	const records = [...state.records.values()];
+	const usual = records.length === 0 ? 0 : records.reduce((sum, {offer}) => sum + offer.needs.cpu, 0) / records.length;
+	const releases: Release[] = [{at: 0, cpu: free.cpu}];
+	for (const record of records) {
+		if (record.phase !== 'queued') {
+			addRelease(releases, {at: estimateRemaining(state, record, now), cpu: record.offer.needs.cpu});
+		}
+	}
+
+	const waits: Milliseconds[] = [];
+	let next = 0;
+	for (let priority = 0; priority < waitClasses; priority++) {
+		const isLast = priority === waitClasses - 1;
+		while (next < state.queue.length && (isLast || state.queue[next].offer.priority <= priority)) {
+			const {offer} = state.queue[next];
+			const at = takeRoom(releases, offer.needs.cpu);
+			addRelease(releases, {at: at + (offer.expectedMs * state.slowness), cpu: offer.needs.cpu});
+			next++;
+		}
+
+		const rest = releases.map(release => ({...release}));
+		waits.push(usual === 0 ? 0 : Math.round(takeRoom(rest, usual)));
+	}
+
+	return waits;
+}
--- /dev/null
+++ b/src/core/runs/state.ts
@@ -0,0 +1,117 @@
+/**
+ * State of an agent's account of the runs at its worker.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {TaskEnd, TaskOffer} from '../../ports/dispatch-messages.ts';
+import type {Resources} from '../../ports/worker.ts';
+import type {NodeName} from '../identity/types.ts';
+import type {
+	EarlierEnds, OrphanRun, OwnerRecord, RunRecord, RunsOptions, Trust, WorkerClock, WorkerRecord,
+} from './types.ts';
+
+/** Nothing of any resource. */
+export const noResources: Resources = {cpu: 0, memory: 0, accelerators: 0};
+
+/** First time without new tasks for a worker that fails them, in ms; about the run time of a few tasks. */
+export const firstTrialIntervalMs = 300;
+
+/** State of an agent; changed only by the functions of this folder. */
+export type RunsState = {
+	options: RunsOptions;
+	readonly worker: WorkerRecord;
+	clock: WorkerClock | undefined;
+	fencingToken: number;
+	/** Position up to which the worker's ends have been handled. */
+	acknowledged: number;
+	/** By task and owner. */
+	readonly records: Map<string, RunRecord>;
+	/** Records that wait, in the order in which they start. */
+	readonly queue: RunRecord[];
+	readonly orphans: Map<string, OrphanRun>;
+	readonly earlierEnds: EarlierEnds;
+	readonly owners: Map<NodeName, OwnerRecord>;
+	/** Claims that came before the worker's runs were known. */
+	readonly pendingClaims: Map<NodeName, readonly TaskOffer[]>;
+	readonly trust: Trust;
+	/** Measured run time in relation to the expected one. */
+	slowness: number;
+	isLeaving: boolean;
+};
+
+/**
+ * Creates the state of an agent that knows nothing of its worker.
+ *
+ * @param options - Fixed values.
+ * @returns The state.
+ */
+export function createRunsState(options: RunsOptions): RunsState {
+	return {
+		options,
+		worker: {
+			announcement: undefined, bornAt: undefined, isReachable: false, isKnown: false,
+		},
+		clock: undefined,
+		fencingToken: options.fencingToken,
+		acknowledged: 0,
+		records: new Map(),
+		queue: [],
+		orphans: new Map(),
+		earlierEnds: new Map(),
+		owners: new Map(),
+		pendingClaims: new Map(),
+		trust: {
+			failedJobs: new Set(), trialAt: undefined, interval: firstTrialIntervalMs, successes: 0,
+		},
+		slowness: 1,
+		isLeaving: false,
+	};
+}
+
+/** Returns the key of a record. */
+export function getRecordKey(owner: NodeName, task: string): string {
+	return `${task}/${owner}`;
+}
+
+/** Returns the key of a run. */
+export function getRunKey(task: string, run: number): string {
+	return `${task}#${run}`;
+}
+
+/**
+ * Returns the id of the job that a task belongs to.
+ *
+ * @param task - Name of the task; the job's id goes up to the first dot.
+ */
+export function getJobId(task: string): string {
+	return task.split('.', 1)[0];
+}
+
+/**
+ * Estimates the worker's clock.
+ *
+ * @param state - State of the agent.
+ * @param now - Present time.
+ * @returns Time on the worker's clock, if it was ever read.
+ */
+export function estimateWorkerTime({clock}: RunsState, now: Milliseconds): Milliseconds | undefined {
+	return clock === undefined ? undefined : clock.workerTime + (now - clock.at);
+}
+
+/** Ends remembered for entries whose stream broke before they heard of them. */
+const maxKeptEnds = 1000;
+
+/**
+ * Remembers how a run ended, for the claim of an entry that did not hear of it.
+ *
+ * @param state - State of the agent.
+ * @param task - Name of the task.
+ * @param run - Number of the run.
+ * @param end - How it ended.
+ */
+export function recordEnd({earlierEnds}: RunsState, task: string, run: number, end: TaskEnd): void {
+	earlierEnds.set(getRunKey(task, run), end);
+	if (earlierEnds.size > maxKeptEnds) {
+		const [oldest] = earlierEnds.keys();
+		earlierEnds.delete(oldest);
+	}
+}
--- a/src/ports/messages.ts
+++ b/src/ports/messages.ts
@@ -145,6 +145,9 @@
 	| {readonly type: 'document'; readonly text: string}
 	| {readonly type: 'load'; readonly load: LoadReport};
 
+/** A message that is told apart by its `type`. */
+export type TypedMessage = {readonly type: string};
+
 /** The `type` of a message, by which handlers are looked up. */
 export type PeerMessageType = PeerMessage['type'];
 
--- a/src/ports/store.ts
+++ b/src/ports/store.ts
@@ -8,6 +8,8 @@
 export type StoreEntry = {
 	readonly revision: number;
 	readonly value: string | undefined;
+	/** Revision of the whole store when it answered, from which a watch may go on; the key's own if absent. */
+	readonly at?: number;
 };
 
 /**
@@ -34,3 +36,16 @@
 	/** Waits until the key's revision exceeds `afterRevision`, or until `timeout` passes (answers the present entry). */
 	watchKey(key: string, afterRevision: number, timeout: Milliseconds): Promise<Result<StoreEntry, StoreError>>;
 };
+
+/** A key with its value. */
+export type StoreItem = {
+	readonly key: string;
+	readonly value: string;
+	readonly revision: number;
+};
+
+/** Lists keys of the platform's key-value service. */
+export type StoreListing = {
+	/** Reads every key with a prefix. */
+	listKeys(prefix: string): Promise<Result<readonly StoreItem[], StoreError>>;
+};
--- /dev/null
+++ b/src/processes/dispatch/agent.ts
@@ -0,0 +1,296 @@
+/**
+ * An agent: runs the tasks that entries offer on the worker beside it, and tells how they end.
+ */
+import type {Timings} from '../../core/bounds/types.ts';
+import {applyLook} from '../../core/runs/looks.ts';
+import {
+	advanceRuns, applyHoldFailure, computeLeaseEnd, computeLoad, handleAnnouncement, handleDeparture, hasOverdueRun,
+} from '../../core/runs/logic.ts';
+import {applyStartAnswer, applyStopAnswer} from '../../core/runs/orders.ts';
+import {
+	handleClaim, handleOffers, handleOwnerLoss, handleWithdrawal, startLeaving, stopAllRuns,
+} from '../../core/runs/owners.ts';
+import {createRunsState, type RunsState} from '../../core/runs/state.ts';
+import type {RunsEffect} from '../../core/runs/types.ts';
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {DispatchMessage, TaskReport, WorkerLoad} from '../../ports/dispatch-messages.ts';
+import type {PeerAddress} from '../../ports/messages.ts';
+import type {RunRef, WorkerAnnouncement, WorkerControl} from '../../ports/worker.ts';
+import {joinDirectory} from './directory.ts';
+import {createSelf, type DispatchInput} from './input.ts';
+import {Links} from './links.ts';
+
+/** Time between checks of timeouts, in ms. */
+const advanceMs = 50;
+
+/** Least time between two load reports to an entry that gets no results, in ms. */
+const loadMs = 50;
+
+/** Time between attempts to reach a worker that does not answer, in ms. */
+const reconnectMs = 100;
+
+/** Wait of a renewal while some run is overdue, in ms; its progress is read that often. */
+const overdueWaitMs = 100;
+
+/** Time before the end of the grace period at which what still runs is stopped, in ms. */
+const giveUpMs = 900;
+
+type MessageHandlers = {
+	readonly [Type in DispatchMessage['type']]?: (from: PeerAddress, message: Extract<DispatchMessage, {type: Type}>) => RunsEffect[];
+};
+
+/** A running agent. */
+export class DispatchAgent implements AsyncDisposable {
+	readonly state: RunsState;
+	readonly #links: Links;
+	readonly #timers: Disposable[];
+	/** Offered tasks received on the present stream of each entry. */
+	readonly #seenOffers = new Map<string, number>();
+	readonly #toldLoads = new Map<string, string>();
+	#reports = new Map<string, TaskReport[]>();
+	#heardAt: Milliseconds;
+	#isClosed = false;
+	#isLooking = false;
+
+	readonly #handlers: MessageHandlers = {
+		offer: (from, {tasks}) => {
+			this.#seenOffers.set(from.name, (this.#seenOffers.get(from.name) ?? 0) + tasks.length);
+			return handleOffers(this.state, from.name, tasks, this.#now());
+		},
+		withdraw: (from, {tasks}) => handleWithdrawal(this.state, from.name, tasks, this.#now()),
+		claim: (from, {tasks}) => handleClaim(this.state, from.name, tasks, this.#now()),
+	};
+
+	/**
+	 * @param input - Settings and ports.
+	 * @param timings - Time limits.
+	 * @param control - Sends orders to the worker.
+	 */
+	constructor(private readonly input: DispatchInput, private readonly timings: Timings, private readonly control: WorkerControl) {
+		const {clock, log} = input;
+		this.#heardAt = clock.getTime();
+		this.state = createRunsState({timings, fencingToken: input.startedAt});
+		this.#links = new Links({
+			self: createSelf(input, 'agent'),
+			secret: input.secret,
+			timings,
+			clock,
+			log,
+			isDialer: () => false,
+			getVersion: () => 0,
+		}, {
+			onPeer: peer => {
+				this.#seenOffers.delete(peer.name);
+				this.#toldLoads.delete(peer.name);
+			},
+			onLoss: peer => {
+				handleOwnerLoss(this.state, peer.name, this.#now());
+			},
+			onMessage: (from, message) => {
+				const handler = this.#handlers[message.type] as ((from: PeerAddress, message: DispatchMessage) => RunsEffect[]) | undefined;
+				this.#run(handler?.(from, message) ?? []);
+			},
+		});
+		this.#timers = [
+			clock.startInterval(advanceMs, () => {
+				this.#run(advanceRuns(this.state, this.#heardAt, this.#now()));
+			}),
+			clock.startInterval(loadMs, () => {
+				this.#sendLoads();
+			}),
+		];
+	}
+
+	/** Listens for entries, joins the directory and watches the worker. */
+	async start(): Promise<void> {
+		await this.#links.listen();
+		const {store, clock, log} = this.input;
+		void joinDirectory({
+			store, clock, log, self: createSelf(this.input, 'agent'), onPeers: (addresses, isNewcomer) => {
+				this.#links.addPeers(addresses.filter(({role}) => role === 'entry'), isNewcomer);
+			},
+		});
+		void this.#watchWorker();
+	}
+
+	/** Takes in a heartbeat of the worker. */
+	handleAnnouncement(announcement: WorkerAnnouncement): void {
+		this.#run(handleAnnouncement(this.state, announcement, this.#now()));
+	}
+
+	/** Takes in that the worker leaves. */
+	handleDeparture(id: string): void {
+		this.#run(handleDeparture(this.state, id, this.#now()));
+	}
+
+	/** Finishes what runs; stops what is left before the grace period ends. */
+	async drain(): Promise<void> {
+		const {clock, settings, log} = this.input;
+		const endAt = clock.getTime() + (settings.bounds.graceSeconds * 1000) - giveUpMs;
+		this.#run(startLeaving(this.state, this.#now()));
+		this.#sendLoads();
+		while (this.state.records.size > 0 && clock.getTime() < endAt) {
+			await this.#wait(advanceMs);
+		}
+
+		if (this.state.records.size > 0) {
+			log.recordDecision('warn', 'runs-stopped-at-end', {count: this.state.records.size});
+			this.#run(stopAllRuns(this.state, this.#now()));
+			const stopEnd = clock.getTime() + (giveUpMs / 2);
+			while (this.state.records.size > 0 && clock.getTime() < stopEnd) {
+				await this.#wait(advanceMs);
+			}
+		}
+
+		await this.#wait(advanceMs);
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isClosed = true;
+		for (const timer of this.#timers) {
+			timer[Symbol.dispose]();
+		}
+
+		await this.#links[Symbol.asyncDispose]();
+		await this.control[Symbol.asyncDispose]();
+	}
+
+	#now(): Milliseconds {
+		return this.input.clock.getTime();
+	}
+
+	async #wait(delay: Milliseconds): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.input.clock.startTimer(delay, resolve);
+		});
+	}
+
+	/** Renews the lease and takes in ends, one call after the other. */
+	async #watchWorker(): Promise<void> {
+		while (!this.#isClosed) {
+			const isOverdue = hasOverdueRun(this.state, this.#now());
+			const isAnswered = await this.#lookOnce(isOverdue ? overdueWaitMs : this.timings.renewMs);
+			if (!isAnswered) {
+				await this.#wait(reconnectMs);
+			}
+		}
+	}
+
+	async #lookOnce(wait: Milliseconds): Promise<boolean> {
+		const asked = this.#now();
+		const answer = await this.control.holdTasks({
+			leaseUntil: computeLeaseEnd(this.state, asked),
+			fencingToken: this.state.fencingToken,
+			acknowledged: this.state.acknowledged,
+			wait,
+		});
+		const now = this.#now();
+		if (answer.type === 'look') {
+			this.#heardAt = now;
+			this.#run(applyLook(this.state, answer.look, asked, now));
+			return true;
+		}
+
+		this.#run(applyHoldFailure(this.state, answer.kind, now));
+		return false;
+	}
+
+	/** Looks at the worker beside the renewal that waits for an end. */
+	async #lookNow(): Promise<void> {
+		if (this.#isLooking) {
+			return;
+		}
+
+		this.#isLooking = true;
+		try {
+			await this.#lookOnce(0);
+		} finally {
+			this.#isLooking = false;
+		}
+	}
+
+	async #startTask(effect: Extract<RunsEffect, {type: 'start'}>): Promise<void> {
+		const {record, leaseUntil, fencingToken} = effect;
+		const ref: RunRef = {task: record.offer.task, run: record.run};
+		const answer = await this.control.startTask({
+			...ref, spec: record.offer.spec, leaseUntil, fencingToken,
+		});
+		this.#run(applyStartAnswer(this.state, ref, answer, this.#now()));
+	}
+
+	async #stopTask({ref, fencingToken}: Extract<RunsEffect, {type: 'stop'}>): Promise<void> {
+		const answer = await this.control.stopTask({...ref, fencingToken});
+		this.#run(applyStopAnswer(this.state, ref, answer, this.#now()));
+	}
+
+	#run(effects: readonly RunsEffect[]): void {
+		for (const effect of effects) {
+			this.#runEffect(effect);
+		}
+
+		this.#sendReports();
+	}
+
+	#runEffect(effect: RunsEffect): void {
+		switch (effect.type) {
+			case 'start': {
+				void this.#startTask(effect);
+				break;
+			}
+
+			case 'stop': {
+				void this.#stopTask(effect);
+				break;
+			}
+
+			case 'look': {
+				void this.#lookNow();
+				break;
+			}
+
+			case 'report': {
+				const reports = this.#reports.get(effect.owner) ?? [];
+				reports.push(...effect.reports);
+				this.#reports.set(effect.owner, reports);
+				break;
+			}
+
+			case 'note': {
+				this.input.log.recordDecision('warn', effect.event, effect.details);
+				break;
+			}
+		}
+	}
+
+	#sendReports(): void {
+		if (this.#reports.size === 0) {
+			return;
+		}
+
+		const load = computeLoad(this.state, this.#now());
+		for (const [owner, reports] of this.#reports) {
+			this.#links.sendMessage(owner, {
+				type: 'ended', reports, load, seen: this.#seenOffers.get(owner) ?? 0,
+			});
+			this.#toldLoads.set(owner, this.#formatLoad(owner, load));
+		}
+
+		this.#reports = new Map();
+	}
+
+	#formatLoad(owner: string, load: WorkerLoad): string {
+		return JSON.stringify([load.mode, load.free, load.waits, load.capacity, this.#seenOffers.get(owner)]);
+	}
+
+	/** Tells the load to entries for which it has changed. */
+	#sendLoads(): void {
+		const load = computeLoad(this.state, this.#now());
+		for (const peer of this.#links.listLinked()) {
+			const text = this.#formatLoad(peer.name, load);
+			if (this.#toldLoads.get(peer.name) !== text) {
+				this.#toldLoads.set(peer.name, text);
+				this.#links.sendMessage(peer.name, {type: 'load', load, seen: this.#seenOffers.get(peer.name) ?? 0});
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/processes/dispatch/entry.ts
@@ -0,0 +1,305 @@
+/**
+ * An entry: home to the jobs that it takes, which it places at agents and answers.
+ */
+import type {Timings} from '../../core/bounds/types.ts';
+import {
+	advanceDispatch, applyReports, cancelJob, handleAgentLoss, listClaims, placeAllWaiting, submitJob, type JobRequest,
+} from '../../core/dispatch/logic.ts';
+import {countOpenJobs, createDispatchState, type DispatchState} from '../../core/dispatch/state.ts';
+import type {DispatchEffect, Job, JobAnswer} from '../../core/dispatch/types.ts';
+import {
+	addAgent, applyLoad, createFleetState, removeAgent,
+} from '../../core/fleet/state.ts';
+import type {DispatchMessage} from '../../ports/dispatch-messages.ts';
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {PeerAddress} from '../../ports/messages.ts';
+import {ConfigurationSource} from './configuration.ts';
+import {joinDirectory} from './directory.ts';
+import {Links, type LinkedPeer} from './links.ts';
+import {createSelf, type DispatchInput} from './input.ts';
+
+/** Time between checks of deadlines and of tasks without an agent, in ms. */
+const advanceMs = 50;
+
+/** Time after the start in which agents are expected, in ms. */
+const expectAgentsMs = 3000;
+
+/** Share of the grace period for which a stopping entry takes requests, until the balancer has noticed. */
+const takingShare = 0.5;
+
+/** Time before the end of the grace period at which open jobs are given up, in ms. */
+const giveUpMs = 900;
+
+type Waiter = (answer: JobAnswer) => void;
+
+type MessageHandlers = {
+	readonly [Type in DispatchMessage['type']]?: (from: PeerAddress, message: Extract<DispatchMessage, {type: Type}>) => void;
+};
+
+/** A running entry. */
+export class DispatchEntry implements AsyncDisposable {
+	readonly state: DispatchState;
+	readonly configuration: ConfigurationSource;
+	readonly #links: Links;
+	readonly #timer: Disposable;
+	readonly #waiters = new Map<Job, Waiter[]>();
+	#isStopping = false;
+	#takesUntil = Number.POSITIVE_INFINITY;
+
+	readonly #handlers: MessageHandlers = {
+		ended: (from, {reports, load, seen}) => {
+			applyLoad(this.state.fleet, from.name, load, seen);
+			this.#run(applyReports(this.state, from.name, reports, this.#now()));
+			this.#placeWaiting();
+		},
+		load: (from, {load, seen}) => {
+			applyLoad(this.state.fleet, from.name, load, seen);
+			this.#placeWaiting();
+		},
+		configuration: (from, {text}) => {
+			this.configuration.offerText(text, from.name);
+		},
+		peers: (_from, {addresses}) => {
+			this.#links.addPeers(addresses, false);
+		},
+	};
+
+	/**
+	 * @param input - Settings and ports.
+	 * @param timings - Time limits.
+	 */
+	constructor(private readonly input: DispatchInput, timings: Timings) {
+		const {settings, clock, log} = input;
+		const self = createSelf(input, 'entry');
+		this.state = createDispatchState(createFleetState({
+			dataCentre: settings.dataCentre, remoteFactor: settings.bounds.remoteFactor,
+		}), timings);
+		this.state.expectAgentsUntil = clock.getTime() + expectAgentsMs;
+		this.configuration = new ConfigurationSource({
+			store: input.store,
+			key: input.configurationKey,
+			decode: input.decodeConfiguration,
+			clock,
+			log,
+			bounds: settings.bounds,
+			onChange: (version, text, source) => {
+				this.#shareConfiguration(version, text, source);
+			},
+		});
+		this.#links = new Links({
+			self,
+			secret: input.secret,
+			timings,
+			clock,
+			log,
+			isDialer: peer => peer.role === 'agent' || self.name < peer.name,
+			getVersion: () => this.configuration.version,
+		}, {
+			onPeer: peer => {
+				this.#handlePeer(peer);
+			},
+			onLoss: peer => {
+				this.#handleLoss(peer);
+			},
+			onMessage: (from, message) => {
+				(this.#handlers[message.type] as ((from: PeerAddress, message: DispatchMessage) => void) | undefined)?.(from, message);
+			},
+		});
+		this.#timer = clock.startInterval(advanceMs, () => {
+			this.#run(advanceDispatch(this.state, this.#now()));
+		});
+	}
+
+	/** Listens for other processes, joins the directory and watches the configuration. */
+	async start(): Promise<void> {
+		await this.#links.listen();
+		const {store, clock, log} = this.input;
+		void joinDirectory({
+			store, clock, log, self: createSelf(this.input, 'entry'), onPeers: (addresses, isNewcomer) => {
+				this.#links.addPeers(addresses, isNewcomer);
+			},
+		});
+		void this.configuration.watchStore();
+	}
+
+	/** Returns whether the balancer should send callers here. */
+	isReady(): boolean {
+		return !this.#isStopping && this.configuration.version > 0 && this.state.fleet.agents.size > 0;
+	}
+
+	/** Returns whether the entry is about to end. */
+	isStopping(): boolean {
+		return this.#isStopping;
+	}
+
+	/**
+	 * Submits a job.
+	 *
+	 * @param request - The submission.
+	 * @param signal - Aborted when the caller is gone.
+	 * @returns The answer.
+	 */
+	async submitJob(request: JobRequest, signal: AbortSignal): Promise<JobAnswer> {
+		const now = this.#now();
+		this.state.isLeaving = now >= this.#takesUntil;
+		const {job, effects} = submitJob(this.state, request, now);
+		if (job.answer !== undefined) {
+			this.#logAnswer(job, job.answer);
+			return job.answer;
+		}
+
+		return new Promise(resolve => {
+			const waiters = this.#waiters.get(job) ?? [];
+			waiters.push(resolve);
+			this.#waiters.set(job, waiters);
+			signal.addEventListener('abort', () => {
+				if (this.#waiters.get(job)?.length === 1) {
+					this.#run(cancelJob(this.state, job.id, 'cancelled', this.#now()));
+				}
+			});
+			this.#run(effects);
+		});
+	}
+
+	/**
+	 * Cancels an open job.
+	 *
+	 * @param id - The job.
+	 * @returns Whether it was open here.
+	 */
+	cancelJob(id: string): boolean {
+		const effects = cancelJob(this.state, id, 'cancelled', this.#now());
+		this.#run(effects);
+		return effects.length > 0;
+	}
+
+	/** Finishes what is open; gives up what is left before the grace period ends. */
+	async drain(): Promise<void> {
+		const {clock, settings, log} = this.input;
+		const graceMs = settings.bounds.graceSeconds * 1000;
+		const startedAt = clock.getTime();
+		this.#isStopping = true;
+		this.#takesUntil = startedAt + (graceMs * takingShare);
+		while (clock.getTime() < startedAt + graceMs - giveUpMs) {
+			if (clock.getTime() >= this.#takesUntil && countOpenJobs(this.state) === 0) {
+				return;
+			}
+
+			await this.#wait(advanceMs);
+		}
+
+		const left = [...this.state.jobs.values()].filter(({answer}) => answer === undefined);
+		log.recordDecision('warn', 'open-jobs-given-up', {count: left.length});
+		for (const {id} of left) {
+			this.#run(cancelJob(this.state, id, 'leaving', this.#now()));
+		}
+
+		await this.#wait(advanceMs * 2);
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#timer[Symbol.dispose]();
+		this.configuration[Symbol.dispose]();
+		await this.#links[Symbol.asyncDispose]();
+	}
+
+	#now(): Milliseconds {
+		return this.input.clock.getTime();
+	}
+
+	async #wait(delay: Milliseconds): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.input.clock.startTimer(delay, resolve);
+		});
+	}
+
+	#placeWaiting(): void {
+		if (this.state.waiting.size > 0) {
+			this.#run(placeAllWaiting(this.state, this.#now()));
+		}
+	}
+
+	#handlePeer(peer: LinkedPeer): void {
+		if (peer.role === 'agent') {
+			addAgent(this.state.fleet, peer, peer.dataCentre);
+			const claims = listClaims(this.state, peer.name);
+			this.#links.sendMessage(peer.name, {type: 'claim', tasks: claims});
+			return;
+		}
+
+		if (this.configuration.version > peer.configurationVersion) {
+			this.#links.sendMessage(peer.name, {type: 'configuration', version: this.configuration.version, text: this.configuration.text});
+		}
+
+		this.#links.sendMessage(peer.name, {type: 'peers', addresses: this.#links.listKnown()});
+	}
+
+	#handleLoss(peer: PeerAddress): void {
+		this.configuration.restartWatch();
+		if (peer.role === 'agent') {
+			removeAgent(this.state.fleet, peer.name);
+			handleAgentLoss(this.state, peer.name, this.#now());
+		}
+	}
+
+	#shareConfiguration(version: number, text: string, source: string): void {
+		for (const peer of this.#links.listLinked()) {
+			// Each entry watches the store: what came from there is told only to those who lack it for a while.
+			if (peer.role === 'entry' && peer.name !== source) {
+				this.#links.sendMessage(peer.name, {type: 'configuration', version, text});
+			}
+		}
+	}
+
+	#logAnswer(job: Job, answer: JobAnswer): void {
+		const isGood = answer.outcome === 'completed';
+		this.input.log.recordDecision(isGood ? 'info' : 'warn', 'job-answered', {
+			job: job.id,
+			route: job.route.name,
+			version: this.configuration.version,
+			outcome: answer.outcome,
+			reason: answer.reason,
+			ms: Math.round(this.#now() - job.receivedAt),
+			objectiveMs: Math.round(job.objectiveMs),
+			tasks: job.tasks.length,
+			moves: job.tasks.reduce((sum, {moves}) => sum + moves, 0),
+			failures: job.tasks.reduce((sum, {failures}) => sum + failures, 0),
+		});
+	}
+
+	#run(effects: readonly DispatchEffect[]): void {
+		for (const effect of effects) {
+			this.#runEffect(effect);
+		}
+	}
+
+	#runEffect(effect: DispatchEffect): void {
+		switch (effect.type) {
+			case 'offer': {
+				this.#links.sendMessage(effect.agent, {type: 'offer', tasks: effect.tasks});
+				break;
+			}
+
+			case 'withdraw': {
+				this.#links.sendMessage(effect.agent, {type: 'withdraw', tasks: effect.tasks});
+				break;
+			}
+
+			case 'answer': {
+				this.#logAnswer(effect.job, effect.answer);
+				const waiters = this.#waiters.get(effect.job) ?? [];
+				this.#waiters.delete(effect.job);
+				for (const reply of waiters) {
+					reply(effect.answer);
+				}
+
+				break;
+			}
+
+			case 'note': {
+				this.input.log.recordDecision('info', effect.event, effect.details);
+				break;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/processes/dispatch/input.ts
@@ -0,0 +1,48 @@
+/**
+ * What the dispatching processes start from.
+ */
+import type {Configuration} from '../../core/routes/types.ts';
+import type {Clock, Milliseconds} from '../../ports/clock.ts';
+import type {DecisionLog} from '../../ports/decision-log.ts';
+import type {PeerAddress, Role} from '../../ports/messages.ts';
+import type {Store, StoreListing} from '../../ports/store.ts';
+import type {DispatchSettings} from '../../settings/dispatch.ts';
+
+/** Settings and ports of a process. */
+export type DispatchInput = {
+	readonly settings: DispatchSettings;
+	readonly secret: string;
+	/** Start of this life, in ms since the epoch. */
+	readonly startedAt: Milliseconds;
+	readonly store: Store & StoreListing;
+	/** Key of the configuration in the store. */
+	readonly configurationKey: string;
+	/** Decodes a configuration; answers the fault if it cannot be read. */
+	readonly decodeConfiguration: (text: string) => Configuration | string;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+};
+
+/** Ports of the streams, by role. */
+const streamPorts: Record<Role, (settings: DispatchSettings) => number> = {
+	entry: settings => settings.entryPort,
+	agent: settings => settings.agentPort,
+};
+
+/**
+ * Creates the address of this process.
+ *
+ * @param input - Settings.
+ * @param role - What the process is.
+ * @returns Its address.
+ */
+export function createSelf({settings, startedAt}: DispatchInput, role: Role): PeerAddress {
+	return {
+		name: `${settings.name}-${role}`,
+		incarnation: startedAt,
+		role,
+		dataCentre: settings.dataCentre,
+		host: settings.host,
+		port: streamPorts[role](settings),
+	};
+}
--- /dev/null
+++ b/src/processes/dispatch/links.ts
@@ -0,0 +1,255 @@
+/**
+ * Streams between entries and agents: opens them, opens them again, and tells each side who answers.
+ *
+ * Entries open streams to the agents they know and keep trying. A process that is new to the others opens
+ * streams itself until they know it.
+ */
+import {createServer, type Server} from 'node:http';
+import {createLog} from '../../adapters/log/log.ts';
+import {anyIncarnation, PeerNetwork} from '../../adapters/peer/network.ts';
+import {PeerError} from '../../adapters/peer/errors.ts';
+import type {Timings} from '../../core/bounds/types.ts';
+import type {NodeName, NodeRef} from '../../core/identity/types.ts';
+import type {Clock, Milliseconds} from '../../ports/clock.ts';
+import type {DecisionLog} from '../../ports/decision-log.ts';
+import type {DispatchMessage} from '../../ports/dispatch-messages.ts';
+import type {PeerAddress} from '../../ports/messages.ts';
+
+/** Least time between two attempts to open a stream, in ms; doubles up to the greatest. */
+const minRetryMs = 100;
+const maxRetryMs = 1000;
+
+/** Time after which a process that never answered is forgotten, in ms. */
+const forgetMs = 600_000;
+
+const maxFrameBytes = 4_194_304;
+
+/** A process whose stream is open and has announced itself. */
+export type LinkedPeer = PeerAddress & {readonly configurationVersion: number};
+
+/** What the links tell their owner. */
+export type LinkHandlers = {
+	readonly onPeer: (peer: LinkedPeer) => void;
+	readonly onLoss: (peer: PeerAddress) => void;
+	readonly onMessage: (from: PeerAddress, message: DispatchMessage) => void;
+};
+
+/** What the links need. */
+export type LinksInput = {
+	readonly self: PeerAddress;
+	readonly secret: string;
+	readonly timings: Timings;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	/** Whether this process opens a stream to a peer that it has known for longer. */
+	readonly isDialer: (peer: PeerAddress) => boolean;
+	/** Version of the configuration in force here; 0 for none. */
+	readonly getVersion: () => number;
+};
+
+type KnownPeer = {
+	address: PeerAddress;
+	retryAt: Milliseconds;
+	delay: Milliseconds;
+	heardAt: Milliseconds;
+	/** Whether the peer may not know this process yet. */
+	isNewcomer: boolean;
+};
+
+/** Streams of one process. */
+export class Links implements AsyncDisposable {
+	readonly #known = new Map<NodeName, KnownPeer>();
+	readonly #linked = new Map<NodeName, LinkedPeer>();
+	readonly #server: Server;
+	readonly #network: PeerNetwork<DispatchMessage>;
+	readonly #timer: Disposable;
+
+	/**
+	 * @param input - What the links need.
+	 * @param handlers - Whom to tell.
+	 */
+	constructor(private readonly input: LinksInput, private readonly handlers: LinkHandlers) {
+		const {self, secret, timings, clock} = input;
+		this.#server = createServer((_request, response) => {
+			response.writeHead(404).end();
+		});
+		this.#network = new PeerNetwork<DispatchMessage>({
+			self,
+			secret,
+			server: this.#server,
+			clock,
+			log: createLog('peer'),
+			options: {
+				heartbeatMs: timings.heartbeatMs, heartbeatTimeoutMs: timings.silenceMs, idleHeartbeatMs: timings.heartbeatMs, maxFrameBytes,
+			},
+			stamps: {
+				getStamp: () => 0,
+				observeStamp() {
+					// Decisions are ordered by the time of day in their log lines.
+				},
+			},
+		});
+		this.#network.setHandlers({
+			onOpen: node => {
+				this.#network.sendMessage(node, {type: 'announce', address: self, version: input.getVersion()});
+			},
+			onClose: node => {
+				this.#handleClose(node);
+			},
+			onMessage: (from, message) => {
+				this.#handleMessage(from, message);
+			},
+			onConfirm() {
+				// Offers and reports are claimed again on a new stream.
+			},
+		});
+		this.#timer = clock.startInterval(minRetryMs, () => {
+			this.openStreams();
+		});
+	}
+
+	/** Listens for streams of others. */
+	async listen(): Promise<void> {
+		const {host, port} = this.input.self;
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, resolve);
+		});
+	}
+
+	/**
+	 * Adds processes that this one was told of.
+	 *
+	 * @param addresses - Their addresses.
+	 * @param isNewcomer - Whether they may not know this process yet.
+	 */
+	addPeers(addresses: readonly PeerAddress[], isNewcomer: boolean): void {
+		const now = this.input.clock.getTime();
+		for (const address of addresses) {
+			if (address.name === this.input.self.name) {
+				continue;
+			}
+
+			const known = this.#known.get(address.name);
+			if (known?.address.host === address.host && known.address.port === address.port) {
+				known.isNewcomer ||= isNewcomer;
+				continue;
+			}
+
+			this.#known.set(address.name, {
+				address: {...address, incarnation: anyIncarnation}, retryAt: now, delay: minRetryMs, heardAt: now, isNewcomer,
+			});
+		}
+
+		this.openStreams();
+	}
+
+	/** Lists the processes whose streams are open. */
+	listLinked(): readonly LinkedPeer[] {
+		return [...this.#linked.values()];
+	}
+
+	/** Lists every process known. */
+	listKnown(): readonly PeerAddress[] {
+		return [...this.#known.values()].map(({address}) => address);
+	}
+
+	/**
+	 * Sends a message if a stream is open.
+	 *
+	 * @param to - The process.
+	 * @param message - The message.
+	 * @returns Whether it was written.
+	 */
+	sendMessage(to: NodeName, message: DispatchMessage): boolean {
+		const peer = this.#linked.get(to);
+		return peer !== undefined && this.#network.sendMessage(peer, message);
+	}
+
+	/** Opens the streams that are due. */
+	openStreams(): void {
+		const now = this.input.clock.getTime();
+		for (const [name, peer] of this.#known) {
+			const isWanted = peer.isNewcomer || this.input.isDialer(peer.address);
+			if (this.#linked.has(name) || !isWanted || now < peer.retryAt) {
+				continue;
+			}
+
+			if (now - peer.heardAt > forgetMs) {
+				this.#known.delete(name);
+				continue;
+			}
+
+			peer.retryAt = now + peer.delay;
+			peer.delay = Math.min(peer.delay * 2, maxRetryMs);
+			void this.#openStream(peer);
+		}
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#timer[Symbol.dispose]();
+		await this.#network[Symbol.asyncDispose]();
+		this.#server.close();
+	}
+
+	async #openStream({address}: KnownPeer): Promise<void> {
+		try {
+			await this.#network.openStream(address);
+		} catch (error) {
+			if (!(error instanceof PeerError)) {
+				throw error;
+			}
+
+			this.input.log.recordDecision('info', 'stream-not-opened', {peer: address.name, reason: error.kind});
+		}
+	}
+
+	#handleClose(node: NodeRef): void {
+		const peer = this.#linked.get(node.name);
+		if (peer?.incarnation !== node.incarnation) {
+			return;
+		}
+
+		this.#linked.delete(node.name);
+		const known = this.#known.get(node.name);
+		if (known !== undefined) {
+			known.delay = minRetryMs;
+			known.retryAt = this.input.clock.getTime();
+		}
+
+		this.input.log.recordDecision('warn', 'stream-lost', {peer: node.name, incarnation: node.incarnation});
+		this.handlers.onLoss(peer);
+	}
+
+	#handleMessage(from: NodeRef, message: DispatchMessage): void {
+		if (message.type === 'announce') {
+			this.#handleAnnouncement(message);
+			return;
+		}
+
+		const peer = this.#linked.get(from.name);
+		if (peer !== undefined) {
+			this.handlers.onMessage(peer, message);
+		}
+	}
+
+	#handleAnnouncement({address, version}: Extract<DispatchMessage, {type: 'announce'}>): void {
+		const now = this.input.clock.getTime();
+		const previous = this.#linked.get(address.name);
+		if (previous !== undefined && previous.incarnation !== address.incarnation) {
+			this.#linked.delete(address.name);
+			this.handlers.onLoss(previous);
+		}
+
+		const isNew = !this.#linked.has(address.name);
+		const peer = {...address, configurationVersion: version};
+		this.#known.set(address.name, {
+			address: {...address, incarnation: anyIncarnation}, retryAt: now, delay: minRetryMs, heardAt: now, isNewcomer: false,
+		});
+		this.#linked.set(address.name, peer);
+		if (isNew) {
+			this.input.log.recordDecision('info', 'stream-opened', {peer: address.name, incarnation: address.incarnation, version});
+			this.handlers.onPeer(peer);
+		}
+	}
+}
