Estimate run times by regression on the callers' estimates

Cause: the tasks waited 150 ms and more at two agents while others were idle: the slowness of an agent was measured against the callers' estimates, whose logarithm has a standard deviation of 0.7 against 0.4 of the run times.

--- a/src/core/dispatch/estimates.ts
+++ b/src/core/dispatch/estimates.ts
@@ -3,21 +3,44 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
-import type {DispatchState} from './state.ts';
+import type {DispatchState, RunTimeRecord} from './state.ts';
 import type {JobSubmission, StepSubmission} from './types.ts';
 
 /** Weight of a new measurement. */
-const ratioGain = 0.03;
+const gain = 0.02;
+
+/** Measurements before the relation of run times to estimates counts. */
+const minSamples = 20;
 
 /** Run time assumed where the caller gives no estimate, in ms. */
 const defaultEstimateMs = 200;
 
-/** Bounds of one measurement, so that no single one spoils the estimate. */
-const maxRatio = 5;
-const minRatio = 0.2;
+/** Least run time and estimate taken in, in ms. */
+const leastMs = 1;
 
 /**
- * Estimates the run time of a task on a worker of usual speed.
+ * Creates the record of a queue without measurements.
+ *
+ * @returns The record.
+ */
+export function createRunTimeRecord(): RunTimeRecord {
+	return {
+		samples: 0, meanEstimate: 0, meanRun: 0, varianceEstimate: 0, covariance: 0,
+	};
+}
+
+function getEstimate(step: StepSubmission): Milliseconds {
+	return Math.max(leastMs, step.estimateMs > 0 ? step.estimateMs : defaultEstimateMs);
+}
+
+/** How far a deviation of the estimate from the usual one shows in the run time, from 0 to 1. */
+function computeSlope({samples, varianceEstimate, covariance}: RunTimeRecord): number {
+	return samples < minSamples || varianceEstimate <= 0 ? 0 : Math.min(1, Math.max(0, covariance / varianceEstimate));
+}
+
+/**
+ * Estimates the run time of a task on a worker of usual speed: a regression of the logarithms of run times
+ * on those of the callers' estimates, which are far off.
  *
  * @param state - State of the jobs.
  * @param route - The queue.
@@ -25,8 +48,13 @@
  * @returns Run time, in ms.
  */
 export function estimateRunTime(state: DispatchState, route: Route, step: StepSubmission): Milliseconds {
-	const estimate = step.estimateMs > 0 ? step.estimateMs : defaultEstimateMs;
-	return estimate * (state.ratios.get(route.name)?.ratio ?? 1);
+	const record = state.runTimes.get(route.name);
+	const estimate = getEstimate(step);
+	if (record === undefined || record.samples === 0) {
+		return estimate;
+	}
+
+	return Math.exp(record.meanRun + (computeSlope(record) * (Math.log(estimate) - record.meanEstimate)));
 }
 
 /**
@@ -34,15 +62,20 @@
  *
  * @param state - State of the jobs.
  * @param route - The queue.
- * @param estimateMs - The caller's estimate.
+ * @param step - The step.
  * @param runMs - Run time on a worker of usual speed.
  */
-export function recordRunTime(state: DispatchState, route: Route, estimateMs: Milliseconds, runMs: Milliseconds): void {
-	const measured = Math.min(maxRatio, Math.max(minRatio, runMs / Math.max(1, estimateMs)));
-	const record = state.ratios.get(route.name) ?? {ratio: 1, samples: 0};
+export function recordRunTime(state: DispatchState, route: Route, step: StepSubmission, runMs: Milliseconds): void {
+	const record = state.runTimes.get(route.name) ?? createRunTimeRecord();
+	state.runTimes.set(route.name, record);
 	record.samples++;
-	record.ratio += Math.max(ratioGain, 1 / (record.samples + 1)) * (measured - record.ratio);
-	state.ratios.set(route.name, record);
+	const weight = Math.max(gain, 1 / record.samples);
+	const estimateError = Math.log(getEstimate(step)) - record.meanEstimate;
+	const runError = Math.log(Math.max(leastMs, runMs)) - record.meanRun;
+	record.meanEstimate += weight * estimateError;
+	record.meanRun += weight * runError;
+	record.varianceEstimate += weight * ((estimateError * estimateError * (1 - weight)) - record.varianceEstimate);
+	record.covariance += weight * ((estimateError * runError * (1 - weight)) - record.covariance);
 }
 
 /**
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -203,7 +203,7 @@
 		state.tasks.delete(task.name);
 		const slowness = (state.fleet.agents.get(task.agent!)?.load?.slowness ?? 1) / computeUsualSlowness(state.fleet);
 		if (report.runMs > 0) {
-			recordRunTime(state, job.route, job.submission.steps[task.step].estimateMs, report.runMs / slowness);
+			recordRunTime(state, job.route, job.submission.steps[task.step], report.runMs / slowness);
 		}
 
 		if (job.openTasks.every(count => count === 0)) {
--- a/src/core/dispatch/state.ts
+++ b/src/core/dispatch/state.ts
@@ -6,10 +6,13 @@
 import type {FleetState} from '../fleet/state.ts';
 import type {Job, TaskState} from './types.ts';
 
-/** Measured run times of a queue's tasks in relation to the callers' estimates. */
-export type EstimateRatio = {
-	ratio: number;
+/** Measured run times of a queue's tasks in relation to the callers' estimates; means of natural logarithms of ms. */
+export type RunTimeRecord = {
 	samples: number;
+	meanEstimate: number;
+	meanRun: number;
+	varianceEstimate: number;
+	covariance: number;
 };
 
 /** State of the jobs; changed only by the functions of this folder. */
@@ -23,7 +26,7 @@
 	/** Jobs with tasks that no agent has. */
 	readonly waiting: Set<Job>;
 	/** By queue. */
-	readonly ratios: Map<string, EstimateRatio>;
+	readonly runTimes: Map<string, RunTimeRecord>;
 	/** Time from which agents that were lost are expected back. */
 	expectAgentsUntil: Milliseconds;
 	isLeaving: boolean;
@@ -43,7 +46,7 @@
 		jobs: new Map(),
 		tasks: new Map(),
 		waiting: new Set(),
-		ratios: new Map(),
+		runTimes: new Map(),
 		expectAgentsUntil: 0,
 		isLeaving: false,
 	};
--- a/src/core/runs/looks.ts
+++ b/src/core/runs/looks.ts
@@ -21,7 +21,7 @@
 const minPercent = 3;
 
 /** Weight of a new measurement in the slowness of the worker. */
-const slownessGain = 0.12;
+const slownessGain = 0.08;
 
 /** Bounds of one measurement of slowness. */
 const maxSlowness = 20;
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -46,6 +46,7 @@
 		task: record.offer.task,
 		run: record.run,
 		end,
+		expectedMs: record.offer.expectedMs,
 		runMs: hasRun ? Math.round(now - record.orderedAt) : 0,
 		waitMs: Math.round(record.phase === 'queued' ? now - record.queuedAt : record.orderedAt - record.queuedAt),
 	};
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -27,7 +27,7 @@
 
 function refuseOffer(owner: NodeName, {task, run}: TaskOffer): RunsEffect {
 	const report: TaskReport = {
-		task, run, end: 'not-started', runMs: 0, waitMs: 0,
+		task, run, end: 'not-started', expectedMs: 0, runMs: 0, waitMs: 0,
 	};
 	return {type: 'report', owner, reports: [report]};
 }
@@ -114,7 +114,7 @@
 
 	const end = findEarlierEnd(state, offer.task, offer.run);
 	const report: TaskReport = {
-		task: offer.task, run: offer.run, end: end ?? 'not-started', runMs: 0, waitMs: 0,
+		task: offer.task, run: offer.run, end: end ?? 'not-started', expectedMs: offer.expectedMs, runMs: 0, waitMs: 0,
 	};
 	return [{type: 'report', owner, reports: [report]}];
 }
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -40,6 +40,8 @@
 	/** Number of its last run; the next one must be higher. */
 	readonly run: number;
 	readonly end: TaskEnd;
+	/** Run time that the offer named. */
+	readonly expectedMs: Milliseconds;
 	/** Time between start and end; 0 when not started. */
 	readonly runMs: Milliseconds;
 	/** Time in the agent's queue. */
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -249,6 +249,11 @@
 			}
 
 			case 'report': {
+				for (const report of effect.reports) {
+					const level = report.end === 'done' ? 'info' : 'warn';
+					this.input.log.recordDecision(level, 'task-ended', {...report, owner: effect.owner});
+				}
+
 				const reports = this.#reports.get(effect.owner) ?? [];
 				reports.push(...effect.reports);
 				this.#reports.set(effect.owner, reports);
