--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -12,7 +12,7 @@
 const remoteMs = 3;
 
 /** Share of the run time by which a full worker counts as later than an empty one; spreads the load. */
-const loadWeight = 0.5;
+const loadWeight = 1.5;
 
 /** Least wait, in ms, at an agent without room. */
 const minWaitMs = 5;
