--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -22,8 +22,8 @@
 /** Renewals within a lease. */
 const renewalsPerLease = 3;
 
-/** Orders that fit into a lease. */
-const ordersPerLease = 5;
+/** Orders that fit into a lease, so that a renewal without an answer can be repeated before it ends. */
+const ordersPerLease = 3;
 
 /** Time for messages and timers beside the stated bounds, in ms. */
 const slackMs = 50;
--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -14,6 +14,12 @@
 /** Share of the run time by which a full worker counts as later than an empty one; spreads the load. */
 const loadWeight = 1.5;
 
+/**
+ * Weight of a wait against run time: a task that waits also delays those that come after it, while a slower
+ * worker with room delays only itself.
+ */
+const waitWeight = 3;
+
 /** Least wait, in ms, at an agent without room. */
 const minWaitMs = 5;
 
@@ -96,7 +102,7 @@
 		const total = wait + run + distance;
 		const fill = 1 - Math.max(0, free.cpu / load.capacity.cpu);
 		const isAvoided = avoided.has(name) || now < view.avoidedUntil;
-		const score = total + (fill * loadWeight * run) + (isAvoided ? 1e6 : 0);
+		const score = total + ((waitWeight - 1) * wait) + (fill * loadWeight * run) + (isAvoided ? 1e6 : 0);
 		if (score < bestScore) {
 			best = {agent: name, wait, total};
 			bestScore = score;
--- a/src/core/runs/looks.ts
+++ b/src/core/runs/looks.ts
@@ -17,8 +17,9 @@
 /** Share of the expected run time without progress after which a run stands still. */
 const stallShare = 0.3;
 
-/** Percent from which the rest of a run is estimated by its progress. */
-const minPercent = 3;
+/** Time from the start, in ms and as a share of the expected run time, from which progress tells the rest. */
+const minProgressMs = 100;
+const progressShare = 0.5;
 
 /** Weight of a new measurement in the slowness of the worker. */
 const slownessGain = 0.08;
@@ -84,8 +85,11 @@
 	return effects;
 }
 
-function estimateRest(record: RunRecord, now: Milliseconds): Milliseconds | undefined {
-	return record.percent < minPercent ? undefined : (now - record.orderedAt) * (100 - record.percent) / record.percent;
+function estimateRest({offer, orderedAt, percent}: RunRecord, now: Milliseconds): Milliseconds | undefined {
+	const age = now - orderedAt;
+	return age < Math.max(minProgressMs, offer.expectedMs * progressShare) || percent === 0
+		? undefined
+		: age * (100 - percent) / percent;
 }
 
 function checkProgress(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
