Look at the worker more often while its answers get lost

Change: time limits of orders are an eighth of the lease; while answers are lost two renewals with short waits overlap; a worker counts as unreachable after half a lease of silence; a start that got no answer and is not there is stopped and started again by the agent.

--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -22,8 +22,8 @@
 /** Renewals within a lease. */
 const renewalsPerLease = 3;
 
-/** Orders that fit into a lease, so that a renewal without an answer can be repeated before it ends. */
-const ordersPerLease = 3;
+/** Orders that fit into a lease, so that one without an answer is noticed and repeated well before it ends. */
+const ordersPerLease = 8;
 
 /** Time for messages and timers beside the stated bounds, in ms. */
 const slackMs = 50;
@@ -48,5 +48,6 @@
 		renewMs: Math.floor(leaseMs / renewalsPerLease),
 		goneMs: Math.ceil(noticeMs + bounds.stopMs + (leaseMs * (1 + maxClockDrift))) + slackMs,
 		orderMs: Math.floor(leaseMs / ordersPerLease),
+		workerSilenceMs: Math.floor(leaseMs / 2),
 	};
 }
--- a/src/core/bounds/types.ts
+++ b/src/core/bounds/types.ts
@@ -33,6 +33,8 @@
 	readonly renewMs: Milliseconds;
 	/** Time after the loss of an agent after which none of its runs is left, whatever happened to it. */
 	readonly goneMs: Milliseconds;
-	/** Time limit of an order to a worker. */
+	/** Time limit of an order to a worker, beyond the time that it waits for an end. */
 	readonly orderMs: Milliseconds;
+	/** Silence of a worker after which it gets no more tasks. */
+	readonly workerSilenceMs: Milliseconds;
 };
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -101,8 +101,14 @@
 		return [];
 	}
 
-	const wasReachable = state.worker.isReachable;
-	state.worker.isReachable = false;
+	const {worker, options} = state;
+	worker.unansweredAt = now;
+	if (kind !== 'unreachable' && now - worker.heardAt < options.timings.workerSilenceMs) {
+		return [];
+	}
+
+	const wasReachable = worker.isReachable;
+	worker.isReachable = false;
 	const effects: RunsEffect[] = wasReachable ? [{type: 'note', event: 'worker-unreachable', details: {kind}}] : [];
 	// Nothing listens at its port: the process is gone, and its runs with it.
 	return kind === 'unreachable'
@@ -111,9 +117,9 @@
 }
 
 /** Ends runs whose lease has surely lapsed while the worker could not be reached. */
-function dropLapsed(state: RunsState, heardAt: Milliseconds, now: Milliseconds): RunsEffect[] {
+function dropLapsed(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const {leaseMs, orderMs} = state.options.timings;
-	const lapsedAt = heardAt + ((leaseMs + orderMs) * 2);
+	const lapsedAt = state.worker.heardAt + ((leaseMs + orderMs) * 2);
 	return state.worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, now);
 }
 
@@ -143,15 +149,14 @@
  * Advances to a point in time.
  *
  * @param state - State of the agent.
- * @param heardAt - When the worker last answered.
  * @param now - Present time.
  * @returns What follows.
  */
-export function advanceRuns(state: RunsState, heardAt: Milliseconds, now: Milliseconds): RunsEffect[] {
+export function advanceRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
 	return [
 		...applyPendingClaims(state, now),
 		...dropLostOwners(state, now),
-		...dropLapsed(state, heardAt, now),
+		...dropLapsed(state, now),
 		...stopOrphans(state, now),
 		...retryStops(state, now),
 		...returnOld(state, now),
@@ -171,15 +176,39 @@
 	return workerTime === undefined ? undefined : Math.floor(workerTime + state.options.timings.leaseMs);
 }
 
-/** Answers whether some run should have ended by now, so that its progress is worth a closer look. */
-export function hasOverdueRun(state: RunsState, now: Milliseconds): boolean {
+/** Time, in ms, after a call without an answer in which more of them are expected. */
+const lossyMs = 3000;
+
+/** Wait of a renewal, in ms, while answers are lost; what a lost one would have told is late by about that much. */
+const lossyWaitMs = 40;
+
+/** Wait of a renewal, in ms, while some run is overdue; its progress is read that often. */
+const overdueWaitMs = 100;
+
+/** Answers whether calls to the worker have lately got no answer. */
+export function isLossy({worker}: RunsState, now: Milliseconds): boolean {
+	return now - worker.unansweredAt < lossyMs;
+}
+
+/**
+ * Computes how long the next renewal may wait for an end.
+ *
+ * @param state - State of the agent.
+ * @param now - Present time.
+ * @returns Wait, in ms.
+ */
+export function computeLookWait(state: RunsState, now: Milliseconds): Milliseconds {
+	if (isLossy(state, now)) {
+		return lossyWaitMs;
+	}
+
 	for (const {phase, offer, orderedAt} of state.records.values()) {
 		if (phase !== 'queued' && now - orderedAt > offer.expectedMs * state.slowness) {
-			return true;
+			return overdueWaitMs;
 		}
 	}
 
-	return false;
+	return state.options.timings.renewMs;
 }
 
 /**
--- a/src/core/runs/looks.ts
+++ b/src/core/runs/looks.ts
@@ -4,7 +4,9 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {EndedTask, WorkerLook} from '../../ports/worker.ts';
-import {endRecord, startQueued, stopRecord} from './orders.ts';
+import {
+	canTake, endRecord, restartRecord, startQueued, stopRecord,
+} from './orders.ts';
 import {
 	getJobId, getRunKey, recordEnd, type RunsState,
 } from './state.ts';
@@ -132,7 +134,9 @@
 	}
 
 	if (record.phase === 'stopping' && record.stoppedAt !== undefined && asked > record.stoppedAt) {
-		return [endRecord(state, record, 'not-started', now)];
+		return record.stopReason === 'unanswered' && canTake(state, now)
+			? restartRecord(state, record)
+			: [endRecord(state, record, 'not-started', now)];
 	}
 
 	// Neither running nor listed as ended, though its start was acknowledged before this look.
@@ -212,6 +216,7 @@
 
 	worker.bornAt ??= look.bornAt;
 	worker.isReachable = true;
+	worker.heardAt = now;
 	state.clock = {workerTime: look.workerTime, at: now};
 	applyOrphans(state, look, now);
 	for (const ended of look.ended) {
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -178,6 +178,15 @@
 	return [];
 }
 
+/** Queues a task again whose run was never started and never will be. */
+export function restartRecord(state: RunsState, record: RunRecord): RunsEffect[] {
+	record.run++;
+	record.stopReason = undefined;
+	record.stoppedAt = undefined;
+	record.stopRetryAt = 0;
+	return retryRecord(state, record);
+}
+
 type StartHandler = (state: RunsState, record: RunRecord, now: Milliseconds) => RunsEffect[];
 
 function refuseStart(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
@@ -205,8 +214,9 @@
 	refused: refuseStart,
 	invalid: refuseStart,
 	'other-worker': refuseStart,
-	unanswered(_state, record) {
+	unanswered(state, record, now) {
 		record.phase = 'checking';
+		state.worker.unansweredAt = now;
 		return [{type: 'look'}];
 	},
 };
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -48,7 +48,7 @@
 	return {
 		options,
 		worker: {
-			announcement: undefined, bornAt: undefined, isReachable: false, isKnown: false,
+			announcement: undefined, bornAt: undefined, isReachable: false, heardAt: 0, unansweredAt: Number.NEGATIVE_INFINITY, isKnown: false,
 		},
 		clock: undefined,
 		fencingToken: options.fencingToken,
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -102,8 +102,12 @@
 	announcement: WorkerAnnouncement | undefined;
 	/** Start of the life that answers. */
 	bornAt: Milliseconds | undefined;
-	/** Whether its last calls were answered. */
+	/** Whether it answers; false after a silence. */
 	isReachable: boolean;
+	/** When it last answered a renewal. */
+	heardAt: Milliseconds;
+	/** When a call last got no answer. */
+	unansweredAt: Milliseconds;
 	/** Whether its runs have been read in this life of the agent. */
 	isKnown: boolean;
 };
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -4,7 +4,7 @@
 import type {Timings} from '../../core/bounds/types.ts';
 import {applyLook} from '../../core/runs/looks.ts';
 import {
-	advanceRuns, applyHoldFailure, computeLeaseEnd, computeLoad, handleAnnouncement, handleDeparture, hasOverdueRun,
+	advanceRuns, applyHoldFailure, computeLeaseEnd, computeLoad, computeLookWait, handleAnnouncement, handleDeparture, isLossy,
 } from '../../core/runs/logic.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../core/runs/orders.ts';
 import {
@@ -29,9 +29,6 @@
 /** Time between attempts to reach a worker that does not answer, in ms. */
 const reconnectMs = 100;
 
-/** Wait of a renewal while some run is overdue, in ms; its progress is read that often. */
-const overdueWaitMs = 100;
-
 /** Time before the end of the grace period at which what still runs is stopped, in ms. */
 const giveUpMs = 900;
 
@@ -48,7 +45,6 @@
 	readonly #seenOffers = new Map<string, number>();
 	readonly #toldLoads = new Map<string, string>();
 	#reports = new Map<string, TaskReport[]>();
-	#heardAt: Milliseconds;
 	#isClosed = false;
 	#isLooking = false;
 
@@ -66,9 +62,8 @@
 	 * @param timings - Time limits.
 	 * @param control - Sends orders to the worker.
 	 */
-	constructor(private readonly input: DispatchInput, private readonly timings: Timings, private readonly control: WorkerControl) {
+	constructor(private readonly input: DispatchInput, timings: Timings, private readonly control: WorkerControl) {
 		const {clock, log} = input;
-		this.#heardAt = clock.getTime();
 		this.state = createRunsState({timings, fencingToken: input.startedAt});
 		this.#links = new Links({
 			self: createSelf(input, 'agent'),
@@ -93,7 +88,7 @@
 		});
 		this.#timers = [
 			clock.startInterval(advanceMs, () => {
-				this.#run(advanceRuns(this.state, this.#heardAt, this.#now()));
+				this.#run(advanceRuns(this.state, this.#now()));
 			}),
 			clock.startInterval(loadMs, () => {
 				this.#sendLoads();
@@ -111,6 +106,7 @@
 			},
 		});
 		void this.#watchWorker();
+		void this.#watchLossyWorker();
 	}
 
 	/** Takes in a heartbeat of the worker. */
@@ -168,14 +164,23 @@
 	/** Renews the lease and takes in ends, one call after the other. */
 	async #watchWorker(): Promise<void> {
 		while (!this.#isClosed) {
-			const isOverdue = hasOverdueRun(this.state, this.#now());
-			const isAnswered = await this.#lookOnce(isOverdue ? overdueWaitMs : this.timings.renewMs);
-			if (!isAnswered) {
+			const isAnswered = await this.#lookOnce(computeLookWait(this.state, this.#now()));
+			if (!isAnswered && !this.state.worker.isReachable) {
 				await this.#wait(reconnectMs);
 			}
 		}
 	}
 
+	/** Renews beside the first loop while answers are lost, so that a lost one does not hide ends. */
+	async #watchLossyWorker(): Promise<void> {
+		while (!this.#isClosed) {
+			const now = this.#now();
+			await (isLossy(this.state, now) && this.state.worker.isReachable
+				? this.#lookOnce(computeLookWait(this.state, now))
+				: this.#wait(advanceMs));
+		}
+	}
+
 	async #lookOnce(wait: Milliseconds): Promise<boolean> {
 		const asked = this.#now();
 		const answer = await this.control.holdTasks({
@@ -186,7 +191,6 @@
 		});
 		const now = this.#now();
 		if (answer.type === 'look') {
-			this.#heardAt = now;
 			this.#run(applyLook(this.state, answer.look, asked, now));
 			return true;
 		}
