--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -11,15 +11,19 @@
 /** Extra time for an agent in another data centre, in ms; a round trip between data centres. */
 const remoteMs = 3;
 
-/** Share of the run time by which a full worker counts as later than an empty one; spreads the load. */
-const loadWeight = 1.5;
+/** Share of the expected run time by which a full worker counts as later than an empty one; spreads the load. */
+const loadWeight = 1;
 
 /**
- * Weight of a wait against run time: a task that waits also delays those that come after it, while a slower
- * worker with room delays only itself.
+ * Share of the expected run time, and weight of the wait, by which a worker without room counts as later: a
+ * task that waits also delays those that come after it, while a slower worker with room delays only itself.
  */
+const noRoomWeight = 0.5;
 const waitWeight = 3;
 
+/** Added for an agent that a task should avoid, in ms; more than any wait. */
+const avoidedMs = 1e6;
+
 /** Least wait, in ms, at an agent without room. */
 const minWaitMs = 5;
 
@@ -102,7 +106,8 @@
 		const total = wait + run + distance;
 		const fill = 1 - Math.max(0, free.cpu / load.capacity.cpu);
 		const isAvoided = avoided.has(name) || now < view.avoidedUntil;
-		const score = total + ((waitWeight - 1) * wait) + (fill * loadWeight * run) + (isAvoided ? 1e6 : 0);
+		const noRoom = wait > 0 ? (noRoomWeight * demand.expectedMs) + ((waitWeight - 1) * wait) : 0;
+		const score = total + noRoom + (fill * loadWeight * demand.expectedMs) + (isAvoided ? avoidedMs : 0);
 		if (score < bestScore) {
 			best = {agent: name, wait, total};
 			bestScore = score;
