--- a/src/commands/submit/job-file.ts
+++ b/src/commands/submit/job-file.ts
@@ -5,7 +5,7 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import * as z from 'zod';
 import type {JobDescription} from '../../client/types.ts';
-import {describeIssues} from '../../settings/load.ts';
+import {describeIssues} from '../../settings/issues.ts';
 
 /** A refused job file; `message` has one line per fault. */
 export type JobFileError = {
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -13,8 +13,11 @@
  */
 const admittedShare = 1.25;
 
-/** Longest time, in ms, for which agents that are coming back are waited for. */
-const agentReturnMs = 1500;
+/** Time, in ms, in which agents that were lost are back as a rule: the start of a process and its first answers. */
+const agentReturnMs = 700;
+
+/** Estimated response time, in relation to the objective, up to which a job waits for agents to come back. */
+const returnShare = 2.5;
 
 /** Least time to come back, in ms. */
 const minRetryMs = 1000;
@@ -36,10 +39,24 @@
 	const limit = Math.min(job.objectiveMs * admittedShare, job.deadlineAt - now);
 	const chain = estimateChain(state, job.route, job.submission);
 	if (!placement.isWhole) {
-		const isExpected = now < state.expectAgentsUntil && chain + agentReturnMs <= limit;
+		const isExpected = now < state.expectAgentsUntil && chain + agentReturnMs <= Math.min(job.objectiveMs * returnShare, job.deadlineAt - now);
 		return isExpected ? undefined : refuse('no-worker', agentReturnMs);
 	}
 
 	const total = Math.max(placement.total, placement.wait + chain);
 	return total <= limit ? undefined : refuse('overload', total - limit);
 }
+
+/**
+ * Checks a job that waits for agents: it is refused once they come too late for it.
+ *
+ * @param state - State of the jobs.
+ * @param job - A job without a task that may have run.
+ * @param now - Present time.
+ * @returns A refusal, or undefined while waiting makes sense.
+ */
+export function checkWaiting(state: DispatchState, job: Job, now: Milliseconds): JobAnswer | undefined {
+	const chain = estimateChain(state, job.route, job.submission);
+	const latest = Math.min(job.receivedAt + (job.objectiveMs * returnShare), job.deadlineAt) - chain;
+	return now < latest ? undefined : refuse('no-worker', agentReturnMs);
+}
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -7,7 +7,7 @@
 import {recordRefusal} from '../fleet/state.ts';
 import type {NodeName} from '../identity/types.ts';
 import type {Route} from '../routes/types.ts';
-import {checkPlacement} from './admission.ts';
+import {checkPlacement, checkWaiting} from './admission.ts';
 import {estimateChain, recordRunTime} from './estimates.ts';
 import {clearPlacement, createOffers, placeTasks} from './placing.ts';
 import type {DispatchState} from './state.ts';
@@ -372,5 +372,13 @@
 		}
 	}
 
-	return [...effects, ...placeAllWaiting(state, now)];
+	effects.push(...placeAllWaiting(state, now));
+	for (const job of [...state.waiting]) {
+		const refusal = job.mayHaveRun ? undefined : checkWaiting(state, job, now);
+		if (refusal !== undefined) {
+			effects.push(...endJob(state, job, refusal, now));
+		}
+	}
+
+	return effects;
 }
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -34,6 +34,41 @@
 	return [...state.queue].map(record => endRecord(state, record, 'not-started', now));
 }
 
+/** Answers whether two heartbeats tell of the same life of a worker with the same room. */
+export function isSameWorker(left: WorkerAnnouncement, right: WorkerAnnouncement): boolean {
+	const {cpu, memory, accelerators} = left.capacity;
+	const isSameRoom = cpu === right.capacity.cpu && memory === right.capacity.memory && accelerators === right.capacity.accelerators;
+	return left.id === right.id && left.bornAt === right.bornAt && left.target === right.target && isSameRoom;
+}
+
+/**
+ * Takes the worker of an earlier life of this agent for the present one, if it answers with the same start.
+ *
+ * @param state - State of the agent.
+ * @param worker - What the worker told then.
+ * @param now - Present time.
+ * @returns What follows.
+ */
+export function restoreWorker(state: RunsState, worker: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
+	state.restored = worker;
+	return applyRestored(state, now);
+}
+
+/** Uses the stored heartbeat once the worker has answered, until it sends a new one. */
+export function applyRestored(state: RunsState, now: Milliseconds): RunsEffect[] {
+	const {restored, worker} = state;
+	if (restored === undefined || worker.announcement !== undefined || !worker.isReachable) {
+		return [];
+	}
+
+	state.restored = undefined;
+	if (worker.bornAt === undefined || worker.bornAt !== restored.bornAt || restored.state !== 'ready') {
+		return [];
+	}
+
+	return handleAnnouncement(state, {...restored, sequence: 0}, now);
+}
+
 /**
  * Takes in a heartbeat of the worker. A delayed one of an earlier life, or older than the last, changes nothing.
  *
@@ -154,6 +189,7 @@
  */
 export function advanceRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
 	return [
+		...applyRestored(state, now),
 		...applyPendingClaims(state, now),
 		...dropLostOwners(state, now),
 		...dropLapsed(state, now),
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -3,7 +3,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd, TaskOffer} from '../../ports/dispatch-messages.ts';
-import type {Resources} from '../../ports/worker.ts';
+import type {Resources, WorkerAnnouncement} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
 import type {
 	EarlierEnds, OrphanRun, OwnerRecord, RunRecord, RunsOptions, Trust, WorkerClock, WorkerRecord,
@@ -19,6 +19,8 @@
 export type RunsState = {
 	options: RunsOptions;
 	readonly worker: WorkerRecord;
+	/** Worker of an earlier life of this agent, until the present one has answered. */
+	restored: WorkerAnnouncement | undefined;
 	clock: WorkerClock | undefined;
 	fencingToken: number;
 	/** Position up to which the worker's ends have been handled. */
@@ -50,6 +52,7 @@
 		worker: {
 			announcement: undefined, bornAt: undefined, isReachable: false, heardAt: 0, unansweredAt: Number.NEGATIVE_INFINITY, isKnown: false,
 		},
+		restored: undefined,
 		clock: undefined,
 		fencingToken: options.fencingToken,
 		acknowledged: 0,
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -4,7 +4,7 @@
 import type {Timings} from '../../core/bounds/types.ts';
 import {applyLook} from '../../core/runs/looks.ts';
 import {
-	advanceRuns, applyHoldFailure, computeLeaseEnd, computeLoad, computeLookWait, handleAnnouncement, handleDeparture, isLossy,
+	advanceRuns, applyHoldFailure, computeLeaseEnd, computeLoad, computeLookWait, handleAnnouncement, handleDeparture, isLossy, isSameWorker, restoreWorker,
 } from '../../core/runs/logic.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../core/runs/orders.ts';
 import {
@@ -16,7 +16,7 @@
 import type {DispatchMessage, TaskReport, WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import type {RunRef, WorkerAnnouncement, WorkerControl} from '../../ports/worker.ts';
-import {joinDirectory} from './directory.ts';
+import {Directory} from './directory.ts';
 import {createSelf, type DispatchInput} from './input.ts';
 import {Links} from './links.ts';
 
@@ -40,6 +40,7 @@
 export class DispatchAgent implements AsyncDisposable {
 	readonly state: RunsState;
 	readonly #links: Links;
+	readonly #directory: Directory;
 	readonly #timers: Disposable[];
 	/** Offered tasks received on the present stream of each entry. */
 	readonly #seenOffers = new Map<string, number>();
@@ -86,6 +87,18 @@
 				this.#run(handler?.(from, message) ?? []);
 			},
 		});
+		this.#directory = new Directory({
+			store: input.store,
+			clock,
+			log,
+			self: createSelf(input, 'agent'),
+			onPeers: (addresses, isNewcomer) => {
+				this.#links.addPeers(addresses.filter(({role}) => role === 'entry'), isNewcomer);
+			},
+			onWorker: worker => {
+				this.#run(restoreWorker(this.state, worker, this.#now()));
+			},
+		});
 		this.#timers = [
 			clock.startInterval(advanceMs, () => {
 				this.#run(advanceRuns(this.state, this.#now()));
@@ -99,19 +112,18 @@
 	/** Listens for entries, joins the directory and watches the worker. */
 	async start(): Promise<void> {
 		await this.#links.listen();
-		const {store, clock, log} = this.input;
-		void joinDirectory({
-			store, clock, log, self: createSelf(this.input, 'agent'), onPeers: (addresses, isNewcomer) => {
-				this.#links.addPeers(addresses.filter(({role}) => role === 'entry'), isNewcomer);
-			},
-		});
+		void this.#directory.join();
 		void this.#watchWorker();
 		void this.#watchLossyWorker();
 	}
 
 	/** Takes in a heartbeat of the worker. */
 	handleAnnouncement(announcement: WorkerAnnouncement): void {
+		const previous = this.state.worker.announcement;
 		this.#run(handleAnnouncement(this.state, announcement, this.#now()));
+		if (previous === undefined || !isSameWorker(previous, announcement)) {
+			void this.#directory.storeWorker(announcement);
+		}
 	}
 
 	/** Takes in that the worker leaves. */
--- a/src/processes/dispatch/directory.ts
+++ b/src/processes/dispatch/directory.ts
@@ -7,6 +7,7 @@
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import type {Store, StoreListing} from '../../ports/store.ts';
+import type {WorkerAnnouncement} from '../../ports/worker.ts';
 
 const peersPrefix = 'medlardale/peers/';
 
@@ -14,11 +15,13 @@
 const minRetryMs = 100;
 const maxRetryMs = 1600;
 
-function parseAddress(text: string): PeerAddress | undefined {
+function parseRecord(text: string): Omit<DirectoryRecord, 'revision'> | undefined {
 	try {
-		const value = JSON.parse(text) as PeerAddress;
-		return typeof value.name === 'string' && typeof value.host === 'string' && typeof value.port === 'number' ? value : undefined;
+		const {address, worker} = JSON.parse(text) as Omit<DirectoryRecord, 'revision'>;
+		const isValid = typeof address.name === 'string' && typeof address.host === 'string' && typeof address.port === 'number';
+		return isValid ? {address, worker} : undefined;
 	} catch {
+		// Told apart by its absence; the caller logs the key.
 		return undefined;
 	}
 }
@@ -27,14 +30,23 @@
 	return left.name === right.name && left.host === right.host && left.port === right.port && left.role === right.role;
 }
 
+/** A process in the directory, with the worker beside it if it is an agent. */
+type DirectoryRecord = {
+	readonly address: PeerAddress;
+	readonly worker: WorkerAnnouncement | undefined;
+	readonly revision: number;
+};
+
 /** What the directory needs. */
 export type DirectoryInput = {
 	readonly store: Store & StoreListing;
 	readonly self: PeerAddress;
 	readonly clock: Clock;
 	readonly log: DecisionLog;
-	/** Told of the others once; `isNewcomer` if they cannot know this process yet. */
+	/** Told of the others; `isNewcomer` if they cannot know this process yet. */
 	readonly onPeers: (addresses: readonly PeerAddress[], isNewcomer: boolean) => void;
+	/** Told of the worker that was beside this process in its last life. */
+	readonly onWorker?: (worker: WorkerAnnouncement) => void;
 };
 
 async function waitFor(clock: Clock, delay: Milliseconds): Promise<void> {
@@ -43,56 +55,101 @@
 	});
 }
 
-/** Reads the list and puts this process into it; answers whether that succeeded. */
-async function joinOnce({store, self, log, onPeers}: DirectoryInput): Promise<boolean> {
-	const listed = await store.listKeys(peersPrefix);
-	if (listed.isErr()) {
-		log.recordDecision('warn', 'directory-not-read', {reason: listed.error.message});
-		return false;
+/** The key of one process in the directory. */
+export class Directory {
+	#revision = 0;
+	#isWriting = false;
+	#next: WorkerAnnouncement | undefined;
+
+	/** @param input - What the directory needs. */
+	constructor(private readonly input: DirectoryInput) {}
+
+	/** Joins the directory, and tries again until the store has answered. */
+	async join(): Promise<void> {
+		let delay = minRetryMs;
+		while (!await this.#joinOnce()) {
+			await waitFor(this.input.clock, delay);
+			delay = Math.min(delay * 2, maxRetryMs);
+		}
 	}
 
-	const known = listed.value.flatMap(item => {
-		const address = parseAddress(item.value);
-		if (address === undefined) {
-			log.recordDecision('warn', 'directory-key-ignored', {key: item.key});
+	/**
+	 * Stores what the worker told of itself, so that the next life of this process need not wait for it.
+	 *
+	 * @param worker - The worker.
+	 */
+	async storeWorker(worker: WorkerAnnouncement): Promise<void> {
+		this.#next = worker;
+		if (this.#isWriting || this.#revision === 0) {
+			return;
 		}
 
-		return address === undefined ? [] : [{address, revision: item.revision}];
-	});
-	const own = known.find(({address}) => address.name === self.name);
-	const isNewcomer = own === undefined || !isSamePlace(own.address, self);
-	if (isNewcomer) {
-		const written = await store.writeKey(peersPrefix + self.name, JSON.stringify(self), own?.revision ?? 0);
+		this.#isWriting = true;
+		await this.#write(worker);
+		this.#isWriting = false;
+		if (this.#next !== worker) {
+			await this.storeWorker(this.#next);
+		}
+	}
+
+	async #list(): Promise<readonly DirectoryRecord[] | undefined> {
+		const {store, log} = this.input;
+		const listed = await store.listKeys(peersPrefix);
+		if (listed.isErr()) {
+			log.recordDecision('warn', 'directory-not-read', {reason: listed.error.message});
+			return undefined;
+		}
+
+		return listed.value.flatMap(item => {
+			const record = parseRecord(item.value);
+			if (record === undefined) {
+				log.recordDecision('warn', 'directory-key-ignored', {key: item.key});
+			}
+
+			return record === undefined ? [] : [{...record, revision: item.revision}];
+		});
+	}
+
+	/** Writes this process's key; answers whether that succeeded. */
+	async #write(worker: WorkerAnnouncement | undefined): Promise<boolean> {
+		const {store, self, log} = this.input;
+		const written = await store.writeKey(peersPrefix + self.name, JSON.stringify({address: self, worker}), this.#revision);
 		if (written.isErr()) {
 			log.recordDecision('warn', 'directory-not-written', {reason: written.error.message});
 			return false;
 		}
 
-		// Another new process may have read the list before this key was there: read it once more.
-		const again = await store.listKeys(peersPrefix);
-		if (again.isErr()) {
+		this.#revision = written.value.revision;
+		return true;
+	}
+
+	async #joinOnce(): Promise<boolean> {
+		const {self, log, onPeers, onWorker} = this.input;
+		const records = await this.#list();
+		if (records === undefined) {
 			return false;
 		}
 
-		onPeers(again.value.flatMap(({value}) => parseAddress(value) ?? []), true);
-		log.recordDecision('info', 'directory-joined', {peers: again.value.length});
-		return true;
-	}
+		const own = records.find(({address}) => address.name === self.name);
+		this.#revision = own?.revision ?? 0;
+		if (own !== undefined && isSamePlace(own.address, self)) {
+			if (own.worker !== undefined) {
+				onWorker?.(own.worker);
+			}
 
-	onPeers(known.map(({address}) => address), false);
-	log.recordDecision('info', 'directory-read', {peers: known.length});
-	return true;
-}
+			onPeers(records.map(({address}) => address), false);
+			log.recordDecision('info', 'directory-read', {peers: records.length});
+			return true;
+		}
 
-/**
- * Joins the list, and tries again until the store has answered.
- *
- * @param input - Store, own address and whom to tell.
- */
-export async function joinDirectory(input: DirectoryInput): Promise<void> {
-	let delay = minRetryMs;
-	while (!await joinOnce(input)) {
-		await waitFor(input.clock, delay);
-		delay = Math.min(delay * 2, maxRetryMs);
+		// Another new process may read the list before this key is there: read it once more after writing.
+		const others = await this.#write(this.#next) ? await this.#list() : undefined;
+		if (others === undefined) {
+			return false;
+		}
+
+		onPeers(others.map(({address}) => address), true);
+		log.recordDecision('info', 'directory-joined', {peers: others.length});
+		return true;
 	}
 }
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -14,7 +14,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import {ConfigurationSource} from './configuration.ts';
-import {joinDirectory} from './directory.ts';
+import {Directory} from './directory.ts';
 import {Links, type LinkedPeer} from './links.ts';
 import {createSelf, type DispatchInput} from './input.ts';
 
@@ -114,11 +114,12 @@
 	async start(): Promise<void> {
 		await this.#links.listen();
 		const {store, clock, log} = this.input;
-		void joinDirectory({
+		const directory = new Directory({
 			store, clock, log, self: createSelf(this.input, 'entry'), onPeers: (addresses, isNewcomer) => {
 				this.#links.addPeers(addresses, isNewcomer);
 			},
 		});
+		void directory.join();
 		void this.configuration.watchStore();
 	}
 
