Revert telling measured waits to entries

The cause lies elsewhere: tasks are bound to one agent's queue when they arrive. The most urgent tasks waited 91 ms (median) at their agent while some slot of the fleet became free every 3 ms.

--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -7,9 +7,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
 import type {RunRef, StartAnswer, StopAnswer} from '../../ports/worker.ts';
-import {
-	computeFree, hasRoom, recordWait, removeResources,
-} from './room.ts';
+import {computeFree, hasRoom, removeResources} from './room.ts';
 import {
 	estimateWorkerTime, getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
@@ -86,7 +84,6 @@
 	}
 
 	record.phase = 'starting';
-	recordWait(state, record.offer.priority, now - record.queuedAt);
 	record.orderedAt = now;
 	record.progressAt = now;
 	record.percent = 0;
--- a/src/core/runs/room.ts
+++ b/src/core/runs/room.ts
@@ -3,9 +3,12 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Resources} from '../../ports/worker.ts';
-import {noResources, waitClasses, type RunsState} from './state.ts';
+import {noResources, type RunsState} from './state.ts';
 import type {RunRecord} from './types.ts';
 
+/** Priorities told apart in waits; lower ones share the last. */
+export const waitClasses = 4;
+
 /** Least remaining time assumed of a run that should have ended, in ms. */
 const minRemainingMs = 20;
 
@@ -76,42 +79,9 @@
 	releases.splice(position, 0, release);
 }
 
-/** Weight of a new measurement of a wait. */
-const waitGain = 0.15;
-
-function getWaitClass(priority: number): number {
-	return Math.min(priority, waitClasses - 1);
-}
-
-/**
- * Records how long a task has waited when it starts.
- *
- * @param state - State of the agent.
- * @param priority - Its priority.
- * @param wait - Its wait, in ms.
- */
-export function recordWait({measuredWaits}: RunsState, priority: number, wait: Milliseconds): void {
-	const index = getWaitClass(priority);
-	measuredWaits[index] += waitGain * (wait - measuredWaits[index]);
-}
-
-/** The longest present wait in each class. */
-function listQueueAges({queue}: RunsState, now: Milliseconds): Milliseconds[] {
-	const ages = Array.from({length: waitClasses}, () => 0);
-	for (const {offer, queuedAt} of queue) {
-		const index = getWaitClass(offer.priority);
-		ages[index] = Math.max(ages[index], now - queuedAt);
-	}
-
-	return ages;
-}
-
 /**
  * Estimates how long a usual task of each priority would wait, by processor alone.
  *
- * The queue tells nothing of urgent tasks that come later and pass it; what tasks of the priority have waited
- * lately does, so the larger of the two counts while any task waits.
- *
  * @param state - State of the agent.
  * @param now - Present time.
  * @returns Waits for the priorities 0 up to `waitClasses` - 1.
@@ -127,7 +97,6 @@
 		}
 	}
 
-	const ages = listQueueAges(state, now);
 	const waits: Milliseconds[] = [];
 	let next = 0;
 	for (let priority = 0; priority < waitClasses; priority++) {
@@ -140,9 +109,7 @@
 		}
 
 		const rest = releases.map(release => ({...release}));
-		const modelled = usual === 0 ? 0 : takeRoom(rest, usual);
-		const measured = state.queue.length === 0 ? 0 : state.measuredWaits[priority];
-		waits.push(Math.round(Math.max(modelled, measured, ages[priority])));
+		waits.push(usual === 0 ? 0 : Math.round(takeRoom(rest, usual)));
 	}
 
 	return waits;
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -15,9 +15,6 @@
 /** First time without new tasks for a worker that fails them, in ms; about the run time of a few tasks. */
 export const firstTrialIntervalMs = 300;
 
-/** Priorities told apart in waits; lower ones share the last. */
-export const waitClasses = 4;
-
 /** State of an agent; changed only by the functions of this folder. */
 export type RunsState = {
 	options: RunsOptions;
@@ -40,8 +37,6 @@
 	readonly trust: Trust;
 	/** Measured run time in relation to the expected one. */
 	slowness: number;
-	/** Recent waits of tasks that had to wait, by priority; ms. */
-	readonly measuredWaits: Milliseconds[];
 	isLeaving: boolean;
 };
 
@@ -71,7 +66,6 @@
 			failedJobs: new Set(), trialAt: undefined, interval: firstTrialIntervalMs, successes: 0,
 		},
 		slowness: 1,
-		measuredWaits: Array.from({length: waitClasses}, () => 0),
 		isLeaving: false,
 	};
 }
