Bind tasks to agents late: tentative offers, the first agent with room asks

Cause: a task was bound to the queue of one agent on arrival. Change: an offer to an agent with room starts at once or is refused; without room a task is offered tentatively to four agents, and the first with room asks its entry.

--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -3,7 +3,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import {estimateChain} from './estimates.ts';
-import type {Placement} from './placing.ts';
+import {estimateWait, type Placement} from './placing.ts';
 import type {DispatchState} from './state.ts';
 import type {Job, JobAnswer} from './types.ts';
 
@@ -43,12 +43,13 @@
 		return isExpected ? undefined : refuse('no-worker', agentReturnMs);
 	}
 
-	const total = Math.max(placement.total, placement.wait + chain);
+	const wait = placement.hasToWait ? estimateWait(state, job.route.priority, now) : 0;
+	const total = Math.max(placement.total, wait + chain);
 	return total <= limit ? undefined : refuse('overload', total - limit);
 }
 
 /**
- * Checks a job that waits for agents: it is refused once they come too late for it.
+ * Checks a job of which no task has started: it is refused once it can't end in useful time any more.
  *
  * @param state - State of the jobs.
  * @param job - A job without a task that may have run.
@@ -58,5 +59,5 @@
 export function checkWaiting(state: DispatchState, job: Job, now: Milliseconds): JobAnswer | undefined {
 	const chain = estimateChain(state, job.route, job.submission);
 	const latest = Math.min(job.receivedAt + (job.objectiveMs * returnShare), job.deadlineAt) - chain;
-	return now < latest ? undefined : refuse('no-worker', agentReturnMs);
+	return now < latest ? undefined : refuse(state.waiting.has(job) ? 'no-worker' : 'overload', agentReturnMs);
 }
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -9,7 +9,9 @@
 import type {Route} from '../routes/types.ts';
 import {checkPlacement, checkWaiting} from './admission.ts';
 import {estimateChain, recordRunTime} from './estimates.ts';
-import {clearPlacement, createOffers, placeTasks} from './placing.ts';
+import {
+	clearPlacement, createOffers, listFull, placeTasks, type Placement,
+} from './placing.ts';
 import type {DispatchState} from './state.ts';
 import type {
 	DispatchEffect, Job, JobAnswer, JobOutcome, JobReason, JobSubmission, TaskState,
@@ -30,6 +32,8 @@
 		step: index,
 		phase: step.after.length === 0 ? 'waiting' : 'blocked',
 		agent: undefined,
+		candidates: new Set(),
+		offeredAt: 0,
 		offer: undefined,
 		nextRun: 1,
 		failures: 0,
@@ -56,11 +60,16 @@
 	const effects: DispatchEffect[] = [];
 	const placed = new Map<NodeName, string[]>();
 	for (const task of job.tasks) {
-		if (task.phase === 'placed') {
-			const names = placed.get(task.agent!) ?? [];
+		const agents = task.phase === 'placed' ? [task.agent!] : [...task.candidates];
+		task.candidates.clear();
+		for (const agent of agents) {
+			const names = placed.get(agent) ?? [];
 			names.push(task.name);
-			placed.set(task.agent!, names);
-		} else if (task.phase !== 'detached') {
+			placed.set(agent, names);
+		}
+
+		if (task.phase !== 'placed' && task.phase !== 'detached') {
+			task.phase = task.phase === 'done' ? 'done' : 'waiting';
 			state.tasks.delete(task.name);
 		}
 	}
@@ -151,7 +160,7 @@
 		state.tasks.set(task.name, {job, task});
 	}
 
-	job.mayHaveRun = placement.offers.size > 0;
+	job.mayHaveRun = hasDirectOffer(placement);
 	if (!placement.isWhole) {
 		state.waiting.add(job);
 	}
@@ -159,6 +168,10 @@
 	return {job, effects: createOffers(placement)};
 }
 
+function hasDirectOffer({offers}: Placement): boolean {
+	return [...offers.values()].some(tasks => tasks.some(({isTentative}) => !isTentative));
+}
+
 function hasOpenRuns(job: Job): boolean {
 	return job.tasks.some(({phase}) => phase === 'placed' || phase === 'detached');
 }
@@ -171,7 +184,7 @@
 		state.waiting.add(job);
 	}
 
-	job.mayHaveRun ||= placement.offers.size > 0;
+	job.mayHaveRun ||= hasDirectOffer(placement);
 	return createOffers(placement);
 }
 
@@ -242,8 +255,18 @@
 	alone: handleLostRun,
 };
 
+/** Removes an agent from the candidates of a task that it will not start; the last one puts it back to waiting. */
+function removeCandidate(state: DispatchState, job: Job, task: TaskState, agent: NodeName, now: Milliseconds): DispatchEffect[] {
+	task.candidates.delete(agent);
+	return task.candidates.size > 0 ? [] : moveTask(state, job, task, now);
+}
+
 function applyReport(state: DispatchState, agent: NodeName, report: TaskReport, now: Milliseconds): DispatchEffect[] {
 	const entry = state.tasks.get(report.task);
+	if (entry?.task.phase === 'offered' && entry.task.candidates.has(agent)) {
+		return removeCandidate(state, entry.job, entry.task, agent, now);
+	}
+
 	const isCurrent = entry !== undefined && entry.task.agent === agent
 		&& (entry.task.phase === 'placed' || entry.task.phase === 'detached')
 		&& report.run >= (entry.task.offer?.run ?? 0);
@@ -275,6 +298,62 @@
 	return reports.flatMap(report => applyReport(state, agent, report, now));
 }
 
+/** Weight of a new measurement of a wait. */
+const waitGain = 0.1;
+
+function recordWait(state: DispatchState, priority: number, wait: Milliseconds): void {
+	const previous = state.waits.get(priority) ?? wait;
+	state.waits.set(priority, previous + (waitGain * (wait - previous)));
+}
+
+/**
+ * Answers an agent that has room for tentative tasks: each goes to the first agent that asks.
+ *
+ * @param state - State of the jobs.
+ * @param agent - The agent.
+ * @param tasks - Names of the tasks.
+ * @param now - Present time.
+ * @returns Grants, and withdrawals of what needs no start there.
+ */
+export function handleQuestions(state: DispatchState, agent: NodeName, tasks: readonly string[], now: Milliseconds): DispatchEffect[] {
+	const effects: DispatchEffect[] = [];
+	const granted: string[] = [];
+	const withdrawn = new Map<NodeName, string[]>();
+	for (const name of tasks) {
+		const entry = state.tasks.get(name);
+		if (entry?.task.phase !== 'offered' || !entry.task.candidates.has(agent)) {
+			withdrawn.set(agent, [...withdrawn.get(agent) ?? [], name]);
+			continue;
+		}
+
+		const {job, task} = entry;
+		if (listFull(job, task).has(agent)) {
+			withdrawn.set(agent, [...withdrawn.get(agent) ?? [], name]);
+			effects.push(...removeCandidate(state, job, task, agent, now));
+			continue;
+		}
+
+		for (const other of task.candidates) {
+			if (other !== agent) {
+				withdrawn.set(other, [...withdrawn.get(other) ?? [], name]);
+			}
+		}
+
+		task.candidates.clear();
+		task.phase = 'placed';
+		task.agent = agent;
+		job.mayHaveRun = true;
+		granted.push(name);
+		recordWait(state, job.route.priority, now - task.offeredAt);
+	}
+
+	if (granted.length > 0) {
+		effects.push({type: 'grant', agent, tasks: granted});
+	}
+
+	return [...effects, ...[...withdrawn].map(([name, names]): DispatchEffect => ({type: 'withdraw', agent: name, tasks: names}))];
+}
+
 /**
  * Cancels a job whose caller has gone or asked for it.
  *
@@ -324,15 +403,21 @@
  * @param state - State of the jobs.
  * @param agent - The agent.
  * @param now - Present time.
+ * @returns Offers of tasks that waited there.
  */
-export function handleAgentLoss(state: DispatchState, agent: NodeName, now: Milliseconds): void {
+export function handleAgentLoss(state: DispatchState, agent: NodeName, now: Milliseconds): DispatchEffect[] {
+	const effects: DispatchEffect[] = [];
 	state.expectAgentsUntil = Math.max(state.expectAgentsUntil, now + state.timings.goneMs);
-	for (const {task} of state.tasks.values()) {
+	for (const {job, task} of [...state.tasks.values()]) {
 		if (task.agent === agent && task.phase === 'placed') {
 			task.phase = 'detached';
 			task.goneAt = now + state.timings.goneMs;
+		} else if (task.phase === 'offered' && task.candidates.has(agent)) {
+			effects.push(...removeCandidate(state, job, task, agent, now));
 		}
 	}
+
+	return effects;
 }
 
 function releaseGone(state: DispatchState, now: Milliseconds): DispatchEffect[] {
@@ -373,8 +458,8 @@
 	}
 
 	effects.push(...placeAllWaiting(state, now));
-	for (const job of [...state.waiting]) {
-		const refusal = job.mayHaveRun ? undefined : checkWaiting(state, job, now);
+	for (const job of [...state.jobs.values()]) {
+		const refusal = job.mayHaveRun || job.answer !== undefined ? undefined : checkWaiting(state, job, now);
 		if (refusal !== undefined) {
 			effects.push(...endJob(state, job, refusal, now));
 		}
--- a/src/core/dispatch/placing.ts
+++ b/src/core/dispatch/placing.ts
@@ -3,9 +3,9 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskOffer} from '../../ports/dispatch-messages.ts';
-import {chooseAgent} from '../fleet/logic.ts';
-import {recordOffer} from '../fleet/state.ts';
-import type {PlacementEstimate, TaskDemand} from '../fleet/types.ts';
+import {hasRoomAt, listChoices} from '../fleet/logic.ts';
+import {recordOffer, recordTentativeOffer} from '../fleet/state.ts';
+import type {TaskDemand} from '../fleet/types.ts';
 import type {NodeName} from '../identity/types.ts';
 import {estimateRunTime} from './estimates.ts';
 import type {DispatchState} from './state.ts';
@@ -32,7 +32,7 @@
 	};
 }
 
-function createOffer(job: Job, task: TaskState, demand: TaskDemand): TaskOffer {
+function createOffer(job: Job, task: TaskState, demand: TaskDemand): Omit<TaskOffer, 'isTentative'> {
 	return {
 		task: task.name,
 		run: task.nextRun,
@@ -46,8 +46,14 @@
 	};
 }
 
-/** Lists agents that already have as many tasks of the step as it allows, with those that the task avoids. */
-function listAvoided(job: Job, task: TaskState): {avoided: ReadonlySet<NodeName>; full: ReadonlySet<NodeName>} {
+/**
+ * Lists agents that have as many tasks of a task's step as it allows.
+ *
+ * @param job - The job.
+ * @param task - The task; it does not count itself.
+ * @returns Names of the agents.
+ */
+export function listFull(job: Job, task: TaskState): ReadonlySet<NodeName> {
 	const {maxPerWorker} = job.submission.steps[task.step];
 	const full = new Set<NodeName>();
 	if (maxPerWorker > 0) {
@@ -65,37 +71,76 @@
 		}
 	}
 
-	return {avoided: new Set([...task.avoided, ...full]), full};
+	return full;
+}
+
+/** Agents that get a tentative offer of one task; the first with room takes it. */
+const maxCandidates = 4;
+
+/** Tasks that were placed, by agent, with the time until the last of them would end. */
+export type Placement = {
+	readonly offers: Map<NodeName, TaskOffer[]>;
+	total: Milliseconds;
+	/** Whether some task found no room. */
+	hasToWait: boolean;
+	/** Whether every waiting task found an agent. */
+	isWhole: boolean;
+};
+
+function addOffer({offers}: Placement, agent: NodeName, offer: TaskOffer): void {
+	const group = offers.get(agent) ?? [];
+	group.push(offer);
+	offers.set(agent, group);
 }
 
-function placeTask(state: DispatchState, job: Job, task: TaskState, now: Milliseconds): {estimate: PlacementEstimate; offer: TaskOffer} | undefined {
+/** Estimates the wait of a task that finds no room: by those that lately waited and those that wait now. */
+export function estimateWait(state: DispatchState, priority: number, now: Milliseconds): Milliseconds {
+	let wait = state.waits.get(priority) ?? 0;
+	for (const job of state.jobs.values()) {
+		if (job.route.priority === priority && job.answer === undefined) {
+			for (const task of job.tasks) {
+				wait = task.phase === 'offered' ? Math.max(wait, now - task.offeredAt) : wait;
+			}
+		}
+	}
+
+	return wait;
+}
+
+function placeTask(state: DispatchState, job: Job, task: TaskState, placement: Placement, now: Milliseconds): void {
 	const demand = createDemand(state, job, task);
-	const {avoided, full} = listAvoided(job, task);
-	const estimate = chooseAgent(state.fleet, demand, avoided, now);
-	if (estimate === undefined || full.has(estimate.agent)) {
-		return undefined;
+	const full = listFull(job, task);
+	const choices = listChoices(state.fleet, demand, task.avoided, now).filter(({agent}) => !full.has(agent));
+	const best = choices.at(0);
+	if (best === undefined) {
+		placement.isWhole = false;
+		return;
 	}
 
-	const offer = createOffer(job, task, demand);
-	recordOffer(state.fleet, estimate.agent, demand);
-	task.phase = 'placed';
-	task.agent = estimate.agent;
+	placement.total = Math.max(placement.total, best.total);
+	const isTentative = best.wait > 0;
+	const offer = {...createOffer(job, task, demand), isTentative};
 	task.offer = offer;
-	return {estimate, offer};
-}
+	if (!isTentative) {
+		task.phase = 'placed';
+		task.agent = best.agent;
+		recordOffer(state.fleet, best.agent, demand);
+		addOffer(placement, best.agent, offer);
+		return;
+	}
 
-/** Tasks of a job that were placed, by agent, and the time until the last of them would end. */
-export type Placement = {
-	readonly offers: ReadonlyMap<NodeName, readonly TaskOffer[]>;
-	readonly total: Milliseconds;
-	/** Longest wait of a task for room. */
-	readonly wait: Milliseconds;
-	/** Whether every waiting task found an agent. */
-	readonly isWhole: boolean;
-};
+	placement.hasToWait = true;
+	task.phase = 'offered';
+	task.offeredAt = now;
+	for (const {agent} of choices.slice(0, maxCandidates)) {
+		task.candidates.add(agent);
+		recordTentativeOffer(state.fleet, agent);
+		addOffer(placement, agent, offer);
+	}
+}
 
 /**
- * Places every waiting task of a job.
+ * Places every waiting task of a job: at an agent with room, or tentatively at several without.
  *
  * @param state - State of the jobs.
  * @param job - The job.
@@ -103,49 +148,34 @@
  * @returns Where its tasks go.
  */
 export function placeTasks(state: DispatchState, job: Job, now: Milliseconds): Placement {
-	const offers = new Map<NodeName, TaskOffer[]>();
-	let total = 0;
-	let wait = 0;
-	let isWhole = true;
+	const placement: Placement = {
+		offers: new Map(), total: 0, hasToWait: false, isWhole: true,
+	};
 	for (const task of job.tasks) {
-		if (task.phase !== 'waiting') {
-			continue;
-		}
-
-		const placed = placeTask(state, job, task, now);
-		if (placed === undefined) {
-			isWhole = false;
-			continue;
+		if (task.phase === 'waiting') {
+			placeTask(state, job, task, placement, now);
 		}
-
-		const {estimate, offer} = placed;
-		total = Math.max(total, estimate.total);
-		wait = Math.max(wait, estimate.wait);
-		const group = offers.get(estimate.agent) ?? [];
-		group.push(offer);
-		offers.set(estimate.agent, group);
 	}
 
-	return {
-		offers, total, wait, isWhole,
-	};
+	return placement;
 }
 
-/** Undoes a placement that was not sent. */
+/** Undoes a placement of a whole job that was not sent. */
 export function clearPlacement(state: DispatchState, job: Job, {offers}: Placement): void {
 	for (const task of job.tasks) {
-		if (task.phase === 'placed' && offers.get(task.agent!)?.includes(task.offer!)) {
+		if (task.phase === 'placed' || task.phase === 'offered') {
 			task.phase = 'waiting';
 			task.agent = undefined;
 			task.offer = undefined;
+			task.candidates.clear();
 		}
 	}
 
 	for (const [agent, tasks] of offers) {
 		const view = state.fleet.agents.get(agent);
 		if (view !== undefined) {
-			view.unseen.splice(view.unseen.length - tasks.length, tasks.length);
 			view.sentOffers -= tasks.length;
+			view.unseen = view.unseen.filter(({sequence}) => sequence <= view.sentOffers);
 		}
 	}
 }
@@ -154,3 +184,33 @@
 export function createOffers({offers}: Placement): DispatchEffect[] {
 	return [...offers].map(([agent, tasks]) => ({type: 'offer', agent, tasks}));
 }
+
+/** Tasks that get a further candidate at once when an agent has room; bounds the work for one load report. */
+const maxExtended = 16;
+
+/**
+ * Offers tasks that wait elsewhere to an agent that has room.
+ *
+ * @param state - State of the jobs.
+ * @param agent - The agent.
+ * @returns Offers.
+ */
+export function extendOffers(state: DispatchState, agent: NodeName): DispatchEffect[] {
+	const offers: TaskOffer[] = [];
+	for (const job of state.jobs.values()) {
+		if (job.answer !== undefined || offers.length >= maxExtended) {
+			continue;
+		}
+
+		for (const task of job.tasks) {
+			const isFree = task.phase === 'offered' && !task.candidates.has(agent) && !task.avoided.has(agent);
+			if (isFree && hasRoomAt(state.fleet, agent, createDemand(state, job, task))) {
+				task.candidates.add(agent);
+				recordTentativeOffer(state.fleet, agent);
+				offers.push(task.offer!);
+			}
+		}
+	}
+
+	return offers.length === 0 ? [] : [{type: 'offer', agent, tasks: offers}];
+}
--- a/src/core/dispatch/state.ts
+++ b/src/core/dispatch/state.ts
@@ -25,6 +25,8 @@
 	readonly tasks: Map<string, {readonly job: Job; readonly task: TaskState}>;
 	/** Jobs with tasks that no agent has. */
 	readonly waiting: Set<Job>;
+	/** Recent waits of tasks that found no room, by priority; ms. */
+	readonly waits: Map<number, Milliseconds>;
 	/** By queue. */
 	readonly runTimes: Map<string, RunTimeRecord>;
 	/** Time from which agents that were lost are expected back. */
@@ -46,6 +48,7 @@
 		jobs: new Map(),
 		tasks: new Map(),
 		waiting: new Set(),
+		waits: new Map(),
 		runTimes: new Map(),
 		expectAgentsUntil: 0,
 		isLeaving: false,
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -58,11 +58,12 @@
  *
  * - `blocked`: an earlier step is not done.
  * - `waiting`: no agent has it.
+ * - `offered`: tentatively at several agents; the first with room asks for it.
  * - `placed`: offered to an agent that has not reported its end.
  * - `detached`: as `placed`, but the stream to the agent is closed.
  * - `done`: ended as done.
  */
-export type TaskPhase = 'blocked' | 'waiting' | 'placed' | 'detached' | 'done';
+export type TaskPhase = 'blocked' | 'waiting' | 'offered' | 'placed' | 'detached' | 'done';
 
 /** One task of a job. */
 export type TaskState = {
@@ -70,6 +71,10 @@
 	readonly step: number;
 	phase: TaskPhase;
 	agent: NodeName | undefined;
+	/** Agents that have a tentative offer. */
+	readonly candidates: Set<NodeName>;
+	/** When it was offered tentatively. */
+	offeredAt: Milliseconds;
 	offer: TaskOffer | undefined;
 	/** Number of the next run. */
 	nextRun: number;
@@ -104,6 +109,6 @@
 /** What the entry's process has to do. */
 export type DispatchEffect =
 	| {readonly type: 'offer'; readonly agent: NodeName; readonly tasks: readonly TaskOffer[]}
-	| {readonly type: 'withdraw'; readonly agent: NodeName; readonly tasks: readonly string[]}
+	| {readonly type: 'withdraw' | 'grant'; readonly agent: NodeName; readonly tasks: readonly string[]}
 	| {readonly type: 'answer'; readonly job: Job; readonly answer: JobAnswer}
 	| {readonly type: 'note'; readonly event: string; readonly details: Readonly<Record<string, unknown>>};
--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -80,18 +80,17 @@
 }
 
 /**
- * Chooses an agent for a task.
+ * Orders the agents that can run a task, the one where it would end first in front.
  *
  * @param state - The view.
  * @param demand - What the task asks.
- * @param avoided - Agents that are taken only if no other can run the task.
+ * @param avoided - Agents that come last.
  * @param now - Present time.
- * @returns The agent, if one can run the task.
+ * @returns Estimates.
  */
-export function chooseAgent(state: FleetState, demand: TaskDemand, avoided: ReadonlySet<NodeName>, now: Milliseconds): PlacementEstimate | undefined {
+export function listChoices(state: FleetState, demand: TaskDemand, avoided: ReadonlySet<NodeName>, now: Milliseconds): readonly PlacementEstimate[] {
 	const usual = computeUsualSlowness(state);
-	let best: PlacementEstimate | undefined;
-	let bestScore = Number.POSITIVE_INFINITY;
+	const choices: PlacementEstimate[] = [];
 	for (const [name, view] of state.agents) {
 		const {load} = view;
 		if (load === undefined || !canRun(view, load, demand)) {
@@ -108,11 +107,21 @@
 		const isAvoided = avoided.has(name) || now < view.avoidedUntil;
 		const noRoom = wait > 0 ? (noRoomWeight * demand.expectedMs) + ((waitWeight - 1) * wait) : 0;
 		const score = total + noRoom + (fill * loadWeight * demand.expectedMs) + (isAvoided ? avoidedMs : 0);
-		if (score < bestScore) {
-			best = {agent: name, wait, total};
-			bestScore = score;
-		}
+		choices.push({
+			agent: name, wait, total, score,
+		});
+	}
+
+	return choices.sort((left, right) => left.score - right.score);
+}
+
+/** Answers whether an agent has room for a task now. */
+export function hasRoomAt(state: FleetState, name: NodeName, demand: TaskDemand): boolean {
+	const view = state.agents.get(name);
+	const load = view?.load;
+	if (view === undefined || load === undefined || !canRun(view, load, demand)) {
+		return false;
 	}
 
-	return best;
+	return estimateWait(view, load, computeFree(view), demand) === 0;
 }
--- a/src/core/fleet/state.ts
+++ b/src/core/fleet/state.ts
@@ -70,6 +70,14 @@
 	}
 }
 
+/** Records that a task was offered tentatively: it takes no room until it is granted. */
+export function recordTentativeOffer(state: FleetState, name: NodeName): void {
+	const view = state.agents.get(name);
+	if (view !== undefined) {
+		view.sentOffers++;
+	}
+}
+
 /** Records that an agent refused an offer. */
 export function recordRefusal(state: FleetState, name: NodeName, now: Milliseconds): void {
 	const view = state.agents.get(name);
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -42,4 +42,6 @@
 	readonly agent: NodeName;
 	readonly wait: Milliseconds;
 	readonly total: Milliseconds;
+	/** By which agents are compared; lower is better. */
+	readonly score: number;
 };
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -4,7 +4,9 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {HoldErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
-import {endRecord, startQueued, stopRecord} from './orders.ts';
+import {
+	endRecord, isOrdered, startQueued, stopRecord,
+} from './orders.ts';
 import {applyPendingClaims, dropLostOwners} from './owners.ts';
 import {endAllRuns, resetWorker} from './looks.ts';
 import {computeFree, estimateWaits} from './room.ts';
@@ -18,9 +20,6 @@
 /** Time, in ms, in which entries may claim runs of an earlier life before they are stopped. */
 const claimMs = 600;
 
-/** Longest time a task waits here before its entry may place it again, in ms. */
-const maxQueueMs = 1500;
-
 function isNewer(previous: WorkerAnnouncement | undefined, next: WorkerAnnouncement): boolean {
 	if (previous === undefined) {
 		return true;
@@ -31,7 +30,7 @@
 }
 
 function returnQueue(state: RunsState, now: Milliseconds): RunsEffect[] {
-	return [...state.queue].map(record => endRecord(state, record, 'not-started', now));
+	return [...state.records.values()].filter(record => !isOrdered(record)).map(record => endRecord(state, record, 'not-started', now));
 }
 
 /** Answers whether two heartbeats tell of the same life of a worker with the same room. */
@@ -176,10 +175,6 @@
 		.flatMap(record => stopRecord(state, record, record.stopReason ?? 'withdrawn', now));
 }
 
-function returnOld(state: RunsState, now: Milliseconds): RunsEffect[] {
-	return state.queue.filter(record => now - record.queuedAt >= maxQueueMs).map(record => endRecord(state, record, 'not-started', now));
-}
-
 /**
  * Advances to a point in time.
  *
@@ -195,7 +190,6 @@
 		...dropLapsed(state, now),
 		...stopOrphans(state, now),
 		...retryStops(state, now),
-		...returnOld(state, now),
 		...startQueued(state, now),
 	];
 }
@@ -239,7 +233,7 @@
 	}
 
 	for (const {phase, offer, orderedAt} of state.records.values()) {
-		if (phase !== 'queued' && now - orderedAt > offer.expectedMs * state.slowness) {
+		if (phase === 'running' && now - orderedAt > offer.expectedMs * state.slowness) {
 			return overdueWaitMs;
 		}
 	}
--- a/src/core/runs/looks.ts
+++ b/src/core/runs/looks.ts
@@ -5,7 +5,7 @@
 import type {TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {EndedTask, WorkerLook} from '../../ports/worker.ts';
 import {
-	canTake, endRecord, restartRecord, startQueued, stopRecord,
+	canTake, endRecord, isOrdered, restartRecord, startQueued, stopRecord,
 } from './orders.ts';
 import {
 	getJobId, getRunKey, recordEnd, type RunsState,
@@ -60,7 +60,7 @@
 }
 
 function listRecords(state: RunsState, task: string, run: number): RunRecord[] {
-	return [...state.records.values()].filter(record => record.phase !== 'queued' && record.offer.task === task && record.run === run);
+	return [...state.records.values()].filter(record => isOrdered(record) && record.offer.task === task && record.run === run);
 }
 
 function applyEnd(state: RunsState, ended: EndedTask, now: Milliseconds): RunsEffect[] {
@@ -180,7 +180,7 @@
 export function endAllRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
 	for (const record of [...state.records.values()]) {
-		effects.push(endRecord(state, record, record.phase === 'queued' ? 'not-started' : 'lost', now));
+		effects.push(endRecord(state, record, isOrdered(record) ? 'lost' : 'not-started', now));
 	}
 
 	state.orphans.clear();
@@ -229,7 +229,7 @@
 	if (look.ended.length < maxListedEnds) {
 		const percents = new Map(look.running.map(({task, run, percent}) => [getRunKey(task, run), percent]));
 		for (const record of [...state.records.values()]) {
-			if (record.phase !== 'queued') {
+			if (isOrdered(record)) {
 				effects.push(...applyRunning(state, percents, record, asked, now));
 			}
 		}
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -23,6 +23,20 @@
 /** Age, in ms, from which the first waiting task keeps smaller ones from passing it. */
 const maxPassedMs = 100;
 
+/** Answers whether the worker may have a run of the record. */
+export function isOrdered({phase}: RunRecord): boolean {
+	return phase !== 'queued' && phase !== 'asking';
+}
+
+/** Removes a record from the agent's account. */
+export function removeRecord(state: RunsState, record: RunRecord): void {
+	state.records.delete(getRecordKey(record.owner, record.offer.task));
+	const position = state.queue.indexOf(record);
+	if (position >= 0) {
+		state.queue.splice(position, 1);
+	}
+}
+
 /**
  * Removes a record and reports its end to the entry.
  *
@@ -33,22 +47,17 @@
  * @returns The report.
  */
 export function endRecord(state: RunsState, record: RunRecord, end: TaskEnd, now: Milliseconds): RunsEffect {
-	state.records.delete(getRecordKey(record.owner, record.offer.task));
-	const position = state.queue.indexOf(record);
-	if (position >= 0) {
-		state.queue.splice(position, 1);
-	}
-
+	removeRecord(state, record);
 	// A claim names the number that was offered.
 	recordEnd(state, record.offer.task, record.offer.run, end);
-	const hasRun = record.phase !== 'queued' && end !== 'not-started';
+	const hasRun = isOrdered(record) && end !== 'not-started';
 	const report: TaskReport = {
 		task: record.offer.task,
 		run: record.run,
 		end,
 		expectedMs: record.offer.expectedMs,
 		runMs: hasRun ? Math.round(now - record.orderedAt) : 0,
-		waitMs: Math.round(record.phase === 'queued' ? now - record.queuedAt : record.orderedAt - record.queuedAt),
+		waitMs: Math.round(!isOrdered(record) ? now - record.queuedAt : record.orderedAt - record.queuedAt),
 	};
 	return {type: 'report', owner: record.owner, reports: [report]};
 }
@@ -69,7 +78,7 @@
 
 function hasOtherRun(state: RunsState, record: RunRecord): boolean {
 	for (const other of state.records.values()) {
-		if (other !== record && other.offer.task === record.offer.task && other.phase !== 'queued') {
+		if (other !== record && other.offer.task === record.offer.task && isOrdered(other)) {
 			return true;
 		}
 	}
@@ -92,12 +101,32 @@
 	};
 }
 
+/** Keeps the room for a tentative task until its entry has answered. */
+function createQuestion(record: RunRecord, now: Milliseconds): RunsEffect {
+	record.phase = 'asking';
+	record.orderedAt = now;
+	return {type: 'ask', owner: record.owner, task: record.offer.task};
+}
+
+/**
+ * Starts a tentative task that its entry has granted.
+ *
+ * @param state - State of the agent.
+ * @param record - A record that asks.
+ * @param now - Present time.
+ * @returns The start, or a refusal if this agent lost its worker meanwhile.
+ */
+export function startGranted(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect {
+	const start = getMode(state, now) === 'closed' ? undefined : createStart(state, record, now);
+	return start ?? endRecord(state, record, 'not-started', now);
+}
+
 /**
  * Starts what fits, by priority and age. A smaller task passes one that does not fit only while that is new.
  *
  * @param state - State of the agent.
  * @param now - Present time.
- * @returns Starts.
+ * @returns Starts, and questions about tentative tasks.
  */
 export function startQueued(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
@@ -120,7 +149,7 @@
 			continue;
 		}
 
-		const start = createStart(state, record, now);
+		const start = record.offer.isTentative ? createQuestion(record, now) : createStart(state, record, now);
 		if (start === undefined) {
 			break;
 		}
@@ -163,7 +192,7 @@
 
 function findRecord(state: RunsState, {task, run}: RunRef): RunRecord | undefined {
 	for (const record of state.records.values()) {
-		if (record.offer.task === task && record.run === run && record.phase !== 'queued') {
+		if (record.offer.task === task && record.run === run && isOrdered(record)) {
 			return record;
 		}
 	}
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -4,7 +4,9 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskOffer, TaskReport} from '../../ports/dispatch-messages.ts';
 import type {NodeName} from '../identity/types.ts';
-import {addToQueue, canTake, endRecord, startQueued, stopRecord} from './orders.ts';
+import {
+	addToQueue, canTake, endRecord, isOrdered, removeRecord, startGranted, startQueued, stopRecord,
+} from './orders.ts';
 import {findEarlierEnd} from './looks.ts';
 import {getRecordKey, getRunKey, type RunsState} from './state.ts';
 import type {RunRecord, RunsEffect} from './types.ts';
@@ -45,9 +47,17 @@
 }
 
 function dropRecord(state: RunsState, record: RunRecord, reason: 'withdrawn' | 'owner-lost' | 'superseded' | 'leaving', now: Milliseconds): RunsEffect[] {
-	return record.phase === 'queued'
-		? [endRecord(state, record, 'not-started', now)]
-		: stopRecord(state, record, reason, now);
+	if (isOrdered(record)) {
+		return stopRecord(state, record, reason, now);
+	}
+
+	// Nobody waits for the end of a tentative offer that was withdrawn.
+	if (record.offer.isTentative) {
+		removeRecord(state, record);
+		return [];
+	}
+
+	return [endRecord(state, record, 'not-started', now)];
 }
 
 function isSuitable(state: RunsState, offer: TaskOffer): boolean {
@@ -66,6 +76,7 @@
  */
 export function handleOffers(state: RunsState, owner: NodeName, offers: readonly TaskOffer[], now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
+	const direct: RunRecord[] = [];
 	for (const offer of offers) {
 		const key = getRecordKey(owner, offer.task);
 		if (!canTake(state, now) || !isSuitable(state, offer) || state.records.has(key)) {
@@ -77,9 +88,45 @@
 		const record = createRecord(owner, offer, now);
 		state.records.set(key, record);
 		addToQueue(state, record);
+		if (!offer.isTentative) {
+			direct.push(record);
+		}
 	}
 
-	return [...effects, ...startQueued(state, now)];
+	effects.push(...startQueued(state, now));
+	for (const record of direct) {
+		// One that waits for the stop of an earlier run of the same task stays.
+		if (record.phase === 'queued' && !isSuperseding(state, record)) {
+			effects.push(endRecord(state, record, 'not-started', now));
+		}
+	}
+
+	return effects;
+}
+
+function isSuperseding(state: RunsState, record: RunRecord): boolean {
+	return [...state.records.values()].some(other => other !== record && other.offer.task === record.offer.task);
+}
+
+/**
+ * Starts tentative tasks that their entry has granted.
+ *
+ * @param state - State of the agent.
+ * @param owner - The entry.
+ * @param tasks - Names of the tasks.
+ * @param now - Present time.
+ * @returns Starts.
+ */
+export function handleGrant(state: RunsState, owner: NodeName, tasks: readonly string[], now: Milliseconds): RunsEffect[] {
+	const effects: RunsEffect[] = [];
+	for (const task of tasks) {
+		const record = state.records.get(getRecordKey(owner, task));
+		if (record?.phase === 'asking') {
+			effects.push(startGranted(state, record, now));
+		}
+	}
+
+	return effects;
 }
 
 /**
@@ -129,8 +176,12 @@
 	}
 
 	for (const offer of offers) {
-		if (!state.records.has(getRecordKey(owner, offer.task))) {
+		const record = state.records.get(getRecordKey(owner, offer.task));
+		if (record === undefined) {
 			effects.push(...adoptOrphan(state, owner, offer, now));
+		} else if (record.phase === 'asking') {
+			// The grant was lost with the stream.
+			effects.push(startGranted(state, record, now));
 		}
 	}
 
@@ -200,7 +251,7 @@
 /** Gives waiting tasks back and takes no new ones. */
 export function startLeaving(state: RunsState, now: Milliseconds): RunsEffect[] {
 	state.isLeaving = true;
-	return [...state.queue].map(record => endRecord(state, record, 'not-started', now));
+	return [...state.records.values()].filter(record => !isOrdered(record)).map(record => endRecord(state, record, 'not-started', now));
 }
 
 /** Stops everything that still runs, at the end of a planned stop. */
--- a/src/core/runs/room.ts
+++ b/src/core/runs/room.ts
@@ -46,6 +46,10 @@
 }
 
 function estimateRemaining(state: RunsState, record: RunRecord, now: Milliseconds): Milliseconds {
+	if (record.phase === 'asking') {
+		return record.offer.expectedMs * state.slowness;
+	}
+
 	const expected = record.offer.expectedMs * state.slowness;
 	return Math.max(minRemainingMs, expected - (now - record.orderedAt));
 }
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -11,12 +11,13 @@
  * Phase of an offered task.
  *
  * - `queued`: waits for room.
+ * - `asking`: has room; its entry was asked whether it still has to start.
  * - `starting`: the start was ordered and not answered yet.
  * - `checking`: the start got no answer; the next look tells whether it is there.
  * - `running`: the worker has it.
  * - `stopping`: a stop was ordered; the worker may have it or not.
  */
-export type RunPhase = 'queued' | 'starting' | 'checking' | 'running' | 'stopping';
+export type RunPhase = 'queued' | 'asking' | 'starting' | 'checking' | 'running' | 'stopping';
 
 /**
  * Why a run is stopped.
@@ -91,6 +92,8 @@
 export type RunsEffect =
 	| {readonly type: 'start'; readonly record: RunRecord; readonly leaseUntil: Milliseconds; readonly fencingToken: number}
 	| {readonly type: 'stop'; readonly ref: RunRef; readonly fencingToken: number}
+	/** Ask an entry whether a tentative task still has to start. */
+	| {readonly type: 'ask'; readonly owner: NodeName; readonly task: string}
 	/** Look at the worker at once instead of waiting for an end. */
 	| {readonly type: 'look'}
 	| {readonly type: 'report'; readonly owner: NodeName; readonly reports: readonly TaskReport[]}
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -23,6 +23,11 @@
 	readonly target: string;
 	/** Label that the worker must have; empty for none. */
 	readonly label: string;
+	/**
+	 * Whether other agents have the offer too: it waits for room, and its entry is asked before it starts.
+	 * An offer that is not tentative starts at once or is refused.
+	 */
+	readonly isTentative: boolean;
 };
 
 /**
@@ -76,6 +81,9 @@
 	| {readonly type: 'announce'; readonly address: PeerAddress; readonly version: number}
 	| {readonly type: 'offer'; readonly tasks: readonly TaskOffer[]}
 	| {readonly type: 'withdraw'; readonly tasks: readonly string[]}
+	/** Asks whether tentative tasks, for which there is room now, still have to start. */
+	| {readonly type: 'ask'; readonly tasks: readonly string[]}
+	| {readonly type: 'grant'; readonly tasks: readonly string[]}
 	/** All tasks that the entry takes to be at this agent; sent when a stream opens. */
 	| {readonly type: 'claim'; readonly tasks: readonly TaskOffer[]}
 	/** `seen`: offered tasks of this stream that the load contains. */
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -8,7 +8,7 @@
 } from '../../core/runs/logic.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../core/runs/orders.ts';
 import {
-	handleClaim, handleOffers, handleOwnerLoss, handleWithdrawal, startLeaving, stopAllRuns,
+	handleClaim, handleGrant, handleOffers, handleOwnerLoss, handleWithdrawal, startLeaving, stopAllRuns,
 } from '../../core/runs/owners.ts';
 import {createRunsState, type RunsState} from '../../core/runs/state.ts';
 import type {RunsEffect} from '../../core/runs/types.ts';
@@ -46,6 +46,7 @@
 	readonly #seenOffers = new Map<string, number>();
 	readonly #toldLoads = new Map<string, string>();
 	#reports = new Map<string, TaskReport[]>();
+	#questions = new Map<string, string[]>();
 	#isClosed = false;
 	#isLooking = false;
 
@@ -55,6 +56,7 @@
 			return handleOffers(this.state, from.name, tasks, this.#now());
 		},
 		withdraw: (from, {tasks}) => handleWithdrawal(this.state, from.name, tasks, this.#now()),
+		grant: (from, {tasks}) => handleGrant(this.state, from.name, tasks, this.#now()),
 		claim: (from, {tasks}) => handleClaim(this.state, from.name, tasks, this.#now()),
 	};
 
@@ -244,9 +246,18 @@
 			this.#runEffect(effect);
 		}
 
+		this.#sendQuestions();
 		this.#sendReports();
 	}
 
+	#sendQuestions(): void {
+		for (const [owner, tasks] of this.#questions) {
+			this.#links.sendMessage(owner, {type: 'ask', tasks});
+		}
+
+		this.#questions.clear();
+	}
+
 	#runEffect(effect: RunsEffect): void {
 		switch (effect.type) {
 			case 'start': {
@@ -259,6 +270,13 @@
 				break;
 			}
 
+			case 'ask': {
+				const tasks = this.#questions.get(effect.owner) ?? [];
+				tasks.push(effect.task);
+				this.#questions.set(effect.owner, tasks);
+				break;
+			}
+
 			case 'look': {
 				void this.#lookNow();
 				break;
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -3,8 +3,9 @@
  */
 import type {Timings} from '../../core/bounds/types.ts';
 import {
-	advanceDispatch, applyReports, cancelJob, handleAgentLoss, listClaims, placeAllWaiting, submitJob, type JobRequest,
+	advanceDispatch, applyReports, cancelJob, handleAgentLoss, handleQuestions, listClaims, placeAllWaiting, submitJob, type JobRequest,
 } from '../../core/dispatch/logic.ts';
+import {extendOffers} from '../../core/dispatch/placing.ts';
 import {countOpenJobs, createDispatchState, type DispatchState} from '../../core/dispatch/state.ts';
 import type {DispatchEffect, Job, JobAnswer} from '../../core/dispatch/types.ts';
 import {
@@ -51,10 +52,15 @@
 			applyLoad(this.state.fleet, from.name, load, seen);
 			this.#run(applyReports(this.state, from.name, reports, this.#now()));
 			this.#placeWaiting();
+			this.#run(extendOffers(this.state, from.name));
 		},
 		load: (from, {load, seen}) => {
 			applyLoad(this.state.fleet, from.name, load, seen);
 			this.#placeWaiting();
+			this.#run(extendOffers(this.state, from.name));
+		},
+		ask: (from, {tasks}) => {
+			this.#run(handleQuestions(this.state, from.name, tasks, this.#now()));
 		},
 		configuration: (from, {text}) => {
 			this.configuration.offerText(text, from.name);
@@ -239,7 +245,7 @@
 		this.configuration.restartWatch();
 		if (peer.role === 'agent') {
 			removeAgent(this.state.fleet, peer.name);
-			handleAgentLoss(this.state, peer.name, this.#now());
+			this.#run(handleAgentLoss(this.state, peer.name, this.#now()));
 		}
 	}
 
@@ -281,8 +287,9 @@
 				break;
 			}
 
-			case 'withdraw': {
-				this.#links.sendMessage(effect.agent, {type: 'withdraw', tasks: effect.tasks});
+			case 'withdraw':
+			case 'grant': {
+				this.#links.sendMessage(effect.agent, {type: effect.type, tasks: effect.tasks});
 				break;
 			}
 
