Let measured waits fade, and estimate tentative tasks by them alone

Cause: jobs of the most urgent queue were refused as overload by the modelled wait of one agent's queue, which a tentative task does not have to sit out, and by waits measured seconds ago. Change: a measured wait halves every 300 ms; the estimate for a tentative task is that wait and its run time.

--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -3,7 +3,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import {estimateChain} from './estimates.ts';
-import {estimateWait, type Placement} from './placing.ts';
+import type {Placement} from './placing.ts';
 import type {DispatchState} from './state.ts';
 import type {Job, JobAnswer} from './types.ts';
 
@@ -43,8 +43,7 @@
 		return isExpected ? undefined : refuse('no-worker', agentReturnMs);
 	}
 
-	const wait = placement.hasToWait ? estimateWait(state, job.route.priority, now) : 0;
-	const total = Math.max(placement.total, wait + chain);
+	const total = Math.max(placement.total, chain);
 	return total <= limit ? undefined : refuse('overload', total - limit);
 }
 
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -301,9 +301,9 @@
 /** Weight of a new measurement of a wait. */
 const waitGain = 0.1;
 
-function recordWait(state: DispatchState, priority: number, wait: Milliseconds): void {
-	const previous = state.waits.get(priority) ?? wait;
-	state.waits.set(priority, previous + (waitGain * (wait - previous)));
+function recordWait(state: DispatchState, priority: number, wait: Milliseconds, now: Milliseconds): void {
+	const previous = state.waits.get(priority)?.wait ?? wait;
+	state.waits.set(priority, {wait: previous + (waitGain * (wait - previous)), at: now});
 }
 
 /**
@@ -344,7 +344,7 @@
 		task.agent = agent;
 		job.mayHaveRun = true;
 		granted.push(name);
-		recordWait(state, job.route.priority, now - task.offeredAt);
+		recordWait(state, job.route.priority, now - task.offeredAt, now);
 	}
 
 	if (granted.length > 0) {
--- a/src/core/dispatch/placing.ts
+++ b/src/core/dispatch/placing.ts
@@ -81,8 +81,6 @@
 export type Placement = {
 	readonly offers: Map<NodeName, TaskOffer[]>;
 	total: Milliseconds;
-	/** Whether some task found no room. */
-	hasToWait: boolean;
 	/** Whether every waiting task found an agent. */
 	isWhole: boolean;
 };
@@ -93,9 +91,13 @@
 	offers.set(agent, group);
 }
 
+/** Time, in ms, in which a measured wait loses half of its weight; the time in which room becomes free. */
+const waitHalfLifeMs = 300;
+
 /** Estimates the wait of a task that finds no room: by those that lately waited and those that wait now. */
 export function estimateWait(state: DispatchState, priority: number, now: Milliseconds): Milliseconds {
-	let wait = state.waits.get(priority) ?? 0;
+	const record = state.waits.get(priority);
+	let wait = record === undefined ? 0 : record.wait * (0.5 ** ((now - record.at) / waitHalfLifeMs));
 	for (const job of state.jobs.values()) {
 		if (job.route.priority === priority && job.answer === undefined) {
 			for (const task of job.tasks) {
@@ -117,8 +119,9 @@
 		return;
 	}
 
-	placement.total = Math.max(placement.total, best.total);
 	const isTentative = best.wait > 0;
+	const wait = isTentative ? estimateWait(state, job.route.priority, now) : 0;
+	placement.total = Math.max(placement.total, wait + best.total - best.wait);
 	const offer = {...createOffer(job, task, demand), isTentative};
 	task.offer = offer;
 	if (!isTentative) {
@@ -129,7 +132,6 @@
 		return;
 	}
 
-	placement.hasToWait = true;
 	task.phase = 'offered';
 	task.offeredAt = now;
 	for (const {agent} of choices.slice(0, maxCandidates)) {
@@ -149,7 +151,7 @@
  */
 export function placeTasks(state: DispatchState, job: Job, now: Milliseconds): Placement {
 	const placement: Placement = {
-		offers: new Map(), total: 0, hasToWait: false, isWhole: true,
+		offers: new Map(), total: 0, isWhole: true,
 	};
 	for (const task of job.tasks) {
 		if (task.phase === 'waiting') {
--- a/src/core/dispatch/state.ts
+++ b/src/core/dispatch/state.ts
@@ -26,7 +26,7 @@
 	/** Jobs with tasks that no agent has. */
 	readonly waiting: Set<Job>;
 	/** Recent waits of tasks that found no room, by priority; ms. */
-	readonly waits: Map<number, Milliseconds>;
+	readonly waits: Map<number, {wait: Milliseconds; at: Milliseconds}>;
 	/** By queue. */
 	readonly runTimes: Map<string, RunTimeRecord>;
 	/** Time from which agents that were lost are expected back. */
