Estimate waits from the work ahead and the capacity that urgent work leaves

Change: the wait is the work offered ahead over the capacity less the rate of more urgent work, times the entries; or the measured one if that is longer.

--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -11,7 +11,7 @@
  * Estimated response time, in relation to the objective, above which a job is refused. Work that ends later
  * is of little use to its caller and makes that of others late too.
  */
-const admittedShare = 1.25;
+const admittedShare = 1.1;
 
 /** Time, in ms, in which agents that were lost are back as a rule: the start of a process and its first answers. */
 const agentReturnMs = 700;
--- a/src/core/dispatch/estimates.ts
+++ b/src/core/dispatch/estimates.ts
@@ -4,7 +4,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
 import type {DispatchState, RunTimeRecord} from './state.ts';
-import type {JobSubmission, StepSubmission} from './types.ts';
+import type {Job, JobSubmission, StepSubmission} from './types.ts';
 
 /** Weight of a new measurement. */
 const gain = 0.02;
@@ -95,3 +95,14 @@
 
 	return Math.max(0, ...ends);
 }
+
+/**
+ * Computes the work of a job.
+ *
+ * @param state - State of the jobs.
+ * @param job - The job.
+ * @returns Thousandths of a core, times ms.
+ */
+export function computeWork(state: DispatchState, {route, submission}: Pick<Job, 'route' | 'submission'>): number {
+	return submission.steps.reduce((sum, step) => sum + (step.count * step.needs.cpu * estimateRunTime(state, route, step)), 0);
+}
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -8,7 +8,8 @@
 import type {NodeName} from '../identity/types.ts';
 import type {Route} from '../routes/types.ts';
 import {checkPlacement, checkWaiting} from './admission.ts';
-import {estimateChain, recordRunTime} from './estimates.ts';
+import {computeWork, estimateChain, recordRunTime} from './estimates.ts';
+import {recordWait, recordWork} from './waits.ts';
 import {
 	clearPlacement, createOffers, listFull, placeTasks, type Placement,
 } from './placing.ts';
@@ -161,6 +162,7 @@
 	}
 
 	job.mayHaveRun = hasDirectOffer(placement);
+	recordWork(state, job.route.priority, computeWork(state, job), now);
 	if (!placement.isWhole) {
 		state.waiting.add(job);
 	}
@@ -298,14 +300,6 @@
 	return reports.flatMap(report => applyReport(state, agent, report, now));
 }
 
-/** Weight of a new measurement of a wait. */
-const waitGain = 0.1;
-
-function recordWait(state: DispatchState, priority: number, wait: Milliseconds, now: Milliseconds): void {
-	const previous = state.waits.get(priority)?.wait ?? wait;
-	state.waits.set(priority, {wait: previous + (waitGain * (wait - previous)), at: now});
-}
-
 /**
  * Answers an agent that has room for tentative tasks: each goes to the first agent that asks.
  *
--- a/src/core/dispatch/placing.ts
+++ b/src/core/dispatch/placing.ts
@@ -8,6 +8,7 @@
 import type {TaskDemand} from '../fleet/types.ts';
 import type {NodeName} from '../identity/types.ts';
 import {estimateRunTime} from './estimates.ts';
+import {estimateWait} from './waits.ts';
 import type {DispatchState} from './state.ts';
 import type {DispatchEffect, Job, TaskState} from './types.ts';
 
@@ -80,6 +81,8 @@
 /** Tasks that were placed, by agent, with the time until the last of them would end. */
 export type Placement = {
 	readonly offers: Map<NodeName, TaskOffer[]>;
+	/** Expected wait of a task that finds no room. */
+	readonly wait: Milliseconds;
 	total: Milliseconds;
 	/** Whether every waiting task found an agent. */
 	isWhole: boolean;
@@ -91,24 +94,6 @@
 	offers.set(agent, group);
 }
 
-/** Time, in ms, in which a measured wait loses half of its weight; the time in which room becomes free. */
-const waitHalfLifeMs = 300;
-
-/** Estimates the wait of a task that finds no room: by those that lately waited and those that wait now. */
-export function estimateWait(state: DispatchState, priority: number, now: Milliseconds): Milliseconds {
-	const record = state.waits.get(priority);
-	let wait = record === undefined ? 0 : record.wait * (0.5 ** ((now - record.at) / waitHalfLifeMs));
-	for (const job of state.jobs.values()) {
-		if (job.route.priority === priority && job.answer === undefined) {
-			for (const task of job.tasks) {
-				wait = task.phase === 'offered' ? Math.max(wait, now - task.offeredAt) : wait;
-			}
-		}
-	}
-
-	return wait;
-}
-
 function placeTask(state: DispatchState, job: Job, task: TaskState, placement: Placement, now: Milliseconds): void {
 	const demand = createDemand(state, job, task);
 	const full = listFull(job, task);
@@ -120,7 +105,7 @@
 	}
 
 	const isTentative = best.wait > 0;
-	const wait = isTentative ? estimateWait(state, job.route.priority, now) : 0;
+	const wait = isTentative ? placement.wait : 0;
 	placement.total = Math.max(placement.total, wait + best.total - best.wait);
 	const offer = {...createOffer(job, task, demand), isTentative};
 	task.offer = offer;
@@ -151,7 +136,7 @@
  */
 export function placeTasks(state: DispatchState, job: Job, now: Milliseconds): Placement {
 	const placement: Placement = {
-		offers: new Map(), total: 0, isWhole: true,
+		offers: new Map(), wait: estimateWait(state, job.route.priority, now), total: 0, isWhole: true,
 	};
 	for (const task of job.tasks) {
 		if (task.phase === 'waiting') {
--- a/src/core/dispatch/state.ts
+++ b/src/core/dispatch/state.ts
@@ -27,6 +27,10 @@
 	readonly waiting: Set<Job>;
 	/** Recent waits of tasks that found no room, by priority; ms. */
 	readonly waits: Map<number, {wait: Milliseconds; at: Milliseconds}>;
+	/** Work admitted lately, by priority: thousandths of a core, times ms, fading with time. */
+	readonly work: Map<number, {amount: number; at: Milliseconds}>;
+	/** Entries that share the agents, with this one. */
+	entryCount: number;
 	/** By queue. */
 	readonly runTimes: Map<string, RunTimeRecord>;
 	/** Time from which agents that were lost are expected back. */
@@ -49,6 +53,8 @@
 		tasks: new Map(),
 		waiting: new Set(),
 		waits: new Map(),
+		work: new Map(),
+		entryCount: 1,
 		runTimes: new Map(),
 		expectAgentsUntil: 0,
 		isLeaving: false,
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -227,6 +227,7 @@
 	}
 
 	#handlePeer(peer: LinkedPeer): void {
+		this.#countEntries();
 		if (peer.role === 'agent') {
 			addAgent(this.state.fleet, peer, peer.dataCentre);
 			const claims = listClaims(this.state, peer.name);
@@ -241,7 +242,12 @@
 		this.#links.sendMessage(peer.name, {type: 'peers', addresses: this.#links.listKnown()});
 	}
 
+	#countEntries(): void {
+		this.state.entryCount = 1 + this.#links.listLinked().filter(({role}) => role === 'entry').length;
+	}
+
 	#handleLoss(peer: PeerAddress): void {
+		this.#countEntries();
 		this.configuration.restartWatch();
 		if (peer.role === 'agent') {
 			removeAgent(this.state.fleet, peer.name);
