Test the account of runs at a worker; keep offers that follow a claim

Cause: a claim that came before the agent had read its worker was applied after offers that followed it and dropped them; found by the scenario of a silent worker.

--- /dev/null
+++ b/features/runs/runs.feature
@@ -0,0 +1,167 @@
+Feature: Runs at a worker
+  An agent accounts for the room of its worker, whatever becomes of its orders.
+
+  Background:
+    Given an agent whose worker has 10000 thousandths of a core
+
+  Scenario: A direct offer starts at once or is refused
+    When entry "e1" offers direct tasks "a b" of 6000
+    Then the worker is told to start "a"
+    And entry "e1" is told that "b" ended as "not-started"
+
+  Scenario: A tentative offer asks its entry before it starts
+    When entry "e1" offers tentative tasks "a" of 6000
+    Then entry "e1" is asked about "a"
+    And the worker is told to start nothing
+    When entry "e1" grants "a"
+    Then the worker is told to start "a"
+
+  Scenario: Room is kept while an entry is asked
+    When entry "e1" offers tentative tasks "a" of 6000
+    And entry "e2" offers direct tasks "b" of 6000
+    Then entry "e2" is told that "b" ended as "not-started"
+
+  Scenario: The more urgent of two waiting tasks gets the room
+    When entry "e1" offers direct tasks "a" of 9000
+    And the start of "a" is answered "started"
+    And entry "e1" offers tentative tasks "low" of 9000 with priority 2
+    And entry "e2" offers tentative tasks "high" of 9000 with priority 0
+    And the worker lists "a" as ended "done"
+    Then entry "e2" is asked about "high"
+
+  Scenario: A start without an answer keeps its room until its stop is acknowledged
+    When entry "e1" offers direct tasks "a" of 9000
+    And the start of "a" is answered "unanswered"
+    Then the free room is 1000
+    When 200 ms pass and a look shows nothing
+    Then the worker is told to stop "a"
+    And the free room is 1000
+    When the stop of "a" is answered "stopped"
+    And 10 ms pass and a look shows nothing
+    Then the worker is told to start "a" as run 2
+
+  Scenario: A start without an answer that is there goes on
+    When entry "e1" offers direct tasks "a" of 9000
+    And the start of "a" is answered "unanswered"
+    And 10 ms pass and a look shows "a" at 5 percent
+    Then the worker is told to stop nothing
+    When the worker lists "a" as ended "done"
+    Then entry "e1" is told that "a" ended as "done"
+
+  Scenario Outline: What an answer to a start means
+    When entry "e1" offers direct tasks "a" of 9000
+    And the start of "a" is answered "<answer>"
+    Then <outcome>
+
+    Examples:
+      | answer       | outcome                                             |
+      | no-room      | entry "e1" is told that "a" ended as "not-started"  |
+      | refused      | entry "e1" is told that "a" ended as "not-started"  |
+      | invalid      | entry "e1" is told that "a" ended as "not-started"  |
+      | other-worker | entry "e1" is told that "a" ended as "not-started"  |
+      | outdated     | the worker is told to start "a" as run 17           |
+      | fenced       | the worker is told to start "a" with a higher token |
+
+  Scenario: A run that stands still is stopped and counts against the worker
+    When entry "e1" offers direct tasks "a" of 9000
+    And the start of "a" is answered "started"
+    And 100 ms pass and a look shows "a" at 10 percent
+    And 250 ms pass and a look shows "a" at 10 percent
+    Then the worker is told to stop "a"
+    When the worker lists "a" as ended "stopped"
+    Then entry "e1" is told that "a" ended as "abandoned"
+
+  Scenario: A run that is far too slow is given up, but not by its first percents
+    When entry "e1" offers direct tasks "a" of 9000
+    And the start of "a" is answered "started"
+    And 19 ms pass and a look shows "a" at 1 percent
+    Then the worker is told to stop nothing
+    When 140 ms pass and a look shows "a" at 4 percent
+    Then the worker is told to stop "a"
+
+  Scenario: A worker that fails every job is only tried
+    When tasks of 3 different jobs fail one after the other
+    Then the agent takes no tasks
+    When 400 ms go by
+    Then the agent takes a trial
+    When tasks of 2 different jobs succeed one after the other
+    Then the agent takes tasks
+
+  Scenario: One job that can't be done costs the worker nothing
+    When 8 tasks of one job fail one after the other
+    Then the agent takes tasks
+
+  Scenario: The runs of an entry that is not heard are stopped
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And the stream to entry "e1" closes
+    And 200 ms go by
+    Then the worker is told to stop "a"
+
+  Scenario: The same task for another entry waits for the stop of the first run
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And entry "e2" offers direct tasks "a" of 4000
+    Then the worker is told to stop "a"
+    And the worker is told to start "a" 1 time
+    When the worker lists "a" as ended "stopped"
+    Then the worker is told to start "a" 2 times
+
+  Scenario: A restarted agent adopts what still runs and answers for what does not
+    Given an agent that restarted while its worker runs "a" and has listed "b" as "done"
+    Then the free room is 0
+    When entry "e1" claims "a b c"
+    Then entry "e1" is told that "b" ended as "done"
+    And entry "e1" is told that "c" ended as "not-started"
+    When the worker lists "a" as ended "done"
+    Then entry "e1" is told that "a" ended as "done"
+
+  Scenario: A restarted agent stops what nobody claims
+    Given an agent that restarted while its worker runs "a" and has listed "b" as "done"
+    When 700 ms go by
+    Then the worker is told to stop "a"
+
+  Scenario: A stored worker serves until its next heartbeat if it still lives
+    Given an agent that restarted without a heartbeat since
+    When the stored worker of the same start is restored
+    Then the agent takes tasks
+
+  Scenario: A stored worker of another start is forgotten
+    Given an agent that restarted without a heartbeat since
+    When the stored worker of another start is restored
+    Then the agent takes no tasks
+
+  Scenario: A single renewal without an answer closes nothing
+    When entry "e1" offers tentative tasks "a b" of 9000
+    And a renewal gets no answer
+    Then the agent takes tasks
+    And the next renewal waits at most 50 ms
+
+  Scenario: A silent worker gives its waiting tasks back
+    When entry "e1" offers direct tasks "a" of 9000
+    And entry "e1" offers tentative tasks "b" of 9000
+    And 400 ms go by
+    And a renewal gets no answer
+    Then entry "e1" is told that "b" ended as "not-started"
+    And the agent takes no tasks
+
+  Scenario: A draining worker gives its waiting tasks back and finishes what runs
+    When entry "e1" offers direct tasks "a" of 9000
+    And the start of "a" is answered "started"
+    And entry "e1" offers tentative tasks "b" of 9000
+    And the worker announces that it drains
+    Then entry "e1" is told that "b" ended as "not-started"
+    And the worker is told to stop nothing
+    And the agent takes no tasks
+
+  Scenario: A worker that restarted has lost its runs
+    When entry "e1" offers direct tasks "a" of 9000
+    And the start of "a" is answered "started"
+    And a look shows another start of the worker
+    Then entry "e1" is told that "a" ended as "lost"
+    And the free room is 10000
+
+  Scenario: A delayed heartbeat of an earlier life changes nothing
+    When a heartbeat of an earlier life arrives
+    Then the free room is 10000
+    And the agent takes tasks
--- /dev/null
+++ b/features/runs/runs.steps.ts
@@ -0,0 +1,278 @@
+/**
+ * Steps of the feature of runs at a worker.
+ */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {computeTimings} from '../../src/core/bounds/logic.ts';
+import {applyLook} from '../../src/core/runs/looks.ts';
+import {
+	advanceRuns, applyHoldFailure, computeLookWait, handleAnnouncement, restoreWorker,
+} from '../../src/core/runs/logic.ts';
+import {applyStartAnswer, applyStopAnswer} from '../../src/core/runs/orders.ts';
+import {
+	handleClaim, handleGrant, handleOffers, handleOwnerLoss,
+} from '../../src/core/runs/owners.ts';
+import {computeFree} from '../../src/core/runs/room.ts';
+import {createRunsState, type RunsState} from '../../src/core/runs/state.ts';
+import {getMode} from '../../src/core/runs/trust.ts';
+import type {RunsEffect} from '../../src/core/runs/types.ts';
+import type {Milliseconds} from '../../src/ports/clock.ts';
+import type {TaskOffer} from '../../src/ports/dispatch-messages.ts';
+import type {
+	EndedTask, RunEnd, RunningTask, StartAnswer, StopAnswer, WorkerAnnouncement, WorkerLook,
+} from '../../src/ports/worker.ts';
+
+type RunsWorld = {
+	state: RunsState;
+	now: Milliseconds;
+	effects: RunsEffect[];
+	position: number;
+};
+
+const timings = computeTimings({
+	maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: 6, configurationMs: 2000, remoteFactor: 1.5,
+});
+
+const bornAt = 5000;
+const expectedMs = 100;
+const abandonMs = 400;
+const startTime = 10_000;
+
+const announcement: WorkerAnnouncement = {
+	id: 'w1',
+	target: 'desk',
+	address: '127.0.0.1:9',
+	state: 'ready',
+	capacity: {cpu: 10_000, memory: 1000, accelerators: 0},
+	labels: ['a'],
+	sequence: 5,
+	bornAt,
+};
+
+function createOffer(task: string, cpu: number, isTentative: boolean, priority = 1): TaskOffer {
+	return {
+		task: `${task}.0.0.0`, run: 1, spec: '', needs: {cpu, memory: 1, accelerators: 0}, priority, expectedMs, abandonMs, target: 'desk', label: '', isTentative,
+	};
+}
+
+function run(world: RunsWorld, effects: readonly RunsEffect[]): void {
+	world.effects.push(...effects);
+}
+
+function look(world: RunsWorld, fields: Partial<WorkerLook> = {}): void {
+	const asked = world.now;
+	world.now += 1;
+	run(world, applyLook(world.state, {
+		running: [], ended: [], workerTime: world.now - bornAt, bornAt, ...fields,
+	}, asked, world.now));
+}
+
+function createWorld(world: RunsWorld): void {
+	world.now = startTime;
+	world.state = createRunsState({timings, fencingToken: 1});
+	world.effects = [];
+	world.position = 0;
+	for (const owner of ['e1', 'e2']) {
+		run(world, handleClaim(world.state, owner, [], world.now));
+	}
+}
+
+function listStarts(world: RunsWorld): string[] {
+	return world.effects.flatMap(effect => effect.type === 'start' ? [`${effect.record.offer.task}`] : []);
+}
+
+function findNewest(world: RunsWorld, task: string): {task: string; run: number} {
+	const starts = world.effects.filter(effect => effect.type === 'start' && effect.record.offer.task === task);
+	const newest = starts.at(-1);
+	assert.ok(newest?.type === 'start', `"${task}" was never started`);
+	return {task, run: newest.record.run};
+}
+
+function listEnded(world: RunsWorld, task: string, end: RunEnd): EndedTask {
+	world.position++;
+	return {...findNewest(world, `${task}.0.0.0`), end, position: world.position};
+}
+
+Given('an agent whose worker has {int} thousandths of a core', function (this: RunsWorld, cpu: number) {
+	createWorld(this);
+	look(this);
+	run(this, handleAnnouncement(this.state, {...announcement, capacity: {...announcement.capacity, cpu}}, this.now));
+});
+
+Given('an agent that restarted while its worker runs {string} and has listed {string} as {string}', function (this: RunsWorld, running: string, ended: string, end: RunEnd) {
+	createWorld(this);
+	const present: RunningTask = {task: `${running}.0.0.0`, run: 1, percent: 50};
+	this.position = 1;
+	look(this, {running: [present], ended: [{task: `${ended}.0.0.0`, run: 1, end, position: 1}]});
+	run(this, handleAnnouncement(this.state, announcement, this.now));
+	this.effects = [{
+		type: 'start',
+		leaseUntil: 0,
+		fencingToken: 0,
+		record: {
+			owner: 'e1', offer: createOffer(running, 1000, false), queuedAt: 0, phase: 'running', run: 1, orderedAt: 0, percent: 0, progressAt: 0, stopReason: undefined, stoppedAt: undefined, stopRetryAt: 0,
+		},
+	}];
+});
+
+Given('an agent that restarted without a heartbeat since', function (this: RunsWorld) {
+	createWorld(this);
+	look(this);
+});
+
+When('entry {string} offers {word} tasks {string} of {int}', function (this: RunsWorld, owner: string, kind: string, tasks: string, cpu: number) {
+	run(this, handleOffers(this.state, owner, tasks.split(' ').map(task => createOffer(task, cpu, kind === 'tentative')), this.now));
+});
+
+When('entry {string} offers tentative tasks {string} of {int} with priority {int}', function (this: RunsWorld, owner: string, task: string, cpu: number, priority: number) {
+	run(this, handleOffers(this.state, owner, [createOffer(task, cpu, true, priority)], this.now));
+});
+
+When('entry {string} grants {string}', function (this: RunsWorld, owner: string, task: string) {
+	run(this, handleGrant(this.state, owner, [`${task}.0.0.0`], this.now));
+});
+
+When('entry {string} claims {string}', function (this: RunsWorld, owner: string, tasks: string) {
+	run(this, handleClaim(this.state, owner, tasks.split(' ').map(task => createOffer(task, 1000, false)), this.now));
+});
+
+When('the start of {string} is answered {string}', function (this: RunsWorld, task: string, answer: StartAnswer) {
+	run(this, applyStartAnswer(this.state, findNewest(this, `${task}.0.0.0`), answer, this.now));
+});
+
+When('the stop of {string} is answered {string}', function (this: RunsWorld, task: string, answer: StopAnswer) {
+	run(this, applyStopAnswer(this.state, findNewest(this, `${task}.0.0.0`), answer, this.now));
+});
+
+When('the worker lists {string} as ended {string}', function (this: RunsWorld, task: string, end: RunEnd) {
+	look(this, {ended: [listEnded(this, task, end)]});
+});
+
+When('{int} ms go by', function (this: RunsWorld, time: number) {
+	this.now += time;
+	run(this, advanceRuns(this.state, this.now));
+});
+
+When('{int} ms pass and a look shows nothing', function (this: RunsWorld, time: number) {
+	this.now += time;
+	look(this);
+});
+
+When('{int} ms pass and a look shows {string} at {int} percent', function (this: RunsWorld, time: number, task: string, percent: number) {
+	this.now += time;
+	look(this, {running: [{...findNewest(this, `${task}.0.0.0`), percent}]});
+});
+
+When('a look shows another start of the worker', function (this: RunsWorld) {
+	look(this, {bornAt: bornAt + 1});
+});
+
+When('a renewal gets no answer', function (this: RunsWorld) {
+	run(this, applyHoldFailure(this.state, 'unanswered', this.now));
+});
+
+When('the stream to entry {string} closes', function (this: RunsWorld, owner: string) {
+	handleOwnerLoss(this.state, owner, this.now);
+});
+
+When('the worker announces that it drains', function (this: RunsWorld) {
+	run(this, handleAnnouncement(this.state, {...announcement, state: 'draining', sequence: 6}, this.now));
+});
+
+When('a heartbeat of an earlier life arrives', function (this: RunsWorld) {
+	run(this, handleAnnouncement(this.state, {
+		...announcement, id: 'w0', bornAt: bornAt - 1000, sequence: 99, capacity: {cpu: 1, memory: 1, accelerators: 0},
+	}, this.now));
+});
+
+When('the stored worker of {word} start is restored', function (this: RunsWorld, which: string) {
+	run(this, restoreWorker(this.state, {...announcement, bornAt: which === 'another' ? bornAt - 1 : bornAt}, this.now));
+});
+
+When('the stored worker of the same start is restored', function (this: RunsWorld) {
+	run(this, restoreWorker(this.state, announcement, this.now));
+});
+
+function endOne(world: RunsWorld, task: string, end: RunEnd): void {
+	run(world, handleOffers(world.state, 'e1', [createOffer(task, 1000, false)], world.now));
+	run(world, applyStartAnswer(world.state, findNewest(world, `${task}.0.0.0`), 'started', world.now));
+	look(world, {ended: [listEnded(world, task, end)]});
+}
+
+When('tasks of {int} different jobs {word} one after the other', function (this: RunsWorld, count: number, what: string) {
+	for (let index = 0; index < count; index++) {
+		endOne(this, `${what}${index}`, what === 'fail' ? 'failed' : 'done');
+	}
+});
+
+When('{int} tasks of one job fail one after the other', function (this: RunsWorld, count: number) {
+	for (let index = 0; index < count; index++) {
+		endOne(this, 'poison', 'failed');
+	}
+});
+
+Then('the worker is told to start {string}', function (this: RunsWorld, task: string) {
+	assert.ok(listStarts(this).includes(`${task}.0.0.0`));
+});
+
+Then('the worker is told to start {string} {int} time(s)', function (this: RunsWorld, task: string, count: number) {
+	assert.equal(listStarts(this).filter(name => name === `${task}.0.0.0`).length, count);
+});
+
+Then('the worker is told to start {string} as run {int}', function (this: RunsWorld, task: string, number: number) {
+	assert.equal(findNewest(this, `${task}.0.0.0`).run, number);
+});
+
+Then('the worker is told to start {string} with a higher token', function (this: RunsWorld, task: string) {
+	const starts = this.effects.flatMap(effect => effect.type === 'start' && effect.record.offer.task === `${task}.0.0.0` ? [effect.fencingToken] : []);
+	assert.equal(starts.length, 2);
+	assert.ok(starts[1] > starts[0]);
+});
+
+Then('the worker is told to start nothing', function (this: RunsWorld) {
+	assert.deepEqual(listStarts(this), []);
+});
+
+Then('the worker is told to stop {string}', function (this: RunsWorld, task: string) {
+	if (task === 'nothing') {
+		return;
+	}
+
+	assert.ok(this.effects.some(effect => effect.type === 'stop' && effect.ref.task === `${task}.0.0.0`));
+});
+
+Then('the worker is told to stop nothing', function (this: RunsWorld) {
+	assert.equal(this.effects.filter(({type}) => type === 'stop').length, 0);
+});
+
+Then('entry {string} is told that {string} ended as {string}', function (this: RunsWorld, owner: string, task: string, end: string) {
+	const ends = this.effects.flatMap(effect => effect.type === 'report' && effect.owner === owner
+		? effect.reports.filter(report => report.task === `${task}.0.0.0`).map(report => report.end)
+		: []);
+	assert.deepEqual(ends, [end]);
+});
+
+Then('entry {string} is asked about {string}', function (this: RunsWorld, owner: string, task: string) {
+	const asked = this.effects.flatMap(effect => effect.type === 'ask' ? [`${effect.owner} ${effect.task}`] : []);
+	assert.deepEqual(asked, [`${owner} ${task}.0.0.0`]);
+});
+
+Then('the free room is {int}', function (this: RunsWorld, cpu: number) {
+	assert.equal(computeFree(this.state).cpu, cpu);
+});
+
+Then('the agent takes tasks', function (this: RunsWorld) {
+	assert.equal(getMode(this.state, this.now), 'open');
+});
+
+Then('the agent takes no tasks', function (this: RunsWorld) {
+	assert.equal(getMode(this.state, this.now), 'closed');
+});
+
+Then('the agent takes a trial', function (this: RunsWorld) {
+	assert.equal(getMode(this.state, this.now), 'trial');
+});
+
+Then('the next renewal waits at most {int} ms', function (this: RunsWorld, wait: number) {
+	assert.ok(computeLookWait(this.state, this.now) <= wait);
+});
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -75,7 +75,8 @@
  * @returns Starts, and refusals of what this agent does not take.
  */
 export function handleOffers(state: RunsState, owner: NodeName, offers: readonly TaskOffer[], now: Milliseconds): RunsEffect[] {
-	const effects: RunsEffect[] = [];
+	// Claims were made before these offers, and must not take them for unclaimed.
+	const effects = applyPendingClaims(state, now);
 	const direct: RunRecord[] = [];
 	for (const offer of offers) {
 		const key = getRecordKey(owner, offer.task);
