Test the jobs of an entry; run steps with a limit per worker in turns

Cause: a step with more tasks than its limit per worker allows at once was refused, and tasks that had ended counted against the limit; found by the scenario. 22 scenarios.

--- /dev/null
+++ b/features/dispatch/dispatch.feature
@@ -0,0 +1,129 @@
+Feature: Jobs of an entry
+  An entry admits what it can serve in time, places every task at one agent, and answers once.
+
+  Background:
+    Given agents "a1 a2" with 10000 thousandths of a core each
+
+  Scenario: A job is answered when its last task is done
+    When job "j1" of 2 tasks of 3000 arrives
+    Then 2 tasks are offered directly
+    When task 0 of "j1" ends as "done"
+    Then "j1" has no answer
+    When task 1 of "j1" ends as "done"
+    Then "j1" is answered "completed"
+
+  Scenario: Tasks spread over the agents instead of filling one
+    When job "j1" of 4 tasks of 2000 arrives
+    Then agent "a1" has 2 tasks
+    And agent "a2" has 2 tasks
+
+  Scenario: A slower agent with room goes before a wait at a fast one
+    Given agent "a2" is 1.5 times as slow
+    And agent "a1" is full with a wait of 40 ms
+    When job "j1" of 1 tasks of 3000 arrives
+    Then agent "a2" has 1 tasks
+
+  Scenario: Without room the first agent that asks gets the task
+    Given agent "a1" is full with a wait of 40 ms
+    And agent "a2" is full with a wait of 50 ms
+    When job "j1" of 1 tasks of 3000 arrives
+    Then agent "a1" has 1 tentative tasks
+    And agent "a2" has 1 tentative tasks
+    When agent "a2" asks for task 0 of "j1"
+    Then agent "a2" is granted it
+    And it is withdrawn from "a1"
+    When agent "a1" asks for task 0 of "j1"
+    Then it is withdrawn from "a1"
+
+  Scenario: A job that only waited was never run
+    Given agent "a1" is full with a wait of 40 ms
+    And agent "a2" is full with a wait of 50 ms
+    When job "j1" of 1 tasks of 3000 arrives
+    And the caller of "j1" leaves
+    Then "j1" is answered "not-run"
+
+  Scenario: A job of which a task may have run is given up
+    When job "j1" of 1 tasks of 3000 arrives
+    And the caller of "j1" leaves
+    Then "j1" is answered "given-up"
+    And it is withdrawn from its agent
+
+  Scenario: A flood is refused at once with the time to come back
+    Given agent "a1" is full with a wait of 40 ms
+    And agent "a2" is full with a wait of 50 ms
+    When 60 jobs of 4 tasks of 3000 arrive
+    Then some are answered "not-run" with at least 1000 ms to come back
+    And no job that was admitted waits for more than 2000 ms of work
+
+  Scenario: More urgent work is admitted while less urgent is refused
+    Given agent "a1" is full with a wait of 40 ms
+    And agent "a2" is full with a wait of 50 ms
+    When 60 jobs of 4 tasks of 3000 arrive
+    And urgent job "u1" of 1 tasks of 3000 arrives
+    Then "u1" has no answer
+
+  Scenario Outline: What becomes of a task that did not succeed
+    When job "j1" of 1 tasks of 3000 arrives
+    And task 0 of "j1" ends as "<end>"
+    Then task 0 of "j1" is offered again as run <run>, <where>
+
+    Examples:
+      | end         | run | where             |
+      | failed      | 2   | at another agent  |
+      | abandoned   | 2   | at another agent  |
+      | lost        | 2   | at any agent      |
+      | lapsed      | 2   | at any agent      |
+      | not-started | 1   | at any agent      |
+
+  Scenario: A job that can't be done fails after its attempts
+    When job "j1" of 1 tasks of 3000 arrives
+    And task 0 of "j1" ends as "failed"
+    And task 0 of "j1" ends as "failed"
+    And task 0 of "j1" ends as "failed"
+    Then "j1" is answered "failed"
+
+  Scenario: A task at a lost agent starts elsewhere only when no run of it can be left
+    When job "j1" of 1 tasks of 3000 arrives
+    And the stream to the agent of "j1" closes
+    Then task 0 of "j1" is not offered again within 1200 ms
+    And task 0 of "j1" is offered again within 1400 ms
+
+  Scenario: An agent that is back is asked about its tasks
+    When job "j1" of 1 tasks of 3000 arrives
+    And the stream to the agent of "j1" closes
+    And it opens again
+    Then task 0 of "j1" is claimed there
+    And task 0 of "j1" is not offered again within 3000 ms
+
+  Scenario: A copy of a submission joins the job
+    When job "j1" of 1 tasks of 3000 arrives
+    And job "j1" of 1 tasks of 3000 arrives
+    Then 1 tasks are offered directly
+
+  Scenario: A step starts when the earlier ones are done
+    When job "j1" of two steps arrives
+    Then 1 tasks are offered directly
+    When task 0 of "j1" ends as "done"
+    Then 2 tasks are offered directly
+
+  Scenario: A job waits for agents that are about to return, within its objective
+    Given both streams close
+    When job "j1" of 1 tasks of 3000 and 1000 ms arrives
+    Then "j1" has no answer
+    When agent "a1" returns
+    Then 1 tasks are offered directly
+
+  Scenario: A short job does not wait for agents that are about to return
+    Given both streams close
+    When job "j1" of 1 tasks of 3000 and 50 ms arrives
+    Then "j1" is answered "not-run"
+
+  Scenario: At most as many tasks of a step at one worker as it allows
+    When job "j1" of 3 tasks of 1000 with at most 1 at one worker arrives
+    Then agent "a1" has 1 tasks
+    And agent "a2" has 1 tasks
+
+  Scenario: Run times are learned in spite of estimates that are far off
+    When 100 jobs estimated at 20 to 2000 ms have run for 100 ms
+    Then a task estimated at 20 ms is expected to run for 90 to 110 ms
+    And a task estimated at 2000 ms is expected to run for 90 to 110 ms
--- /dev/null
+++ b/features/dispatch/dispatch.steps.ts
@@ -0,0 +1,258 @@
+/**
+ * Steps of the feature of an entry's jobs.
+ */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {computeTimings} from '../../src/core/bounds/logic.ts';
+import {estimateRunTime, recordRunTime} from '../../src/core/dispatch/estimates.ts';
+import {
+	advanceDispatch, applyReports, cancelJob, handleAgentLoss, handleQuestions, listClaims, placeAllWaiting, submitJob,
+} from '../../src/core/dispatch/logic.ts';
+import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
+import type {DispatchEffect, JobAnswer, StepSubmission} from '../../src/core/dispatch/types.ts';
+import {
+	addAgent, applyLoad, createFleetState, removeAgent,
+} from '../../src/core/fleet/state.ts';
+import type {Route} from '../../src/core/routes/types.ts';
+import type {Milliseconds} from '../../src/ports/clock.ts';
+import type {TaskEnd, TaskOffer, WorkerLoad} from '../../src/ports/dispatch-messages.ts';
+
+type DispatchWorld = {
+	state: DispatchState;
+	now: Milliseconds;
+	effects: DispatchEffect[];
+	answers: Map<string, JobAnswer>;
+	admitted: number;
+	lastAgent: string;
+	lastTask: string;
+};
+
+const timings = computeTimings({
+	maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: 6, configurationMs: 2000, remoteFactor: 1.5,
+});
+
+const route: Route = {
+	name: 'r', host: 'h', prefix: '/', target: 'desk', priority: 1, maxAttempts: 3, slackFactor: 1.6, targetMs: 60, timeoutMs: 0, needsApproval: false,
+};
+
+const deadline = 60_000;
+const estimateMs = 100;
+
+function createLoad(fields: Partial<WorkerLoad> = {}): WorkerLoad {
+	const capacity = {cpu: 10_000, memory: 10_000, accelerators: 0};
+	return {
+		mode: 'open', target: 'desk', labels: [], capacity, free: capacity, waits: [0, 0, 0, 0], slowness: 1, ...fields,
+	};
+}
+
+function createStep(count: number, cpu: number, fields: Partial<StepSubmission> = {}): StepSubmission {
+	return {
+		count, needs: {cpu, memory: 1, accelerators: 0}, estimateMs, after: [], label: '', dataRack: '', maxPerWorker: 0, ...fields,
+	};
+}
+
+function run(world: DispatchWorld, effects: readonly DispatchEffect[]): void {
+	world.effects.push(...effects);
+	for (const effect of effects) {
+		if (effect.type === 'answer') {
+			world.answers.set(effect.job.id, effect.answer);
+		}
+	}
+}
+
+function submit(world: DispatchWorld, id: string, steps: readonly StepSubmission[], priority = route.priority): void {
+	const {job, effects} = submitJob(world.state, {
+		route: {...route, priority}, deadline, submission: {
+			id, spec: '', steps, unsupported: '',
+		},
+	}, world.now);
+	world.admitted += job.answer === undefined ? 1 : 0;
+	run(world, effects);
+}
+
+function openStream(world: DispatchWorld, name: string): void {
+	addAgent(world.state.fleet, {name, incarnation: 1}, 'dc');
+	applyLoad(world.state.fleet, name, createLoad(), 0);
+}
+
+function listOffers(world: DispatchWorld): Array<{agent: string; offer: TaskOffer}> {
+	return world.effects.flatMap(effect => effect.type === 'offer' ? effect.tasks.map(offer => ({agent: effect.agent, offer})) : []);
+}
+
+function findOffers(world: DispatchWorld, task: string): Array<{agent: string; offer: TaskOffer}> {
+	return listOffers(world).filter(({offer}) => offer.task === task);
+}
+
+function getTask(id: string, index: number): string {
+	return `${id}.0.0.${index}`;
+}
+
+function setLoad(world: DispatchWorld, name: string, fields: Partial<WorkerLoad>): void {
+	const view = world.state.fleet.agents.get(name);
+	applyLoad(world.state.fleet, name, {...view!.load!, ...fields}, view!.sentOffers);
+}
+
+Given('agents {string} with {int} thousandths of a core each', function (this: DispatchWorld, names: string, _cpu: number) {
+	this.state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1.5}), timings);
+	this.now = 1000;
+	this.effects = [];
+	this.answers = new Map();
+	this.admitted = 0;
+	for (const name of names.split(' ')) {
+		openStream(this, name);
+	}
+});
+
+Given('agent {string} is {float} times as slow', function (this: DispatchWorld, name: string, slowness: number) {
+	setLoad(this, name, {slowness});
+});
+
+Given('agent {string} is full with a wait of {int} ms', function (this: DispatchWorld, name: string, wait: number) {
+	setLoad(this, name, {free: {cpu: 0, memory: 0, accelerators: 0}, waits: [wait, wait, wait, wait]});
+});
+
+Given('both streams close', function (this: DispatchWorld) {
+	for (const name of [...this.state.fleet.agents.keys()]) {
+		removeAgent(this.state.fleet, name);
+		run(this, handleAgentLoss(this.state, name, this.now));
+	}
+});
+
+When('job {string} of {int} tasks of {int} arrives', function (this: DispatchWorld, id: string, count: number, cpu: number) {
+	submit(this, id, [createStep(count, cpu)]);
+});
+
+When('job {string} of {int} tasks of {int} and {int} ms arrives', function (this: DispatchWorld, id: string, count: number, cpu: number, time: number) {
+	submit(this, id, [createStep(count, cpu, {estimateMs: time})]);
+});
+
+When('job {string} of {int} tasks of {int} with at most {int} at one worker arrives', function (this: DispatchWorld, id: string, count: number, cpu: number, maxPerWorker: number) {
+	submit(this, id, [createStep(count, cpu, {maxPerWorker, estimateMs: 2000})]);
+});
+
+When('job {string} of two steps arrives', function (this: DispatchWorld, id: string) {
+	submit(this, id, [createStep(1, 1000), createStep(1, 1000, {after: [0]})]);
+});
+
+When('urgent job {string} of {int} tasks of {int} arrives', function (this: DispatchWorld, id: string, count: number, cpu: number) {
+	submit(this, id, [createStep(count, cpu)], 0);
+});
+
+When('{int} jobs of {int} tasks of {int} arrive', function (this: DispatchWorld, jobs: number, count: number, cpu: number) {
+	for (let index = 0; index < jobs; index++) {
+		submit(this, `flood-${index}`, [createStep(count, cpu)]);
+	}
+});
+
+When('task {int} of {string} ends as {string}', function (this: DispatchWorld, index: number, id: string, end: TaskEnd) {
+	const {agent, offer} = findOffers(this, getTask(id, index)).at(-1)!;
+	this.lastAgent = agent;
+	run(this, applyReports(this.state, agent, [{
+		task: offer.task, run: offer.run, end, expectedMs: offer.expectedMs, runMs: 100, waitMs: 0,
+	}], this.now));
+});
+
+When('agent {string} asks for task {int} of {string}', function (this: DispatchWorld, agent: string, index: number, id: string) {
+	this.lastTask = getTask(id, index);
+	this.effects = [];
+	run(this, handleQuestions(this.state, agent, [this.lastTask], this.now));
+});
+
+When('the caller of {string} leaves', function (this: DispatchWorld, id: string) {
+	this.lastAgent = findOffers(this, getTask(id, 0)).at(-1)!.agent;
+	this.lastTask = getTask(id, 0);
+	run(this, cancelJob(this.state, id, 'cancelled', this.now));
+});
+
+When('the stream to the agent of {string} closes', function (this: DispatchWorld, id: string) {
+	this.lastAgent = findOffers(this, getTask(id, 0)).at(-1)!.agent;
+	removeAgent(this.state.fleet, this.lastAgent);
+	run(this, handleAgentLoss(this.state, this.lastAgent, this.now));
+});
+
+When('it opens again', function (this: DispatchWorld) {
+	openStream(this, this.lastAgent);
+});
+
+When('agent {string} returns', function (this: DispatchWorld, name: string) {
+	openStream(this, name);
+	run(this, placeAllWaiting(this.state, this.now));
+});
+
+When('{int} jobs estimated at {int} to {int} ms have run for {int} ms', function (this: DispatchWorld, count: number, low: number, high: number, runMs: number) {
+	for (let index = 0; index < count; index++) {
+		const estimate = low * ((high / low) ** (index / (count - 1)));
+		recordRunTime(this.state, route, createStep(1, 1000, {estimateMs: estimate}), runMs);
+	}
+});
+
+Then('{int} tasks are offered directly', function (this: DispatchWorld, count: number) {
+	assert.equal(listOffers(this).filter(({offer}) => !offer.isTentative).length, count);
+});
+
+Then('{string} has no answer', function (this: DispatchWorld, id: string) {
+	assert.equal(this.answers.get(id), undefined);
+});
+
+Then('{string} is answered {string}', function (this: DispatchWorld, id: string, outcome: string) {
+	assert.equal(this.answers.get(id)?.outcome, outcome);
+	assert.equal(this.effects.filter(effect => effect.type === 'answer' && effect.job.id === id).length, 1);
+});
+
+Then('agent {string} has {int} tasks', function (this: DispatchWorld, name: string, count: number) {
+	assert.equal(listOffers(this).filter(({agent}) => agent === name).length, count);
+});
+
+Then('agent {string} has {int} tentative tasks', function (this: DispatchWorld, name: string, count: number) {
+	assert.equal(listOffers(this).filter(({agent, offer}) => agent === name && offer.isTentative).length, count);
+});
+
+Then('agent {string} is granted it', function (this: DispatchWorld, name: string) {
+	assert.deepEqual(this.effects.filter(({type}) => type === 'grant'), [{type: 'grant', agent: name, tasks: [this.lastTask]}]);
+});
+
+Then('it is withdrawn from {string}', function (this: DispatchWorld, name: string) {
+	assert.deepEqual(this.effects.filter(({type}) => type === 'withdraw'), [{type: 'withdraw', agent: name, tasks: [this.lastTask]}]);
+});
+
+Then('it is withdrawn from its agent', function (this: DispatchWorld) {
+	assert.deepEqual(this.effects.filter(({type}) => type === 'withdraw'), [{type: 'withdraw', agent: this.lastAgent, tasks: [this.lastTask]}]);
+});
+
+Then('some are answered {string} with at least {int} ms to come back', function (this: DispatchWorld, outcome: string, least: number) {
+	const refused = [...this.answers.values()];
+	assert.ok(refused.length > 0);
+	assert.ok(refused.every(answer => answer.outcome === outcome && answer.retryAfter >= least));
+});
+
+Then('no job that was admitted waits for more than {int} ms of work', function (this: DispatchWorld, most: number) {
+	const waiting = listOffers(this).filter(({agent}) => agent === 'a1').reduce((sum, {offer}) => sum + (offer.needs.cpu * offer.expectedMs), 0);
+	assert.ok(waiting / 20_000 <= most, `${waiting / 20_000} ms of work wait`);
+	assert.ok(this.admitted > 0);
+});
+
+Then('task {int} of {string} is offered again as run {int}, at {word} agent', function (this: DispatchWorld, index: number, id: string, number: number, where: string) {
+	const offers = findOffers(this, getTask(id, index));
+	assert.equal(offers.length, 2);
+	assert.equal(offers[1].offer.run, number);
+	assert.ok(where === 'any' || offers[1].agent !== this.lastAgent);
+});
+
+Then('task {int} of {string} is not offered again within {int} ms', function (this: DispatchWorld, index: number, id: string, time: number) {
+	run(this, advanceDispatch(this.state, this.now + time));
+	assert.equal(findOffers(this, getTask(id, index)).length, 1);
+});
+
+Then('task {int} of {string} is offered again within {int} ms', function (this: DispatchWorld, index: number, id: string, time: number) {
+	run(this, advanceDispatch(this.state, this.now + time));
+	assert.equal(findOffers(this, getTask(id, index)).length, 2);
+});
+
+Then('task {int} of {string} is claimed there', function (this: DispatchWorld, index: number, id: string) {
+	assert.deepEqual(listClaims(this.state, this.lastAgent).map(({task}) => task), [getTask(id, index)]);
+});
+
+Then('a task estimated at {int} ms is expected to run for {int} to {int} ms', function (this: DispatchWorld, estimate: number, low: number, high: number) {
+	const expected = estimateRunTime(this.state, route, createStep(1, 1000, {estimateMs: estimate}));
+	assert.ok(expected >= low && expected <= high, `expected ${expected} ms`);
+});
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -38,7 +38,7 @@
 export function checkPlacement(state: DispatchState, job: Job, placement: Placement, now: Milliseconds): JobAnswer | undefined {
 	const limit = Math.min(job.objectiveMs * admittedShare, job.deadlineAt - now);
 	const chain = estimateChain(state, job.route, job.submission);
-	if (!placement.isWhole) {
+	if (!placement.isServable) {
 		const isExpected = now < state.expectAgentsUntil && chain + agentReturnMs <= Math.min(job.objectiveMs * returnShare, job.deadlineAt - now);
 		return isExpected ? undefined : refuse('no-worker', agentReturnMs);
 	}
--- a/src/core/dispatch/placing.ts
+++ b/src/core/dispatch/placing.ts
@@ -60,8 +60,9 @@
 	if (maxPerWorker > 0) {
 		const counts = new Map<NodeName, number>();
 		for (const other of job.tasks) {
-			if (other.step === task.step && other.agent !== undefined && other !== task) {
-				counts.set(other.agent, (counts.get(other.agent) ?? 0) + 1);
+			const isThere = other.phase === 'placed' || other.phase === 'detached';
+			if (isThere && other.step === task.step && other !== task) {
+				counts.set(other.agent!, (counts.get(other.agent!) ?? 0) + 1);
 			}
 		}
 
@@ -86,6 +87,8 @@
 	total: Milliseconds;
 	/** Whether every waiting task found an agent. */
 	isWhole: boolean;
+	/** Whether there is an agent for every waiting task, now or after others of its step. */
+	isServable: boolean;
 };
 
 function addOffer({offers}: Placement, agent: NodeName, offer: TaskOffer): void {
@@ -97,10 +100,12 @@
 function placeTask(state: DispatchState, job: Job, task: TaskState, placement: Placement, now: Milliseconds): void {
 	const demand = createDemand(state, job, task);
 	const full = listFull(job, task);
-	const choices = listChoices(state.fleet, demand, task.avoided, now).filter(({agent}) => !full.has(agent));
+	const suitable = listChoices(state.fleet, demand, task.avoided, now);
+	const choices = suitable.filter(({agent}) => !full.has(agent));
 	const best = choices.at(0);
 	if (best === undefined) {
 		placement.isWhole = false;
+		placement.isServable &&= suitable.length > 0;
 		return;
 	}
 
@@ -136,7 +141,7 @@
  */
 export function placeTasks(state: DispatchState, job: Job, now: Milliseconds): Placement {
 	const placement: Placement = {
-		offers: new Map(), wait: estimateWait(state, job.route.priority, now), total: 0, isWhole: true,
+		offers: new Map(), wait: estimateWait(state, job.route.priority, now), total: 0, isWhole: true, isServable: true,
 	};
 	for (const task of job.tasks) {
 		if (task.phase === 'waiting') {
