--- /dev/null
+++ b/features/dispatch/random-run.feature
@@ -0,0 +1,18 @@
+Feature: Jobs under random faults
+  Whatever is late, lost or killed, no task runs twice at the same time and no worker gets more than its room.
+
+  Scenario Outline: Fixed faults over a fleet
+    When a fleet runs for 20 s with <faults>, over 8 seeds
+    Then no task ran twice at the same time and no worker was over its room
+    And every job was answered
+    And at least <share> percent of the answers are complete
+
+    Examples:
+      | faults                                   | share |
+      | nothing wrong                            | 95    |
+      | orders that are carried out late         | 90    |
+      | streams that close                       | 85    |
+      | agents that are killed                   | 80    |
+      | entries that are killed                  | 80    |
+      | runs that fail and stand still           | 85    |
+      | everything at once                       | 60    |
