--- a/features/dispatch/dispatch.steps.ts
+++ b/features/dispatch/dispatch.steps.ts
@@ -112,7 +112,7 @@
 });
 
 Given('both streams close', function (this: DispatchWorld) {
-	for (const name of [...this.state.fleet.agents.keys()]) {
+	for (const name of this.state.fleet.agents.keys()) {
 		removeAgent(this.state.fleet, name);
 		run(this, handleAgentLoss(this.state, name, this.now));
 	}
--- a/features/dispatch/fleet-simulation.ts
+++ b/features/dispatch/fleet-simulation.ts
@@ -245,27 +245,13 @@
 
 	#handleAtAgent({state}: Agent, owner: string, message: DispatchMessage): RunsEffect[] {
 		const now = this.#now();
-		switch (message.type) {
-			case 'claim': {
-				return handleClaim(state, owner, message.tasks, now);
-			}
-
-			case 'offer': {
-				return handleOffers(state, owner, message.tasks, now);
-			}
-
-			case 'withdraw': {
-				return handleWithdrawal(state, owner, message.tasks, now);
-			}
-
-			case 'grant': {
-				return handleGrant(state, owner, message.tasks, now);
-			}
-
-			default: {
-				return [];
-			}
-		}
+		const handlers: {readonly [Type in DispatchMessage['type']]?: (message: Extract<DispatchMessage, {type: Type}>) => RunsEffect[]} = {
+			claim: ({tasks}) => handleClaim(state, owner, tasks, now),
+			offer: ({tasks}) => handleOffers(state, owner, tasks, now),
+			withdraw: ({tasks}) => handleWithdrawal(state, owner, tasks, now),
+			grant: ({tasks}) => handleGrant(state, owner, tasks, now),
+		};
+		return (handlers[message.type] as ((message: DispatchMessage) => RunsEffect[]) | undefined)?.(message) ?? [];
 	}
 
 	#sendToEntry(agent: Agent, name: string, handle: (entry: Entry) => readonly DispatchEffect[]): void {
--- a/features/platform/bodies.steps.ts
+++ b/features/platform/bodies.steps.ts
@@ -41,7 +41,8 @@
 	assert.equal((this.decoded as JobSubmission).unsupported, reason);
 });
 
-Then('its route goes to {string} with priority {int}, {int} attempts and {int} ms beyond {float} times the work', function (this: BodiesWorld, target: string, priority: number, attempts: number, targetMs: number, factor: number) {
+Then('its route goes to {string} with {}', function (this: BodiesWorld, target: string, text: string) {
 	const [route] = (this.decoded as Configuration).routes;
-	assert.deepEqual([route.target, route.priority, route.maxAttempts, route.targetMs, route.slackFactor], [target, priority, attempts, targetMs, factor]);
+	assert.equal(route.target, target);
+	assert.equal(`priority ${route.priority}, ${route.maxAttempts} attempts and ${route.targetMs} ms beyond ${route.slackFactor} times the work`, text);
 });
--- a/features/routes/routes.steps.ts
+++ b/features/routes/routes.steps.ts
@@ -46,7 +46,7 @@
 
 Given('routes {string} and {string} and {string}', function (this: RoutesWorld, first: string, second: string, third: string) {
 	this.routes = createRoutesState();
-	applyConfiguration(this.routes, createConfiguration(1, [first, second, third].map(createRoute)));
+	applyConfiguration(this.routes, createConfiguration(1, [first, second, third].map(text => createRoute(text))));
 });
 
 Then('a request for {string} at {string} belongs to {string}', function (this: RoutesWorld, path: string, host: string, name: string) {
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -103,7 +103,11 @@
 	createWorld(this);
 	const present: RunningTask = {task: `${running}.0.0.0`, run: 1, percent: 50};
 	this.position = 1;
-	look(this, {running: [present], ended: [{task: `${ended}.0.0.0`, run: 1, end, position: 1}]});
+	look(this, {
+		running: [present], ended: [{
+			task: `${ended}.0.0.0`, run: 1, end, position: 1,
+		}],
+	});
 	run(this, handleAnnouncement(this.state, announcement, this.now));
 	this.effects = [{
 		type: 'start',
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -263,16 +263,19 @@
 	return task.candidates.size > 0 ? [] : moveTask(state, job, task, now);
 }
 
+/** Answers whether a report is about the latest offer of a task. */
+function isCurrent(task: TaskState, agent: NodeName, report: TaskReport): boolean {
+	const isThere = task.phase === 'placed' || task.phase === 'detached';
+	return isThere && task.agent === agent && report.run >= (task.offer?.run ?? 0);
+}
+
 function applyReport(state: DispatchState, agent: NodeName, report: TaskReport, now: Milliseconds): DispatchEffect[] {
 	const entry = state.tasks.get(report.task);
 	if (entry?.task.phase === 'offered' && entry.task.candidates.has(agent)) {
 		return removeCandidate(state, entry.job, entry.task, agent, now);
 	}
 
-	const isCurrent = entry !== undefined && entry.task.agent === agent
-		&& (entry.task.phase === 'placed' || entry.task.phase === 'detached')
-		&& report.run >= (entry.task.offer?.run ?? 0);
-	if (!isCurrent) {
+	if (entry === undefined || !isCurrent(entry.task, agent, report)) {
 		return [];
 	}
 
@@ -359,7 +362,7 @@
  */
 export function cancelJob(state: DispatchState, id: string, reason: 'cancelled' | 'deadline' | 'leaving', now: Milliseconds): DispatchEffect[] {
 	const job = state.jobs.get(id);
-	if (job === undefined || job.answer !== undefined) {
+	if (job?.answer !== undefined || job === undefined) {
 		return [];
 	}
 
@@ -402,7 +405,7 @@
 export function handleAgentLoss(state: DispatchState, agent: NodeName, now: Milliseconds): DispatchEffect[] {
 	const effects: DispatchEffect[] = [];
 	state.expectAgentsUntil = Math.max(state.expectAgentsUntil, now + state.timings.goneMs);
-	for (const {job, task} of [...state.tasks.values()]) {
+	for (const {job, task} of state.tasks.values()) {
 		if (task.agent === agent && task.phase === 'placed') {
 			task.phase = 'detached';
 			task.goneAt = now + state.timings.goneMs;
@@ -416,7 +419,7 @@
 
 function releaseGone(state: DispatchState, now: Milliseconds): DispatchEffect[] {
 	const effects: DispatchEffect[] = [];
-	for (const {job, task} of [...state.tasks.values()]) {
+	for (const {job, task} of state.tasks.values()) {
 		if (task.phase !== 'detached' || now < task.goneAt) {
 			continue;
 		}
@@ -443,7 +446,7 @@
  */
 export function advanceDispatch(state: DispatchState, now: Milliseconds): DispatchEffect[] {
 	const effects = releaseGone(state, now);
-	for (const job of [...state.jobs.values()]) {
+	for (const job of state.jobs.values()) {
 		if (job.answer === undefined && now >= job.deadlineAt) {
 			effects.push(...cancelJob(state, job.id, 'deadline', now));
 		} else if (job.answer !== undefined && now - job.answeredAt >= keepAnswerMs && !hasOpenRuns(job)) {
@@ -452,7 +455,7 @@
 	}
 
 	effects.push(...placeAllWaiting(state, now));
-	for (const job of [...state.jobs.values()]) {
+	for (const job of state.jobs.values()) {
 		const refusal = job.mayHaveRun || job.answer !== undefined ? undefined : checkWaiting(state, job, now);
 		if (refusal !== undefined) {
 			effects.push(...endJob(state, job, refusal, now));
--- a/src/core/routes/logic.ts
+++ b/src/core/routes/logic.ts
@@ -4,7 +4,7 @@
 import type {RoutesState} from './state.ts';
 import type {Configuration, ConfigurationMove, Route} from './types.ts';
 
-function groupByHost(routes: readonly Route[]): Map<string, readonly Route[]> {
+function createHostIndex(routes: readonly Route[]): Map<string, readonly Route[]> {
 	const groups = new Map<string, Route[]>();
 	for (const route of routes) {
 		const group = groups.get(route.host) ?? [];
@@ -33,7 +33,7 @@
 	}
 
 	state.configuration = configuration;
-	state.byHost = groupByHost(configuration.routes);
+	state.byHost = createHostIndex(configuration.routes);
 	return 'applied';
 }
 
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -29,7 +29,7 @@
 	return isSameLife ? next.sequence > previous.sequence : (next.bornAt ?? 0) >= (previous.bornAt ?? 0);
 }
 
-function returnQueue(state: RunsState, now: Milliseconds): RunsEffect[] {
+function endWaiting(state: RunsState, now: Milliseconds): RunsEffect[] {
 	return [...state.records.values()].filter(record => !isOrdered(record)).map(record => endRecord(state, record, 'not-started', now));
 }
 
@@ -97,7 +97,7 @@
 	}
 
 	if (announcement.state === 'draining') {
-		effects.push(...returnQueue(state, now));
+		effects.push(...endWaiting(state, now));
 	}
 
 	return [...effects, ...startQueued(state, now)];
@@ -147,7 +147,7 @@
 	// Nothing listens at its port: the process is gone, and its runs with it.
 	return kind === 'unreachable'
 		? [...effects, ...endAllRuns(state, now)]
-		: [...effects, ...returnQueue(state, now)];
+		: [...effects, ...endWaiting(state, now)];
 }
 
 /** Ends runs whose lease has surely lapsed while the worker could not be reached. */
--- a/src/core/runs/looks.ts
+++ b/src/core/runs/looks.ts
@@ -5,7 +5,7 @@
 import type {TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {EndedTask, WorkerLook} from '../../ports/worker.ts';
 import {
-	canTake, endRecord, isOrdered, restartRecord, startQueued, stopRecord,
+	canTake, endRecord, isOrdered, retryNextRun, startQueued, stopRecord,
 } from './orders.ts';
 import {
 	getJobId, getRunKey, recordEnd, type RunsState,
@@ -135,7 +135,7 @@
 
 	if (record.phase === 'stopping' && record.stoppedAt !== undefined && asked > record.stoppedAt) {
 		return record.stopReason === 'unanswered' && canTake(state, now)
-			? restartRecord(state, record)
+			? retryNextRun(state, record)
 			: [endRecord(state, record, 'not-started', now)];
 	}
 
@@ -179,7 +179,7 @@
  */
 export function endAllRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
-	for (const record of [...state.records.values()]) {
+	for (const record of state.records.values()) {
 		effects.push(endRecord(state, record, isOrdered(record) ? 'lost' : 'not-started', now));
 	}
 
@@ -228,7 +228,7 @@
 
 	if (look.ended.length < maxListedEnds) {
 		const percents = new Map(look.running.map(({task, run, percent}) => [getRunKey(task, run), percent]));
-		for (const record of [...state.records.values()]) {
+		for (const record of state.records.values()) {
 			if (isOrdered(record)) {
 				effects.push(...applyRunning(state, percents, record, asked, now));
 			}
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -32,7 +32,7 @@
 export function removeRecord(state: RunsState, record: RunRecord): void {
 	state.records.delete(getRecordKey(record.owner, record.offer.task));
 	const position = state.queue.indexOf(record);
-	if (position >= 0) {
+	if (position !== -1) {
 		state.queue.splice(position, 1);
 	}
 }
@@ -57,7 +57,7 @@
 		end,
 		expectedMs: record.offer.expectedMs,
 		runMs: hasRun ? Math.round(now - record.orderedAt) : 0,
-		waitMs: Math.round(!isOrdered(record) ? now - record.queuedAt : record.orderedAt - record.queuedAt),
+		waitMs: Math.round((isOrdered(record) ? record.orderedAt : now) - record.queuedAt),
 	};
 	return {type: 'report', owner: record.owner, reports: [report]};
 }
@@ -135,12 +135,8 @@
 	}
 
 	let free = computeFree(state);
-	for (const record of [...state.queue]) {
-		const isHeard = state.owners.get(record.owner)?.lostAt === undefined;
-		if (!isHeard || hasOtherRun(state, record)) {
-			continue;
-		}
-
+	const startable = state.queue.filter(record => state.owners.get(record.owner)?.lostAt === undefined && !hasOtherRun(state, record));
+	for (const record of startable) {
 		if (!hasRoom(free, record.offer.needs)) {
 			if (now - record.queuedAt >= maxPassedMs) {
 				break;
@@ -183,7 +179,11 @@
 	const effects: RunsEffect[] = [{type: 'stop', ref: {task: record.offer.task, run: record.run}, fencingToken: state.fencingToken}];
 	if (isFirst) {
 		effects.push({
-			type: 'note', event: 'run-stopped', details: {task: record.offer.task, run: record.run, reason, runMs: Math.round(now - record.orderedAt), percent: record.percent},
+			type: 'note',
+			event: 'run-stopped',
+			details: {
+				task: record.offer.task, run: record.run, reason, runMs: Math.round(now - record.orderedAt), percent: record.percent,
+			},
 		});
 	}
 
@@ -208,7 +208,7 @@
 }
 
 /** Queues a task again whose run was never started and never will be. */
-export function restartRecord(state: RunsState, record: RunRecord): RunsEffect[] {
+export function retryNextRun(state: RunsState, record: RunRecord): RunsEffect[] {
 	record.run++;
 	record.stopReason = undefined;
 	record.stoppedAt = undefined;
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -37,7 +37,7 @@
 /** Stops runs of the same task for other entries: the caller resubmitted the job elsewhere. */
 function stopOthers(state: RunsState, owner: NodeName, task: string, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
-	for (const record of [...state.records.values()]) {
+	for (const record of state.records.values()) {
 		if (record.owner !== owner && record.offer.task === task) {
 			effects.push(...dropRecord(state, record, 'superseded', now));
 		}
@@ -170,7 +170,7 @@
 function applyClaims(state: RunsState, owner: NodeName, offers: readonly TaskOffer[], now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
 	const claimed = new Set(offers.map(({task}) => task));
-	for (const record of [...state.records.values()]) {
+	for (const record of state.records.values()) {
 		if (record.owner === owner && !claimed.has(record.offer.task)) {
 			effects.push(...dropRecord(state, record, 'withdrawn', now));
 		}
@@ -238,7 +238,7 @@
 /** Drops the tasks of entries that have been silent for the contact time. */
 export function dropLostOwners(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
-	for (const record of [...state.records.values()]) {
+	for (const record of state.records.values()) {
 		const lostAt = state.owners.get(record.owner)?.lostAt;
 		// The stream itself closes after the contact time of silence, so the loss is acted on at once.
 		if (lostAt !== undefined && now >= lostAt + state.options.timings.heartbeatMs) {
--- a/src/core/runs/room.ts
+++ b/src/core/runs/room.ts
@@ -54,6 +54,10 @@
 	return Math.max(minRemainingMs, expected - (now - record.orderedAt));
 }
 
+function getWaitClass(priority: number): number {
+	return Math.min(priority, waitClasses - 1);
+}
+
 type Release = {at: Milliseconds; cpu: number};
 
 /** Takes room for one task from the earliest releases; returns when it could start. */
@@ -104,8 +108,7 @@
 	const waits: Milliseconds[] = [];
 	let next = 0;
 	for (let priority = 0; priority < waitClasses; priority++) {
-		const isLast = priority === waitClasses - 1;
-		while (next < state.queue.length && (isLast || state.queue[next].offer.priority <= priority)) {
+		while (next < state.queue.length && getWaitClass(state.queue[next].offer.priority) <= priority) {
 			const {offer} = state.queue[next];
 			const at = takeRoom(releases, offer.needs.cpu);
 			addRelease(releases, {at: at + (offer.expectedMs * state.slowness), cpu: offer.needs.cpu});
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -46,7 +46,7 @@
 	readonly #seenOffers = new Map<string, number>();
 	readonly #toldLoads = new Map<string, string>();
 	#reports = new Map<string, TaskReport[]>();
-	#questions = new Map<string, string[]>();
+	readonly #questions = new Map<string, string[]>();
 	#isClosed = false;
 	#isLooking = false;
 
@@ -60,6 +60,35 @@
 		claim: (from, {tasks}) => handleClaim(this.state, from.name, tasks, this.#now()),
 	};
 
+	readonly #effects: {readonly [Type in RunsEffect['type']]: (effect: Extract<RunsEffect, {type: Type}>) => void} = {
+		start: effect => {
+			void this.#startTask(effect);
+		},
+		stop: effect => {
+			void this.#stopTask(effect);
+		},
+		look: () => {
+			void this.#lookNow();
+		},
+		ask: ({owner, task}) => {
+			const tasks = this.#questions.get(owner) ?? [];
+			tasks.push(task);
+			this.#questions.set(owner, tasks);
+		},
+		report: ({owner, reports}) => {
+			for (const report of reports) {
+				this.input.log.recordDecision(report.end === 'done' ? 'info' : 'warn', 'task-ended', {...report, owner});
+			}
+
+			const pending = this.#reports.get(owner) ?? [];
+			pending.push(...reports);
+			this.#reports.set(owner, pending);
+		},
+		note: ({event, details}) => {
+			this.input.log.recordDecision('warn', event, details);
+		},
+	};
+
 	/**
 	 * @param input - Settings and ports.
 	 * @param timings - Time limits.
@@ -114,7 +143,7 @@
 	/** Listens for entries, joins the directory and watches the worker. */
 	async start(): Promise<void> {
 		await this.#links.listen();
-		void this.#directory.join();
+		void this.#directory.join(',');
 		void this.#watchWorker();
 		void this.#watchLossyWorker();
 	}
@@ -243,7 +272,7 @@
 
 	#run(effects: readonly RunsEffect[]): void {
 		for (const effect of effects) {
-			this.#runEffect(effect);
+			(this.#effects[effect.type] as (effect: RunsEffect) => void)(effect);
 		}
 
 		this.#sendQuestions();
@@ -258,49 +287,6 @@
 		this.#questions.clear();
 	}
 
-	#runEffect(effect: RunsEffect): void {
-		switch (effect.type) {
-			case 'start': {
-				void this.#startTask(effect);
-				break;
-			}
-
-			case 'stop': {
-				void this.#stopTask(effect);
-				break;
-			}
-
-			case 'ask': {
-				const tasks = this.#questions.get(effect.owner) ?? [];
-				tasks.push(effect.task);
-				this.#questions.set(effect.owner, tasks);
-				break;
-			}
-
-			case 'look': {
-				void this.#lookNow();
-				break;
-			}
-
-			case 'report': {
-				for (const report of effect.reports) {
-					const level = report.end === 'done' ? 'info' : 'warn';
-					this.input.log.recordDecision(level, 'task-ended', {...report, owner: effect.owner});
-				}
-
-				const reports = this.#reports.get(effect.owner) ?? [];
-				reports.push(...effect.reports);
-				this.#reports.set(effect.owner, reports);
-				break;
-			}
-
-			case 'note': {
-				this.input.log.recordDecision('warn', effect.event, effect.details);
-				break;
-			}
-		}
-	}
-
 	#sendReports(): void {
 		if (this.#reports.size === 0) {
 			return;
--- a/src/processes/dispatch/configuration.ts
+++ b/src/processes/dispatch/configuration.ts
@@ -36,8 +36,8 @@
 	#text = '';
 	#revision = 0;
 	#isClosed = false;
-	#restart: () => void = () => undefined;
 	#restartedAt = Number.NEGATIVE_INFINITY;
+	#restart: (() => void) | undefined;
 
 	/** @param input - What the configuration needs. */
 	constructor(private readonly input: ConfigurationInput) {}
@@ -98,7 +98,7 @@
 		const now = this.input.clock.getTime();
 		if (now - this.#restartedAt >= this.input.bounds.configurationMs / 2) {
 			this.#restartedAt = now;
-			this.#restart();
+			this.#restart?.();
 		}
 	}
 
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -70,6 +70,29 @@
 		},
 	};
 
+	readonly #effects: {readonly [Type in DispatchEffect['type']]: (effect: Extract<DispatchEffect, {type: Type}>) => void} = {
+		offer: ({agent, tasks}) => {
+			this.#links.sendMessage(agent, {type: 'offer', tasks});
+		},
+		withdraw: ({agent, tasks}) => {
+			this.#links.sendMessage(agent, {type: 'withdraw', tasks});
+		},
+		grant: ({agent, tasks}) => {
+			this.#links.sendMessage(agent, {type: 'grant', tasks});
+		},
+		answer: ({job, answer}) => {
+			this.#logAnswer(job, answer);
+			const waiters = this.#waiters.get(job) ?? [];
+			this.#waiters.delete(job);
+			for (const reply of waiters) {
+				reply(answer);
+			}
+		},
+		note: ({event, details}) => {
+			this.input.log.recordDecision('info', event, details);
+		},
+	};
+
 	/**
 	 * @param input - Settings and ports.
 	 * @param timings - Time limits.
@@ -125,7 +148,7 @@
 				this.#links.addPeers(addresses, isNewcomer);
 			},
 		});
-		void directory.join();
+		void directory.join(',');
 		void this.configuration.watchStore();
 	}
 
@@ -282,38 +305,7 @@
 
 	#run(effects: readonly DispatchEffect[]): void {
 		for (const effect of effects) {
-			this.#runEffect(effect);
-		}
-	}
-
-	#runEffect(effect: DispatchEffect): void {
-		switch (effect.type) {
-			case 'offer': {
-				this.#links.sendMessage(effect.agent, {type: 'offer', tasks: effect.tasks});
-				break;
-			}
-
-			case 'withdraw':
-			case 'grant': {
-				this.#links.sendMessage(effect.agent, {type: effect.type, tasks: effect.tasks});
-				break;
-			}
-
-			case 'answer': {
-				this.#logAnswer(effect.job, effect.answer);
-				const waiters = this.#waiters.get(effect.job) ?? [];
-				this.#waiters.delete(effect.job);
-				for (const reply of waiters) {
-					reply(effect.answer);
-				}
-
-				break;
-			}
-
-			case 'note': {
-				this.input.log.recordDecision('info', effect.event, effect.details);
-				break;
-			}
+			(this.#effects[effect.type] as (effect: DispatchEffect) => void)(effect);
 		}
 	}
 }
