--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -143,7 +143,7 @@
 	/** Listens for entries, joins the directory and watches the worker. */
 	async start(): Promise<void> {
 		await this.#links.listen();
-		void this.#directory.join(',');
+		void this.#directory.startJoining();
 		void this.#watchWorker();
 		void this.#watchLossyWorker();
 	}
--- a/src/processes/dispatch/directory.ts
+++ b/src/processes/dispatch/directory.ts
@@ -65,7 +65,7 @@
 	constructor(private readonly input: DirectoryInput) {}
 
 	/** Joins the directory, and tries again until the store has answered. */
-	async join(): Promise<void> {
+	async startJoining(): Promise<void> {
 		let delay = minRetryMs;
 		while (!await this.#joinOnce()) {
 			await waitFor(this.input.clock, delay);
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -148,7 +148,7 @@
 				this.#links.addPeers(addresses, isNewcomer);
 			},
 		});
-		void directory.join(',');
+		void directory.startJoining();
 		void this.configuration.watchStore();
 	}
 
