--- /dev/null
+++ b/features/platform/platform-fleet.ts
@@ -0,0 +1,169 @@
+/**
+ * The bundled processes of the platform on loopback, with stand-ins of the store and the workers.
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {startStoreStandIn, type StoreStandIn} from '../../platform/stand-ins/store.ts';
+import {startWorkerStandIn, type WorkerStandIn} from '../../platform/stand-ins/worker.ts';
+import {findFreePorts} from '../../bench/rig/ports.ts';
+
+const startLimitMs = 10_000;
+const pollMs = 20;
+const portsPerProcess = 3;
+
+/** Configuration with one route, or none. */
+function createConfiguration(version: number, hasRoute: boolean): unknown {
+	return {
+		Version: version,
+		Routes: hasRoute
+			? [{
+				Name: 'r', Host: 'jobs.example', Prefix: '/q/', Service: 'desk', Priority: 0, MaxAttempts: 3, SlackFactor: 4, TargetDurationMs: 1000, TimeoutMs: 5000,
+			}]
+			: [],
+		Services: [],
+		Limits: {MaxBodyBytes: 65_536},
+	};
+}
+
+/** One process with its settings. */
+export type FleetProcess = {
+	readonly role: 'entry' | 'agent';
+	child: ChildProcess;
+};
+
+/** A running fleet. */
+export class PlatformFleet implements AsyncDisposable {
+	readonly workers: WorkerStandIn[] = [];
+	readonly processes: FleetProcess[] = [];
+	callers = '';
+	readiness = '';
+	#store: StoreStandIn | undefined;
+	#folder = '';
+	#probes = 0;
+
+	/**
+	 * Starts an entry, agents and their workers, and waits until the entry is ready with every agent.
+	 *
+	 * @param agents - Number of agents.
+	 * @param runMs - Run time of each task, in ms.
+	 */
+	async start(agents: number, runMs: number): Promise<void> {
+		this.#folder = await mkdtemp(path.join(tmpdir(), 'medlardale-platform-'));
+		this.#store = await startStoreStandIn();
+		this.#store.writeKey('op/config', createConfiguration(7, true));
+		const ports = await findFreePorts((agents + 1) * portsPerProcess);
+		const entryPorts = ports.splice(0, portsPerProcess);
+		this.callers = `127.0.0.1:${entryPorts[1]}`;
+		this.readiness = `127.0.0.1:${entryPorts[2]}`;
+		for (let index = 0; index < agents; index++) {
+			const worker = await startWorkerStandIn({
+				id: `w${index}`, service: 'desk', cpu: 12_000, runMs,
+			});
+			const [agentPort, control] = ports.splice(0, portsPerProcess);
+			this.workers.push(worker);
+			worker.announce(`127.0.0.1:${control}`);
+			await this.#startProcess('agent', `agent-${index}`, {agentPort, heartbeats: `127.0.0.1:${control}`, worker: worker.address});
+		}
+
+		await this.#startProcess('entry', 'entry-0', {entryPort: entryPorts[0], callers: this.callers, readiness: this.readiness});
+		await this.waitUntil(async () => await this.readStatus() === 200 && await this.#servesEvery(), startLimitMs);
+	}
+
+	/** Writes a configuration without the route while the store refuses all calls for a while. */
+	async dropRoute(version: number, downMs: number): Promise<void> {
+		this.#store!.setDown(true);
+		this.#store!.writeKey('op/config', createConfiguration(version, false));
+		await this.wait(downMs);
+		this.#store!.setDown(false);
+	}
+
+	/** Submits a job; resolves to the answer. */
+	async submitJob(id: string, body: unknown, prefix = '/q/'): Promise<{status: number; body: unknown}> {
+		const response = await this.#send('POST', `${prefix}${id}`, JSON.stringify(body));
+		return response;
+	}
+
+	/** Reads the queue. */
+	async readQueue(): Promise<{status: number; body: unknown}> {
+		return this.#send('GET', '/q/');
+	}
+
+	/** Reads whether the entry is ready. */
+	async readStatus(): Promise<number> {
+		try {
+			const response = await fetch(`http://${this.readiness}/medlardale/ready`);
+			return response.status;
+		} catch {
+			// Not listening yet.
+			return 0;
+		}
+	}
+
+	/** Waits until a condition holds; throws after the limit. */
+	async waitUntil(check: () => Promise<boolean>, limitMs: number): Promise<void> {
+		const end = Date.now() + limitMs;
+		while (!await check()) {
+			if (Date.now() > end) {
+				throw new Error(`the condition does not hold after ${limitMs} ms`);
+			}
+
+			await this.wait(pollMs);
+		}
+	}
+
+	async wait(time: number): Promise<void> {
+		await new Promise(resolve => {
+			setTimeout(resolve, time);
+		});
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		for (const {child} of this.processes) {
+			child.kill('SIGKILL');
+		}
+
+		for (const worker of this.workers) {
+			await worker[Symbol.asyncDispose]();
+		}
+
+		await this.#store?.[Symbol.asyncDispose]();
+		await rm(this.#folder, {recursive: true, force: true});
+	}
+
+	/** Both agents have told their load once a job wider than one worker completes. */
+	async #servesEvery(): Promise<boolean> {
+		const started = this.workers.map(({starts}) => starts.length);
+		this.#probes++;
+		await this.submitJob(`ff${String(this.#probes).padStart(14, '0')}`, {
+			BestEffort: true, Steps: [{
+				Count: 6, Cpu: 3000, MemMb: 64, EstimateMs: 150,
+			}],
+		});
+		return this.workers.every(({starts}, index) => starts.length > started[index]);
+	}
+
+	async #startProcess(role: FleetProcess['role'], name: string, fields: Record<string, unknown>): Promise<void> {
+		const file = path.join(this.#folder, `${name}.json`);
+		await writeFile(file, JSON.stringify({
+			name, host: '127.0.0.1', dataCentre: 'dc', entryPort: 1, agentPort: 1, store: this.#store!.address, ...fields, bounds: {
+				maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: 3, configurationMs: 2000, remoteFactor: 1.5,
+			},
+		}));
+		const child = spawn(process.execPath, ['target/medlardale.cjs', role, '--settings', file], {
+			stdio: ['ignore', 'ignore', 'inherit'], env: {...process.env, MEDLARDALE_SECRET: 'features'},
+		});
+		this.processes.push({role, child});
+	}
+
+	async #send(method: string, url: string, body?: string): Promise<{status: number; body: unknown}> {
+		const {request} = await import('undici');
+		const answer = await request(`http://${this.callers}${url}`, {
+			method, body, headers: {host: 'jobs.example', 'deadline-ms': '8000'},
+		});
+		const text = await answer.body.text();
+		return {status: answer.statusCode, body: text === '' ? undefined : JSON.parse(text) as unknown};
+	}
+}
--- /dev/null
+++ b/features/platform/processes.feature
@@ -0,0 +1,41 @@
+Feature: Processes on the platform
+  The bundled entry and agents serve jobs against stand-ins of the store and the workers.
+
+  Background:
+    Given an entry, 2 agents and their workers, whose tasks run for 150 ms
+
+  Scenario: A job in, its answer out
+    When a job of 6 tasks is submitted
+    Then it is answered 200 "completed"
+    And each of its tasks started once
+    And a request outside every route is answered 404
+    And the queue has 0 waiting jobs
+    And a malformed job is answered 400
+
+  Scenario: A killed agent
+    When a job of 6 tasks is submitted
+    And an agent is killed after 60 ms
+    Then it is answered 200 "completed"
+    And no task ran twice at the same time
+
+  Scenario: A planned stop of an agent
+    When a job of 6 tasks is submitted
+    And an agent is told to stop after 60 ms
+    Then it is answered 200 "completed"
+    And each of its tasks started once
+
+  Scenario: A planned stop of the entry
+    When a job of 6 tasks is submitted
+    And the entry is told to stop after 60 ms
+    Then it is answered 200 "completed"
+    And the entry is not ready
+
+  Scenario: Starts that are carried out late
+    Given each worker carries out its next 2 starts 400 ms late without an answer
+    When a job of 6 tasks is submitted
+    Then it is answered 200 "completed"
+    And no task ran twice at the same time
+
+  Scenario: A configuration comes into force, also once the store is back
+    When the store is down for 600 ms while version 9 drops the route
+    Then the route is gone within 2000 ms
--- /dev/null
+++ b/features/platform/processes.steps.ts
@@ -0,0 +1,104 @@
+/**
+ * Steps of the feature of processes on the platform.
+ */
+import assert from 'node:assert/strict';
+import {
+	After, Given, Then, When,
+} from '@cucumber/cucumber';
+import {PlatformFleet} from './platform-fleet.ts';
+
+type PlatformWorld = {
+	fleet: PlatformFleet | undefined;
+	answer: Promise<{status: number; body: unknown}>;
+	tasks: number;
+};
+
+const jobId = '00000000000000a1';
+const timeLimit = {timeout: 30_000};
+
+function createJob(count: number): unknown {
+	return {
+		BestEffort: true, Spec: 'x', Steps: [{
+			Count: count, Cpu: 3000, MemMb: 64, EstimateMs: 150,
+		}],
+	};
+}
+
+function listStarts(world: PlatformWorld): Array<{task: string; startedAt: number; endedAt?: number}> {
+	return world.fleet!.workers.flatMap(({starts}) => starts.filter(({task}) => task.startsWith(jobId)));
+}
+
+After(async function (this: PlatformWorld) {
+	await this.fleet?.[Symbol.asyncDispose]();
+});
+
+Given('an entry, {int} agents and their workers, whose tasks run for {int} ms', timeLimit, async function (this: PlatformWorld, agents: number, runMs: number) {
+	this.fleet = new PlatformFleet();
+	await this.fleet.start(agents, runMs);
+});
+
+Given('each worker carries out its next {int} starts {int} ms late without an answer', function (this: PlatformWorld, count: number, delay: number) {
+	for (const worker of this.fleet!.workers) {
+		worker.delayStarts(count, delay);
+	}
+});
+
+When('a job of {int} tasks is submitted', function (this: PlatformWorld, count: number) {
+	this.tasks = count;
+	this.answer = this.fleet!.submitJob(jobId, createJob(count));
+});
+
+When('an agent is killed after {int} ms', async function (this: PlatformWorld, time: number) {
+	await this.fleet!.wait(time);
+	this.fleet!.processes.find(({role}) => role === 'agent')!.child.kill('SIGKILL');
+});
+
+When(/^(an agent|the entry) is told to stop after (\d+) ms$/, async function (this: PlatformWorld, which: string, time: string) {
+	await this.fleet!.wait(Number(time));
+	this.fleet!.processes.find(({role}) => which.endsWith(role))!.child.kill('SIGTERM');
+});
+
+When('the store is down for {int} ms while version {int} drops the route', async function (this: PlatformWorld, downMs: number, version: number) {
+	await this.fleet!.dropRoute(version, downMs);
+});
+
+Then('it is answered {int} {string}', timeLimit, async function (this: PlatformWorld, status: number, state: string) {
+	assert.deepEqual(await this.answer, {status, body: {State: state}});
+});
+
+Then('each of its tasks started once', function (this: PlatformWorld) {
+	const tasks = listStarts(this).map(({task}) => task);
+	assert.equal(tasks.length, this.tasks);
+	assert.equal(new Set(tasks).size, this.tasks);
+});
+
+Then('no task ran twice at the same time', function (this: PlatformWorld) {
+	const starts = listStarts(this);
+	assert.ok(starts.length >= this.tasks);
+	for (const [index, left] of starts.entries()) {
+		for (const right of starts.slice(index + 1)) {
+			const isApart = (left.endedAt ?? Infinity) <= right.startedAt || (right.endedAt ?? Infinity) <= left.startedAt;
+			assert.ok(left.task !== right.task || isApart, `${left.task} ran twice at the same time`);
+		}
+	}
+});
+
+Then('a request outside every route is answered {int}', async function (this: PlatformWorld, status: number) {
+	assert.equal((await this.fleet!.submitJob(jobId, createJob(1), '/elsewhere/')).status, status);
+});
+
+Then('the queue has {int} waiting jobs', async function (this: PlatformWorld, count: number) {
+	assert.deepEqual(await this.fleet!.readQueue(), {status: 200, body: {QueuedCount: count}});
+});
+
+Then('a malformed job is answered {int}', async function (this: PlatformWorld, status: number) {
+	assert.equal((await this.fleet!.submitJob('00000000000000b2', {Steps: 'none'})).status, status);
+});
+
+Then('the entry is not ready', async function (this: PlatformWorld) {
+	assert.notEqual(await this.fleet!.readStatus(), 200);
+});
+
+Then('the route is gone within {int} ms', timeLimit, async function (this: PlatformWorld, limit: number) {
+	await this.fleet!.waitUntil(async () => (await this.fleet!.readQueue()).status === 404, limit);
+});
