--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -69,7 +69,10 @@
 		}
 
 		await this.#startProcess('entry', 'entry-0', {entryPort: entryPorts[0], callers: this.callers, readiness: this.readiness});
-		await this.waitUntil(async () => await this.readStatus() === 200 && await this.#servesEvery(), startLimitMs);
+		await this.waitUntil(async () => {
+			const status = await this.readStatus();
+			return status === 200 && this.#servesEvery();
+		}, startLimitMs);
 	}
 
 	/** Writes a configuration without the route while the store refuses all calls for a while. */
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -5,7 +5,7 @@
 import {estimateChain} from './estimates.ts';
 import type {Placement} from './placing.ts';
 import type {DispatchState} from './state.ts';
-import type {Job, JobAnswer} from './types.ts';
+import type {AdmissionEstimate, Job, JobAnswer} from './types.ts';
 
 /**
  * Estimated response time, in relation to the objective, above which a job is refused. Work that ends later
@@ -22,8 +22,10 @@
 /** Least time to come back, in ms. */
 const minRetryMs = 1000;
 
-function refuse(reason: JobAnswer['reason'], retryAfter: Milliseconds): JobAnswer {
-	return {outcome: 'not-run', reason, retryAfter: Math.max(minRetryMs, retryAfter)};
+function refuse(reason: JobAnswer['reason'], retryAfter: Milliseconds, estimate?: AdmissionEstimate): JobAnswer {
+	return {
+		outcome: 'not-run', reason, retryAfter: Math.max(minRetryMs, retryAfter), ...(estimate && {estimate}),
+	};
 }
 
 /**
@@ -44,7 +46,11 @@
 	}
 
 	const total = Math.max(placement.total, chain);
-	return total <= limit ? undefined : refuse('overload', total - limit);
+	return total <= limit
+		? undefined
+		: refuse('overload', total - limit, {
+			waitMs: Math.round(placement.wait), totalMs: Math.round(total), limitMs: Math.round(limit), agents: state.fleet.agents.size,
+		});
 }
 
 /**
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -51,6 +51,20 @@
 	readonly reason: JobReason;
 	/** Time after which a submission may be served. */
 	readonly retryAfter: Milliseconds;
+	/** What an estimate decided on, if one did. */
+	readonly estimate?: AdmissionEstimate;
+};
+
+/** Inputs of the admission of a job. */
+export type AdmissionEstimate = {
+	/** Expected wait of a task that finds no room. */
+	readonly waitMs: Milliseconds;
+	/** Expected response time. */
+	readonly totalMs: Milliseconds;
+	/** Greatest response time that is admitted. */
+	readonly limitMs: Milliseconds;
+	/** Agents whose load is known. */
+	readonly agents: number;
 };
 
 /**
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -295,6 +295,7 @@
 			version: this.configuration.version,
 			outcome: answer.outcome,
 			reason: answer.reason,
+			...answer.estimate,
 			ms: Math.round(this.#now() - job.receivedAt),
 			objectiveMs: Math.round(job.objectiveMs),
 			tasks: job.tasks.length,
