--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -114,7 +114,17 @@
 		leaseUntil: 0,
 		fencingToken: 0,
 		record: {
-			owner: 'e1', offer: createOffer(running, 1000, false), queuedAt: 0, phase: 'running', run: 1, orderedAt: 0, percent: 0, progressAt: 0, stopReason: undefined, stoppedAt: undefined, stopRetryAt: 0,
+			owner: 'e1',
+			offer: createOffer(running, 1000, false),
+			queuedAt: 0,
+			phase: 'running',
+			run: 1,
+			orderedAt: 0,
+			percent: 0,
+			progressAt: 0,
+			stopReason: undefined,
+			stoppedAt: undefined,
+			stopRetryAt: 0,
 		},
 	}];
 });
