Split the life of a job by what happens to it

What follows from reports, from agents' questions and losses, and the steps that both share now stand in modules of their own; the raise of the fencing token stands once.

--- a/features/dispatch/dispatch.steps.ts
+++ b/features/dispatch/dispatch.steps.ts
@@ -5,9 +5,11 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {computeTimings} from '../../src/core/bounds/logic.ts';
 import {estimateRunTime, recordRunTime} from '../../src/core/dispatch/estimates.ts';
+import {handleAgentLoss, handleQuestions, listClaims} from '../../src/core/dispatch/agents.ts';
 import {
-	advanceDispatch, applyReports, cancelJob, handleAgentLoss, handleQuestions, listClaims, placeAllWaiting, submitJob,
+	advanceDispatch, cancelJob, placeAllWaiting, submitJob,
 } from '../../src/core/dispatch/logic.ts';
+import {applyReports} from '../../src/core/dispatch/reports.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
 import type {DispatchEffect, JobAnswer, StepSubmission} from '../../src/core/dispatch/types.ts';
 import {
--- a/features/dispatch/fleet-simulation.ts
+++ b/features/dispatch/fleet-simulation.ts
@@ -6,9 +6,11 @@
  */
 import {createEventQueue, type EventQueue} from '../../bench/event-queue.ts';
 import {computeTimings} from '../../src/core/bounds/logic.ts';
+import {handleAgentLoss, handleQuestions, listClaims} from '../../src/core/dispatch/agents.ts';
 import {
-	advanceDispatch, applyReports, cancelJob, handleAgentLoss, handleQuestions, listClaims, placeAllWaiting, submitJob,
+	advanceDispatch, cancelJob, placeAllWaiting, submitJob,
 } from '../../src/core/dispatch/logic.ts';
+import {applyReports} from '../../src/core/dispatch/reports.ts';
 import {extendOffers} from '../../src/core/dispatch/placing.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
 import type {DispatchEffect, JobAnswer} from '../../src/core/dispatch/types.ts';
--- /dev/null
+++ b/src/core/dispatch/reports.ts
@@ -0,0 +1,116 @@
+/**
+ * What becomes of a job when its tasks end.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
+import {computeUsualSlowness} from '../fleet/logic.ts';
+import {recordRefusal} from '../fleet/state.ts';
+import type {NodeName} from '../identity/types.ts';
+import {recordRunTime} from './estimates.ts';
+import type {DispatchState} from './state.ts';
+import {
+	createAnswer, endJob, moveTask, placeWaiting, removeCandidate,
+} from './steps.ts';
+import type {DispatchEffect, Job, TaskState} from './types.ts';
+
+/** Opens the steps whose earlier steps are all done. */
+function openSteps(job: Job): void {
+	for (const task of job.tasks) {
+		if (task.phase === 'blocked' && job.submission.steps[task.step].after.every(index => job.openTasks[index] === 0)) {
+			task.phase = 'waiting';
+		}
+	}
+}
+
+type EndHandler = (state: DispatchState, job: Job, task: TaskState, report: TaskReport, now: Milliseconds) => DispatchEffect[];
+
+function handleLostRun(state: DispatchState, job: Job, task: TaskState, _report: TaskReport, now: Milliseconds): DispatchEffect[] {
+	task.moves++;
+	return moveTask(state, job, task, now);
+}
+
+const endHandlers: Record<TaskEnd, EndHandler> = {
+	done(state, job, task, report, now) {
+		task.phase = 'done';
+		job.openTasks[task.step]--;
+		state.tasks.delete(task.name);
+		const slowness = (state.fleet.agents.get(task.agent!)?.load?.slowness ?? 1) / computeUsualSlowness(state.fleet);
+		if (report.runMs > 0) {
+			recordRunTime(state, job.route, job.submission.steps[task.step], report.runMs / slowness);
+		}
+
+		if (job.openTasks.every(count => count === 0)) {
+			return endJob(state, job, createAnswer('completed', 'none'), now);
+		}
+
+		if (job.openTasks[task.step] === 0) {
+			openSteps(job);
+			return placeWaiting(state, job, now);
+		}
+
+		return [];
+	},
+	failed(state, job, task, _report, now) {
+		task.failures++;
+		if (task.failures >= job.route.maxAttempts) {
+			task.phase = 'waiting';
+			return endJob(state, job, createAnswer('failed', 'attempts'), now);
+		}
+
+		task.avoided.add(task.agent!);
+		return moveTask(state, job, task, now);
+	},
+	abandoned(state, job, task, report, now) {
+		task.avoided.add(task.agent!);
+		return handleLostRun(state, job, task, report, now);
+	},
+	'not-started'(state, job, task, _report, now) {
+		recordRefusal(state.fleet, task.agent!, now);
+		return moveTask(state, job, task, now);
+	},
+	stopped: handleLostRun,
+	lapsed: handleLostRun,
+	lost: handleLostRun,
+	broken: handleLostRun,
+	alone: handleLostRun,
+};
+
+/** Answers whether a report is about the latest offer of a task. */
+function isCurrent(task: TaskState, agent: NodeName, report: TaskReport): boolean {
+	const isThere = task.phase === 'placed' || task.phase === 'detached';
+	return isThere && task.agent === agent && report.run >= (task.offer?.run ?? 0);
+}
+
+function applyReport(state: DispatchState, agent: NodeName, report: TaskReport, now: Milliseconds): DispatchEffect[] {
+	const entry = state.tasks.get(report.task);
+	if (entry?.task.phase === 'offered' && entry.task.candidates.has(agent)) {
+		return removeCandidate(state, entry.job, entry.task, agent, now);
+	}
+
+	if (entry === undefined || !isCurrent(entry.task, agent, report)) {
+		return [];
+	}
+
+	const {job, task} = entry;
+	task.nextRun = report.end === 'not-started' && report.run === task.offer?.run ? report.run : report.run + 1;
+	if (job.answer !== undefined) {
+		task.phase = report.end === 'done' ? 'done' : 'waiting';
+		state.tasks.delete(task.name);
+		return [];
+	}
+
+	return endHandlers[report.end](state, job, task, report, now);
+}
+
+/**
+ * Applies what an agent reports of tasks.
+ *
+ * @param state - State of the jobs.
+ * @param agent - The agent.
+ * @param reports - Ends of tasks.
+ * @param now - Present time.
+ * @returns What follows.
+ */
+export function applyReports(state: DispatchState, agent: NodeName, reports: readonly TaskReport[], now: Milliseconds): DispatchEffect[] {
+	return reports.flatMap(report => applyReport(state, agent, report, now));
+}
--- /dev/null
+++ b/src/core/dispatch/steps.ts
@@ -0,0 +1,74 @@
+/**
+ * Steps in the life of a job that several events share: placing its waiting tasks, moving one, and ending it.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {NodeName} from '../identity/types.ts';
+import {createOffers, placeTasks, type Placement} from './placing.ts';
+import type {DispatchState} from './state.ts';
+import type {
+	DispatchEffect, Job, JobAnswer, JobOutcome, JobReason, TaskState,
+} from './types.ts';
+
+/** Creates an answer. */
+export function createAnswer(outcome: JobOutcome, reason: JobReason, retryAfter = 0): JobAnswer {
+	return {outcome, reason, retryAfter};
+}
+
+/** Ends a job: withdraws what is placed and answers. */
+export function endJob(state: DispatchState, job: Job, answer: JobAnswer, now: Milliseconds): DispatchEffect[] {
+	job.answer = answer;
+	job.answeredAt = now;
+	state.waiting.delete(job);
+	const effects: DispatchEffect[] = [];
+	const placed = new Map<NodeName, string[]>();
+	for (const task of job.tasks) {
+		const agents = task.phase === 'placed' ? [task.agent!] : [...task.candidates];
+		task.candidates.clear();
+		for (const agent of agents) {
+			const names = placed.get(agent) ?? [];
+			names.push(task.name);
+			placed.set(agent, names);
+		}
+
+		if (task.phase !== 'placed' && task.phase !== 'detached') {
+			task.phase = task.phase === 'done' ? 'done' : 'waiting';
+			state.tasks.delete(task.name);
+		}
+	}
+
+	for (const [agent, tasks] of placed) {
+		effects.push({type: 'withdraw', agent, tasks});
+	}
+
+	return [...effects, {type: 'answer', job, answer}];
+}
+
+/** Answers whether a placement contains an offer that starts without a question. */
+export function hasDirectOffer({offers}: Placement): boolean {
+	return [...offers.values()].some(tasks => tasks.some(({isTentative}) => !isTentative));
+}
+
+/** Places the waiting tasks of a job. */
+export function placeWaiting(state: DispatchState, job: Job, now: Milliseconds): DispatchEffect[] {
+	const placement = placeTasks(state, job, now);
+	if (placement.isWhole) {
+		state.waiting.delete(job);
+	} else {
+		state.waiting.add(job);
+	}
+
+	job.mayHaveRun ||= hasDirectOffer(placement);
+	return createOffers(placement);
+}
+
+/** Places a task again that an agent had. */
+export function moveTask(state: DispatchState, job: Job, task: TaskState, now: Milliseconds): DispatchEffect[] {
+	task.phase = 'waiting';
+	return placeWaiting(state, job, now);
+}
+
+/** Removes an agent from the candidates of a task that it will not start; the last one puts it back to waiting. */
+export function removeCandidate(state: DispatchState, job: Job, task: TaskState, agent: NodeName, now: Milliseconds): DispatchEffect[] {
+	task.candidates.delete(agent);
+	return task.candidates.size > 0 ? [] : moveTask(state, job, task, now);
+}
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -10,13 +10,12 @@
 import {applyPendingClaims, dropLostOwners} from './owners.ts';
 import {endAllRuns, resetWorker} from './looks.ts';
 import {computeFree, estimateWaits} from './room.ts';
-import {estimateWorkerTime, noResources, type RunsState} from './state.ts';
+import {
+	estimateWorkerTime, noResources, updateToken, type RunsState,
+} from './state.ts';
 import {getMode} from './trust.ts';
 import type {RunsEffect} from './types.ts';
 
-/** Raise of the fencing token when the worker has seen a higher one. */
-const tokenStep = 3_600_000;
-
 /** Time, in ms, in which entries may claim runs of an earlier life before they are stopped. */
 const claimMs = 600;
 
@@ -131,7 +130,7 @@
  */
 export function applyHoldFailure(state: RunsState, kind: HoldErrorKind, now: Milliseconds): RunsEffect[] {
 	if (kind === 'fenced') {
-		state.fencingToken += tokenStep;
+		updateToken(state);
 		return [];
 	}
 
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -9,14 +9,11 @@
 import type {RunRef, StartAnswer, StopAnswer} from '../../ports/worker.ts';
 import {computeFree, hasRoom, removeResources} from './room.ts';
 import {
-	estimateWorkerTime, getRecordKey, recordEnd, type RunsState,
+	estimateWorkerTime, getRecordKey, recordEnd, updateToken, type RunsState,
 } from './state.ts';
 import {getMode} from './trust.ts';
 import type {RunRecord, RunsEffect, StopReason} from './types.ts';
 
-/** Raise of the fencing token when the worker has seen a higher one; more than the ms between two lives. */
-const tokenStep = 3_600_000;
-
 /** Added to a run's number when the worker has seen an equal or higher one of the task. */
 const runStep = 16;
 
@@ -228,7 +225,7 @@
 		return [];
 	},
 	fenced(state, record) {
-		state.fencingToken += tokenStep;
+		updateToken(state);
 		return retryRecord(state, record);
 	},
 	outdated(state, record) {
@@ -290,7 +287,7 @@
  */
 export function applyStopAnswer(state: RunsState, ref: RunRef, answer: StopAnswer, now: Milliseconds): RunsEffect[] {
 	if (answer === 'fenced') {
-		state.fencingToken += tokenStep;
+		updateToken(state);
 	}
 
 	const orphan = state.orphans.get(`${ref.task}#${ref.run}`);
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -118,3 +118,11 @@
 		earlierEnds.delete(oldest);
 	}
 }
+
+/** Raise of the fencing token when the worker has seen a higher one, in ms; a clock that jumped back is within it. */
+const tokenStep = 3_600_000;
+
+/** Raises the fencing token above that which the worker has seen. */
+export function updateToken(state: RunsState): void {
+	state.fencingToken += tokenStep;
+}
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -2,9 +2,11 @@
  * An entry: home to the jobs that it takes, which it places at agents and answers.
  */
 import type {Timings} from '../../core/bounds/types.ts';
+import {handleAgentLoss, handleQuestions, listClaims} from '../../core/dispatch/agents.ts';
 import {
-	advanceDispatch, applyReports, cancelJob, handleAgentLoss, handleQuestions, listClaims, placeAllWaiting, submitJob, type JobRequest,
+	advanceDispatch, cancelJob, placeAllWaiting, submitJob, type JobRequest,
 } from '../../core/dispatch/logic.ts';
+import {applyReports} from '../../core/dispatch/reports.ts';
 import {extendOffers} from '../../core/dispatch/placing.ts';
 import {countOpenJobs, createDispatchState, type DispatchState} from '../../core/dispatch/state.ts';
 import type {DispatchEffect, Job, JobAnswer} from '../../core/dispatch/types.ts';
