--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -5,30 +5,22 @@
 } from 'node:fs';
 import process from 'node:process';
 import {build} from 'esbuild';
+import {bundleOptions, optionalParts} from './bundle-options.mjs';
 
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
-const shared = {
-	bundle: true,
-	platform: 'node',
-	target: 'node20',
-	minify: true,
-	legalComments: 'none',
-	logLevel: 'warning',
-};
-
 mkdirSync('dist', {recursive: true});
 
 await build({
-	...shared,
+	...bundleOptions,
 	entryPoints: ['src/main.ts'],
 	format: 'cjs',
 	outfile: 'dist/medlardale.cjs',
-	external: ['bufferutil', 'utf-8-validate', 'msgpackr-extract'],
+	external: optionalParts,
 });
 
 await build({
-	...shared,
+	...bundleOptions,
 	minify: false,
 	entryPoints: ['src/client/client.ts'],
 	format: 'esm',
--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -74,11 +74,6 @@
 	return values[values.length >> 1] ?? 1;
 }
 
-/** Answers whether any agent takes tasks of a target. */
-export function hasOpenAgent(state: FleetState, target: string): boolean {
-	return [...state.agents.values()].some(({load}) => load?.target === target && load.mode === 'open');
-}
-
 /**
  * Orders the agents that can run a task, the one where it would end first in front.
  *
