Let one piece of code serve where the dispatching processes had several

Cause: reading the whole change again. Found and joined: comparing and subtracting resources (agent and entry), lists by key, waiting for a time (four new copies and three in the contract commands), listening and closing of servers, giving waiting tasks back, the end of a lease, the repeated stop, withdrawals, and the handling of an agent's load. Removed: an effect that was never emitted, the answer of a refused job that was handled in a second place, checks that stopRecord makes itself, a list where there is at most one record. A load is turned into text once, not once for each entry; a configuration that is already in force is not decoded again.

--- a/features/dispatch/fleet-simulation.ts
+++ b/features/dispatch/fleet-simulation.ts
@@ -20,13 +20,13 @@
 import type {Route} from '../../src/core/routes/types.ts';
 import {applyLook} from '../../src/core/runs/looks.ts';
 import {
-	advanceRuns, applyHoldFailure, computeLeaseEnd, computeLoad, computeLookWait, handleAnnouncement,
+	advanceRuns, applyHoldFailure, computeLoad, computeLookWait, handleAnnouncement,
 } from '../../src/core/runs/logic.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../src/core/runs/orders.ts';
 import {
 	handleClaim, handleGrant, handleOffers, handleOwnerLoss, handleWithdrawal,
 } from '../../src/core/runs/owners.ts';
-import {createRunsState, type RunsState} from '../../src/core/runs/state.ts';
+import {computeLeaseEnd, createRunsState, type RunsState} from '../../src/core/runs/state.ts';
 import type {RunsEffect} from '../../src/core/runs/types.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
 import type {DispatchMessage} from '../../src/ports/dispatch-messages.ts';
@@ -97,7 +97,8 @@
 	readonly #streams = new Map<string, number>();
 	readonly #broken: string[] = [];
 	readonly #answers: Record<string, number> = {};
-	readonly #waiting = new Map<string, {entry: Entry; life: number}>();
+	/** Entries that hold jobs without an answer, by job. */
+	readonly #waiting = new Map<string, Entry>();
 	#submitted = 0;
 	#isOver = false;
 
@@ -279,7 +280,7 @@
 		for (const effect of effects) {
 			if (effect.type === 'answer') {
 				this.#applyAnswer(effect.job.id, effect.answer);
-			} else if (effect.type !== 'note') {
+			} else {
 				const agent = this.#agents.find(({name}) => name === effect.agent)!;
 				this.#sendToAgent(entry, agent, {type: effect.type, tasks: effect.tasks} as DispatchMessage);
 			}
@@ -539,8 +540,8 @@
 			this.#loseStream(entry, agent, 'silent');
 		}
 
-		for (const [id, submission] of this.#waiting) {
-			if (submission.entry === entry) {
+		for (const [id, holder] of this.#waiting) {
+			if (holder === entry) {
 				this.#waiting.delete(id);
 				this.#events.addEvent(bounds.resubmitMs, () => {
 					this.#submit(id);
@@ -564,9 +565,9 @@
 		this.#submit(id);
 		if (this.#random.getFloat() < 0.05) {
 			this.#events.addEvent(this.#random.getFloat() * 300, () => {
-				const submission = this.#waiting.get(id);
-				if (submission?.entry.isUp === true) {
-					this.#runDispatch(submission.entry, cancelJob(submission.entry.state, id, 'cancelled', this.#now()));
+				const holder = this.#waiting.get(id);
+				if (holder?.isUp === true) {
+					this.#runDispatch(holder, cancelJob(holder.state, id, 'cancelled', this.#now()));
 				}
 			});
 		}
@@ -592,7 +593,7 @@
 			},
 		}, this.#now());
 		if (job.answer === undefined) {
-			this.#waiting.set(id, {entry, life: entry.life});
+			this.#waiting.set(id, entry);
 			this.#runDispatch(entry, effects);
 			return;
 		}
--- a/src/commands/contract/read.ts
+++ b/src/commands/contract/read.ts
@@ -7,6 +7,7 @@
 import type {ContractDocument} from '../../core/contracts/types.ts';
 import {chooseNewer, emptyDocument} from '../../core/contracts/versions.ts';
 import type {Store, StoreEntry, StoreError} from '../../ports/store.ts';
+import {waitFor} from '../../processes/shared/wait.ts';
 import {exitCodes} from '../exit-codes.ts';
 import {describeChange, formatContracts} from './render.ts';
 import {parseNumber, UnreachableError, type Session} from './session.ts';
@@ -17,9 +18,7 @@
 async function readKey(store: Store, {clock, options}: Session): Promise<Result<StoreEntry, StoreError>> {
 	let read = await store.readKey(options.key);
 	for (let tries = 1; tries < readTries && read.isErr(); tries++) {
-		await new Promise<void>(resolve => {
-			clock.startTimer(retryMs, resolve);
-		});
+		await waitFor(clock, retryMs);
 		read = await store.readKey(options.key);
 	}
 
--- a/src/commands/contract/wait.ts
+++ b/src/commands/contract/wait.ts
@@ -2,6 +2,7 @@
  * Waits until a revision is in force at every process.
  */
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
+import {waitFor} from '../../processes/shared/wait.ts';
 import type {ReadRevisions} from './fleet.ts';
 
 /** Where a revision is in force. */
@@ -56,9 +57,7 @@
 	const end = clock.getTime() + timeout;
 	let report = await readForce(readRevisions, revision);
 	while (!isInForce(report) && clock.getTime() < end) {
-		await new Promise<void>(resolve => {
-			clock.startTimer(pollMs, resolve);
-		});
+		await waitFor(clock, pollMs);
 		report = await readForce(readRevisions, revision);
 	}
 
--- a/src/commands/contract/write.ts
+++ b/src/commands/contract/write.ts
@@ -19,6 +19,7 @@
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {Random} from '../../ports/random.ts';
 import type {Store} from '../../ports/store.ts';
+import {waitFor} from '../../processes/shared/wait.ts';
 import {readFleet, type FleetReader, type FleetState} from './fleet.ts';
 
 /** What a change is written with. */
@@ -193,9 +194,7 @@
 		const {clock, random} = this.#parts;
 		this.#lastFault = fault;
 		const delay = recordFailure(this.#pacing, backoff, random);
-		await new Promise<void>(resolve => {
-			clock.startTimer(delay, resolve);
-		});
+		await waitFor(clock, delay);
 		return undefined;
 	}
 
--- a/src/core/dispatch/agents.ts
+++ b/src/core/dispatch/agents.ts
@@ -3,10 +3,11 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskOffer} from '../../ports/dispatch-messages.ts';
+import {addToGroup} from '../groups.ts';
 import type {NodeName} from '../identity/types.ts';
 import {listFull} from './placing.ts';
 import type {DispatchState} from './state.ts';
-import {placeWaiting, removeCandidate} from './steps.ts';
+import {createWithdrawals, placeWaiting, removeCandidate} from './steps.ts';
 import type {DispatchEffect} from './types.ts';
 import {recordWait} from './waits.ts';
 
@@ -26,20 +27,20 @@
 	for (const name of tasks) {
 		const entry = state.tasks.get(name);
 		if (entry?.task.phase !== 'offered' || !entry.task.candidates.has(agent)) {
-			withdrawn.set(agent, [...withdrawn.get(agent) ?? [], name]);
+			addToGroup(withdrawn, agent, name);
 			continue;
 		}
 
 		const {job, task} = entry;
 		if (listFull(job, task).has(agent)) {
-			withdrawn.set(agent, [...withdrawn.get(agent) ?? [], name]);
+			addToGroup(withdrawn, agent, name);
 			effects.push(...removeCandidate(state, job, task, agent, now));
 			continue;
 		}
 
 		for (const other of task.candidates) {
 			if (other !== agent) {
-				withdrawn.set(other, [...withdrawn.get(other) ?? [], name]);
+				addToGroup(withdrawn, other, name);
 			}
 		}
 
@@ -55,7 +56,7 @@
 		effects.push({type: 'grant', agent, tasks: granted});
 	}
 
-	return [...effects, ...[...withdrawn].map(([name, names]): DispatchEffect => ({type: 'withdraw', agent: name, tasks: names}))];
+	return [...effects, ...createWithdrawals(withdrawn)];
 }
 
 /**
--- a/src/core/dispatch/placing.ts
+++ b/src/core/dispatch/placing.ts
@@ -6,6 +6,7 @@
 import {hasRoomAt, listChoices} from '../fleet/logic.ts';
 import {recordOffer, recordTentativeOffer} from '../fleet/state.ts';
 import type {TaskDemand} from '../fleet/types.ts';
+import {addToGroup} from '../groups.ts';
 import type {NodeName} from '../identity/types.ts';
 import {estimateRunTime} from './estimates.ts';
 import {estimateWait} from './waits.ts';
@@ -91,12 +92,6 @@
 	isServable: boolean;
 };
 
-function addOffer({offers}: Placement, agent: NodeName, offer: TaskOffer): void {
-	const group = offers.get(agent) ?? [];
-	group.push(offer);
-	offers.set(agent, group);
-}
-
 function placeTask(state: DispatchState, job: Job, task: TaskState, placement: Placement, now: Milliseconds): void {
 	const demand = createDemand(state, job, task);
 	const full = listFull(job, task);
@@ -118,7 +113,7 @@
 		task.phase = 'placed';
 		task.agent = best.agent;
 		recordOffer(state.fleet, best.agent, demand);
-		addOffer(placement, best.agent, offer);
+		addToGroup(placement.offers, best.agent, offer);
 		return;
 	}
 
@@ -127,7 +122,7 @@
 	for (const {agent} of choices.slice(0, maxCandidates)) {
 		task.candidates.add(agent);
 		recordTentativeOffer(state.fleet, agent);
-		addOffer(placement, agent, offer);
+		addToGroup(placement.offers, agent, offer);
 	}
 }
 
--- a/src/core/dispatch/steps.ts
+++ b/src/core/dispatch/steps.ts
@@ -2,6 +2,7 @@
  * Steps in the life of a job that several events share: placing its waiting tasks, moving one, and ending it.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
+import {addToGroup} from '../groups.ts';
 import type {NodeName} from '../identity/types.ts';
 import {createOffers, placeTasks, type Placement} from './placing.ts';
 import type {DispatchState} from './state.ts';
@@ -14,20 +15,22 @@
 	return {outcome, reason, retryAfter};
 }
 
+/** Turns names of tasks by agent into withdrawals to send. */
+export function createWithdrawals(tasks: ReadonlyMap<NodeName, readonly string[]>): DispatchEffect[] {
+	return [...tasks].map(([agent, names]) => ({type: 'withdraw', agent, tasks: names}));
+}
+
 /** Ends a job: withdraws what is placed and answers. */
 export function endJob(state: DispatchState, job: Job, answer: JobAnswer, now: Milliseconds): DispatchEffect[] {
 	job.answer = answer;
 	job.answeredAt = now;
 	state.waiting.delete(job);
-	const effects: DispatchEffect[] = [];
 	const placed = new Map<NodeName, string[]>();
 	for (const task of job.tasks) {
 		const agents = task.phase === 'placed' ? [task.agent!] : [...task.candidates];
 		task.candidates.clear();
 		for (const agent of agents) {
-			const names = placed.get(agent) ?? [];
-			names.push(task.name);
-			placed.set(agent, names);
+			addToGroup(placed, agent, task.name);
 		}
 
 		if (task.phase !== 'placed' && task.phase !== 'detached') {
@@ -36,11 +39,7 @@
 		}
 	}
 
-	for (const [agent, tasks] of placed) {
-		effects.push({type: 'withdraw', agent, tasks});
-	}
-
-	return [...effects, {type: 'answer', job, answer}];
+	return [...createWithdrawals(placed), {type: 'answer', job, answer}];
 }
 
 /** Answers whether a placement contains an offer that starts without a question. */
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -125,5 +125,4 @@
 	| {readonly type: 'offer'; readonly agent: NodeName; readonly tasks: readonly TaskOffer[]}
 	| {readonly type: 'withdraw'; readonly agent: NodeName; readonly tasks: readonly string[]}
 	| {readonly type: 'grant'; readonly agent: NodeName; readonly tasks: readonly string[]}
-	| {readonly type: 'answer'; readonly job: Job; readonly answer: JobAnswer}
-	| {readonly type: 'note'; readonly event: string; readonly details: Readonly<Record<string, unknown>>};
+	| {readonly type: 'answer'; readonly job: Job; readonly answer: JobAnswer};
--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -5,6 +5,7 @@
 import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {Resources} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
+import {hasRoom, removeResources} from '../resources/logic.ts';
 import type {FleetState} from './state.ts';
 import type {AgentView, PlacementEstimate, TaskDemand} from './types.ts';
 
@@ -32,25 +33,21 @@
 	return isOpen
 		&& load.target === demand.target
 		&& (demand.label === '' || load.labels.includes(demand.label))
-		&& demand.needs.cpu <= load.capacity.cpu
-		&& demand.needs.memory <= load.capacity.memory
-		&& demand.needs.accelerators <= load.capacity.accelerators;
+		&& hasRoom(load.capacity, demand.needs);
 }
 
 function computeFree({load, unseen}: AgentView): Resources {
-	let {cpu, memory, accelerators} = load!.free;
+	let {free} = load!;
 	for (const {needs} of unseen) {
-		cpu -= needs.cpu;
-		memory -= needs.memory;
-		accelerators -= needs.accelerators;
+		free = removeResources(free, needs);
 	}
 
-	return {cpu, memory, accelerators};
+	return free;
 }
 
 function estimateWait(view: AgentView, load: WorkerLoad, free: Resources, demand: TaskDemand): Milliseconds {
 	const {needs, priority} = demand;
-	if (needs.cpu <= free.cpu && needs.memory <= free.memory && needs.accelerators <= free.accelerators) {
+	if (hasRoom(free, needs)) {
 		return 0;
 	}
 
--- a/src/core/routes/logic.ts
+++ b/src/core/routes/logic.ts
@@ -1,15 +1,14 @@
 /**
  * Keeps the newest configuration in force and finds the route of a request.
  */
+import {addToGroup} from '../groups.ts';
 import type {RoutesState} from './state.ts';
 import type {Configuration, ConfigurationMove, Route} from './types.ts';
 
 function createHostIndex(routes: readonly Route[]): Map<string, readonly Route[]> {
 	const groups = new Map<string, Route[]>();
 	for (const route of routes) {
-		const group = groups.get(route.host) ?? [];
-		group.push(route);
-		groups.set(route.host, group);
+		addToGroup(groups, route.host, route);
 	}
 
 	for (const group of groups.values()) {
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -4,15 +4,12 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {HoldErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
-import {
-	endRecord, isOrdered, startQueued, stopRecord,
-} from './orders.ts';
+import {isSameResources, noResources} from '../resources/logic.ts';
+import {endWaiting, retryStop, startQueued} from './orders.ts';
 import {applyPendingClaims, dropLostOwners} from './owners.ts';
 import {endAllRuns, resetWorker} from './looks.ts';
 import {computeFree, estimateWaits} from './room.ts';
-import {
-	estimateWorkerTime, noResources, updateToken, type RunsState,
-} from './state.ts';
+import {updateToken, type RunsState} from './state.ts';
 import {getMode} from './trust.ts';
 import type {RunsEffect} from './types.ts';
 
@@ -28,15 +25,9 @@
 	return isSameLife ? next.sequence > previous.sequence : (next.bornAt ?? 0) >= (previous.bornAt ?? 0);
 }
 
-function endWaiting(state: RunsState, now: Milliseconds): RunsEffect[] {
-	return [...state.records.values()].filter(record => !isOrdered(record)).map(record => endRecord(state, record, 'not-started', now));
-}
-
 /** Answers whether two heartbeats tell of the same life of a worker with the same room. */
 export function isSameWorker(left: WorkerAnnouncement, right: WorkerAnnouncement): boolean {
-	const {cpu, memory, accelerators} = left.capacity;
-	const isSameRoom = cpu === right.capacity.cpu && memory === right.capacity.memory && accelerators === right.capacity.accelerators;
-	return left.id === right.id && left.bornAt === right.bornAt && left.target === right.target && isSameRoom;
+	return left.id === right.id && left.bornAt === right.bornAt && left.target === right.target && isSameResources(left.capacity, right.capacity);
 }
 
 /**
@@ -170,8 +161,8 @@
 
 function retryStops(state: RunsState, now: Milliseconds): RunsEffect[] {
 	return [...state.records.values()]
-		.filter(record => record.phase === 'stopping' && record.stoppedAt === undefined && now >= record.stopRetryAt)
-		.flatMap(record => stopRecord(state, record, record.stopReason ?? 'withdrawn', now));
+		.filter(({phase}) => phase === 'stopping')
+		.flatMap(record => retryStop(state, record, now));
 }
 
 /**
@@ -193,18 +184,6 @@
 	];
 }
 
-/**
- * Computes the end of the lease for the next renewal.
- *
- * @param state - State of the agent.
- * @param now - Present time.
- * @returns End on the worker's clock; absent while that was never read.
- */
-export function computeLeaseEnd(state: RunsState, now: Milliseconds): Milliseconds | undefined {
-	const workerTime = estimateWorkerTime(state, now);
-	return workerTime === undefined ? undefined : Math.floor(workerTime + state.options.timings.leaseMs);
-}
-
 /** Time, in ms, after a call without an answer in which more of them are expected. */
 const lossyMs = 3000;
 
--- a/src/core/runs/looks.ts
+++ b/src/core/runs/looks.ts
@@ -5,12 +5,14 @@
 import type {TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {EndedTask, WorkerLook} from '../../ports/worker.ts';
 import {
-	canTake, endRecord, isOrdered, retryNextRun, startQueued, stopRecord,
+	endRecord, findRecord, isOrdered, retryNextRun, retryStop, startQueued, stopRecord,
 } from './orders.ts';
 import {
 	getJobId, getRunKey, recordEnd, type RunsState,
 } from './state.ts';
-import {recordFailure, recordSuccess, resetTrust} from './trust.ts';
+import {
+	canTake, recordFailure, recordSuccess, resetTrust,
+} from './trust.ts';
 import type {RunRecord, RunsEffect, StopReason} from './types.ts';
 
 /** Least time without progress after which a run stands still, in ms; workers tell whole percents. */
@@ -37,7 +39,7 @@
 	withdrawn: 'stopped',
 	'owner-lost': 'stopped',
 	superseded: 'stopped',
-	unanswered: 'not-started',
+	unanswered: 'stopped',
 	stalled: 'abandoned',
 	slow: 'abandoned',
 	leaving: 'stopped',
@@ -59,10 +61,6 @@
 		: [];
 }
 
-function listRecords(state: RunsState, task: string, run: number): RunRecord[] {
-	return [...state.records.values()].filter(record => isOrdered(record) && record.offer.task === task && record.run === run);
-}
-
 function applyEnd(state: RunsState, ended: EndedTask, now: Milliseconds): RunsEffect[] {
 	const key = getRunKey(ended.task, ended.run);
 	if (state.orphans.delete(key)) {
@@ -70,21 +68,21 @@
 		return [];
 	}
 
-	const effects: RunsEffect[] = [];
-	for (const record of listRecords(state, ended.task, ended.run)) {
-		if (ended.end === 'done') {
-			recordSlowness(state, record, now - record.orderedAt);
-			effects.push(...handleTrust(state, record, true, now));
-		} else if (ended.end === 'failed') {
-			effects.push(...handleTrust(state, record, false, now));
-		}
+	const record = findRecord(state, ended);
+	if (record === undefined) {
+		return [];
+	}
 
-		const end: TaskEnd = ended.end === 'stopped' && record.stopReason !== undefined ? stopEnds[record.stopReason] : ended.end;
-		const isAnswered = record.stopReason === 'unanswered' && ended.end === 'stopped';
-		effects.push(endRecord(state, record, isAnswered ? 'stopped' : end, now));
+	const effects: RunsEffect[] = [];
+	if (ended.end === 'done') {
+		recordSlowness(state, record, now - record.orderedAt);
+		effects.push(...handleTrust(state, record, true, now));
+	} else if (ended.end === 'failed') {
+		effects.push(...handleTrust(state, record, false, now));
 	}
 
-	return effects;
+	const end: TaskEnd = ended.end === 'stopped' && record.stopReason !== undefined ? stopEnds[record.stopReason] : ended.end;
+	return [...effects, endRecord(state, record, end, now)];
 }
 
 function estimateRest({offer, orderedAt, percent}: RunRecord, now: Milliseconds): Milliseconds | undefined {
@@ -126,7 +124,7 @@
 			return checkProgress(state, record, now);
 		}
 
-		return record.phase === 'stopping' && now >= record.stopRetryAt ? stopRecord(state, record, record.stopReason ?? 'withdrawn', now) : [];
+		return record.phase === 'stopping' ? retryStop(state, record, now) : [];
 	}
 
 	if (record.phase === 'checking' && asked > record.orderedAt + state.options.timings.orderMs) {
@@ -237,8 +235,3 @@
 
 	return [...effects, ...startQueued(state, now)];
 }
-
-/** Returns the end that an earlier life of this agent left behind, if any. */
-export function findEarlierEnd(state: RunsState, task: string, run: number): TaskEnd | undefined {
-	return state.earlierEnds.get(getRunKey(task, run));
-}
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -7,11 +7,12 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
 import type {RunRef, StartAnswer, StopAnswer} from '../../ports/worker.ts';
-import {computeFree, hasRoom, removeResources} from './room.ts';
+import {hasRoom, removeResources} from '../resources/logic.ts';
+import {computeFree} from './room.ts';
 import {
-	estimateWorkerTime, getRecordKey, recordEnd, updateToken, type RunsState,
+	computeLeaseEnd, getRecordKey, getRunKey, recordEnd, updateToken, type RunsState,
 } from './state.ts';
-import {getMode} from './trust.ts';
+import {canTake} from './trust.ts';
 import type {RunRecord, RunsEffect, StopReason} from './types.ts';
 
 /** Added to a run's number when the worker has seen an equal or higher one of the task. */
@@ -59,6 +60,11 @@
 	return {type: 'report', owner: record.owner, reports: [report]};
 }
 
+/** Gives every task back that the worker does not have. */
+export function endWaiting(state: RunsState, now: Milliseconds): RunsEffect[] {
+	return [...state.records.values()].filter(record => !isOrdered(record)).map(record => endRecord(state, record, 'not-started', now));
+}
+
 function compareRecords(left: RunRecord, right: RunRecord): number {
 	return left.offer.priority - right.offer.priority || left.queuedAt - right.queuedAt;
 }
@@ -84,8 +90,8 @@
 }
 
 function createStart(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect | undefined {
-	const workerTime = estimateWorkerTime(state, now);
-	if (workerTime === undefined) {
+	const leaseUntil = computeLeaseEnd(state, now);
+	if (leaseUntil === undefined) {
 		return undefined;
 	}
 
@@ -94,7 +100,7 @@
 	record.progressAt = now;
 	record.percent = 0;
 	return {
-		type: 'start', record, leaseUntil: Math.floor(workerTime + state.options.timings.leaseMs), fencingToken: state.fencingToken,
+		type: 'start', record, leaseUntil, fencingToken: state.fencingToken,
 	};
 }
 
@@ -114,7 +120,7 @@
  * @returns The start, or a refusal if this agent lost its worker meanwhile.
  */
 export function startGranted(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect {
-	const start = getMode(state, now) === 'closed' ? undefined : createStart(state, record, now);
+	const start = canTake(state, now) ? createStart(state, record, now) : undefined;
 	return start ?? endRecord(state, record, 'not-started', now);
 }
 
@@ -187,7 +193,19 @@
 	return effects;
 }
 
-function findRecord(state: RunsState, {task, run}: RunRef): RunRecord | undefined {
+/** Orders the stop of a record again that has not been acknowledged. */
+export function retryStop(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
+	return stopRecord(state, record, record.stopReason ?? 'withdrawn', now);
+}
+
+/**
+ * Finds the record of a run that the worker may have; there is at most one for a task.
+ *
+ * @param state - State of the agent.
+ * @param ref - The run.
+ * @returns The record, if this agent has one.
+ */
+export function findRecord(state: RunsState, {task, run}: RunRef): RunRecord | undefined {
 	for (const record of state.records.values()) {
 		if (record.offer.task === task && record.run === run && isOrdered(record)) {
 			return record;
@@ -290,8 +308,7 @@
 		updateToken(state);
 	}
 
-	const orphan = state.orphans.get(`${ref.task}#${ref.run}`);
-	if (orphan !== undefined) {
+	if (state.orphans.has(getRunKey(ref.task, ref.run))) {
 		return answer === 'stopped' ? [{type: 'look'}] : [];
 	}
 
@@ -305,10 +322,5 @@
 		return [{type: 'look'}];
 	}
 
-	return answer === 'fenced' || now >= record.stopRetryAt ? stopRecord(state, record, record.stopReason ?? 'withdrawn', now) : [];
-}
-
-/** Returns whether a new task is taken now. */
-export function canTake(state: RunsState, now: Milliseconds): boolean {
-	return getMode(state, now) !== 'closed';
+	return retryStop(state, record, now);
 }
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -5,10 +5,10 @@
 import type {TaskOffer, TaskReport} from '../../ports/dispatch-messages.ts';
 import type {NodeName} from '../identity/types.ts';
 import {
-	addToQueue, canTake, endRecord, isOrdered, removeRecord, startGranted, startQueued, stopRecord,
+	addToQueue, endRecord, endWaiting, isOrdered, removeRecord, startGranted, startQueued, stopRecord,
 } from './orders.ts';
-import {findEarlierEnd} from './looks.ts';
 import {getRecordKey, getRunKey, type RunsState} from './state.ts';
+import {canTake} from './trust.ts';
 import type {RunRecord, RunsEffect} from './types.ts';
 
 function createRecord(owner: NodeName, offer: TaskOffer, now: Milliseconds): RunRecord {
@@ -160,9 +160,8 @@
 		return [{type: 'note', event: 'run-adopted', details: {task: offer.task, run: offer.run, owner}}];
 	}
 
-	const end = findEarlierEnd(state, offer.task, offer.run);
 	const report: TaskReport = {
-		task: offer.task, run: offer.run, end: end ?? 'not-started', expectedMs: offer.expectedMs, runMs: 0, waitMs: 0,
+		task: offer.task, run: offer.run, end: state.earlierEnds.get(key) ?? 'not-started', expectedMs: offer.expectedMs, runMs: 0, waitMs: 0,
 	};
 	return [{type: 'report', owner, reports: [report]}];
 }
@@ -252,7 +251,7 @@
 /** Gives waiting tasks back and takes no new ones. */
 export function startLeaving(state: RunsState, now: Milliseconds): RunsEffect[] {
 	state.isLeaving = true;
-	return [...state.records.values()].filter(record => !isOrdered(record)).map(record => endRecord(state, record, 'not-started', now));
+	return endWaiting(state, now);
 }
 
 /** Stops everything that still runs, at the end of a planned stop. */
--- a/src/core/runs/room.ts
+++ b/src/core/runs/room.ts
@@ -3,7 +3,8 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Resources} from '../../ports/worker.ts';
-import {noResources, type RunsState} from './state.ts';
+import {noResources, removeResources} from '../resources/logic.ts';
+import type {RunsState} from './state.ts';
 import type {RunRecord} from './types.ts';
 
 /** Priorities told apart in waits; lower ones share the last. */
@@ -12,16 +13,6 @@
 /** Least remaining time assumed of a run that should have ended, in ms. */
 const minRemainingMs = 20;
 
-/** Answers whether needs fit into what is free. */
-export function hasRoom(free: Resources, needs: Resources): boolean {
-	return needs.cpu <= free.cpu && needs.memory <= free.memory && needs.accelerators <= free.accelerators;
-}
-
-/** Computes `left` - `right`. */
-export function removeResources(left: Resources, right: Resources): Resources {
-	return {cpu: left.cpu - right.cpu, memory: left.memory - right.memory, accelerators: left.accelerators - right.accelerators};
-}
-
 /**
  * Computes the free room. What is being started or stopped counts as taken until its end is listed;
  * while runs of an earlier life are unaccounted for, nothing is free.
@@ -46,12 +37,8 @@
 }
 
 function estimateRemaining(state: RunsState, record: RunRecord, now: Milliseconds): Milliseconds {
-	if (record.phase === 'asking') {
-		return record.offer.expectedMs * state.slowness;
-	}
-
 	const expected = record.offer.expectedMs * state.slowness;
-	return Math.max(minRemainingMs, expected - (now - record.orderedAt));
+	return record.phase === 'asking' ? expected : Math.max(minRemainingMs, expected - (now - record.orderedAt));
 }
 
 function getWaitClass(priority: number): number {
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -3,15 +3,12 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd, TaskOffer} from '../../ports/dispatch-messages.ts';
-import type {Resources, WorkerAnnouncement} from '../../ports/worker.ts';
+import type {WorkerAnnouncement} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
 import type {
 	EarlierEnds, OrphanRun, OwnerRecord, RunRecord, RunsOptions, Trust, WorkerClock, WorkerRecord,
 } from './types.ts';
 
-/** Nothing of any resource. */
-export const noResources: Resources = {cpu: 0, memory: 0, accelerators: 0};
-
 /** First time without new tasks for a worker that fails them, in ms; about the run time of a few tasks. */
 export const firstTrialIntervalMs = 300;
 
@@ -90,14 +87,14 @@
 }
 
 /**
- * Estimates the worker's clock.
+ * Computes the end of a lease that begins now.
  *
  * @param state - State of the agent.
  * @param now - Present time.
- * @returns Time on the worker's clock, if it was ever read.
+ * @returns End on the worker's clock, in whole ms; absent while that was never read.
  */
-export function estimateWorkerTime({clock}: RunsState, now: Milliseconds): Milliseconds | undefined {
-	return clock === undefined ? undefined : clock.workerTime + (now - clock.at);
+export function computeLeaseEnd({clock, options}: RunsState, now: Milliseconds): Milliseconds | undefined {
+	return clock === undefined ? undefined : Math.floor(clock.workerTime + (now - clock.at) + options.timings.leaseMs);
 }
 
 /** Ends remembered for entries whose stream broke before they heard of them. */
--- a/src/core/runs/trust.ts
+++ b/src/core/runs/trust.ts
@@ -96,3 +96,8 @@
 
 	return state.records.size === 0 && now >= trust.trialAt ? 'trial' : 'closed';
 }
+
+/** Returns whether a new task is taken now. */
+export function canTake(state: RunsState, now: Milliseconds): boolean {
+	return getMode(state, now) !== 'closed';
+}
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -2,20 +2,22 @@
  * An agent: runs the tasks that entries offer on the worker beside it, and tells how they end.
  */
 import type {Timings} from '../../core/bounds/types.ts';
+import {addToGroup} from '../../core/groups.ts';
 import {applyLook} from '../../core/runs/looks.ts';
 import {
-	advanceRuns, applyHoldFailure, computeLeaseEnd, computeLoad, computeLookWait, handleAnnouncement, handleDeparture, isLossy, isSameWorker, restoreWorker,
+	advanceRuns, applyHoldFailure, computeLoad, computeLookWait, handleAnnouncement, handleDeparture, isLossy, isSameWorker, restoreWorker,
 } from '../../core/runs/logic.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../core/runs/orders.ts';
 import {
 	handleClaim, handleGrant, handleOffers, handleOwnerLoss, handleWithdrawal, startLeaving, stopAllRuns,
 } from '../../core/runs/owners.ts';
-import {createRunsState, type RunsState} from '../../core/runs/state.ts';
+import {computeLeaseEnd, createRunsState, type RunsState} from '../../core/runs/state.ts';
 import type {RunsEffect} from '../../core/runs/types.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {DispatchMessage, TaskReport, WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import type {RunRef, WorkerAnnouncement, WorkerControl} from '../../ports/worker.ts';
+import {waitFor} from '../shared/wait.ts';
 import {Directory} from './directory.ts';
 import {createSelf, type DispatchInput} from './input.ts';
 import {Links} from './links.ts';
@@ -36,6 +38,11 @@
 	readonly [Type in DispatchMessage['type']]?: (from: PeerAddress, message: Extract<DispatchMessage, {type: Type}>) => RunsEffect[];
 };
 
+/** What of a load is told again when it has changed; its slowness goes along. */
+function formatLoad({mode, free, waits, capacity}: WorkerLoad): string {
+	return JSON.stringify([mode, free, waits, capacity]);
+}
+
 /** A running agent. */
 export class DispatchAgent implements AsyncDisposable {
 	readonly state: RunsState;
@@ -45,7 +52,7 @@
 	/** Offered tasks received on the present stream of each entry. */
 	readonly #seenOffers = new Map<string, number>();
 	readonly #toldLoads = new Map<string, string>();
-	#reports = new Map<string, TaskReport[]>();
+	readonly #reports = new Map<string, TaskReport[]>();
 	readonly #questions = new Map<string, string[]>();
 	#isClosed = false;
 	#isLooking = false;
@@ -71,18 +78,14 @@
 			void this.#lookNow();
 		},
 		ask: ({owner, task}) => {
-			const tasks = this.#questions.get(owner) ?? [];
-			tasks.push(task);
-			this.#questions.set(owner, tasks);
+			addToGroup(this.#questions, owner, task);
 		},
 		report: ({owner, reports}) => {
 			for (const report of reports) {
 				this.input.log.recordDecision(report.end === 'done' ? 'info' : 'warn', 'task-ended', {...report, owner});
 			}
 
-			const pending = this.#reports.get(owner) ?? [];
-			pending.push(...reports);
-			this.#reports.set(owner, pending);
+			addToGroup(this.#reports, owner, ...reports);
 		},
 		note: ({event, details}) => {
 			this.input.log.recordDecision('warn', event, details);
@@ -169,7 +172,7 @@
 		this.#run(startLeaving(this.state, this.#now()));
 		this.#sendLoads();
 		while (this.state.records.size > 0 && clock.getTime() < endAt) {
-			await this.#wait(advanceMs);
+			await waitFor(this.input.clock, advanceMs);
 		}
 
 		if (this.state.records.size > 0) {
@@ -177,11 +180,11 @@
 			this.#run(stopAllRuns(this.state, this.#now()));
 			const stopEnd = clock.getTime() + (giveUpMs / 2);
 			while (this.state.records.size > 0 && clock.getTime() < stopEnd) {
-				await this.#wait(advanceMs);
+				await waitFor(this.input.clock, advanceMs);
 			}
 		}
 
-		await this.#wait(advanceMs);
+		await waitFor(this.input.clock, advanceMs);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -198,18 +201,12 @@
 		return this.input.clock.getTime();
 	}
 
-	async #wait(delay: Milliseconds): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.input.clock.startTimer(delay, resolve);
-		});
-	}
-
 	/** Renews the lease and takes in ends, one call after the other. */
 	async #watchWorker(): Promise<void> {
 		while (!this.#isClosed) {
 			const isAnswered = await this.#lookOnce(computeLookWait(this.state, this.#now()));
 			if (!isAnswered && !this.state.worker.isReachable) {
-				await this.#wait(reconnectMs);
+				await waitFor(this.input.clock, reconnectMs);
 			}
 		}
 	}
@@ -220,7 +217,7 @@
 			const now = this.#now();
 			await (isLossy(this.state, now) && this.state.worker.isReachable
 				? this.#lookOnce(computeLookWait(this.state, now))
-				: this.#wait(advanceMs));
+				: waitFor(this.input.clock, advanceMs));
 		}
 	}
 
@@ -293,28 +290,32 @@
 		}
 
 		const load = computeLoad(this.state, this.#now());
+		const text = formatLoad(load);
 		for (const [owner, reports] of this.#reports) {
+			const seen = this.#getSeen(owner);
 			this.#links.sendMessage(owner, {
-				type: 'ended', reports, load, seen: this.#seenOffers.get(owner) ?? 0,
+				type: 'ended', reports, load, seen,
 			});
-			this.#toldLoads.set(owner, this.#formatLoad(owner, load));
+			this.#toldLoads.set(owner, `${text} ${seen}`);
 		}
 
-		this.#reports = new Map();
+		this.#reports.clear();
 	}
 
-	#formatLoad(owner: string, load: WorkerLoad): string {
-		return JSON.stringify([load.mode, load.free, load.waits, load.capacity, this.#seenOffers.get(owner)]);
+	#getSeen(owner: string): number {
+		return this.#seenOffers.get(owner) ?? 0;
 	}
 
 	/** Tells the load to entries for which it has changed. */
 	#sendLoads(): void {
 		const load = computeLoad(this.state, this.#now());
-		for (const peer of this.#links.listLinked()) {
-			const text = this.#formatLoad(peer.name, load);
-			if (this.#toldLoads.get(peer.name) !== text) {
-				this.#toldLoads.set(peer.name, text);
-				this.#links.sendMessage(peer.name, {type: 'load', load, seen: this.#seenOffers.get(peer.name) ?? 0});
+		const text = formatLoad(load);
+		for (const {name} of this.#links.listLinked()) {
+			const seen = this.#getSeen(name);
+			const told = `${text} ${seen}`;
+			if (this.#toldLoads.get(name) !== told) {
+				this.#toldLoads.set(name, told);
+				this.#links.sendMessage(name, {type: 'load', load, seen});
 			}
 		}
 	}
--- a/src/processes/dispatch/configuration.ts
+++ b/src/processes/dispatch/configuration.ts
@@ -5,9 +5,10 @@
 import {applyConfiguration} from '../../core/routes/logic.ts';
 import {createRoutesState, type RoutesState} from '../../core/routes/state.ts';
 import type {Configuration} from '../../core/routes/types.ts';
-import type {Clock, Milliseconds} from '../../ports/clock.ts';
+import type {Clock} from '../../ports/clock.ts';
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {Store} from '../../ports/store.ts';
+import {waitFor} from '../shared/wait.ts';
 
 /** Longest wait of one watch, in ms; each costs a call. */
 const watchMs = 10_000;
@@ -88,7 +89,7 @@
 
 			delay = isRead ? minRetryMs : Math.min(delay * 2, maxRetryMs);
 			if (!isRead) {
-				await this.#wait(delay);
+				await waitFor(this.input.clock, delay);
 			}
 		}
 	}
@@ -106,12 +107,6 @@
 		this.#isClosed = true;
 	}
 
-	async #wait(delay: Milliseconds): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.input.clock.startTimer(delay, resolve);
-		});
-	}
-
 	async #readOnce(): Promise<boolean> {
 		const {store, key} = this.input;
 		const restarted = new Promise<'restarted'>(resolve => {
--- a/src/processes/dispatch/directory.ts
+++ b/src/processes/dispatch/directory.ts
@@ -3,11 +3,12 @@
  *
  * Keys carry no lease: whether a process lives is told by its streams, not by the store.
  */
-import type {Clock, Milliseconds} from '../../ports/clock.ts';
+import type {Clock} from '../../ports/clock.ts';
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import type {Store, StoreListing} from '../../ports/store.ts';
 import type {WorkerAnnouncement} from '../../ports/worker.ts';
+import {waitFor} from '../shared/wait.ts';
 
 const peersPrefix = 'medlardale/peers/';
 
@@ -49,12 +50,6 @@
 	readonly onWorker?: (worker: WorkerAnnouncement) => void;
 };
 
-async function waitFor(clock: Clock, delay: Milliseconds): Promise<void> {
-	await new Promise<void>(resolve => {
-		clock.startTimer(delay, resolve);
-	});
-}
-
 /** The key of one process in the directory. */
 export class Directory {
 	#revision = 0;
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -10,12 +10,14 @@
 import {extendOffers} from '../../core/dispatch/placing.ts';
 import {countOpenJobs, createDispatchState, type DispatchState} from '../../core/dispatch/state.ts';
 import type {DispatchEffect, Job, JobAnswer} from '../../core/dispatch/types.ts';
+import {addToGroup} from '../../core/groups.ts';
 import {
 	addAgent, applyLoad, createFleetState, removeAgent,
 } from '../../core/fleet/state.ts';
 import type {DispatchMessage} from '../../ports/dispatch-messages.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
+import {waitFor} from '../shared/wait.ts';
 import {ConfigurationSource} from './configuration.ts';
 import {Directory} from './directory.ts';
 import {Links, type LinkedPeer} from './links.ts';
@@ -53,19 +55,20 @@
 		ended: (from, {reports, load, seen}) => {
 			applyLoad(this.state.fleet, from.name, load, seen);
 			this.#run(applyReports(this.state, from.name, reports, this.#now()));
-			this.#placeWaiting();
-			this.#run(extendOffers(this.state, from.name));
+			this.#useRoom(from.name);
 		},
 		load: (from, {load, seen}) => {
 			applyLoad(this.state.fleet, from.name, load, seen);
-			this.#placeWaiting();
-			this.#run(extendOffers(this.state, from.name));
+			this.#useRoom(from.name);
 		},
 		ask: (from, {tasks}) => {
 			this.#run(handleQuestions(this.state, from.name, tasks, this.#now()));
 		},
-		configuration: (from, {text}) => {
-			this.configuration.offerText(text, from.name);
+		configuration: (from, {version, text}) => {
+			// Every entry tells every other: a version that is known need not be decoded again.
+			if (version > this.configuration.version) {
+				this.configuration.offerText(text, from.name);
+			}
 		},
 		peers: (_from, {addresses}) => {
 			this.#links.addPeers(addresses, false);
@@ -90,9 +93,6 @@
 				reply(answer);
 			}
 		},
-		note: ({event, details}) => {
-			this.input.log.recordDecision('info', event, details);
-		},
 	};
 
 	/**
@@ -175,15 +175,8 @@
 		const now = this.#now();
 		this.state.isLeaving = now >= this.#takesUntil;
 		const {job, effects} = submitJob(this.state, request, now);
-		if (job.answer !== undefined) {
-			this.#logAnswer(job, job.answer);
-			return job.answer;
-		}
-
 		return new Promise(resolve => {
-			const waiters = this.#waiters.get(job) ?? [];
-			waiters.push(resolve);
-			this.#waiters.set(job, waiters);
+			addToGroup(this.#waiters, job, resolve);
 			signal.addEventListener('abort', () => {
 				if (this.#waiters.get(job)?.length === 1) {
 					this.#run(cancelJob(this.state, job.id, 'cancelled', this.#now()));
@@ -217,7 +210,7 @@
 				return;
 			}
 
-			await this.#wait(advanceMs);
+			await waitFor(this.input.clock, advanceMs);
 		}
 
 		const left = [...this.state.jobs.values()].filter(({answer}) => answer === undefined);
@@ -226,7 +219,7 @@
 			this.#run(cancelJob(this.state, id, 'leaving', this.#now()));
 		}
 
-		await this.#wait(advanceMs * 2);
+		await waitFor(this.input.clock, advanceMs * 2);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -239,16 +232,10 @@
 		return this.input.clock.getTime();
 	}
 
-	async #wait(delay: Milliseconds): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.input.clock.startTimer(delay, resolve);
-		});
-	}
-
-	#placeWaiting(): void {
-		if (this.state.waiting.size > 0) {
-			this.#run(placeAllWaiting(this.state, this.#now()));
-		}
+	/** Places what waits after an agent told its load. */
+	#useRoom(agent: string): void {
+		this.#run(placeAllWaiting(this.state, this.#now()));
+		this.#run(extendOffers(this.state, agent));
 	}
 
 	#handlePeer(peer: LinkedPeer): void {
@@ -282,7 +269,7 @@
 
 	#shareConfiguration(version: number, text: string, source: string): void {
 		for (const peer of this.#links.listLinked()) {
-			// Each entry watches the store: what came from there is told only to those who lack it for a while.
+			// Also to those that watch the store themselves: it may turn some of them away.
 			if (peer.role === 'entry' && peer.name !== source) {
 				this.#links.sendMessage(peer.name, {type: 'configuration', version, text});
 			}
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -8,6 +8,7 @@
 import {createLog} from '../../adapters/log/log.ts';
 import {anyIncarnation, PeerNetwork} from '../../adapters/peer/network.ts';
 import {PeerError} from '../../adapters/peer/errors.ts';
+import {listenServer} from '../../adapters/system/servers.ts';
 import type {Timings} from '../../core/bounds/types.ts';
 import type {NodeName, NodeRef} from '../../core/identity/types.ts';
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
@@ -111,10 +112,7 @@
 	/** Listens for streams of others. */
 	async listen(): Promise<void> {
 		const {host, port} = this.input.self;
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, host, resolve);
-		});
+		await listenServer(this.#server, host, port);
 	}
 
 	/**
--- a/src/processes/shared/server.ts
+++ b/src/processes/shared/server.ts
@@ -6,6 +6,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {closeServer, listenServer} from '../../adapters/system/servers.ts';
 
 /** Handles a request; resolves once the answer is written. */
 export type RouteHandler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
@@ -56,10 +57,7 @@
 	const server = createServer({headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs}, (request, response) => {
 		void handleRequest(routes, request, response);
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
+	await listenServer(server, host, port);
 
 	return {
 		server,
@@ -68,12 +66,7 @@
 			routes.set(route, handler);
 		},
 		async [Symbol.asyncDispose]() {
-			await new Promise<void>(resolve => {
-				server.close(() => {
-					resolve();
-				});
-				server.closeAllConnections();
-			});
+			await closeServer(server);
 		},
 	};
 }
--- a/src/processes/shared/wait.ts
+++ b/src/processes/shared/wait.ts
@@ -1,8 +1,20 @@
 /**
- * Waits with a time limit.
+ * Waits for a time, or with a time limit.
  */
 import type {Clock, Milliseconds, Timer} from '../../ports/clock.ts';
 
+/**
+ * Waits for a time.
+ *
+ * @param clock - Source of time.
+ * @param delay - Time to wait, in ms.
+ */
+export async function waitFor(clock: Clock, delay: Milliseconds): Promise<void> {
+	await new Promise<void>(resolve => {
+		clock.startTimer(delay, resolve);
+	});
+}
+
 /**
  * Waits for a promise, at most for some time.
  *
