Log why a stream was closed, on what evidence runs count as lost, and stops without an acknowledgement

Change: stream-lost has a reason; runs-lost names the evidence and the ages of the worker's last answer and of the last renewal; stop-not-taken names answer, reason and age of the last renewal. No decision changes.

--- a/src/adapters/peer/network.ts
+++ b/src/adapters/peer/network.ts
@@ -12,7 +12,7 @@
 import type {PeerAddress, PeerMessage, TypedMessage} from '../../ports/messages.ts';
 import {PeerError} from './errors.ts';
 import {createHello, verifyHello} from './handshake.ts';
-import {PeerStream, type StreamOptions} from './stream.ts';
+import {PeerStream, type CloseReason, type StreamOptions} from './stream.ts';
 
 /** Path of the opening request of a stream. */
 export const streamPath = '/stream';
@@ -34,7 +34,7 @@
 export type NetworkHandlers<Message extends TypedMessage = PeerMessage> = {
 	readonly onMessage: (from: NodeRef, message: Message) => void;
 	readonly onOpen: (node: NodeRef) => void;
-	readonly onClose: (node: NodeRef) => void;
+	readonly onClose: (node: NodeRef, reason: CloseReason) => void;
 	/** Called when the other process has received the first `sentMessages` messages of the stream. */
 	readonly onConfirm: (node: NodeRef, sentMessages: number) => void;
 	/** Returns whether no task depends on the stream to a process; without it, no heartbeat is quiet. */
@@ -277,8 +277,8 @@
 			observeStamp: stamp => {
 				this.input.stamps.observeStamp(stamp);
 			},
-			onClose: closed => {
-				this.#handleClose(closed);
+			onClose: (closed, reason) => {
+				this.#handleClose(closed, reason);
 			},
 			isQuiet: to => this.#handlers?.isQuiet?.(to.node) ?? false,
 			isAwaited: message => this.#handlers?.isAwaited?.(message) ?? false,
@@ -306,7 +306,7 @@
 		}
 	}
 
-	#handleClose(stream: PeerStream<Message>): void {
+	#handleClose(stream: PeerStream<Message>, reason: CloseReason): void {
 		this.#openStreams.delete(stream);
 		if (this.#streams.get(stream.node.name) !== stream) {
 			return;
@@ -320,6 +320,6 @@
 
 		this.#streams.delete(stream.node.name);
 		this.input.log.debug(`stream to "${stream.node.name}" is closed`);
-		this.#handlers?.onClose(stream.node);
+		this.#handlers?.onClose(stream.node, reason);
 	}
 }
--- a/src/adapters/peer/stream.ts
+++ b/src/adapters/peer/stream.ts
@@ -36,10 +36,20 @@
 	readonly isOutbound: boolean;
 };
 
+/**
+ * Why a stream was closed.
+ *
+ * - `silent`: no data arrived within the time limit.
+ * - `late-data`: data arrived after the time limit, for instance after a pause of this process, and was not handled.
+ * - `malformed`: a frame could not be handled.
+ * - `ended`: this process closed it, or the connection ended.
+ */
+export type CloseReason = 'silent' | 'late-data' | 'malformed' | 'ended';
+
 /** Functions that a stream calls for messages, frames and events. */
 export type StreamHandlers<Message extends TypedMessage> = {
 	readonly onMessages: (stream: PeerStream<Message>, messages: readonly Message[]) => void;
-	readonly onClose: (stream: PeerStream<Message>) => void;
+	readonly onClose: (stream: PeerStream<Message>, reason: CloseReason) => void;
 	/** Called when a frame could not be handled, before the stream is closed. */
 	readonly onError: (stream: PeerStream<Message>, error: Error) => void;
 	/** Returns the timestamp of the hybrid logical clock for a frame. */
@@ -166,14 +176,18 @@
 				this.#sendHeartbeat(now);
 			},
 			close: () => {
-				this.close();
+				this.close('silent');
 			},
 		};
 		actions[this.#chooseAction(now)]();
 	}
 
-	/** Writes the queued messages, then terminates the connection without a closing handshake. */
-	close(): void {
+	/**
+	 * Writes the queued messages, then terminates the connection without a closing handshake.
+	 *
+	 * @param reason - Why.
+	 */
+	close(reason: CloseReason = 'ended'): void {
 		if (this.#isClosed) {
 			return;
 		}
@@ -181,7 +195,7 @@
 		this.#writeFrame();
 		this.#isClosed = true;
 		this.socket.terminate();
-		this.handlers.onClose(this);
+		this.handlers.onClose(this, reason);
 	}
 
 	[Symbol.dispose](): void {
@@ -209,7 +223,7 @@
 		} catch (error) {
 			// A malformed message, or an error in its handler, must end this stream only; the next one begins with claims.
 			this.handlers.onError(this, error as Error);
-			this.close();
+			this.close('malformed');
 		}
 	}
 
@@ -235,7 +249,7 @@
 	#acceptData(isQuiet = false): boolean {
 		const now = this.clock.getTime();
 		if (isContactExpired(this.options.heartbeats, this.#contact, this.options, now)) {
-			this.close();
+			this.close('late-data');
 			return false;
 		}
 
--- a/src/core/runs/answers.ts
+++ b/src/core/runs/answers.ts
@@ -104,5 +104,10 @@
 		return [{type: 'fetch-snapshot'}];
 	}
 
-	return retryStop(state, record, now);
+	const {task, run} = ref;
+	return [...retryStop(state, record, now), {
+		type: 'log', event: 'stop-not-taken', details: {
+			task, run, answer, reason: record.stopReason, renewalAgeMs: Math.round(now - state.worker.lastRenewalAt),
+		},
+	}];
 }
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -122,7 +122,7 @@
 	state.worker.announcement = undefined;
 	state.worker.isReachable = false;
 	state.worker.lastFailureAt = now;
-	return [...endAllRuns(state, now), {type: 'log', event: 'worker-left', details: {worker: id}}];
+	return [...endAllRuns(state, 'departed', now), {type: 'log', event: 'worker-left', details: {worker: id}}];
 }
 
 /**
@@ -153,7 +153,7 @@
 	const effects: RunsEffect[] = wasReachable ? [{type: 'log', event: 'worker-unreachable', details: {kind}}] : [];
 	// Nothing listens on its port: the process has exited and its runs with it.
 	return kind === 'unreachable'
-		? [...effects, ...endAllRuns(state, now)]
+		? [...effects, ...endAllRuns(state, 'refused', now)]
 		: [...effects, ...endUnstartedTasks(state, now)];
 }
 
@@ -161,7 +161,7 @@
 function endLapsedRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const {leaseMs, orderMs} = state.options.timings;
 	const lapsedAt = state.worker.lastAnswerAt + ((leaseMs + orderMs) * 2);
-	return state.worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, now);
+	return state.worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, 'lapsed', now);
 }
 
 function stopOrphans(state: RunsState, now: Milliseconds): RunsEffect[] {
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -19,7 +19,9 @@
 import {
 	canAcceptTask, recordFailure, recordSuccess, resetHealth,
 } from './health.ts';
-import type {RunRecord, RunsEffect, StopReason} from './types.ts';
+import type {
+	LossEvidence, RunRecord, RunsEffect, StopReason,
+} from './types.ts';
 
 /** Least time without progress after which a run counts as stalled, in ms; workers report whole percents. */
 const minStallMs = 200;
@@ -153,11 +155,22 @@
  * Ends all records, as no run can be left at the worker: it has restarted or exited, or the leases have expired.
  *
  * @param state - State of the agent.
+ * @param evidence - How this is known.
  * @param now - Current time.
- * @returns Reports.
+ * @returns Reports, and a log entry if a start had been ordered.
  */
-export function endAllRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
+export function endAllRuns(state: RunsState, evidence: LossEvidence, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
+	const lostCount = [...state.records.values()].filter(record => isStartOrdered(record)).length;
+	if (lostCount > 0) {
+		const {lastAnswerAt, lastRenewalAt} = state.worker;
+		effects.push({
+			type: 'log', event: 'runs-lost', details: {
+				evidence, count: lostCount, answerAgeMs: Math.round(now - lastAnswerAt), renewalAgeMs: Math.round(now - lastRenewalAt),
+			},
+		});
+	}
+
 	for (const record of state.records.values()) {
 		effects.push(endRecord(state, record, isStartOrdered(record) ? 'lost' : 'not-started', now));
 	}
@@ -170,7 +183,7 @@
 
 /** Resets the state after a restart of the worker: the new process has no runs and no fencing token. */
 export function resetWorker(state: RunsState, bornAt: Milliseconds | undefined, now: Milliseconds): RunsEffect[] {
-	const effects = endAllRuns(state, now);
+	const effects = endAllRuns(state, 'restarted', now);
 	state.worker.bornAt = bornAt;
 	resetHealth(state);
 	state.slowness = 1;
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -32,6 +32,16 @@
  */
 export type StopReason = 'withdrawn' | 'owner-lost' | 'superseded' | 'unanswered' | 'stalled' | 'slow' | 'leaving';
 
+/**
+ * Evidence that no run is left at the worker.
+ *
+ * - `refused`: its port refuses connections, so the process has exited.
+ * - `departed`: it announced its shutdown.
+ * - `restarted`: another worker process answers or announces itself.
+ * - `lapsed`: it has not answered for longer than a lease.
+ */
+export type LossEvidence = 'refused' | 'departed' | 'restarted' | 'lapsed';
+
 /** A task that an entry offered to this agent. */
 export type RunRecord = {
 	/** Name of the entry that offered it. */
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -6,6 +6,7 @@
 import {createLog} from '../../adapters/log/log.ts';
 import {anyIncarnation, PeerNetwork} from '../../adapters/peer/network.ts';
 import {PeerError} from '../../adapters/peer/errors.ts';
+import type {CloseReason} from '../../adapters/peer/stream.ts';
 import {listenServer} from '../../adapters/system/servers.ts';
 import type {Timings} from '../../core/bounds/types.ts';
 import type {NodeName, NodeRef} from '../../core/identity/types.ts';
@@ -90,8 +91,8 @@
 					type: 'announce', address: {...self, labels: input.getLabels()}, version: input.getVersion(), digests: computeDigests(this.state), acceptsQuiet: true,
 				});
 			},
-			onClose: node => {
-				this.#handleClose(node);
+			onClose: (node, reason) => {
+				this.#handleClose(node, reason);
 			},
 			onMessage: (from, message) => {
 				this.#handleMessage(from, message);
@@ -223,7 +224,7 @@
 		}
 	}
 
-	#handleClose(node: NodeRef): void {
+	#handleClose(node: NodeRef, reason: CloseReason): void {
 		const peer = this.state.connected.get(node.name);
 		if (peer?.incarnation !== node.incarnation) {
 			return;
@@ -231,7 +232,7 @@
 
 		const isRetired = !isWanted(this.state, node.name, this.#now());
 		handlePeerDisconnect(this.state, node.name, this.#now());
-		this.input.log.recordDecision(isRetired ? 'info' : 'warn', isRetired ? 'stream-retired' : 'stream-lost', {peer: node.name, incarnation: node.incarnation});
+		this.input.log.recordDecision(isRetired ? 'info' : 'warn', isRetired ? 'stream-retired' : 'stream-lost', {peer: node.name, incarnation: node.incarnation, reason});
 		this.handlers.onDisconnect(peer);
 	}
 
