Give back granted and unsent starts that a shrunk capacity no longer holds

Seen: with a worker that does not guard its capacity, a task that was granted just after the worker had told a smaller capacity was started all the same, above it. Operators would see a worker with more in use than it has, callers slower tasks. Cause: resources are reserved when the entry is asked, or when the start is queued behind other orders; neither the grant, nor the claim that stands for a lost grant, nor the moment of sending looked at the capacity again. Change: both compare what is reserved with the present capacity. A task that does not fit is reported as not started, so its entry places it elsewhere at once.

--- /dev/null
+++ b/features/runs/capacity.steps.ts
@@ -0,0 +1,31 @@
+/**
+ * Steps for a worker whose capacity changes while it runs.
+ */
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import {handleAnnouncement} from '../../src/core/runs/logic.ts';
+import {recordStartSent} from '../../src/core/runs/orders.ts';
+import type {RunsState} from '../../src/core/runs/state.ts';
+import type {RunRecord, RunsEffect} from '../../src/core/runs/types.ts';
+import type {Milliseconds} from '../../src/ports/clock.ts';
+
+type CapacityWorld = {
+	state: RunsState;
+	now: Milliseconds;
+	effects: RunsEffect[];
+};
+
+function findRecordOf(world: CapacityWorld, task: string): RunRecord {
+	const record = [...world.state.records.values()].find(({offer}) => offer.task === `${task}.0.0.0`);
+	assert.ok(record !== undefined, `there is no record of "${task}"`);
+	return record;
+}
+
+When('the worker tells a capacity of {int}', function (this: CapacityWorld, cpu: number) {
+	const previous = this.state.worker.announcement!;
+	this.effects.push(...handleAnnouncement(this.state, {...previous, sequence: previous.sequence + 1, capacity: {...previous.capacity, cpu}}, this.now));
+});
+
+Then('the waiting start of {string} is not sent', function (this: CapacityWorld, task: string) {
+	assert.equal(recordStartSent(this.state, findRecordOf(this, task), this.now), false);
+});
--- a/src/core/runs/capacity.ts
+++ b/src/core/runs/capacity.ts
@@ -3,7 +3,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Resources} from '../../ports/worker.ts';
-import {noResources, removeResources} from '../resources/logic.ts';
+import {hasCapacityFor, noResources, removeResources} from '../resources/logic.ts';
 import type {RunsState} from './state.ts';
 import type {RunRecord} from './types.ts';
 
@@ -36,6 +36,14 @@
 	return free;
 }
 
+/**
+ * Returns whether all reserved resources fit the worker. They may not after its capacity has shrunk; then no start whose
+ * resources were reserved before may be ordered.
+ */
+export function hasReservedCapacity(state: RunsState): boolean {
+	return state.orphans.size === 0 && hasCapacityFor(computeFreeResources(state), noResources);
+}
+
 function estimateReleaseDelay(state: RunsState, record: RunRecord, now: Milliseconds): Milliseconds {
 	const expected = record.offer.expectedMs * state.slowness;
 	return record.phase === 'asking' ? expected : Math.max(minRemainingMs, expected - (now - record.orderedAt));
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -7,7 +7,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
-import {computeFreeResources} from './capacity.ts';
+import {computeFreeResources, hasReservedCapacity} from './capacity.ts';
 import {
 	computeLeaseEnd, getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
@@ -92,11 +92,12 @@
  * @param state - State of the agent.
  * @param record - The record.
  * @param now - Current time.
- * @returns Whether it may be sent; false if it was stopped in the meantime, removed with its worker, or its entry is silent.
+ * @returns Whether it may be sent; false if it was stopped in the meantime, removed with its worker, its entry is silent, or
+ * the capacity has shrunk below what is reserved.
  */
 export function recordStartSent(state: RunsState, record: RunRecord, now: Milliseconds): boolean {
 	const isKnown = state.records.get(getRecordKey(record.owner, record.offer.task)) === record;
-	if (!isKnown || record.phase !== 'starting' || !isOwnerPresent(state, record, now)) {
+	if (!isKnown || record.phase !== 'starting' || !isOwnerPresent(state, record, now) || !hasReservedCapacity(state)) {
 		return false;
 	}
 
@@ -121,11 +122,11 @@
  * @param state - State of the agent.
  * @param record - A record in phase `asking`.
  * @param now - Current time.
- * @returns The start, or a report of `not-started` if this agent no longer accepts tasks.
+ * @returns The start, or a report of `not-started` if this agent no longer accepts tasks, or the task no longer fits.
  */
 export function startGranted(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect {
 	record.isGranted = true;
-	const start = canAcceptTask(state, now) ? createStart(state, record, now) : undefined;
+	const start = canAcceptTask(state, now) && hasReservedCapacity(state) ? createStart(state, record, now) : undefined;
 	return start ?? endRecord(state, record, 'not-started', now);
 }
 
