Give back tasks that the worker can no longer hold at all

Seen: after a worker had told a smaller capacity, a waiting task that needs more than that stayed in the agent's queue for as long as its entry left it there; from an age of 300 ms it kept smaller tasks behind it from starting although they fitted. An offer from an entry that had not heard of the smaller capacity joined the queue in the same way. A task that has no other agent (a direct offer that waits for the stop of another run, a granted start that is repeated) was stuck until its caller gave up. Cause: nothing compared needs with the whole capacity, only with what is free. Change: such tasks are reported as not started when the capacity shrinks, when they are offered, and when their start is to be repeated. Their entries then place them elsewhere, or refuse the job.

--- a/features/runs/capacity.feature
+++ b/features/runs/capacity.feature
@@ -32,3 +32,54 @@
     And the start of "a" is answered "started"
     And the worker tells a capacity of 6000
     Then the waiting start of "b" is not sent
+
+  # Guards against a queue that stands still: a waiting task that can never fit blocked the smaller ones behind it.
+  Scenario: Waiting tasks that the shrunk capacity can never hold are given back, and smaller ones start
+    When entry "e1" offers direct tasks "a" of 6000
+    And the start of "a" is answered "started"
+    And entry "e1" offers tentative tasks "big" of 9000
+    And entry "e2" offers tentative tasks "small" of 4000
+    And the worker tells a capacity of 5000
+    Then entry "e1" gets the report that "big" ended as "not-started"
+    When 400 ms go by
+    And the worker lists "a" as ended "done"
+    Then entry "e2" is asked about "small"
+
+  # Guards against a task that waits for nothing: its entry may not have heard of the smaller capacity yet.
+  Scenario: A tentative offer that the capacity can never hold is refused at once
+    When the worker tells a capacity of 5000
+    And entry "e1" offers tentative tasks "big" of 6000
+    Then entry "e1" gets the report that "big" ended as "not-started"
+
+  # Guards against a lost task: a direct offer that waits for the stop of another run has no other agent.
+  Scenario: A direct offer that waits for another run of the task is given back if it can never fit
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And entry "e2" offers direct tasks "a" of 4000
+    And the worker tells a capacity of 3000
+    Then entry "e2" gets the report that "a" ended as "not-started"
+
+  # Guards against a lost task: a granted one is no other agent's any more.
+  Scenario Outline: A granted task whose start is to be repeated is given back if it can never fit
+    When entry "e1" offers tentative tasks "a" of 4000
+    And entry "e1" grants "a"
+    And the worker tells a capacity of 3000
+    And the start of "a" is answered "<answer>"
+    Then entry "e1" gets the report that "a" ended as "not-started"
+
+    Examples:
+      | answer   |
+      | fenced   |
+      | outdated |
+      | late     |
+
+  # Guards against a lost task: a start without an answer is repeated after its stop, when the capacity may have shrunk.
+  Scenario: A granted task whose start got no answer is given back if it can never fit
+    When entry "e1" offers tentative tasks "a" of 4000
+    And entry "e1" grants "a"
+    And the start of "a" is answered "unanswered"
+    And the worker tells a capacity of 3000
+    And 200 ms pass and a snapshot shows no runs
+    And the stop of "a" is answered "stopped"
+    And 10 ms pass and a snapshot shows no runs
+    Then entry "e1" gets the report that "a" ended as "not-started"
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -5,7 +5,9 @@
 import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {LeaseRenewalErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
 import {isSameResources, noResources} from '../resources/logic.ts';
-import {endUnstartedTasks, retryStop, startQueued} from './orders.ts';
+import {
+	endOversizedTasks, endUnstartedTasks, retryStop, startQueued,
+} from './orders.ts';
 import {applyPendingClaims, dropDisconnectedOwners} from './owners.ts';
 import {endAllRuns, resetWorker} from './snapshots.ts';
 import {computeFreeResources, estimateWaits} from './capacity.ts';
@@ -99,9 +101,7 @@
 		});
 	}
 
-	if (announcement.state === 'draining') {
-		effects.push(...endUnstartedTasks(state, now));
-	}
+	effects.push(...(announcement.state === 'draining' ? endUnstartedTasks(state, now) : endOversizedTasks(state, now)));
 
 	return [...effects, ...startQueued(state, now)];
 }
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -5,7 +5,7 @@
  * shows the run, or a stop of it has been acknowledged: from then on the worker refuses the start.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
+import type {TaskEnd, TaskOffer, TaskReport} from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
 import {computeFreeResources, hasReservedCapacity} from './capacity.ts';
 import {
@@ -48,6 +48,19 @@
 	return [...state.records.values()].filter(record => !isStartOrdered(record)).map(record => endRecord(state, record, 'not-started', now));
 }
 
+/** Returns whether the worker could hold a task if nothing else ran there. */
+export function canEverFit(state: RunsState, {needs}: Pick<TaskOffer, 'needs'>): boolean {
+	const capacity = state.worker.announcement?.capacity;
+	return capacity !== undefined && hasCapacityFor(capacity, needs);
+}
+
+/** Returns to the entries every task whose start was not ordered and that the worker can no longer hold. */
+export function endOversizedTasks(state: RunsState, now: Milliseconds): RunsEffect[] {
+	return [...state.records.values()]
+		.filter(record => !isStartOrdered(record) && !canEverFit(state, record.offer))
+		.map(record => endRecord(state, record, 'not-started', now));
+}
+
 function compareRecords(left: RunRecord, right: RunRecord): number {
 	return left.offer.priority - right.offer.priority || left.queuedAt - right.queuedAt;
 }
@@ -211,10 +224,10 @@
 	return stopRecord(state, record, record.stopReason ?? 'withdrawn', now);
 }
 
-/** Queues a task again whose start the worker refused, unless the agent no longer starts tasks. */
+/** Queues a task again whose start the worker refused, unless the agent no longer starts tasks or the worker can no longer hold it. */
 export function retryStart(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
 	record.phase = 'queued';
-	if (state.isShuttingDown || state.worker.announcement?.state !== 'ready') {
+	if (state.isShuttingDown || state.worker.announcement?.state !== 'ready' || !canEverFit(state, record.offer)) {
 		return [endRecord(state, record, 'not-started', now)];
 	}
 
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -5,7 +5,7 @@
 import type {TaskOffer, TaskReport} from '../../ports/dispatch-messages.ts';
 import type {NodeName} from '../identity/types.ts';
 import {
-	addToQueue, endRecord, endUnstartedTasks, startGranted, startQueued, stopRecord,
+	addToQueue, canEverFit, endRecord, endUnstartedTasks, startGranted, startQueued, stopRecord,
 } from './orders.ts';
 import {
 	addRecord, hasOtherRecord, isStartOrdered, listRecordsOfTask, removeRecord,
@@ -67,7 +67,9 @@
 
 function isWorkerEligible(state: RunsState, offer: TaskOffer): boolean {
 	const {announcement} = state.worker;
-	return announcement?.target === offer.target && (offer.label === '' || announcement.labels.includes(offer.label));
+	return announcement?.target === offer.target
+		&& (offer.label === '' || announcement.labels.includes(offer.label))
+		&& canEverFit(state, offer);
 }
 
 /**
