Wait for the heartbeat of a new worker process before starting tasks there

Seen: after a worker had crashed and come back at the same address, tasks were started by the capacity of the process before, which may have been larger: a new process may be of another kind. Also, the worker that the store returned late was kept for later: once the worker had announced its shutdown, it was taken as ready again. Cause: the free resources were computed from the last heartbeat whichever process had sent it; a stored worker stayed in the state after a heartbeat had made it needless. Change: nothing is free until the process that answers has told its capacity; a stored worker is dropped once any heartbeat has arrived. The scenario "A worker that restarted has lost its runs" expected the old capacity to be free at once, which is the fault; it now expects 0, and 10000 after the heartbeat.

--- a/features/runs/capacity.feature
+++ b/features/runs/capacity.feature
@@ -83,3 +83,23 @@
     And the stop of "a" is answered "stopped"
     And 10 ms pass and a snapshot shows no runs
     Then entry "e1" gets the report that "a" ended as "not-started"
+
+  # Guards against a start over the capacity of a worker that has come back smaller at the same address.
+  Scenario: Nothing starts at a new worker process before it has told its capacity
+    When a snapshot shows a restart of the worker
+    Then the free capacity is 0
+    When entry "e1" offers tentative tasks "a" of 6000
+    Then entry "e1" is not asked about "a"
+    When the new worker process tells a capacity of 4000
+    Then the free capacity is 4000
+    And entry "e1" gets the report that "a" ended as "not-started"
+    When entry "e1" offers tentative tasks "b" of 4000
+    Then entry "e1" is asked about "b"
+
+  # Guards against starts at a worker that leaves, by a capacity from before the agent's restart.
+  Scenario: A stored worker that arrives after a heartbeat is not used once the worker has left
+    When the stored worker of the same start is restored
+    And the worker announces its shutdown
+    And a snapshot shows that it still runs nothing
+    And 50 ms go by
+    Then the agent accepts no tasks
--- a/features/runs/capacity.steps.ts
+++ b/features/runs/capacity.steps.ts
@@ -3,8 +3,9 @@
  */
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
-import {handleAnnouncement} from '../../src/core/runs/logic.ts';
+import {handleAnnouncement, handleDeparture} from '../../src/core/runs/logic.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
+import {applySnapshot} from '../../src/core/runs/snapshots.ts';
 import type {RunsState} from '../../src/core/runs/state.ts';
 import type {RunRecord, RunsEffect} from '../../src/core/runs/types.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
@@ -26,6 +27,23 @@
 	this.effects.push(...handleAnnouncement(this.state, {...previous, sequence: previous.sequence + 1, capacity: {...previous.capacity, cpu}}, this.now));
 });
 
+When('the new worker process tells a capacity of {int}', function (this: CapacityWorld, cpu: number) {
+	const previous = this.state.worker.announcement!;
+	this.effects.push(...handleAnnouncement(this.state, {
+		...previous, sequence: 1, bornAt: this.state.worker.bornAt, capacity: {...previous.capacity, cpu},
+	}, this.now));
+});
+
+When('the worker announces its shutdown', function (this: CapacityWorld) {
+	this.effects.push(...handleDeparture(this.state, this.state.worker.announcement!.id, this.now));
+});
+
+When('a snapshot shows that it still runs nothing', function (this: CapacityWorld) {
+	this.effects.push(...applySnapshot(this.state, {
+		running: [], ended: [], workerTime: this.now, bornAt: this.state.worker.bornAt,
+	}, this.now, this.now));
+});
+
 Then('the waiting start of {string} is not sent', function (this: CapacityWorld, task: string) {
 	assert.equal(recordStartSent(this.state, findRecordOf(this, task), this.now), false);
 });
--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -238,7 +238,9 @@
     And the start of "a" is answered "started"
     And a snapshot shows a restart of the worker
     Then entry "e1" gets the report that "a" ended as "lost"
-    And the free capacity is 10000
+    And the free capacity is 0
+    When the new worker process tells a capacity of 10000
+    Then the free capacity is 10000
 
   Scenario: A delayed heartbeat of an earlier life changes nothing
     When a heartbeat of an earlier worker process arrives
--- a/src/core/runs/capacity.ts
+++ b/src/core/runs/capacity.ts
@@ -13,6 +13,11 @@
 /** Remaining time assumed for a run that is overdue, in ms. */
 const minRemainingMs = 20;
 
+/** Returns whether the worker process that answers is the one that has told its capacity; a new one may have less. */
+function isCapacityKnown({worker: {announcement, bornAt}}: RunsState): boolean {
+	return announcement !== undefined && (bornAt === undefined || announcement.bornAt === undefined || announcement.bornAt === bornAt);
+}
+
 /**
  * Computes the free resources. All records but queued ones use resources until their end is listed; nothing is
  * free while there are orphan runs, as their needs are not known.
@@ -21,12 +26,11 @@
  * @returns Free resources.
  */
 export function computeFreeResources(state: RunsState): Resources {
-	const capacity = state.worker.announcement?.capacity;
-	if (capacity === undefined || !state.worker.areRunsKnown || state.orphans.size > 0) {
+	if (!isCapacityKnown(state) || !state.worker.areRunsKnown || state.orphans.size > 0) {
 		return noResources;
 	}
 
-	let free: Resources = capacity;
+	let free: Resources = state.worker.announcement!.capacity;
 	for (const record of state.records.values()) {
 		if (record.phase !== 'queued') {
 			free = removeResources(free, record.offer.needs);
@@ -41,7 +45,7 @@
  * resources were reserved before may be ordered.
  */
 export function hasReservedCapacity(state: RunsState): boolean {
-	return state.orphans.size === 0 && hasCapacityFor(computeFreeResources(state), noResources);
+	return isCapacityKnown(state) && state.orphans.size === 0 && hasCapacityFor(computeFreeResources(state), noResources);
 }
 
 function estimateReleaseDelay(state: RunsState, record: RunRecord, now: Milliseconds): Milliseconds {
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -61,16 +61,17 @@
 /** Uses the stored worker heartbeat once the worker has answered, until it sends a new one. */
 export function applyRestoredWorker(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const {restoredAnnouncement, worker} = state;
-	if (restoredAnnouncement === undefined || worker.announcement !== undefined || !worker.isReachable) {
+	if (restoredAnnouncement === undefined || (worker.announcedAt === undefined && !worker.isReachable)) {
 		return [];
 	}
 
 	state.restoredAnnouncement = undefined;
-	if (worker.bornAt === undefined || worker.bornAt !== restoredAnnouncement.bornAt || restoredAnnouncement.state !== 'ready') {
+	// A heartbeat is newer than what was stored, also once the worker has left.
+	if (worker.announcedAt !== undefined || worker.bornAt === undefined || worker.bornAt !== restoredAnnouncement.bornAt || restoredAnnouncement.state !== 'ready') {
 		return [];
 	}
 
-	return handleAnnouncement(state, {...restoredAnnouncement, sequence: 0}, now);
+	return applyAnnouncement(state, {...restoredAnnouncement, sequence: 0}, now);
 }
 
 /**
@@ -82,12 +83,17 @@
  * @returns Effects to carry out.
  */
 export function handleAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
-	const {worker} = state;
-	const previous = worker.announcement;
-	if (!isNewer(previous, announcement)) {
+	if (!isNewer(state.worker.announcement, announcement)) {
 		return [];
 	}
 
+	state.worker.announcedAt = now;
+	return applyAnnouncement(state, announcement, now);
+}
+
+function applyAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
+	const {worker} = state;
+	const previous = worker.announcement;
 	const effects: RunsEffect[] = [];
 	const hasRestarted = worker.bornAt !== undefined && announcement.bornAt !== undefined && announcement.bornAt !== worker.bornAt;
 	if (hasRestarted || (previous !== undefined && previous.id !== announcement.id)) {
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -116,6 +116,8 @@
 export type WorkerRecord = {
 	/** Last worker heartbeat; undefined before the first one. */
 	announcement: WorkerAnnouncement | undefined;
+	/** When a heartbeat last arrived that was not outdated; undefined before the first one. */
+	announcedAt: Milliseconds | undefined;
 	/** Start time of the worker process that answers. */
 	bornAt: Milliseconds | undefined;
 	/** Whether it answers lease renewals; false after `workerSilenceMs` without an answer, or at once if it has exited. */
