Compare a heartbeat with the worker process that answers

Seen: a heartbeat that the former process of a worker had sent, arriving after the new one had answered, made the agent take the former one for the present: its capacity counted again, and the next answer was taken for a further restart, with all runs reported as lost although they went on. And the heartbeats of a new process were ignored for good if the machine's clock had been set back before it started, so that its capacity was never known. Cause: both compared the start time only with that in the last heartbeat, although lease renewals tell which process answers. Change: a heartbeat of the process that answers holds; one of another process only if that started later.

--- a/features/runs/capacity.feature
+++ b/features/runs/capacity.feature
@@ -103,3 +103,31 @@
     And a snapshot shows that it still runs nothing
     And 50 ms go by
     Then the agent accepts no tasks
+
+  # Guards against lost tasks: a heartbeat that was late made the agent drop the runs of the new worker process.
+  Scenario: A late heartbeat of the worker process before changes nothing
+    When a snapshot shows a restart of the worker
+    And the new worker process tells a capacity of 4000
+    And entry "e1" offers direct tasks "a" of 3000
+    And the start of "a" is answered "started"
+    And a late heartbeat of the process before tells a capacity of 9000
+    Then the free capacity is 1000
+
+  # Guards against lost tasks and against a start by the old capacity, before the new process has sent a heartbeat.
+  Scenario: A late heartbeat of the worker process before does not stand for the new one
+    When a snapshot shows a restart of the worker
+    And a late heartbeat of the process before tells a capacity of 9000
+    Then the free capacity is 0
+    And the agent has seen one restart of the worker
+
+  # Guards against a start by a capacity that the worker has taken back since.
+  Scenario: Heartbeats that overtake each other leave the newest capacity
+    When the worker tells a capacity of 4000 with heartbeat 9
+    And the worker tells a capacity of 9000 with heartbeat 8
+    Then the free capacity is 4000
+
+  # Guards against a worker that is never used again: its clock was set back before it started anew.
+  Scenario: A new worker process is used although its start time is before that of the process before
+    When a snapshot shows a worker process with an earlier start time
+    And the new worker process tells a capacity of 4000
+    Then the free capacity is 4000
--- a/features/runs/capacity.steps.ts
+++ b/features/runs/capacity.steps.ts
@@ -27,6 +27,18 @@
 	this.effects.push(...handleAnnouncement(this.state, {...previous, sequence: previous.sequence + 1, capacity: {...previous.capacity, cpu}}, this.now));
 });
 
+When('the worker tells a capacity of {int} with heartbeat {int}', function (this: CapacityWorld, cpu: number, sequence: number) {
+	const previous = this.state.worker.announcement!;
+	this.effects.push(...handleAnnouncement(this.state, {...previous, sequence, capacity: {...previous.capacity, cpu}}, this.now));
+});
+
+When('a late heartbeat of the process before tells a capacity of {int}', function (this: CapacityWorld, cpu: number) {
+	const previous = this.state.worker.announcement!;
+	this.effects.push(...handleAnnouncement(this.state, {
+		...previous, sequence: 99, bornAt: this.state.worker.bornAt! - 1, capacity: {...previous.capacity, cpu},
+	}, this.now));
+});
+
 When('the new worker process tells a capacity of {int}', function (this: CapacityWorld, cpu: number) {
 	const previous = this.state.worker.announcement!;
 	this.effects.push(...handleAnnouncement(this.state, {
@@ -34,6 +46,12 @@
 	}, this.now));
 });
 
+When('a snapshot shows a worker process with an earlier start time', function (this: CapacityWorld) {
+	this.effects.push(...applySnapshot(this.state, {
+		running: [], ended: [], workerTime: this.now, bornAt: this.state.worker.bornAt! - 1000,
+	}, this.now, this.now));
+});
+
 When('the worker announces its shutdown', function (this: CapacityWorld) {
 	this.effects.push(...handleDeparture(this.state, this.state.worker.announcement!.id, this.now));
 });
@@ -44,6 +62,10 @@
 	}, this.now, this.now));
 });
 
+Then('the agent has seen one restart of the worker', function (this: CapacityWorld) {
+	assert.equal(this.effects.filter(effect => effect.type === 'log' && effect.event === 'worker-restarted').length, 1);
+});
+
 Then('the waiting start of {string} is not sent', function (this: CapacityWorld, task: string) {
 	assert.equal(recordStartSent(this.state, findRecordOf(this, task), this.now), false);
 });
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -13,13 +13,18 @@
 import {computeFreeResources, estimateWaits} from './capacity.ts';
 import {updateFencingToken, type RunsState} from './state.ts';
 import {getAgentMode} from './health.ts';
-import type {RunsEffect} from './types.ts';
+import type {RunsEffect, WorkerRecord} from './types.ts';
 
 /** Time, in ms, for entries to claim orphan runs before they are stopped. */
 const orphanClaimMs = 600;
 
-function isNewer(previous: WorkerAnnouncement | undefined, next: WorkerAnnouncement): boolean {
-	if (previous === undefined) {
+/** Start times are compared only with a process that does not answer: the clock may have been set back between two starts. */
+function isNewer({announcement: previous, bornAt}: WorkerRecord, next: WorkerAnnouncement): boolean {
+	if (bornAt !== undefined && next.bornAt !== bornAt) {
+		return (next.bornAt ?? 0) > bornAt;
+	}
+
+	if (previous === undefined || (bornAt !== undefined && previous.bornAt !== bornAt)) {
 		return true;
 	}
 
@@ -83,7 +88,7 @@
  * @returns Effects to carry out.
  */
 export function handleAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
-	if (!isNewer(state.worker.announcement, announcement)) {
+	if (!isNewer(state.worker, announcement)) {
 		return [];
 	}
 
