Count and stop runs that go on after they were reported as lost

Seen: if a call found the worker's port closed, or the worker silent for longer than its leases, the agent reported all runs as lost. Nothing is free meanwhile, as the needs of such a run are not known, and it is stopped at the next tick, as its entry does not wait for it any more. Evidence: the scenario of a run listed after it was reported as lost failed before (free 10000 instead of 0).

--- a/features/runs/capacity.feature
+++ b/features/runs/capacity.feature
@@ -131,3 +131,39 @@
     When a snapshot shows a worker process with an earlier start time
     And the new worker process tells a capacity of 4000
     Then the free capacity is 4000
+
+  # Guards against a start over the capacity: a run that was given up as lost went on and was not counted.
+  Scenario: A run that is listed after it was reported as lost is stopped, and keeps all room until it has ended
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And a renewal finds the worker unreachable
+    Then entry "e1" gets the report that "a" ended as "lost"
+    When 10 ms pass and a snapshot shows "a" at 10 percent
+    Then the free capacity is 0
+    When 50 ms go by
+    Then the worker is ordered to stop "a"
+    When 10 ms pass and a snapshot shows no runs
+    Then the free capacity is 10000
+
+  # Guards against room that stays unused: a snapshot was overtaken by a newer one that lists the end of the run.
+  Scenario: A snapshot from before the end of a run does not bring it back
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And the worker lists "a" as ended "done"
+    And a snapshot from 5 ms before shows "a"
+    Then the free capacity is 10000
+
+  # Guards against a start over the capacity: a run that is being stopped uses its resources until its end is listed.
+  Scenario: A run that is being stopped counts after its stop was acknowledged, until its end is listed
+    When entry "e1" offers direct tasks "a" of 6000
+    And the start of "a" is answered "started"
+    And entry "e1" offers tentative tasks "b" of 4000
+    And entry "e2" offers tentative tasks "c" of 4000
+    And entry "e1" withdraws "a"
+    Then the worker is ordered to stop "a"
+    When the stop of "a" is answered "stopped"
+    And 10 ms pass and a snapshot shows "a" at 10 percent
+    Then the free capacity is 0
+    And entry "e2" is not asked about "c"
+    When the worker lists "a" as ended "stopped"
+    Then the free capacity is 2000
--- a/features/runs/capacity.steps.ts
+++ b/features/runs/capacity.steps.ts
@@ -5,6 +5,7 @@
 import {Then, When} from '@cucumber/cucumber';
 import {handleAnnouncement, handleDeparture} from '../../src/core/runs/logic.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
+import {handleWithdrawal} from '../../src/core/runs/owners.ts';
 import {applySnapshot} from '../../src/core/runs/snapshots.ts';
 import type {RunsState} from '../../src/core/runs/state.ts';
 import type {RunRecord, RunsEffect} from '../../src/core/runs/types.ts';
@@ -52,6 +53,16 @@
 	}, this.now, this.now));
 });
 
+When('a snapshot from {int} ms before shows {string}', function (this: CapacityWorld, age: number, task: string) {
+	this.effects.push(...applySnapshot(this.state, {
+		running: [{task: `${task}.0.0.0`, run: 1, percent: 90}], ended: [], workerTime: this.state.workerClock!.workerTime - age, bornAt: this.state.worker.bornAt,
+	}, this.now - age, this.now));
+});
+
+When('entry {string} withdraws {string}', function (this: CapacityWorld, owner: string, task: string) {
+	this.effects.push(...handleWithdrawal(this.state, owner, [`${task}.0.0.0`], this.now));
+});
+
 When('the worker announces its shutdown', function (this: CapacityWorld) {
 	this.effects.push(...handleDeparture(this.state, this.state.worker.announcement!.id, this.now));
 });
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -123,16 +123,29 @@
 		: [];
 }
 
-/** Makes every run of the first snapshot an orphan; later snapshots remove the orphans that they no longer list. */
-function updateOrphans(state: RunsState, snapshot: WorkerSnapshot, now: Milliseconds): void {
-	if (state.worker.areRunsKnown) {
-		const present = new Set(snapshot.running.map(({task, run}) => getRunKey(task, run)));
-		for (const key of state.orphans.keys()) {
-			if (!present.has(key)) {
-				state.orphans.delete(key);
-			}
+/** Removes the orphans that a snapshot no longer lists, and adds the runs that were reported as lost but go on, to be stopped. */
+function updateKnownOrphans(state: RunsState, {running}: WorkerSnapshot, isLatest: boolean): void {
+	const present = new Set(running.map(({task, run}) => getRunKey(task, run)));
+	for (const key of state.orphans.keys()) {
+		if (!present.has(key)) {
+			state.orphans.delete(key);
 		}
+	}
 
+	for (const {task, run} of isLatest ? running : []) {
+		const key = getRunKey(task, run);
+		if (!state.orphans.has(key) && findRecord(state, {task, run}) === undefined) {
+			state.orphans.set(key, {
+				task, run, seenAt: Number.NEGATIVE_INFINITY, stopRetryAt: 0,
+			});
+		}
+	}
+}
+
+/** Makes every run of the first snapshot an orphan. */
+function updateOrphans(state: RunsState, snapshot: WorkerSnapshot, isLatest: boolean, now: Milliseconds): void {
+	if (state.worker.areRunsKnown) {
+		updateKnownOrphans(state, snapshot, isLatest);
 		return;
 	}
 
@@ -196,8 +209,10 @@
 	worker.bornAt ??= snapshot.bornAt;
 	worker.isReachable = true;
 	worker.lastAnswerAt = now;
+	// Answers may overtake each other; an older one lists runs whose end has been handled.
+	const isLatest = state.workerClock === undefined || snapshot.workerTime >= state.workerClock.workerTime;
 	state.workerClock = {workerTime: snapshot.workerTime, at: now};
-	updateOrphans(state, snapshot, now);
+	updateOrphans(state, snapshot, isLatest, now);
 	for (const ended of snapshot.ended) {
 		if (ended.position > state.acknowledgedPosition) {
 			effects.push(...applyEnd(state, ended, now));
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -58,8 +58,12 @@
 	stopRetryAt: Milliseconds;
 };
 
-/** A run that was started before this agent process restarted and that no entry has claimed yet. */
+/**
+ * A run that was started before this agent process restarted and that no entry has claimed yet, or one that was reported
+ * as lost and goes on.
+ */
 export type OrphanRun = RunRef & {
+	/** When it was first listed; negative infinity if no entry waits for it. */
 	readonly seenAt: Milliseconds;
 	stopRetryAt: Milliseconds;
 };
