Start nothing by a heartbeat that is 4 s old

Seen: an agent that got no usable heartbeat any more, or was paused for seconds, went on starting tasks by the last capacity that it knew, however old. A worker that had shrunk meanwhile was filled above its capacity until the next heartbeat. Cause: a heartbeat held until the next one. Change: from an age of 4 s, more than two intervals, the agent is closed, gives waiting tasks back to their entries, and sends no start that is granted or still waits. What runs goes on. The next heartbeat opens it at once. Evidence: three scenarios failed before (mode "open", start sent, start ordered) and pass now.

--- a/features/runs/capacity.feature
+++ b/features/runs/capacity.feature
@@ -167,3 +167,46 @@
     And entry "e2" is not asked about "c"
     When the worker lists "a" as ended "stopped"
     Then the free capacity is 2000
+
+  # Guards against starts by a capacity that may have shrunk long ago, for instance while this process was paused.
+  Scenario: Nothing starts while the last heartbeat is too old
+    When entry "e1" offers direct tasks "a" of 6000
+    And the start of "a" is sent 1 ms later
+    And the start of "a" is answered "started"
+    And entry "e1" offers tentative tasks "b" of 6000
+    And 4100 ms pass and a snapshot shows "a" at 99 percent
+    And entry "e1" offers direct tasks "c" of 4000
+    Then entry "e1" gets the report that "c" ended as "not-started"
+    And the agent reports the mode "closed"
+    When 50 ms go by
+    Then entry "e1" gets the report that "b" ended as "not-started"
+    When the worker tells a capacity of 10000
+    Then the agent accepts tasks
+    When entry "e1" offers direct tasks "d" of 4000
+    Then the worker is ordered to start "d"
+
+  # Guards against a start by an old capacity: the order waited while this process was paused.
+  Scenario: A start that still waits to be sent is not sent once the last heartbeat is too old
+    When entry "e1" offers direct tasks "a" of 6000
+    And 4100 ms go by
+    Then the waiting start of "a" is not sent
+
+  # Guards against a start by an old capacity: the grant arrived after a pause of this process.
+  Scenario: A granted task does not start once the last heartbeat is too old
+    When entry "e1" offers tentative tasks "a" of 6000
+    And the agent is paused for 4100 ms
+    And entry "e1" grants "a"
+    Then the worker is ordered to start nothing
+    And entry "e1" gets the report that "a" ended as "not-started"
+
+  # Guards against room that stays unused after the worker has grown again.
+  Scenario: The capacity that a worker tells is used at once
+    When the worker tells a capacity of 2000
+    And entry "e1" offers tentative tasks "a" of 2000
+    And entry "e1" grants "a"
+    And the start of "a" is answered "started"
+    And entry "e2" offers tentative tasks "b" of 2000
+    Then entry "e2" is not asked about "b"
+    When the worker tells a capacity of 4000
+    Then the free capacity is 0
+    And the agent has asked entry "e2" about "b"
--- a/features/runs/capacity.steps.ts
+++ b/features/runs/capacity.steps.ts
@@ -77,6 +77,10 @@
 	assert.equal(this.effects.filter(effect => effect.type === 'log' && effect.event === 'worker-restarted').length, 1);
 });
 
+Then('the agent has asked entry {string} about {string}', function (this: CapacityWorld, owner: string, task: string) {
+	assert.ok(this.effects.some(effect => effect.type === 'ask' && effect.owner === owner && effect.task === `${task}.0.0.0`));
+});
+
 Then('the waiting start of {string} is not sent', function (this: CapacityWorld, task: string) {
 	assert.equal(recordStartSent(this.state, findRecordOf(this, task), this.now), false);
 });
--- a/src/core/runs/health.ts
+++ b/src/core/runs/health.ts
@@ -16,6 +16,14 @@
 /** Longest time between trials, in ms; limits how long a recovered worker stays unused. */
 const maxTrialIntervalMs = 2000;
 
+/** Longest time, in ms, since the last heartbeat in which tasks are started; the capacity may have shrunk meanwhile. */
+const maxAnnouncementAgeMs = 4000;
+
+/** Returns whether the worker has told its capacity recently enough to start tasks by it. */
+export function isAnnouncementCurrent({worker: {announcedAt}}: RunsState, now: Milliseconds): boolean {
+	return announcedAt !== undefined && now - announcedAt <= maxAnnouncementAgeMs;
+}
+
 /**
  * Records a run that failed or stalled.
  *
@@ -85,7 +93,7 @@
  */
 export function getAgentMode(state: RunsState, now: Milliseconds): AgentMode {
 	const {worker, health} = state;
-	const isServing = worker.isReachable && worker.areRunsKnown && worker.announcement?.state === 'ready';
+	const isServing = worker.isReachable && worker.areRunsKnown && worker.announcement?.state === 'ready' && isAnnouncementCurrent(state, now);
 	if (!isServing || state.isShuttingDown) {
 		// Neither a worker heartbeat nor a failed call yet.
 		const isStarting = worker.announcement === undefined && worker.lastFailureAt === Number.NEGATIVE_INFINITY;
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -12,7 +12,7 @@
 import {endAllRuns, resetWorker} from './snapshots.ts';
 import {computeFreeResources, estimateWaits} from './capacity.ts';
 import {updateFencingToken, type RunsState} from './state.ts';
-import {getAgentMode} from './health.ts';
+import {getAgentMode, isAnnouncementCurrent} from './health.ts';
 import type {RunsEffect, WorkerRecord} from './types.ts';
 
 /** Time, in ms, for entries to claim orphan runs before they are stopped. */
@@ -76,6 +76,7 @@
 		return [];
 	}
 
+	worker.announcedAt = now;
 	return applyAnnouncement(state, {...restoredAnnouncement, sequence: 0}, now);
 }
 
@@ -175,6 +176,12 @@
 	return state.worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, now);
 }
 
+/** Gives waiting tasks back once the capacity of the worker is not known any more. */
+function dropWaitingTasks(state: RunsState, now: Milliseconds): RunsEffect[] {
+	const isOutdated = state.worker.announcement !== undefined && !isAnnouncementCurrent(state, now);
+	return isOutdated ? endUnstartedTasks(state, now) : [];
+}
+
 function stopOrphans(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
 	for (const orphan of state.orphans.values()) {
@@ -206,6 +213,7 @@
 		...applyPendingClaims(state, now),
 		...dropDisconnectedOwners(state, now),
 		...endLapsedRuns(state, now),
+		...dropWaitingTasks(state, now),
 		...stopOrphans(state, now),
 		...retryStops(state, now),
 		...startQueued(state, now),
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -12,7 +12,7 @@
 	computeLeaseEnd, getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
 import {hasOtherStartedRun, isStartOrdered, removeRecord} from './records.ts';
-import {canAcceptTask} from './health.ts';
+import {canAcceptTask, isAnnouncementCurrent} from './health.ts';
 import type {RunRecord, RunsEffect, StopReason} from './types.ts';
 
 /** Age, in ms, from which a waiting task that does not fit blocks the smaller ones behind it. */
@@ -106,11 +106,12 @@
  * @param record - The record.
  * @param now - Current time.
  * @returns Whether it may be sent; false if it was stopped in the meantime, removed with its worker, its entry is silent, or
- * the capacity has shrunk below what is reserved.
+ * the capacity has shrunk below what is reserved or is not known any more.
  */
 export function recordStartSent(state: RunsState, record: RunRecord, now: Milliseconds): boolean {
 	const isKnown = state.records.get(getRecordKey(record.owner, record.offer.task)) === record;
-	if (!isKnown || record.phase !== 'starting' || !isOwnerPresent(state, record, now) || !hasReservedCapacity(state)) {
+	const hasCapacity = isAnnouncementCurrent(state, now) && hasReservedCapacity(state);
+	if (!isKnown || record.phase !== 'starting' || !isOwnerPresent(state, record, now) || !hasCapacity) {
 		return false;
 	}
 
@@ -153,7 +154,7 @@
  */
 export function startQueued(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
-	if (state.queue.length === 0 || !state.worker.isReachable || !state.worker.areRunsKnown) {
+	if (state.queue.length === 0 || !state.worker.isReachable || !state.worker.areRunsKnown || !isAnnouncementCurrent(state, now)) {
 		return effects;
 	}
 
