--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -5,19 +5,26 @@
 import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {LeaseRenewalErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
 import {isSameResources, noResources} from '../resources/logic.ts';
-import {endUnstartedTasks, retryStop, startQueued} from './orders.ts';
+import {
+	endOversizedTasks, endUnstartedTasks, retryStop, startQueued,
+} from './orders.ts';
 import {applyPendingClaims, dropDisconnectedOwners} from './owners.ts';
 import {endAllRuns, resetWorker} from './snapshots.ts';
 import {computeFreeResources, estimateWaits} from './capacity.ts';
 import {updateFencingToken, type RunsState} from './state.ts';
-import {getAgentMode} from './health.ts';
-import type {RunsEffect} from './types.ts';
+import {getAgentMode, isAnnouncementCurrent} from './health.ts';
+import type {RunsEffect, WorkerRecord} from './types.ts';
 
 /** Time, in ms, for entries to claim orphan runs before they are stopped. */
 const orphanClaimMs = 600;
 
-function isNewer(previous: WorkerAnnouncement | undefined, next: WorkerAnnouncement): boolean {
-	if (previous === undefined) {
+/** Start times are compared only with a process that does not answer: the clock may have been set back between two starts. */
+function isNewer({announcement: previous, bornAt}: WorkerRecord, next: WorkerAnnouncement): boolean {
+	if (bornAt !== undefined && next.bornAt !== bornAt) {
+		return (next.bornAt ?? 0) > bornAt;
+	}
+
+	if (previous === undefined || (bornAt !== undefined && previous.bornAt !== bornAt)) {
 		return true;
 	}
 
@@ -59,16 +66,18 @@
 /** Uses the stored worker heartbeat once the worker has answered, until it sends a new one. */
 export function applyRestoredWorker(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const {restoredAnnouncement, worker} = state;
-	if (restoredAnnouncement === undefined || worker.announcement !== undefined || !worker.isReachable) {
+	if (restoredAnnouncement === undefined || (worker.announcedAt === undefined && !worker.isReachable)) {
 		return [];
 	}
 
 	state.restoredAnnouncement = undefined;
-	if (worker.bornAt === undefined || worker.bornAt !== restoredAnnouncement.bornAt || restoredAnnouncement.state !== 'ready') {
+	// A heartbeat is newer than what was stored, also once the worker has left.
+	if (worker.announcedAt !== undefined || worker.bornAt === undefined || worker.bornAt !== restoredAnnouncement.bornAt || restoredAnnouncement.state !== 'ready') {
 		return [];
 	}
 
-	return handleAnnouncement(state, {...restoredAnnouncement, sequence: 0}, now);
+	worker.announcedAt = now;
+	return applyAnnouncement(state, {...restoredAnnouncement, sequence: 0}, now);
 }
 
 /**
@@ -80,12 +89,17 @@
  * @returns Effects to carry out.
  */
 export function handleAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
-	const {worker} = state;
-	const previous = worker.announcement;
-	if (!isNewer(previous, announcement)) {
+	if (!isNewer(state.worker, announcement)) {
 		return [];
 	}
 
+	state.worker.announcedAt = now;
+	return applyAnnouncement(state, announcement, now);
+}
+
+function applyAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
+	const {worker} = state;
+	const previous = worker.announcement;
 	const effects: RunsEffect[] = [];
 	const hasRestarted = worker.bornAt !== undefined && announcement.bornAt !== undefined && announcement.bornAt !== worker.bornAt;
 	if (hasRestarted || (previous !== undefined && previous.id !== announcement.id)) {
@@ -99,9 +113,7 @@
 		});
 	}
 
-	if (announcement.state === 'draining') {
-		effects.push(...endUnstartedTasks(state, now));
-	}
+	effects.push(...(announcement.state === 'draining' ? endUnstartedTasks(state, now) : endOversizedTasks(state, now)));
 
 	return [...effects, ...startQueued(state, now)];
 }
@@ -164,6 +176,12 @@
 	return state.worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, 'lapsed', now);
 }
 
+/** Gives waiting tasks back once the capacity of the worker is not known any more. */
+function dropWaitingTasks(state: RunsState, now: Milliseconds): RunsEffect[] {
+	const isOutdated = state.worker.announcement !== undefined && !isAnnouncementCurrent(state, now);
+	return isOutdated ? endUnstartedTasks(state, now) : [];
+}
+
 function stopOrphans(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
 	for (const orphan of state.orphans.values()) {
@@ -195,6 +213,7 @@
 		...applyPendingClaims(state, now),
 		...dropDisconnectedOwners(state, now),
 		...endLapsedRuns(state, now),
+		...dropWaitingTasks(state, now),
 		...stopOrphans(state, now),
 		...retryStops(state, now),
 		...startQueued(state, now),
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -5,14 +5,14 @@
  * shows the run, or a stop of it has been acknowledged: from then on the worker refuses the start.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
+import type {TaskEnd, TaskOffer, TaskReport} from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
-import {computeFreeResources} from './capacity.ts';
+import {computeFreeResources, hasReservedCapacity} from './capacity.ts';
 import {
 	computeLeaseEnd, getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
 import {hasOtherStartedRun, isStartOrdered, removeRecord} from './records.ts';
-import {canAcceptTask} from './health.ts';
+import {canAcceptTask, isAnnouncementCurrent} from './health.ts';
 import type {RunRecord, RunsEffect, StopReason} from './types.ts';
 
 /** Age, in ms, from which a waiting task that does not fit blocks the smaller ones behind it. */
@@ -48,6 +48,19 @@
 	return [...state.records.values()].filter(record => !isStartOrdered(record)).map(record => endRecord(state, record, 'not-started', now));
 }
 
+/** Returns whether the worker could hold a task if nothing else ran there. */
+export function canEverFit(state: RunsState, {needs}: Pick<TaskOffer, 'needs'>): boolean {
+	const capacity = state.worker.announcement?.capacity;
+	return capacity !== undefined && hasCapacityFor(capacity, needs);
+}
+
+/** Returns to the entries every task whose start was not ordered and that the worker can no longer hold. */
+export function endOversizedTasks(state: RunsState, now: Milliseconds): RunsEffect[] {
+	return [...state.records.values()]
+		.filter(record => !isStartOrdered(record) && !canEverFit(state, record.offer))
+		.map(record => endRecord(state, record, 'not-started', now));
+}
+
 function compareRecords(left: RunRecord, right: RunRecord): number {
 	return left.offer.priority - right.offer.priority || left.queuedAt - right.queuedAt;
 }
@@ -92,11 +105,13 @@
  * @param state - State of the agent.
  * @param record - The record.
  * @param now - Current time.
- * @returns Whether it may be sent; false if it was stopped in the meantime, removed with its worker, or its entry is silent.
+ * @returns Whether it may be sent; false if it was stopped in the meantime, removed with its worker, its entry is silent, or
+ * the capacity has shrunk below what is reserved or is not known any more.
  */
 export function recordStartSent(state: RunsState, record: RunRecord, now: Milliseconds): boolean {
 	const isKnown = state.records.get(getRecordKey(record.owner, record.offer.task)) === record;
-	if (!isKnown || record.phase !== 'starting' || !isOwnerPresent(state, record, now)) {
+	const hasCapacity = isAnnouncementCurrent(state, now) && hasReservedCapacity(state);
+	if (!isKnown || record.phase !== 'starting' || !isOwnerPresent(state, record, now) || !hasCapacity) {
 		return false;
 	}
 
@@ -121,11 +136,11 @@
  * @param state - State of the agent.
  * @param record - A record in phase `asking`.
  * @param now - Current time.
- * @returns The start, or a report of `not-started` if this agent no longer accepts tasks.
+ * @returns The start, or a report of `not-started` if this agent no longer accepts tasks, or the task no longer fits.
  */
 export function startGranted(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect {
 	record.isGranted = true;
-	const start = canAcceptTask(state, now) ? createStart(state, record, now) : undefined;
+	const start = canAcceptTask(state, now) && hasReservedCapacity(state) ? createStart(state, record, now) : undefined;
 	return start ?? endRecord(state, record, 'not-started', now);
 }
 
@@ -139,7 +154,7 @@
  */
 export function startQueued(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
-	if (state.queue.length === 0 || !state.worker.isReachable || !state.worker.areRunsKnown) {
+	if (state.queue.length === 0 || !state.worker.isReachable || !state.worker.areRunsKnown || !isAnnouncementCurrent(state, now)) {
 		return effects;
 	}
 
@@ -210,10 +225,10 @@
 	return stopRecord(state, record, record.stopReason ?? 'withdrawn', now);
 }
 
-/** Queues a task again whose start the worker refused, unless the agent no longer starts tasks. */
+/** Queues a task again whose start the worker refused, unless the agent no longer starts tasks or the worker can no longer hold it. */
 export function retryStart(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
 	record.phase = 'queued';
-	if (state.isShuttingDown || state.worker.announcement?.state !== 'ready') {
+	if (state.isShuttingDown || state.worker.announcement?.state !== 'ready' || !canEverFit(state, record.offer)) {
 		return [endRecord(state, record, 'not-started', now)];
 	}
 
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -68,8 +68,12 @@
 	stopRetryAt: Milliseconds;
 };
 
-/** A run that was started before this agent process restarted and that no entry has claimed yet. */
+/**
+ * A run that was started before this agent process restarted and that no entry has claimed yet, or one that was reported
+ * as lost and goes on.
+ */
 export type OrphanRun = RunRef & {
+	/** When it was first listed; negative infinity if no entry waits for it. */
 	readonly seenAt: Milliseconds;
 	stopRetryAt: Milliseconds;
 };
@@ -126,6 +130,8 @@
 export type WorkerRecord = {
 	/** Last worker heartbeat; undefined before the first one. */
 	announcement: WorkerAnnouncement | undefined;
+	/** When a heartbeat last arrived that was not outdated; undefined before the first one. */
+	announcedAt: Milliseconds | undefined;
 	/** Start time of the worker process that answers. */
 	bornAt: Milliseconds | undefined;
 	/** Whether it answers lease renewals; false after `workerSilenceMs` without an answer, or at once if it has exited. */
