Extend no lease while the stop of a run that nobody waits for has timed out

Seen by callers: a task could run twice at once after its entry was lost or cut off, or its caller had left and submitted again: the agent's stop got no answer and was carried out seconds later, while renewals for the worker's other runs kept the run alive beyond the time after which it is started elsewhere. Cause: the lease is one for all runs of a worker; nothing tied it to a stop that is not acknowledged.

--- a/bench/emulator/fleet.ts
+++ b/bench/emulator/fleet.ts
@@ -27,7 +27,8 @@
 } from '../../src/core/runs/owners.ts';
 import {computeOthersLoad, computeOwnersLoad} from '../../src/core/runs/contention.ts';
 import {computeTaskCpu, isReportDue, type ReportedLoad} from '../../src/core/runs/load-reports.ts';
-import {computeLeaseEnd, createRunsState, type RunsState} from '../../src/core/runs/state.ts';
+import {createRenewal} from '../../src/core/runs/leases.ts';
+import {createRunsState, type RunsState} from '../../src/core/runs/state.ts';
 import type {RunsEffect} from '../../src/core/runs/types.ts';
 import {selectAgents} from '../../src/core/subsets/logic.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
@@ -587,13 +588,12 @@
 		}
 
 		const sentAt = this.#now();
-		const leaseUntil = computeLeaseEnd(agent.state, sentAt);
-		const {fencingToken, acknowledgedPosition} = agent.state;
+		const {leaseUntil, fencingToken, acknowledged} = createRenewal(agent.state, 0, sentAt);
 		// No second renewal is needed meanwhile: this one also lists the runs that end before it reaches the worker.
 		agent.isRenewing = true;
 		this.#sendOrder(agent, () => {
 			agent.isRenewing = false;
-			return agent.worker.renewLease(leaseUntil ?? 0, fencingToken, acknowledgedPosition);
+			return agent.worker.renewLease(leaseUntil ?? 0, fencingToken, acknowledged);
 		}, look => {
 			this.#runAgent(agent, look === undefined
 				? applyRenewalFailure(agent.state, 'unreachable', this.#now())
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -4,9 +4,10 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {
-	advanceRuns, applyRenewalFailure, computeRenewalWait, findWorkerToStore, handleAnnouncement, isExtraRenewalDue, recordRenewalSent, restoreWorker,
+	advanceRuns, applyRenewalFailure, computeRenewalWait, findWorkerToStore, handleAnnouncement, isExtraRenewalDue, restoreWorker,
 } from '../../src/core/runs/logic.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../src/core/runs/answers.ts';
+import {createRenewal} from '../../src/core/runs/leases.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
 import {
 	handleClaim, handleGrant, handleOffers, handleOwnerDisconnect, recordOwnerContact,
@@ -54,6 +55,7 @@
 			progressAt: 0,
 			paceBaseline: {at: 0, percent: 0},
 			stopReason: undefined,
+			stopOrderedAt: undefined,
 			stoppedAt: undefined,
 			stopRetryAt: 0,
 		},
@@ -178,7 +180,7 @@
 });
 
 Given('the agent has sent a renewal to its idle worker', function (this: RunsWorld) {
-	recordRenewalSent(this.state, this.now);
+	createRenewal(this.state, 0, this.now);
 });
 
 When('a renewal that waited for {int} ms gets no answer', function (this: RunsWorld, wait: number) {
--- /dev/null
+++ b/features/runs/single-run.feature
@@ -0,0 +1,28 @@
+Feature: One run of a task at a time
+  An entry starts a task elsewhere once its agent must have ended the earlier run. So an agent reports no run as lost that
+  may be active, and extends no lease under which a run outlives that time.
+
+  Background:
+    Given an agent whose worker has 10000 thousandths of a core
+
+  # Guards against a run that outlives its entry's loss, as its stop gets no answer and renewals for other runs extend its lease.
+  Scenario Outline: The lease is not extended while <event> and the stop is not acknowledged
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    Then a renewal extends the lease
+    When <event>
+    Then the worker is ordered to stop "a"
+    And a renewal extends the lease
+    When 70 ms go by
+    And the stop of "a" is answered "unanswered"
+    Then a renewal does not extend the lease
+    When entry "e2" offers direct tasks "b" of 1000
+    Then the worker is not ordered to start "b"
+    When the stop of "a" is answered "stopped"
+    Then a renewal extends the lease
+
+    Examples:
+      | event                                                     |
+      | entry "e1" withdraws "a"                                  |
+      | entry "e2" offers direct tasks "a" of 4000                |
+      | the stream to entry "e1" has been closed for 200 ms       |
--- /dev/null
+++ b/features/runs/single-run.steps.ts
@@ -0,0 +1,118 @@
+/**
+ * Steps for the single run of a task: leases, lost runs, and what a restarted agent finds.
+ */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {applyStartAnswer} from '../../src/core/runs/answers.ts';
+import {
+	advanceRuns, applyRenewalFailure, handleDeparture,
+} from '../../src/core/runs/logic.ts';
+import {handleClaim} from '../../src/core/runs/owners.ts';
+import {applySnapshot} from '../../src/core/runs/snapshots.ts';
+import {computeLeaseEnd, createRenewal} from '../../src/core/runs/leases.ts';
+import type {Milliseconds} from '../../src/ports/clock.ts';
+import type {RunEnd} from '../../src/ports/worker.ts';
+import {
+	applyNextSnapshot, bornAt, createOffer, findLastStart, listStarts, passTime, recordEffects, resetWorld, type RunsWorld, sendAnnouncement,
+} from './world.ts';
+
+type SingleRunWorld = RunsWorld & {
+	/** When the last renewal was sent that extended the lease. */
+	extendedAt: Milliseconds;
+	reportedAt: Milliseconds;
+	/** Token of the call without an answer, and of the renewal after it. */
+	callToken: number;
+	renewalToken: number;
+};
+
+function listReports(world: RunsWorld, owner: string, task: string): string[] {
+	return world.effects.flatMap(effect => effect.type === 'report' && effect.owner === owner
+		? effect.reports.filter(report => report.task === `${task}.0.0.0`).map(({end}) => end)
+		: []);
+}
+
+Given('an agent that restarted while its worker runs {string} as run {int}', function (this: SingleRunWorld, task: string, run: number) {
+	resetWorld(this);
+	applyNextSnapshot(this, {running: [{task: `${task}.0.0.0`, run, percent: 50}]});
+	sendAnnouncement(this);
+});
+
+Then('a renewal extends the lease', function (this: SingleRunWorld) {
+	assert.notEqual(computeLeaseEnd(this.state, this.now), undefined);
+});
+
+Then('a renewal does not extend the lease', function (this: SingleRunWorld) {
+	assert.equal(computeLeaseEnd(this.state, this.now), undefined);
+});
+
+Then('the worker is not ordered to start {string}', function (this: SingleRunWorld, task: string) {
+	assert.ok(!listStarts(this).includes(`${task}.0.0.0`));
+});
+
+When('renewals are sent every {int} ms for {int} ms without an answer', function (this: SingleRunWorld, interval: number, time: number) {
+	const endAt = this.now + time;
+	while (this.now < endAt) {
+		if (createRenewal(this.state, 0, this.now).leaseUntil !== undefined) {
+			this.extendedAt = this.now;
+		}
+
+		passTime(this, interval);
+		recordEffects(this, [...applyRenewalFailure(this.state, 'unanswered', this.now), ...advanceRuns(this.state, this.now)]);
+		if (listReports(this, 'e1', 'a').length === 0) {
+			this.reportedAt = this.now + interval;
+		}
+	}
+});
+
+Then('the last renewal that extended the lease was sent at least {int} ms before that report', function (this: SingleRunWorld, time: number) {
+	assert.ok(this.reportedAt - this.extendedAt >= time, `${this.reportedAt - this.extendedAt} ms`);
+});
+
+Then('entry {string} gets no report on {string}', function (this: SingleRunWorld, owner: string, task: string) {
+	assert.deepEqual(listReports(this, owner, task), []);
+});
+
+When('entry {string} claims run {int} of {string}', function (this: SingleRunWorld, owner: string, run: number, task: string) {
+	recordEffects(this, [...handleClaim(this.state, owner, [{...createOffer(task, 1000, false), run}], this.now), ...advanceRuns(this.state, this.now)]);
+});
+
+When('the worker lists run {int} of {string} as ended {string}', function (this: SingleRunWorld, run: number, task: string, end: RunEnd) {
+	this.position++;
+	const requestedAt = this.now;
+	this.now++;
+	recordEffects(this, applySnapshot(this.state, {
+		running: [], workerTime: this.now - bornAt, bornAt, ended: [{
+			task: `${task}.0.0.0`, run, end, position: this.position,
+		}],
+	}, requestedAt, this.now));
+});
+
+When('the worker announces its departure', function (this: SingleRunWorld) {
+	recordEffects(this, handleDeparture(this.state, this.state.worker.announcement!.id, this.now));
+});
+
+When('the stream to entry {string} has been closed for {int} ms', function (this: SingleRunWorld, owner: string, time: number) {
+	this.state.owners.get(owner)!.disconnectedAt = this.now;
+	passTime(this, time);
+	recordEffects(this, advanceRuns(this.state, this.now));
+});
+
+When(/^(a renewal|the start of "a") ends without an answer$/, function (this: SingleRunWorld, call: string) {
+	this.callToken = this.state.fencingToken;
+	recordEffects(this, call === 'a renewal'
+		? applyRenewalFailure(this.state, 'unanswered', this.now)
+		: applyStartAnswer(this.state, findLastStart(this, 'a.0.0.0'), 'unanswered', this.now));
+});
+
+Then('the next renewal carries a higher token than that call', function (this: SingleRunWorld) {
+	this.renewalToken = this.state.fencingToken;
+	assert.ok(this.renewalToken > this.callToken);
+});
+
+When('an order with the token of that call is answered "fenced"', function (this: SingleRunWorld) {
+	recordEffects(this, applyStartAnswer(this.state, findLastStart(this, 'a.0.0.0'), 'fenced', this.now));
+});
+
+Then('the next renewal carries the same token as before', function (this: SingleRunWorld) {
+	assert.equal(this.state.fencingToken, this.renewalToken);
+});
--- /dev/null
+++ b/src/core/runs/leases.ts
@@ -0,0 +1,60 @@
+/**
+ * Decides whether the lease of the worker's runs may be extended. A run that has to end although nobody confirms its
+ * stop ends with its lease, so that its task can be started elsewhere.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {LeaseRenewal} from '../../ports/worker.ts';
+import type {RunsState} from './state.ts';
+import type {RunRecord, StopReason} from './types.ts';
+
+/** Reasons of a stop after which the task may be started elsewhere without a report of its end. */
+const unreportedReasons: ReadonlySet<StopReason | undefined> = new Set(['withdrawn', 'owner-lost', 'superseded']);
+
+/** Returns whether the stop of a run has timed out whose end neither its entry nor its caller waits for. */
+function isStopOverdue({owners, options}: RunsState, {owner, phase, stopReason, stopOrderedAt, stoppedAt}: RunRecord, now: Milliseconds): boolean {
+	const isUnreported = unreportedReasons.has(stopReason) || owners.get(owner)?.disconnectedAt !== undefined;
+	return phase === 'stopping' && stoppedAt === undefined && isUnreported && now - (stopOrderedAt ?? now) >= options.timings.orderMs;
+}
+
+function hasOverdueStop(state: RunsState, now: Milliseconds): boolean {
+	for (const record of state.records.values()) {
+		if (isStopOverdue(state, record, now)) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+/**
+ * Computes the expiry of a lease that begins now.
+ *
+ * @param state - State of the agent.
+ * @param now - Current time.
+ * @returns Expiry on the worker's clock, in whole ms; undefined if the lease is not to be extended, and before the worker's clock has been read.
+ */
+export function computeLeaseEnd(state: RunsState, now: Milliseconds): Milliseconds | undefined {
+	const {workerClock, options} = state;
+	return workerClock === undefined || hasOverdueStop(state, now)
+		? undefined
+		: Math.floor(workerClock.workerTime + (now - workerClock.at) + options.timings.leaseMs);
+}
+
+/**
+ * Creates a lease renewal that is sent now.
+ *
+ * @param state - State of the agent.
+ * @param wait - Time, in ms, for which the worker may delay its answer until a run ends.
+ * @param now - Current time.
+ * @returns The renewal.
+ */
+export function createRenewal(state: RunsState, wait: Milliseconds, now: Milliseconds): LeaseRenewal {
+	const leaseUntil = computeLeaseEnd(state, now);
+	if (leaseUntil !== undefined) {
+		state.worker.lastRenewalAt = now;
+	}
+
+	return {
+		leaseUntil, fencingToken: state.fencingToken, acknowledged: state.acknowledgedPosition, wait,
+	};
+}
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -263,11 +263,6 @@
 	return !worker.areRunsKnown || records.size > 0 || orphans.size > 0;
 }
 
-/** Records that a call is sent that renews the lease. */
-export function recordRenewalSent({worker}: RunsState, now: Milliseconds): void {
-	worker.lastRenewalAt = now;
-}
-
 /**
  * Returns whether the lease has to be renewed beside the call that waits for an end: if that was sent while the worker
  * had no runs, it may wait for longer than the lease of a run that was started since.
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -7,9 +7,10 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd, TaskOffer, TaskReport} from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
+import {computeLeaseEnd} from './leases.ts';
 import {computeFreeResources, hasReservedCapacity} from './capacity.ts';
 import {
-	computeLeaseEnd, getRecordKey, recordEnd, type RunsState,
+	getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
 import {hasOtherStartedRun, isStartOrdered, removeRecord} from './records.ts';
 import {canAcceptTask, isAnnouncementCurrent} from './health.ts';
@@ -106,12 +107,13 @@
  * @param record - The record.
  * @param now - Current time.
  * @returns Whether it may be sent; false if it was stopped in the meantime, removed with its worker, its entry is silent, or
- * the capacity has shrunk below what is reserved or is not known any more.
+ * the capacity has shrunk below what is reserved or is not known any more, or the lease must not be extended.
  */
 export function recordStartSent(state: RunsState, record: RunRecord, now: Milliseconds): boolean {
 	const isKnown = state.records.get(getRecordKey(record.owner, record.offer.task)) === record;
 	const hasCapacity = isAnnouncementCurrent(state, now) && hasReservedCapacity(state);
-	if (!isKnown || record.phase !== 'starting' || !isOwnerPresent(state, record, now) || !hasCapacity) {
+	const hasLease = computeLeaseEnd(state, now) !== undefined;
+	if (!isKnown || record.phase !== 'starting' || !isOwnerPresent(state, record, now) || !hasCapacity || !hasLease) {
 		return false;
 	}
 
@@ -154,7 +156,8 @@
  */
 export function startQueued(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
-	if (state.queue.length === 0 || !state.worker.isReachable || !state.worker.areRunsKnown || !isAnnouncementCurrent(state, now)) {
+	const canStart = state.worker.isReachable && state.worker.areRunsKnown && isAnnouncementCurrent(state, now) && computeLeaseEnd(state, now) !== undefined;
+	if (state.queue.length === 0 || !canStart) {
 		return effects;
 	}
 
@@ -205,6 +208,7 @@
 
 	const isFirst = record.phase !== 'stopping';
 	record.phase = 'stopping';
+	record.stopOrderedAt ??= now;
 	record.stopRetryAt = now + (2 * state.options.timings.orderMs);
 	const effects: RunsEffect[] = [{type: 'stop', ref: {task: record.offer.task, run: record.run}, fencingToken: state.fencingToken}];
 	if (isFirst) {
@@ -240,6 +244,7 @@
 export function retryWithNextRun(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
 	record.run++;
 	record.stopReason = undefined;
+	record.stopOrderedAt = undefined;
 	record.stoppedAt = undefined;
 	record.stopRetryAt = 0;
 	return retryStart(state, record, now);
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -27,6 +27,7 @@
 		progressAt: now,
 		paceBaseline: {at: now, percent: 0},
 		stopReason: undefined,
+		stopOrderedAt: undefined,
 		stoppedAt: undefined,
 		stopRetryAt: 0,
 	};
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -1,7 +1,6 @@
 /**
  * State of the runs that an agent manages on its worker.
  */
-import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd, TaskOffer} from '../../ports/dispatch-messages.ts';
 import type {WorkerAnnouncement} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
@@ -90,17 +89,6 @@
 	return task.split('.', 1)[0];
 }
 
-/**
- * Computes the expiry of a lease that begins now.
- *
- * @param state - State of the agent.
- * @param now - Current time.
- * @returns Expiry on the worker's clock, in whole ms; undefined before its clock has been read.
- */
-export function computeLeaseEnd({workerClock, options}: RunsState, now: Milliseconds): Milliseconds | undefined {
-	return workerClock === undefined ? undefined : Math.floor(workerClock.workerTime + (now - workerClock.at) + options.timings.leaseMs);
-}
-
 /** Most ends kept for entries whose stream closed before they received the report. */
 const maxRecentEnds = 1000;
 
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -62,6 +62,8 @@
 	/** Time and progress from which the current pace is measured. */
 	paceBaseline: {readonly at: Milliseconds; readonly percent: number};
 	stopReason: StopReason | undefined;
+	/** When the stop was first ordered. */
+	stopOrderedAt: Milliseconds | undefined;
 	/** When the worker acknowledged the stop. */
 	stoppedAt: Milliseconds | undefined;
 	/** Earliest time at which the stop may be sent again. */
@@ -138,7 +140,7 @@
 	isReachable: boolean;
 	/** When it last answered a lease renewal. */
 	lastAnswerAt: Milliseconds;
-	/** When a call was last sent to it that renews the lease. */
+	/** When a call was last sent to it that extends the lease. */
 	lastRenewalAt: Milliseconds;
 	/** When a call to it last failed, or when it announced its shutdown. */
 	lastFailureAt: Milliseconds;
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -6,17 +6,18 @@
 import {applySnapshot} from '../../core/runs/snapshots.ts';
 import {
 	advanceRuns, applyRenewalFailure, computeLoad, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, hasRecentFailure, isExtraRenewalDue,
-	recordRenewalSent, restoreWorker,
+	restoreWorker,
 } from '../../core/runs/logic.ts';
 import {computeOthersLoad, computeOwnersLoad, type OwnersLoad} from '../../core/runs/contention.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../core/runs/answers.ts';
+import {computeLeaseEnd, createRenewal} from '../../core/runs/leases.ts';
 import {recordStartSent} from '../../core/runs/orders.ts';
 import {hasRecordsOf} from '../../core/runs/records.ts';
 import {
 	handleClaim, handleGrant, handleOffers, handleOwnerDisconnect, handleWithdrawal, recordOwnerContact, startShutdown, stopAllRuns,
 } from '../../core/runs/owners.ts';
 import {computeTaskCpu, isReportDue, type ReportedLoad} from '../../core/runs/load-reports.ts';
-import {computeLeaseEnd, createRunsState, type RunsState} from '../../core/runs/state.ts';
+import {createRunsState, type RunsState} from '../../core/runs/state.ts';
 import type {RunsEffect} from '../../core/runs/types.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {DispatchMessage, TaskReport, WorkerLoad} from '../../ports/dispatch-messages.ts';
@@ -260,13 +261,7 @@
 	/** Renews the lease and applies the snapshot in the answer; returns whether the worker answered. */
 	async #fetchSnapshot(wait: Milliseconds): Promise<boolean> {
 		const requestedAt = this.#now();
-		recordRenewalSent(this.state, requestedAt);
-		const answer = await this.control.extendLease({
-			leaseUntil: computeLeaseEnd(this.state, requestedAt),
-			fencingToken: this.state.fencingToken,
-			acknowledged: this.state.acknowledgedPosition,
-			wait,
-		});
+		const answer = await this.control.extendLease(createRenewal(this.state, wait, requestedAt));
 		const now = this.#now();
 		this.#recordContacts();
 		if (answer.type === 'renewed') {
