Extend no lease of a worker that does not answer, and count from the last extension

Seen by callers: while a worker's answers were lost but orders arrived, its agent reported the runs as lost after two leases of silence; they were started elsewhere and went on here too, as each unanswered renewal had extended the lease. Cause: the time after which runs count as lapsed was counted from the last answer, not from the last call that may have extended the lease. Change: renewals to a worker that counts as unreachable carry no new end of the lease, and its runs count as lapsed one lease on a slow clock after the last extension, plus the time-out of an order. Evidence: 'A run counts as lost only after the lease of the last unanswered renewal' failed before (70 ms after it instead of 545) and passes. features/runs, routes and dispatch: 164 passed.

--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -26,3 +26,11 @@
       | entry "e1" withdraws "a"                                  |
       | entry "e2" offers direct tasks "a" of 4000                |
       | the stream to entry "e1" has been closed for 200 ms       |
+
+  # Guards against a second run while the first one lives on under renewals whose answers are lost.
+  Scenario: A run counts as lost only after the lease of the last unanswered renewal
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And renewals are sent every 70 ms for 2000 ms without an answer
+    Then entry "e1" gets the report that "a" ended as "lost"
+    And the last renewal that extended the lease was sent at least 545 ms before that report
--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -54,7 +54,8 @@
 	const timeForLease = bounds.resubmitMs - detectionMs - bounds.stopMs - marginMs;
 	const silenceMs = contactMs - streamCheckMs;
 	const leaseMs = Math.max(marginMs, Math.floor(Math.min(bounds.maxLeaseMs, timeForLease / (1 + maxClockDrift))));
-	const goneMs = Math.ceil(detectionMs + bounds.stopMs + (leaseMs * (1 + maxClockDrift))) + marginMs;
+	const lapseMs = Math.ceil(leaseMs * (1 + maxClockDrift));
+	const goneMs = detectionMs + bounds.stopMs + lapseMs + marginMs;
 	const quietSilenceMs = Math.max(silenceMs, goneMs - reconnectMs - bounds.stopMs - marginMs);
 	return {
 		contactMs,
@@ -66,6 +67,7 @@
 		quietSilenceMs,
 		reconnectMs,
 		leaseMs,
+		lapseMs,
 		renewMs: Math.floor(leaseMs / renewalsPerLease),
 		goneMs,
 		orderMs: Math.floor(leaseMs / ordersPerLease),
--- a/src/core/bounds/types.ts
+++ b/src/core/bounds/types.ts
@@ -36,6 +36,8 @@
 	readonly reconnectMs: Milliseconds;
 	/** Duration of the lease that an agent requests from its worker. */
 	readonly leaseMs: Milliseconds;
+	/** Time after its last extension within which a lease has expired, also on a slow worker clock. */
+	readonly lapseMs: Milliseconds;
 	/** Longest time between two renewals of the lease. */
 	readonly renewMs: Milliseconds;
 	/** Time after the loss of an agent within which all of its runs have ended, whatever the cause of the loss. */
--- a/src/core/runs/leases.ts
+++ b/src/core/runs/leases.ts
@@ -1,6 +1,7 @@
 /**
  * Decides whether the lease of the worker's runs may be extended. A run that has to end although nobody confirms its
- * stop ends with its lease, so that its task can be started elsewhere.
+ * stop ends with its lease, so that its task can be started elsewhere. So do the runs of a worker that does not answer:
+ * renewals may still arrive there.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {LeaseRenewal} from '../../ports/worker.ts';
@@ -34,8 +35,8 @@
  * @returns Expiry on the worker's clock, in whole ms; undefined if the lease is not to be extended, and before the worker's clock has been read.
  */
 export function computeLeaseEnd(state: RunsState, now: Milliseconds): Milliseconds | undefined {
-	const {workerClock, options} = state;
-	return workerClock === undefined || hasOverdueStop(state, now)
+	const {workerClock, worker, options} = state;
+	return workerClock === undefined || !worker.isReachable || hasOverdueStop(state, now)
 		? undefined
 		: Math.floor(workerClock.workerTime + (now - workerClock.at) + options.timings.leaseMs);
 }
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -171,9 +171,9 @@
 
 /** Ends all runs once their lease must have expired while the worker was unreachable. */
 function endLapsedRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
-	const {leaseMs, orderMs} = state.options.timings;
-	const lapsedAt = state.worker.lastAnswerAt + ((leaseMs + orderMs) * 2);
-	return state.worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, 'lapsed', now);
+	const {worker, options} = state;
+	const lapsedAt = Math.max(worker.lastAnswerAt, worker.lastRenewalAt) + options.timings.lapseMs + options.timings.orderMs;
+	return worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, 'lapsed', now);
 }
 
 /** Gives waiting tasks back once the capacity of the worker is not known any more. */
