Restarted agents recognise a run under another number than the entry knows

Seen by callers: after a restart of an agent a task could run twice. An agent raises the number of a run if its start has got no answer or is refused as outdated; the entry knows the first number only. The next life of the agent found the run under the raised number, told the entry that the claimed one had not started, and the entry started it elsewhere. Cause: claims were matched to runs and ends by task and number. Change: a claim matches a run of its task with the same or a higher number, and ends are kept by task with the number they have. A claimed task with an earlier run still listed waits until that one, which is stopped, has ended.

--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -34,3 +34,20 @@
     And renewals are sent every 70 ms for 2000 ms without an answer
     Then entry "e1" gets the report that "a" ended as "lost"
     And the last renewal that extended the lease was sent at least 545 ms before that report
+
+  # Guards against a second run while a restarted agent takes a run under a raised number for another one.
+  Scenario: A restarted agent adopts a run under a higher number than the entry knows
+    Given an agent that restarted while its worker runs "a" as run 17
+    When entry "e1" claims "a"
+    Then entry "e1" gets no report on "a"
+    When the worker lists run 17 of "a" as ended "done"
+    Then entry "e1" gets the report that "a" ended as "done"
+
+  # Guards against a second run beside one of an earlier number that the worker has not stopped yet.
+  Scenario: A claimed task waits at a restarted agent until a run of an earlier number has ended
+    Given an agent that restarted while its worker runs "a" as run 1
+    When entry "e1" claims run 2 of "a"
+    Then entry "e1" gets no report on "a"
+    And the worker is ordered to stop "a"
+    When 10 ms pass and a snapshot shows no runs
+    Then the worker is ordered to start "a" as run 2
--- a/features/runs/single-run.steps.ts
+++ b/features/runs/single-run.steps.ts
@@ -35,6 +35,7 @@
 	resetWorld(this);
 	applyNextSnapshot(this, {running: [{task: `${task}.0.0.0`, run, percent: 50}]});
 	sendAnnouncement(this);
+	recordEffects(this, advanceRuns(this.state, this.now));
 });
 
 Then('a renewal extends the lease', function (this: SingleRunWorld) {
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -30,8 +30,7 @@
  */
 export function endRecord(state: RunsState, record: RunRecord, end: TaskEnd, now: Milliseconds): RunsEffect {
 	removeRecord(state, record);
-	// Stored under the run number of the offer, which claims carry; `record.run` may have been raised since.
-	recordEnd(state, record.offer.task, record.offer.run, end);
+	recordEnd(state, record.offer.task, record.run, end);
 	const hasRun = isStartOrdered(record) && end !== 'not-started';
 	const report: TaskReport = {
 		task: record.offer.task,
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -12,7 +12,7 @@
 } from './records.ts';
 import {getRecordKey, getRunKey, type RunsState} from './state.ts';
 import {canAcceptTask} from './health.ts';
-import type {RunRecord, RunsEffect} from './types.ts';
+import type {OrphanRun, RunRecord, RunsEffect} from './types.ts';
 
 function createRecord(owner: NodeName, offer: TaskOffer, now: Milliseconds): RunRecord {
 	return {
@@ -157,18 +157,50 @@
 	return [...effects, ...startQueued(state, now)];
 }
 
-function adoptOrphan(state: RunsState, owner: NodeName, offer: TaskOffer, now: Milliseconds): RunsEffect[] {
-	const key = getRunKey(offer.task, offer.run);
-	if (state.orphans.delete(key)) {
-		const record = createRecord(owner, offer, now);
-		record.phase = 'running';
-		record.isGranted = true;
-		addRecord(state, record);
-		return [{type: 'log', event: 'run-adopted', details: {task: offer.task, run: offer.run, owner}}];
+/** Finds the run of a task with the highest number that no record knows. */
+function findOrphan({orphans}: RunsState, task: string): OrphanRun | undefined {
+	let found: OrphanRun | undefined;
+	for (const orphan of orphans.values()) {
+		if (orphan.task === task && orphan.run > (found?.run ?? 0)) {
+			found = orphan;
+		}
+	}
+
+	return found;
+}
+
+/** Keeps a claimed run that goes on, under its number at the worker: the agent may have raised it since the offer. */
+function adoptOrphan(state: RunsState, owner: NodeName, offer: TaskOffer, {task, run}: OrphanRun, now: Milliseconds): RunsEffect[] {
+	state.orphans.delete(getRunKey(task, run));
+	const record = createRecord(owner, offer, now);
+	record.phase = 'running';
+	record.run = run;
+	record.isGranted = true;
+	addRecord(state, record);
+	return [{type: 'log', event: 'run-adopted', details: {task, run, owner}}];
+}
+
+/** Queues a claimed task behind an earlier run of it, which is stopped. */
+function addBehindOrphan(state: RunsState, owner: NodeName, offer: TaskOffer, orphan: OrphanRun, now: Milliseconds): RunsEffect[] {
+	state.orphans.set(getRunKey(orphan.task, orphan.run), {...orphan, seenAt: Number.NEGATIVE_INFINITY});
+	const record = createRecord(owner, offer, now);
+	record.isGranted = true;
+	addRecord(state, record);
+	addToQueue(state, record);
+	return [];
+}
+
+/** Handles a claimed task without a record: its run goes on, an earlier one does, or it has ended. */
+function restoreClaimedTask(state: RunsState, owner: NodeName, offer: TaskOffer, now: Milliseconds): RunsEffect[] {
+	const orphan = findOrphan(state, offer.task);
+	if (orphan !== undefined) {
+		return orphan.run >= offer.run ? adoptOrphan(state, owner, offer, orphan, now) : addBehindOrphan(state, owner, offer, orphan, now);
 	}
 
+	const recent = state.recentEnds.get(offer.task);
+	const {run, end} = recent !== undefined && recent.run >= offer.run ? recent : {run: offer.run, end: 'not-started' as const};
 	const report: TaskReport = {
-		task: offer.task, run: offer.run, end: state.recentEnds.get(key) ?? 'not-started', expectedMs: offer.expectedMs, runMs: 0, waitMs: 0,
+		task: offer.task, run, end, expectedMs: offer.expectedMs, runMs: 0, waitMs: 0,
 	};
 	return [{type: 'report', owner, reports: [report]}];
 }
@@ -185,7 +217,7 @@
 	for (const offer of offers) {
 		const record = state.records.get(getRecordKey(owner, offer.task));
 		if (record === undefined) {
-			effects.push(...adoptOrphan(state, owner, offer, now));
+			effects.push(...restoreClaimedTask(state, owner, offer, now));
 		} else if (record.phase === 'asking') {
 			// The grant was lost with the stream.
 			effects.push(startGranted(state, record, now));
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -101,7 +101,11 @@
  * @param end - How it ended.
  */
 export function recordEnd({recentEnds}: RunsState, task: string, run: number, end: TaskEnd): void {
-	recentEnds.set(getRunKey(task, run), end);
+	if ((recentEnds.get(task)?.run ?? 0) > run) {
+		return;
+	}
+
+	recentEnds.set(task, {run, end});
 	if (recentEnds.size > maxRecentEnds) {
 		const [oldest] = recentEnds.keys();
 		recentEnds.delete(oldest);
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -148,5 +148,5 @@
 	areRunsKnown: boolean;
 };
 
-/** Ends of recent runs, including those before a restart of this agent, by task and run. */
-export type RecentEnds = Map<string, TaskEnd>;
+/** Latest ends of recent tasks with the number of the run, including those before a restart of this agent, by task. */
+export type RecentEnds = Map<string, {readonly run: number; readonly end: TaskEnd}>;
