A worker's departure ends none of its runs before its port is closed

Seen by callers: a task could run twice when a worker announced its departure: its agent reported all runs as lost at once, and they were started elsewhere while the worker was still ending them. A late departure of an earlier process with the same id had the same effect on a worker that goes on. Cause: the announcement was taken for the end of the process. Change: a departure only gives back what waits and takes no more tasks; the runs end as with any worker that exits, by the refused connection or the lapse of the lease.

--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -51,3 +51,13 @@
     And the worker is ordered to stop "a"
     When 10 ms pass and a snapshot shows no runs
     Then the worker is ordered to start "a" as run 2
+
+  # Guards against a second run while a worker that has announced its shutdown is still ending its runs.
+  Scenario: A departure ends no run before the worker's port is closed
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And the worker announces its departure
+    Then entry "e1" gets no report on "a"
+    And the agent accepts no tasks
+    When a renewal finds the worker unreachable
+    Then entry "e1" gets the report that "a" ended as "lost"
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -119,12 +119,13 @@
 }
 
 /**
- * Drops a worker that has announced its shutdown.
+ * Gives a worker that has announced its shutdown no more tasks. Its runs end when its port is closed, as the
+ * announcement precedes the end of the process, or may be a late one of an earlier process.
  *
  * @param state - State of the agent.
  * @param id - Id of the worker; ignored if this agent has another one.
  * @param now - Current time.
- * @returns Reports of the ended runs.
+ * @returns Reports of the tasks that wait.
  */
 export function handleDeparture(state: RunsState, id: string, now: Milliseconds): RunsEffect[] {
 	if (state.worker.announcement?.id !== id) {
@@ -134,7 +135,7 @@
 	state.worker.announcement = undefined;
 	state.worker.isReachable = false;
 	state.worker.lastFailureAt = now;
-	return [...endAllRuns(state, 'departed', now), {type: 'log', event: 'worker-left', details: {worker: id}}];
+	return [...endUnstartedTasks(state, now), {type: 'log', event: 'worker-left', details: {worker: id}}];
 }
 
 /**
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -36,11 +36,10 @@
  * Evidence that no run is left at the worker.
  *
  * - `refused`: its port refuses connections, so the process has exited.
- * - `departed`: it announced its shutdown.
  * - `restarted`: another worker process answers or announces itself.
  * - `lapsed`: it has not answered for longer than a lease.
  */
-export type LossEvidence = 'refused' | 'departed' | 'restarted' | 'lapsed';
+export type LossEvidence = 'refused' | 'restarted' | 'lapsed';
 
 /** A task that an entry offered to this agent. */
 export type RunRecord = {
