Do not repeat an unanswered start whose task was withdrawn or whose entry is lost

Seen by callers: a task could run twice, or run after its job had been cancelled: its start got no answer, the agent stopped it to try again under the next number, and meanwhile its entry withdrew it, another one superseded it, or the entry was lost. The agent started it again all the same, beside its run elsewhere. Cause: a record keeps the first reason of its stop; 'unanswered' hid the later one, and only that reason leads to another start. Change: any other reason replaces 'unanswered'.

--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -61,3 +61,20 @@
     And the agent accepts no tasks
     When a renewal finds the worker unreachable
     Then entry "e1" gets the report that "a" ended as "lost"
+
+  # Guards against a task that starts again by itself after its entry has withdrawn it, beside its run elsewhere.
+  Scenario Outline: A start without an answer is not repeated after <event>
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "unanswered"
+    And 200 ms pass and a snapshot shows no runs
+    Then the worker is ordered to stop "a"
+    When <event>
+    And the stop of "a" is answered "stopped"
+    And 10 ms pass and a snapshot shows no runs
+    Then the worker is ordered to start "a" 1 time
+    And entry "e1" gets the report that "a" ended as "not-started"
+
+    Examples:
+      | event                                               |
+      | entry "e1" withdraws "a"                            |
+      | the stream to entry "e1" has been closed for 200 ms |
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -200,7 +200,8 @@
  * @returns The stop order, and a log entry for the first one.
  */
 export function stopRecord(state: RunsState, record: RunRecord, reason: StopReason, now: Milliseconds): RunsEffect[] {
-	record.stopReason ??= reason;
+	// A task whose start got no answer is started again after the stop, unless there is another reason to end it.
+	record.stopReason = record.stopReason === undefined || record.stopReason === 'unanswered' ? reason : record.stopReason;
 	if (record.stoppedAt !== undefined || now < record.stopRetryAt) {
 		return [];
 	}
