Raise the fencing token after each call without an answer

Seen by callers: under orders that are carried out seconds late a task could run twice: a late start began after its task had been started elsewhere, or a late renewal extended leases that had to lapse, for instance while the agent was frozen or killed. Cause: an agent gave later calls the same token, so the worker could still carry out the earlier one; only an acknowledged stop barred it, and only for one run. Change: a call without an answer raises the token by one; a refusal of an earlier token raises it no further, and a fenced stop is repeated at once instead of after its time-out. Starts that wait are sent with the token of that time.

--- a/bench/emulator/fleet.ts
+++ b/bench/emulator/fleet.ts
@@ -549,9 +549,9 @@
 
 			return answer;
 		}, result => {
-			this.#runAgent(agent, applyStartAnswer(agent.state, ref, result, this.#now()));
+			this.#runAgent(agent, applyStartAnswer(agent.state, {...ref, fencingToken}, result, this.#now()));
 		}, () => {
-			this.#runAgent(agent, applyStartAnswer(agent.state, ref, 'unanswered', this.#now()));
+			this.#runAgent(agent, applyStartAnswer(agent.state, {...ref, fencingToken}, 'unanswered', this.#now()));
 		});
 	}
 
@@ -574,10 +574,10 @@
 			agent,
 			() => agent.worker.stopTask(ref.task, ref.run, fencingToken, bounds.stopMs * this.#random.getFloat()),
 			result => {
-				this.#runAgent(agent, applyStopAnswer(agent.state, ref, result, this.#now()));
+				this.#runAgent(agent, applyStopAnswer(agent.state, {...ref, fencingToken}, result, this.#now()));
 			},
 			() => {
-				this.#runAgent(agent, applyStopAnswer(agent.state, ref, 'unanswered', this.#now()));
+				this.#runAgent(agent, applyStopAnswer(agent.state, {...ref, fencingToken}, 'unanswered', this.#now()));
 			},
 		);
 	}
@@ -596,11 +596,11 @@
 			return agent.worker.renewLease(leaseUntil ?? 0, fencingToken, acknowledged);
 		}, look => {
 			this.#runAgent(agent, look === undefined
-				? applyRenewalFailure(agent.state, 'unreachable', this.#now())
+				? applyRenewalFailure(agent.state, 'unreachable', this.#now(), {wait: 0, fencingToken})
 				: applySnapshot(agent.state, look, sentAt, this.#now()));
 		}, () => {
 			agent.isRenewing = false;
-			this.#runAgent(agent, applyRenewalFailure(agent.state, 'unanswered', this.#now()));
+			this.#runAgent(agent, applyRenewalFailure(agent.state, 'unanswered', this.#now(), {wait: 0, fencingToken}));
 		});
 	}
 
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -122,11 +122,11 @@
 });
 
 When('the start of {string} is answered {string}', function (this: RunsWorld, task: string, answer: StartAnswer) {
-	recordEffects(this, applyStartAnswer(this.state, findLastStart(this, `${task}.0.0.0`), answer, this.now));
+	recordEffects(this, applyStartAnswer(this.state, {...findLastStart(this, `${task}.0.0.0`), fencingToken: this.state.fencingToken}, answer, this.now));
 });
 
 When('the stop of {string} is answered {string}', function (this: RunsWorld, task: string, answer: StopAnswer) {
-	recordEffects(this, applyStopAnswer(this.state, findLastStart(this, `${task}.0.0.0`), answer, this.now));
+	recordEffects(this, applyStopAnswer(this.state, {...findLastStart(this, `${task}.0.0.0`), fencingToken: this.state.fencingToken}, answer, this.now));
 });
 
 When('the worker lists {string} as ended {string}', function (this: RunsWorld, task: string, end: RunEnd) {
@@ -170,7 +170,7 @@
 });
 
 When('a renewal finds the worker unreachable', function (this: RunsWorld) {
-	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now));
+	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
 });
 
 When('the agent has not heard entry {string} for {int} ms, then hears it', function (this: RunsWorld, owner: string, time: number) {
@@ -184,7 +184,7 @@
 });
 
 When('a renewal that waited for {int} ms gets no answer', function (this: RunsWorld, wait: number) {
-	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now, wait));
+	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now, {wait, fencingToken: this.state.fencingToken}));
 });
 
 Then('an extra renewal is due', function (this: RunsWorld) {
@@ -196,7 +196,7 @@
 });
 
 When('a renewal gets no answer', function (this: RunsWorld) {
-	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now));
+	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
 });
 
 When('the stream to entry {string} closes', function (this: RunsWorld, owner: string) {
@@ -246,7 +246,7 @@
 
 function runTask(world: RunsWorld, task: string, end: RunEnd): void {
 	recordEffects(world, handleOffers(world.state, 'e1', [createOffer(task, 1000, false)], world.now));
-	recordEffects(world, applyStartAnswer(world.state, findLastStart(world, `${task}.0.0.0`), 'started', world.now));
+	recordEffects(world, applyStartAnswer(world.state, {...findLastStart(world, `${task}.0.0.0`), fencingToken: world.state.fencingToken}, 'started', world.now));
 	applyNextSnapshot(world, {ended: [createEnd(world, task, end)]});
 }
 
--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -78,3 +78,16 @@
       | event                                               |
       | entry "e1" withdraws "a"                            |
       | the stream to entry "e1" has been closed for 200 ms |
+
+  # Guards against an order that is carried out seconds late, after its task has been started elsewhere.
+  Scenario Outline: After <call> without an answer every order carries a higher token
+    When entry "e1" offers direct tasks "a" of 4000
+    And <call> ends without an answer
+    Then the next renewal carries a higher token than that call
+    When an order with the token of that call is answered "fenced"
+    Then the next renewal carries the same token as before
+
+    Examples:
+      | call                |
+      | a renewal           |
+      | the start of "a"    |
--- a/features/runs/single-run.steps.ts
+++ b/features/runs/single-run.steps.ts
@@ -53,12 +53,13 @@
 When('renewals are sent every {int} ms for {int} ms without an answer', function (this: SingleRunWorld, interval: number, time: number) {
 	const endAt = this.now + time;
 	while (this.now < endAt) {
-		if (createRenewal(this.state, 0, this.now).leaseUntil !== undefined) {
+		const renewal = createRenewal(this.state, 0, this.now);
+		if (renewal.leaseUntil !== undefined) {
 			this.extendedAt = this.now;
 		}
 
 		passTime(this, interval);
-		recordEffects(this, [...applyRenewalFailure(this.state, 'unanswered', this.now), ...advanceRuns(this.state, this.now)]);
+		recordEffects(this, [...applyRenewalFailure(this.state, 'unanswered', this.now, renewal), ...advanceRuns(this.state, this.now)]);
 		if (listReports(this, 'e1', 'a').length === 0) {
 			this.reportedAt = this.now + interval;
 		}
@@ -101,8 +102,8 @@
 When(/^(a renewal|the start of "a") ends without an answer$/, function (this: SingleRunWorld, call: string) {
 	this.callToken = this.state.fencingToken;
 	recordEffects(this, call === 'a renewal'
-		? applyRenewalFailure(this.state, 'unanswered', this.now)
-		: applyStartAnswer(this.state, findLastStart(this, 'a.0.0.0'), 'unanswered', this.now));
+		? applyRenewalFailure(this.state, 'unanswered', this.now, {wait: 0, fencingToken: this.callToken})
+		: applyStartAnswer(this.state, {...findLastStart(this, 'a.0.0.0'), fencingToken: this.callToken}, 'unanswered', this.now));
 });
 
 Then('the next renewal carries a higher token than that call', function (this: SingleRunWorld) {
@@ -111,7 +112,7 @@
 });
 
 When('an order with the token of that call is answered "fenced"', function (this: SingleRunWorld) {
-	recordEffects(this, applyStartAnswer(this.state, findLastStart(this, 'a.0.0.0'), 'fenced', this.now));
+	recordEffects(this, applyStartAnswer(this.state, {...findLastStart(this, 'a.0.0.0'), fencingToken: this.callToken}, 'fenced', this.now));
 });
 
 Then('the next renewal carries the same token as before', function (this: SingleRunWorld) {
--- a/src/core/runs/answers.ts
+++ b/src/core/runs/answers.ts
@@ -2,18 +2,20 @@
  * Handles the worker's answers to start and stop orders.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {RunRef, StartAnswer, StopAnswer} from '../../ports/worker.ts';
+import type {OrderRef, StartAnswer, StopAnswer} from '../../ports/worker.ts';
 import {
 	endRecord, retryStart, retryStop, startQueued,
 } from './orders.ts';
 import {findRecord} from './records.ts';
-import {getRunKey, updateFencingToken, type RunsState} from './state.ts';
+import {
+	refuseLateCalls, getRunKey, updateFencingToken, type RunsState,
+} from './state.ts';
 import type {RunRecord, RunsEffect} from './types.ts';
 
 /** Increment of a run's number when the worker has seen an equal or higher one of the task. */
 const runNumberStep = 16;
 
-type StartHandler = (state: RunsState, record: RunRecord, now: Milliseconds) => RunsEffect[];
+type StartHandler = (state: RunsState, record: RunRecord, now: Milliseconds, fencingToken: number) => RunsEffect[];
 
 function handleRefusedStart(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
 	return [endRecord(state, record, 'not-started', now)];
@@ -24,8 +26,8 @@
 		record.phase = 'running';
 		return [];
 	},
-	fenced(state, record, now) {
-		updateFencingToken(state);
+	fenced(state, record, now, fencingToken) {
+		updateFencingToken(state, fencingToken);
 		return retryStart(state, record, now);
 	},
 	outdated(state, record, now) {
@@ -51,12 +53,16 @@
  * Applies the answer to a start order.
  *
  * @param state - State of the agent.
- * @param ref - The run.
+ * @param ref - The run, and the token of the order.
  * @param answer - The worker's answer.
  * @param now - Current time.
  * @returns Effects to carry out.
  */
-export function applyStartAnswer(state: RunsState, ref: RunRef, answer: StartAnswer, now: Milliseconds): RunsEffect[] {
+export function applyStartAnswer(state: RunsState, ref: OrderRef, answer: StartAnswer, now: Milliseconds): RunsEffect[] {
+	if (answer === 'unanswered') {
+		refuseLateCalls(state);
+	}
+
 	const record = findRecord(state, ref);
 	if (record === undefined) {
 		return [];
@@ -68,7 +74,7 @@
 		return isRefused ? [endRecord(state, record, 'not-started', now)] : [];
 	}
 
-	const effects = startHandlers[answer](state, record, now);
+	const effects = startHandlers[answer](state, record, now, ref.fencingToken);
 	if (answer !== 'started') {
 		effects.push({type: 'log', event: 'start-not-taken', details: {task: ref.task, run: ref.run, answer}});
 	}
@@ -80,14 +86,16 @@
  * Applies the answer to a stop order. After an acknowledgement the next snapshot shows how the run ended.
  *
  * @param state - State of the agent.
- * @param ref - The run.
+ * @param ref - The run, and the token of the order.
  * @param answer - The worker's answer.
  * @param now - Current time.
  * @returns Effects to carry out.
  */
-export function applyStopAnswer(state: RunsState, ref: RunRef, answer: StopAnswer, now: Milliseconds): RunsEffect[] {
+export function applyStopAnswer(state: RunsState, ref: OrderRef, answer: StopAnswer, now: Milliseconds): RunsEffect[] {
 	if (answer === 'fenced') {
-		updateFencingToken(state);
+		updateFencingToken(state, ref.fencingToken);
+	} else if (answer === 'unanswered') {
+		refuseLateCalls(state);
 	}
 
 	if (state.orphans.has(getRunKey(ref.task, ref.run))) {
@@ -105,6 +113,10 @@
 	}
 
 	const {task, run} = ref;
+	if (answer === 'fenced') {
+		record.stopRetryAt = now;
+	}
+
 	return [...retryStop(state, record, now), {
 		type: 'log', event: 'stop-not-taken', details: {
 			task, run, answer, reason: record.stopReason, renewalAgeMs: Math.round(now - state.worker.lastRenewalAt),
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -3,7 +3,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
-import type {LeaseRenewalErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
+import type {LeaseRenewal, LeaseRenewalErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
 import {isSameResources, noResources} from '../resources/logic.ts';
 import {
 	endOversizedTasks, endUnstartedTasks, retryStop, startQueued,
@@ -11,7 +11,7 @@
 import {applyPendingClaims, dropDisconnectedOwners} from './owners.ts';
 import {endAllRuns, resetWorker} from './snapshots.ts';
 import {computeFreeResources, estimateWaits} from './capacity.ts';
-import {updateFencingToken, type RunsState} from './state.ts';
+import {refuseLateCalls, updateFencingToken, type RunsState} from './state.ts';
 import {getAgentMode, isAnnouncementCurrent} from './health.ts';
 import type {RunsEffect, WorkerRecord} from './types.ts';
 
@@ -144,15 +144,20 @@
  * @param state - State of the agent.
  * @param kind - Why it failed.
  * @param now - Current time.
- * @param wait - For how long the worker was to wait for an end; a silence of that time says nothing.
+ * @param renewal - Its token, and for how long the worker was to wait for an end; a silence of that time says nothing.
  * @returns Effects to carry out.
  */
-export function applyRenewalFailure(state: RunsState, kind: LeaseRenewalErrorKind, now: Milliseconds, wait: Milliseconds = 0): RunsEffect[] {
+export function applyRenewalFailure(state: RunsState, kind: LeaseRenewalErrorKind, now: Milliseconds, renewal: Pick<LeaseRenewal, 'fencingToken' | 'wait'>): RunsEffect[] {
+	const {fencingToken, wait} = renewal;
 	if (kind === 'fenced') {
-		updateFencingToken(state);
+		updateFencingToken(state, fencingToken);
 		return [];
 	}
 
+	if (kind === 'unanswered') {
+		refuseLateCalls(state);
+	}
+
 	const {worker, options} = state;
 	worker.lastFailureAt = now;
 	const {renewMs, workerSilenceMs} = options.timings;
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -118,7 +118,22 @@
  */
 const fencingTokenStep = 3_600_000;
 
-/** Raises the fencing token, as the worker has seen a higher one. */
-export function updateFencingToken(state: RunsState): void {
-	state.fencingToken += fencingTokenStep;
+/**
+ * Raises the fencing token after the worker has refused an order, as it has seen a higher one.
+ *
+ * @param state - State of the agent.
+ * @param refused - Token of the order; if a higher one is in use by now, nothing has to change.
+ */
+export function updateFencingToken(state: RunsState, refused: number): void {
+	if (refused >= state.fencingToken) {
+		state.fencingToken = refused + fencingTokenStep;
+	}
+}
+
+/**
+ * Raises the fencing token after a call without an answer: the worker may carry it out at any later time, but not after
+ * it has seen a higher token.
+ */
+export function refuseLateCalls(state: RunsState): void {
+	state.fencingToken++;
 }
--- a/src/ports/worker.ts
+++ b/src/ports/worker.ts
@@ -76,6 +76,9 @@
 	readonly bornAt: Milliseconds | undefined;
 };
 
+/** A run in an order, with the fencing token that the order carried. */
+export type OrderRef = RunRef & {readonly fencingToken: number};
+
 /** Request to start a run. */
 export type StartOrder = RunRef & {
 	readonly spec: string;
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -261,7 +261,8 @@
 	/** Renews the lease and applies the snapshot in the answer; returns whether the worker answered. */
 	async #fetchSnapshot(wait: Milliseconds): Promise<boolean> {
 		const requestedAt = this.#now();
-		const answer = await this.control.extendLease(createRenewal(this.state, wait, requestedAt));
+		const renewal = createRenewal(this.state, wait, requestedAt);
+		const answer = await this.control.extendLease(renewal);
 		const now = this.#now();
 		this.#recordContacts();
 		if (answer.type === 'renewed') {
@@ -269,7 +270,7 @@
 			return true;
 		}
 
-		this.#applyEffects(applyRenewalFailure(this.state, answer.kind, now, wait));
+		this.#applyEffects(applyRenewalFailure(this.state, answer.kind, now, renewal));
 		void this.#watchUnreliableWorker();
 		return false;
 	}
@@ -288,25 +289,28 @@
 		}
 	}
 
-	async #startTask(effect: Extract<RunsEffect, {type: 'start'}>): Promise<void> {
-		const {record, leaseUntil, fencingToken} = effect;
+	async #startTask({record, leaseUntil}: Extract<RunsEffect, {type: 'start'}>): Promise<void> {
 		const ref: RunRef = {task: record.offer.task, run: record.run};
+		// An order that waits for earlier ones is sent with the token and the lease of that time.
+		let {fencingToken} = this.state;
 		const answer = await this.#orders.startTask(() => {
 			const now = this.#now();
 			this.#recordContacts();
+			fencingToken = this.state.fencingToken;
 			return recordStartSent(this.state, record, now)
 				? {
 					...ref, spec: record.offer.spec, leaseUntil: computeLeaseEnd(this.state, now) ?? leaseUntil, fencingToken,
 				}
 				: undefined;
 		});
-		this.#applyEffects(applyStartAnswer(this.state, ref, answer, this.#now()));
+		this.#applyEffects(applyStartAnswer(this.state, {...ref, fencingToken}, answer, this.#now()));
 		void this.#watchUnreliableWorker();
 	}
 
 	async #stopTask({ref, fencingToken}: Extract<RunsEffect, {type: 'stop'}>): Promise<void> {
-		const answer = await this.#orders.stopTask({...ref, fencingToken});
-		this.#applyEffects(applyStopAnswer(this.state, ref, answer, this.#now()));
+		const order = {...ref, fencingToken};
+		const answer = await this.#orders.stopTask(order);
+		this.#applyEffects(applyStopAnswer(this.state, order, answer, this.#now()));
 	}
 
 	#applyEffects(effects: readonly RunsEffect[]): void {
