Extend the lease of runs that nobody claims only for a short time after a restart

Seen by callers: if an entry and an agent ended at about the same time, a restarted agent kept the runs of the lost entry alive for 600 ms until it stopped them, and longer if that stop got no answer, while callers submitted their jobs again at another entry: two runs at once. Cause: the first renewal of an agent's new life extends the lease of what it finds before anybody has claimed it.

--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -91,3 +91,12 @@
       | call                |
       | a renewal           |
       | the start of "a"    |
+
+  # Guards against a run of a lost entry that a restarted agent keeps alive until nobody claims it.
+  Scenario: The lease is not extended for long while runs of an earlier life are not claimed
+    Given an agent that restarted while its worker runs "a" as run 1
+    Then a renewal extends the lease
+    When 200 ms go by
+    Then a renewal does not extend the lease
+    When entry "e1" claims "a"
+    Then a renewal extends the lease
--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -68,6 +68,8 @@
 		reconnectMs,
 		leaseMs,
 		lapseMs,
+		// An agent that restarts finds runs only if it reads them within a lease after the end of its earlier life.
+		unclaimedMs: Math.max(0, bounds.resubmitMs - (2 * lapseMs) - marginMs),
 		renewMs: Math.floor(leaseMs / renewalsPerLease),
 		goneMs,
 		orderMs: Math.floor(leaseMs / ordersPerLease),
--- a/src/core/runs/leases.ts
+++ b/src/core/runs/leases.ts
@@ -27,6 +27,17 @@
 	return false;
 }
 
+/** Returns whether a run of an earlier life of this agent has not been claimed in time: its task may be started elsewhere. */
+function hasUnclaimedRun({orphans, options}: RunsState, now: Milliseconds): boolean {
+	for (const {seenAt} of orphans.values()) {
+		if (now - seenAt > options.timings.unclaimedMs) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 /**
  * Computes the expiry of a lease that begins now.
  *
@@ -36,7 +47,7 @@
  */
 export function computeLeaseEnd(state: RunsState, now: Milliseconds): Milliseconds | undefined {
 	const {workerClock, worker, options} = state;
-	return workerClock === undefined || !worker.isReachable || hasOverdueStop(state, now)
+	return workerClock === undefined || !worker.isReachable || hasOverdueStop(state, now) || hasUnclaimedRun(state, now)
 		? undefined
 		: Math.floor(workerClock.workerTime + (now - workerClock.at) + options.timings.leaseMs);
 }
