A start without an answer is not lost by the silence of its worker alone

Seen by callers: a task could run twice: its start got no answer, the worker was silent until its leases had lapsed, the agent reported the run as lost, and the worker carried the start out seconds later, when nothing stopped it. Cause: the lapse of the lease ends runs, not starts that have not been carried out. Change: a record knows whether the worker has confirmed the run. Unconfirmed ones stay until the worker is known to have exited or restarted, or answers again.

--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -50,6 +50,7 @@
 			phase: 'running',
 			isGranted: true,
 			run: 1,
+			isConfirmed: true,
 			orderedAt: 0,
 			percent: 0,
 			progressAt: 0,
--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -100,3 +100,15 @@
     Then a renewal does not extend the lease
     When entry "e1" claims "a"
     Then a renewal extends the lease
+  # Guards against a late start that nothing bars, after the silence of its worker was taken for the end of its runs.
+  Scenario: A start without an answer is not reported as lost while its worker is silent
+    When entry "e1" offers direct tasks "a b" of 4000
+    And the start of "a" is answered "started"
+    And the start of "b" is answered "unanswered"
+    And renewals are sent every 70 ms for 2000 ms without an answer
+    Then entry "e1" gets the report that "a" ended as "lost"
+    And entry "e1" gets no report on "b"
+    When 10 ms pass and a snapshot shows no runs
+    And the stop of "b" is answered "stopped"
+    And 10 ms pass and a snapshot shows no runs
+    Then entry "e1" is told the end of "b", or the worker is ordered to start it again
--- a/features/runs/single-run.steps.ts
+++ b/features/runs/single-run.steps.ts
@@ -118,3 +118,8 @@
 Then('the next renewal carries the same token as before', function (this: SingleRunWorld) {
 	assert.equal(this.state.fencingToken, this.renewalToken);
 });
+
+Then('entry {string} is told the end of {string}, or the worker is ordered to start it again', function (this: SingleRunWorld, owner: string, task: string) {
+	const starts = listStarts(this).filter(name => name === `${task}.0.0.0`).length;
+	assert.ok(listReports(this, owner, task).length === 1 || starts === 2);
+});
--- a/src/core/runs/answers.ts
+++ b/src/core/runs/answers.ts
@@ -68,6 +68,8 @@
 		return [];
 	}
 
+	record.isConfirmed ||= answer === 'started';
+
 	if (record.phase !== 'starting') {
 		// Stopped in the meantime: a start that was refused needs no stop.
 		const isRefused = record.phase === 'stopping' && answer !== 'started' && answer !== 'unanswered';
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -22,6 +22,7 @@
 		phase: 'queued',
 		isGranted: !offer.isTentative,
 		run: offer.run,
+		isConfirmed: false,
 		orderedAt: now,
 		percent: 0,
 		progressAt: now,
@@ -175,6 +176,7 @@
 	const record = createRecord(owner, offer, now);
 	record.phase = 'running';
 	record.run = run;
+	record.isConfirmed = true;
 	record.isGranted = true;
 	addRecord(state, record);
 	return [{type: 'log', event: 'run-adopted', details: {task, run, owner}}];
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -98,6 +98,7 @@
 function applyRunState(state: RunsState, percents: ReadonlyMap<string, number>, record: RunRecord, requestedAt: Milliseconds, now: Milliseconds): RunsEffect[] {
 	const percent = percents.get(getRunKey(record.offer.task, record.run));
 	if (percent !== undefined) {
+		record.isConfirmed = true;
 		if (record.phase === 'checking') {
 			record.phase = 'running';
 		}
@@ -164,8 +165,13 @@
 	state.worker.areRunsKnown = true;
 }
 
+/** Returns whether no run of a record can be left: the lapse of a lease does not end a start that may be carried out later. */
+function isRunOver(record: RunRecord, evidence: LossEvidence): boolean {
+	return evidence !== 'lapsed' || record.isConfirmed || !isStartOrdered(record);
+}
+
 /**
- * Ends all records, as no run can be left at the worker: it has restarted or exited, or the leases have expired.
+ * Ends the records of which no run can be left at the worker: it has restarted or exited, or the leases have expired.
  *
  * @param state - State of the agent.
  * @param evidence - How this is known.
@@ -174,7 +180,8 @@
  */
 export function endAllRuns(state: RunsState, evidence: LossEvidence, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
-	const lostCount = [...state.records.values()].filter(record => isStartOrdered(record)).length;
+	const ended = [...state.records.values()].filter(record => isRunOver(record, evidence));
+	const lostCount = ended.filter(record => isStartOrdered(record)).length;
 	if (lostCount > 0) {
 		const {lastAnswerAt, lastRenewalAt} = state.worker;
 		effects.push({
@@ -184,7 +191,7 @@
 		});
 	}
 
-	for (const record of state.records.values()) {
+	for (const record of ended) {
 		effects.push(endRecord(state, record, isStartOrdered(record) ? 'lost' : 'not-started', now));
 	}
 
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -52,6 +52,8 @@
 	isGranted: boolean;
 	/** Number of the run at the worker. */
 	run: number;
+	/** Whether the worker has confirmed that it has the run; an unconfirmed start may still be carried out later. */
+	isConfirmed: boolean;
 	/** When the start was sent; while `asking`, when the entry was asked. */
 	orderedAt: Milliseconds;
 	/** Last reported progress, 0 to 100. */
