Emulator: cut the path between an agent and its worker, and refuse connections

Cause: cuts between agent and worker were not emulated, so that a start or a renewal whose answer alone is lost was never seen beside a worker that lives. Change: options workerCutMs (forward, backward or both, 1 to 4 s; what is sent forward is lost or arrives after the cut) and workerRefusalMs; heartbeats of workers take the same path.

--- a/bench/emulator/faults.ts
+++ b/bench/emulator/faults.ts
@@ -20,6 +20,9 @@
 /** Faults that occur at random times, by the option with their mean time. */
 type TimedFault = {[Key in keyof RandomFaults]: Key extends `${string}Ms` ? Key : never}[keyof RandomFaults];
 
+/** Directions of a path that are cut. */
+const directions = ['forward', 'backward', 'both'] as const;
+
 /** Injects faults. */
 export class FaultInjector {
 	readonly #timedFaults: Readonly<Record<TimedFault, () => void>> = {
@@ -34,6 +37,25 @@
 		entryKillMs: () => {
 			this.#endEntry(this.#drawEntry(), this.#drawTime(500, 3500));
 		},
+		workerCutMs: () => {
+			const {process: {name}, worker} = this.#drawAgent();
+			const direction = chooseItem(this.context.random, directions);
+			const duration = this.#drawTime(1000, 4000);
+			this.context.trace.record(`the path between ${name} and ${worker.name} is cut for ${duration.toFixed(0)} ms: ${direction}`);
+			if (direction !== 'backward') {
+				this.context.paths.startCut(name, worker.name, duration);
+			}
+
+			if (direction !== 'forward') {
+				this.context.paths.startCut(worker.name, name, duration);
+			}
+		},
+		workerRefusalMs: () => {
+			const {worker} = this.#drawAgent();
+			const duration = this.#drawTime(1000, 4000);
+			this.context.trace.record(`${worker.name} refuses connections for ${duration.toFixed(0)} ms`);
+			worker.refusedUntil = this.context.events.getTime() + duration;
+		},
 	};
 
 	/**
--- a/bench/emulator/heartbeats.ts
+++ b/bench/emulator/heartbeats.ts
@@ -11,7 +11,9 @@
 const maxFirstDelayMs = 200;
 
 /** Starts the heartbeats of the present life of an agent's worker. */
-export function startHeartbeats(agent: EmulatedAgent, {events, random, scenario, trace}: FleetContext): void {
+export function startHeartbeats(agent: EmulatedAgent, {
+	events, random, scenario, paths, trace,
+}: FleetContext): void {
 	const {process, worker} = agent;
 	const {life, bornAt} = worker;
 	const spec = scenario.workers[Number(worker.name.slice(1)) - 1];
@@ -25,9 +27,11 @@
 		const announcement: WorkerAnnouncement = {
 			id: worker.name, target: 't', address: '', state: 'ready', capacity: {cpu: spec.cpu, memory: 1000, accelerators: 0}, labels: [], sequence, bornAt,
 		};
-		trace.record(`${worker.name} sends heartbeat ${sequence}`);
-		process.handleArrival(() => {
-			agent.handleAnnouncement(announcement);
+		events.addEvent(paths.computeArrival(worker.name, process.name) - events.getTime(), () => {
+			process.handleArrival(() => {
+				trace.record(`${process.name} gets heartbeat ${announcement.sequence} of ${worker.name}`);
+				agent.handleAnnouncement(announcement);
+			});
 		});
 		events.addEvent(heartbeatIntervalMs, sendHeartbeat);
 	};
--- a/bench/emulator/types.ts
+++ b/bench/emulator/types.ts
@@ -93,6 +93,12 @@
 	readonly streamLossMs: Milliseconds;
 	readonly agentKillMs: Milliseconds;
 	readonly entryKillMs: Milliseconds;
+	/**
+	 * Mean times between cuts of the path between an agent and its worker, in one direction or both, and between periods
+	 * in which a worker that lives refuses connections; each of 1 to 4 s.
+	 */
+	readonly workerCutMs: Milliseconds;
+	readonly workerRefusalMs: Milliseconds;
 	/** Share of runs that fail, and of runs that stall without progress. */
 	readonly failures: number;
 	readonly stalls: number;
@@ -155,5 +161,14 @@
 
 /** Disables all random faults. */
 export const noFaults: RandomFaults = {
-	lateOrders: 0, lateLease: 'absolute', streamLossMs: 0, agentKillMs: 0, entryKillMs: 0, failures: 0, stalls: 0, cancels: 0,
+	lateOrders: 0,
+	lateLease: 'absolute',
+	streamLossMs: 0,
+	agentKillMs: 0,
+	entryKillMs: 0,
+	workerCutMs: 0,
+	workerRefusalMs: 0,
+	failures: 0,
+	stalls: 0,
+	cancels: 0,
 };
