--- a/bench/emulator/faults.ts
+++ b/bench/emulator/faults.ts
@@ -6,6 +6,7 @@
 import type {EmulatedCallers} from './callers.ts';
 import {chooseItem, type FleetContext} from './context.ts';
 import type {EmulatedEntry} from './entry.ts';
+import type {EmulatedProcess, PauseKind} from './process.ts';
 import type {Outage, RandomFaults} from './types.ts';
 
 /** What faults act on. */
@@ -56,6 +57,15 @@
 			this.context.trace.record(`${worker.name} refuses connections for ${duration.toFixed(0)} ms`);
 			worker.refusedUntil = this.context.events.getTime() + duration;
 		},
+		agentPauseMs: () => {
+			this.#startPause(this.#drawAgent().process, 'frozen');
+		},
+		entryPauseMs: () => {
+			this.#startPause(this.#drawEntry().process, 'frozen');
+		},
+		agentSuspensionMs: () => {
+			this.#startPause(this.#drawAgent().process, 'suspended');
+		},
 	};
 
 	/**
@@ -119,6 +129,12 @@
 		return this.context.random.getFloat() < share;
 	}
 
+	#startPause(process: EmulatedProcess, kind: PauseKind): void {
+		const duration = this.#drawTime(500, 4000);
+		this.context.trace.record(`${process.name} is ${kind} for ${duration.toFixed(0)} ms`);
+		process.startPause(duration, kind);
+	}
+
 	#endAgent(agent: EmulatedAgent, downMs: Milliseconds): void {
 		if (!agent.process.isUp) {
 			return;
--- a/bench/emulator/types.ts
+++ b/bench/emulator/types.ts
@@ -99,6 +99,10 @@
 	 */
 	readonly workerCutMs: Milliseconds;
 	readonly workerRefusalMs: Milliseconds;
+	/** Mean times between pauses of 0.5 to 4 s of agents and of entries, and of suspensions of agents, whose clocks stand still meanwhile. */
+	readonly agentPauseMs: Milliseconds;
+	readonly entryPauseMs: Milliseconds;
+	readonly agentSuspensionMs: Milliseconds;
 	/** Share of runs that fail, and of runs that stall without progress. */
 	readonly failures: number;
 	readonly stalls: number;
@@ -168,6 +172,9 @@
 	entryKillMs: 0,
 	workerCutMs: 0,
 	workerRefusalMs: 0,
+	agentPauseMs: 0,
+	entryPauseMs: 0,
+	agentSuspensionMs: 0,
 	failures: 0,
 	stalls: 0,
 	cancels: 0,
--- a/features/dispatch/random-run.steps.ts
+++ b/features/dispatch/random-run.steps.ts
@@ -44,6 +44,8 @@
 	'orders that are carried out late': {...none, lateOrders: 0.06},
 	'orders whose leases count from execution': {...none, lateOrders: 0.06, lateLease: 'from-execution'},
 	'half of the orders carried out late': {...none, lateOrders: 0.5},
+	'processes that pause': {...none, agentPauseMs: 4000, entryPauseMs: 5000},
+	'agents whose clocks stand still': {...none, agentSuspensionMs: 4000},
 	'streams that close': {...none, streamLossMs: 1000},
 	'agents that are killed': {...none, agentKillMs: 4000},
 	'entries that are killed': {...none, entryKillMs: 5000},
