Emulator: crash workers, and deliver what their former lives said late

Cause: workers were lost for good at most; new lives under the same id were not emulated. Change: options workerCrashMs (back after 0.5 to 3 s with a new start time, clock and no memory), darkCrashes, lateHeartbeats, lateDepartures; kinds may have deadly jobs, whose tasks crash their worker some ms after the start.

--- a/bench/emulator/faults.ts
+++ b/bench/emulator/faults.ts
@@ -6,6 +6,7 @@
 import type {EmulatedCallers} from './callers.ts';
 import {chooseItem, type FleetContext} from './context.ts';
 import type {EmulatedEntry} from './entry.ts';
+import {startHeartbeats} from './heartbeats.ts';
 import type {EmulatedProcess, PauseKind} from './process.ts';
 import type {Outage, RandomFaults} from './types.ts';
 
@@ -24,6 +25,9 @@
 /** Directions of a path that are cut. */
 const directions = ['forward', 'backward', 'both'] as const;
 
+/** Greatest delay of the departure of a worker that has crashed, in ms. */
+const maxLateDepartureMs = 5000;
+
 /** Injects faults. */
 export class FaultInjector {
 	readonly #timedFaults: Readonly<Record<TimedFault, () => void>> = {
@@ -57,6 +61,9 @@
 			this.context.trace.record(`${worker.name} refuses connections for ${duration.toFixed(0)} ms`);
 			worker.refusedUntil = this.context.events.getTime() + duration;
 		},
+		workerCrashMs: () => {
+			this.endWorker(this.#drawAgent());
+		},
 		agentPauseMs: () => {
 			this.#startPause(this.#drawAgent().process, 'frozen');
 		},
@@ -84,6 +91,34 @@
 		this.#planSchedule();
 	}
 
+	/** Crashes the worker of an agent, and starts it again later. */
+	endWorker(agent: EmulatedAgent): void {
+		const {worker, process} = agent;
+		const {scenario: {faults}, events, trace} = this.context;
+		if (!worker.isUp) {
+			return;
+		}
+
+		const downMs = this.#drawTime(500, 3000);
+		const isDark = this.#isDrawn(faults.darkCrashes);
+		trace.record(`${worker.name} crashes for ${downMs.toFixed(0)} ms${isDark ? ', dark' : ''}`);
+		worker.endLife(isDark);
+		if (this.#isDrawn(faults.lateDepartures)) {
+			events.addEvent(this.#drawTime(0, maxLateDepartureMs), () => {
+				trace.record(`${process.name} gets the departure of ${worker.name}`);
+				process.handleArrival(() => {
+					agent.handleDeparture(worker.name);
+				});
+			});
+		}
+
+		events.addEvent(downMs, () => {
+			trace.record(`${worker.name} starts again`);
+			worker.startLife();
+			startHeartbeats(agent, this.context);
+		});
+	}
+
 	#planSchedule(): void {
 		const {
 			scenario: {outages, losses, slowdowns}, events,
--- a/bench/emulator/fleet.ts
+++ b/bench/emulator/fleet.ts
@@ -39,6 +39,7 @@
 	readonly #callers: EmulatedCallers;
 	readonly #messages: Record<string, number> = {};
 	readonly #violations: string[] = [];
+	readonly #faults: FaultInjector;
 	#isTrafficOver = false;
 
 	/**
@@ -62,6 +63,14 @@
 		this.#agents = scenario.workers.map((spec, index) => this.#createAgent(`a${index + 1}`, spec));
 		this.#entries = Array.from({length: scenario.entries}, (_, index) => this.#createEntry(`e${index + 1}`));
 		this.#callers = new EmulatedCallers(this.#context, this.#entries, this.#loadRandom);
+		this.#faults = new FaultInjector(this.#context, {
+			agents: this.#agents,
+			entries: this.#entries,
+			callers: this.#callers,
+			startRandom: (mean, callback) => {
+				this.#repeatRandom(this.#random, mean, callback);
+			},
+		});
 	}
 
 	/**
@@ -83,14 +92,7 @@
 
 		this.#events.runUntil(warmUpMs);
 		this.#planLoad();
-		new FaultInjector(this.#context, {
-			agents: this.#agents,
-			entries: this.#entries,
-			callers: this.#callers,
-			startRandom: (mean, callback) => {
-				this.#repeatRandom(this.#random, mean, callback);
-			},
-		}).start();
+		this.#faults.start();
 		this.#events.runUntil(warmUpMs + trafficMs);
 		const processorTime = this.#agents.reduce((sum, {worker}) => sum + worker.processorTime, 0);
 		const capacity = this.scenario.workers.reduce((sum, {cpu}) => sum + cpu, 0) * trafficMs;
@@ -168,6 +170,7 @@
 			events: this.#events,
 			onStart: run => {
 				this.#checkSingleRun(run);
+				this.#crashLater(name, run);
 			},
 			onEnd: ({task, run}, end) => {
 				this.#context.trace.recordTask([task], () => `run ${run} at w${name.slice(1)} ends: ${end}`);
@@ -188,6 +191,21 @@
 		return value < failures ? 'failed' : (value < failures + stalls ? 'stalled' : 'done');
 	}
 
+	/** Crashes the worker some time after it has started a task of a deadly job, if the run is still there. */
+	#crashLater(agentName: string, {task, run}: WorkerRun): void {
+		const {crashAfterMs} = this.#callers.getJob(task);
+		if (crashAfterMs === undefined) {
+			return;
+		}
+
+		const agent = this.#agents.find(({process}) => process.name === agentName)!;
+		this.#events.addEvent(crashAfterMs, () => {
+			if (agent.worker.listRuns(task).some(other => other.run === run)) {
+				this.#faults.endWorker(agent);
+			}
+		});
+	}
+
 	#recordViolation(text: string): void {
 		this.#violations.push(`${this.#events.getTime().toFixed(0)}: ${text}`);
 		this.#context.trace.record(`violation: ${text}`);
--- a/bench/emulator/heartbeats.ts
+++ b/bench/emulator/heartbeats.ts
@@ -7,6 +7,9 @@
 
 const heartbeatIntervalMs = 1500;
 
+/** Greatest delay of a late heartbeat, in ms. */
+const maxLateMs = 5000;
+
 /** Greatest time from the start of a worker to its first heartbeat, in ms. */
 const maxFirstDelayMs = 200;
 
@@ -27,9 +30,10 @@
 		const announcement: WorkerAnnouncement = {
 			id: worker.name, target: 't', address: '', state: 'ready', capacity: {cpu: spec.cpu, memory: 1000, accelerators: 0}, labels: [], sequence, bornAt,
 		};
-		events.addEvent(paths.computeArrival(worker.name, process.name) - events.getTime(), () => {
+		const extraDelay = random.getFloat() < scenario.faults.lateHeartbeats ? random.getFloat() * maxLateMs : 0;
+		events.addEvent(paths.computeArrival(worker.name, process.name) - events.getTime() + extraDelay, () => {
 			process.handleArrival(() => {
-				trace.record(`${process.name} gets heartbeat ${announcement.sequence} of ${worker.name}`);
+				trace.record(`${process.name} gets heartbeat ${announcement.sequence} of ${worker.name}, born at ${bornAt}`);
 				agent.handleAnnouncement(announcement);
 			});
 		});
--- a/bench/emulator/load.ts
+++ b/bench/emulator/load.ts
@@ -20,6 +20,8 @@
 	readonly cpu: number;
 	readonly sentAt: Milliseconds;
 	readonly objectiveMs: Milliseconds;
+	/** Time from the start of a task to the crash of its worker; undefined for a harmless job. */
+	readonly crashAfterMs: Milliseconds | undefined;
 };
 
 /** Draws a standard normal value by the Box-Muller transform. */
@@ -70,6 +72,7 @@
 		cpu,
 		sentAt: now,
 		objectiveMs: (slackFactor * Math.max(...nominalRunMs)) + targetMs,
+		crashAfterMs: kind.deadly !== undefined && random.getFloat() < kind.deadly.share ? kind.deadly.crashAfterMs : undefined,
 	};
 }
 
--- a/bench/emulator/types.ts
+++ b/bench/emulator/types.ts
@@ -32,6 +32,8 @@
 	/** The response time objective is `slackFactor` times the longest run time of the job's tasks, plus `targetMs`. */
 	readonly slackFactor: number;
 	readonly targetMs: Milliseconds;
+	/** Share of the jobs whose tasks crash their worker, and the time from a start to the crash. */
+	readonly deadly?: {readonly share: number; readonly crashAfterMs: Milliseconds};
 };
 
 /** One worker with its agent. */
@@ -103,6 +105,12 @@
 	readonly agentPauseMs: Milliseconds;
 	readonly entryPauseMs: Milliseconds;
 	readonly agentSuspensionMs: Milliseconds;
+	/** Mean time between crashes of workers, which come back after 0.5 to 3 s under the same id, and the share with a dark machine. */
+	readonly workerCrashMs: Milliseconds;
+	readonly darkCrashes: number;
+	/** Share of heartbeats, and of crashes after which a departure arrives, up to 5 s late. */
+	readonly lateHeartbeats: number;
+	readonly lateDepartures: number;
 	/** Share of runs that fail, and of runs that stall without progress. */
 	readonly failures: number;
 	readonly stalls: number;
@@ -175,6 +183,10 @@
 	agentPauseMs: 0,
 	entryPauseMs: 0,
 	agentSuspensionMs: 0,
+	workerCrashMs: 0,
+	darkCrashes: 0,
+	lateHeartbeats: 0,
+	lateDepartures: 0,
 	failures: 0,
 	stalls: 0,
 	cancels: 0,
--- a/features/dispatch/random-run.steps.ts
+++ b/features/dispatch/random-run.steps.ts
@@ -46,6 +46,7 @@
 	'half of the orders carried out late': {...none, lateOrders: 0.5},
 	'processes that pause': {...none, agentPauseMs: 4000, entryPauseMs: 5000},
 	'agents whose clocks stand still': {...none, agentSuspensionMs: 4000},
+	'workers that crash': {...none, workerCrashMs: 3000, darkCrashes: 0.5},
 	'streams that close': {...none, streamLossMs: 1000},
 	'agents that are killed': {...none, agentKillMs: 4000},
 	'entries that are killed': {...none, entryKillMs: 5000},
