Emulator: break connections of callers, and cut entries off

Cause: callers submitted again only after the death of their entry. Change: options callerLossMs (the entry cancels at once), entryCutMs (cut off from all agents and callers for 1 to 4 s, callers' broken connections are noticed up to 1.5 s after it) and callerCutMs (never noticed); the caller submits again under the same id after the resubmission time.

--- a/bench/emulator/callers.ts
+++ b/bench/emulator/callers.ts
@@ -73,18 +73,28 @@
 		});
 	}
 
-	/** Breaks the connection of a pending job, so that its caller submits it again later. */
-	endConnection(id: string, isEntryTold: boolean): void {
-		if (this.#pendingJobs.get(id) === undefined) {
+	/** Breaks the connection of a pending job, so that its caller submits it again; the entry learns of it after `noticeMs`, if ever. */
+	endConnection(id: string, noticeMs: Milliseconds): void {
+		const holder = this.#pendingJobs.get(id);
+		if (holder === undefined) {
 			return;
 		}
 
-		this.context.trace.recordJob(id, () => `the connection of the caller breaks${isEntryTold ? '' : ' without the entry being told'}`);
-		if (isEntryTold) {
-			this.cancelJob(id);
+		this.context.trace.recordJob(id, () => `the connection of the caller breaks, noticed after ${noticeMs.toFixed(0)} ms`);
+		const {incarnation} = holder.process;
+		this.#retryJob(id);
+		if (noticeMs === Number.POSITIVE_INFINITY) {
+			return;
 		}
 
-		this.#retryJob(id);
+		this.context.events.addEvent(noticeMs, () => {
+			// The caller may have come back to the same entry and joined the job, which then goes on.
+			if (holder.process.incarnation === incarnation && this.#pendingJobs.get(id) !== holder) {
+				holder.process.handleArrival(() => {
+					holder.cancelJob(id);
+				});
+			}
+		});
 	}
 
 	/** Applies the answer of an entry. */
@@ -113,7 +123,7 @@
 	}
 
 	#submitJob(id: string): void {
-		const running = this.entries.filter(({process}) => process.isUp);
+		const running = this.entries.filter(entry => entry.isReachable());
 		const {route, submission} = this.#jobs.get(id)!;
 		if (running.length === 0) {
 			this.#retryJob(id);
--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -49,6 +49,7 @@
 export class EmulatedEntry {
 	state: DispatchState;
 	readonly links: EmulatedLinks;
+	#cutUntil = 0;
 	/** Agents outside the subset, with the time until which a stream is kept. */
 	readonly #extraUntil = new Map<string, Milliseconds>();
 
@@ -116,6 +117,16 @@
 		this.start();
 	}
 
+	/** Makes the entry unreachable for new submissions for a time. */
+	startCut(duration: Milliseconds): void {
+		this.#cutUntil = Math.max(this.#cutUntil, this.input.context.events.getTime() + duration);
+	}
+
+	/** Returns whether callers reach it. */
+	isReachable(): boolean {
+		return this.process.isUp && this.#cutUntil <= this.input.context.events.getTime();
+	}
+
 	/** Submits a job. */
 	submitJob(request: JobRequest): void {
 		const {effects} = submitJob(this.state, request, this.#now());
--- a/bench/emulator/faults.ts
+++ b/bench/emulator/faults.ts
@@ -28,6 +28,9 @@
 /** Greatest delay of the departure of a worker that has crashed, in ms. */
 const maxLateDepartureMs = 5000;
 
+/** Longest time from the end of a cut until an entry notices that the connections of callers broke, in ms. */
+const maxNoticeMs = 1500;
+
 /** Injects faults. */
 export class FaultInjector {
 	readonly #timedFaults: Readonly<Record<TimedFault, () => void>> = {
@@ -64,6 +67,15 @@
 		workerCrashMs: () => {
 			this.endWorker(this.#drawAgent());
 		},
+		callerLossMs: () => {
+			this.#endConnection(0);
+		},
+		callerCutMs: () => {
+			this.#endConnection(Number.POSITIVE_INFINITY);
+		},
+		entryCutMs: () => {
+			this.#cutEntry(this.#drawEntry());
+		},
 		agentPauseMs: () => {
 			this.#startPause(this.#drawAgent().process, 'frozen');
 		},
@@ -170,6 +182,30 @@
 		process.startPause(duration, kind);
 	}
 
+	#endConnection(noticeMs: Milliseconds): void {
+		const pending = this.targets.callers.listPending();
+		if (pending.length > 0) {
+			this.targets.callers.endConnection(chooseItem(this.context.random, pending), noticeMs);
+		}
+	}
+
+	/** Cuts an entry off from all agents and from its callers. */
+	#cutEntry(entry: EmulatedEntry): void {
+		const {trace, paths} = this.context;
+		const {name} = entry.process;
+		const duration = this.#drawTime(1000, 4000);
+		trace.record(`${name} is cut off for ${duration.toFixed(0)} ms`);
+		for (const agent of this.targets.agents) {
+			paths.startCut(name, agent.process.name, duration);
+			paths.startCut(agent.process.name, name, duration);
+		}
+
+		entry.startCut(duration);
+		for (const id of this.targets.callers.listPending(entry)) {
+			this.targets.callers.endConnection(id, duration + this.#drawTime(0, maxNoticeMs));
+		}
+	}
+
 	#endAgent(agent: EmulatedAgent, downMs: Milliseconds): void {
 		if (!agent.process.isUp) {
 			return;
@@ -194,7 +230,7 @@
 		this.context.trace.record(`${entry.process.name} is killed for ${downMs.toFixed(0)} ms`);
 		entry.endLife(this.#isDrawn(0.5));
 		for (const id of this.targets.callers.listPending(entry)) {
-			this.targets.callers.endConnection(id, false);
+			this.targets.callers.endConnection(id, Number.POSITIVE_INFINITY);
 		}
 
 		this.context.events.addEvent(downMs, () => {
--- a/bench/emulator/types.ts
+++ b/bench/emulator/types.ts
@@ -111,6 +111,14 @@
 	/** Share of heartbeats, and of crashes after which a departure arrives, up to 5 s late. */
 	readonly lateHeartbeats: number;
 	readonly lateDepartures: number;
+	/**
+	 * Mean times between lost connections of callers, who submit again under the same id: their entry cancels the job
+	 * (`callerLossMs`), is cut off from all agents for 1 to 4 s too and told nothing (`entryCutMs`), or is told nothing
+	 * while it keeps its agents (`callerCutMs`).
+	 */
+	readonly callerLossMs: Milliseconds;
+	readonly entryCutMs: Milliseconds;
+	readonly callerCutMs: Milliseconds;
 	/** Share of runs that fail, and of runs that stall without progress. */
 	readonly failures: number;
 	readonly stalls: number;
@@ -187,6 +195,9 @@
 	darkCrashes: 0,
 	lateHeartbeats: 0,
 	lateDepartures: 0,
+	callerLossMs: 0,
+	entryCutMs: 0,
+	callerCutMs: 0,
 	failures: 0,
 	stalls: 0,
 	cancels: 0,
--- a/features/dispatch/random-run.feature
+++ b/features/dispatch/random-run.feature
@@ -30,6 +30,7 @@
       | processes that pause                     | 70    |
       | agents whose clocks stand still          | 80    |
       | workers that crash                       | 80    |
+      | callers that lose their connections      | 80    |
 
   Scenario: An order without an answer leaves no task behind
     When a fleet runs for 20 s with orders that are carried out late, over 8 seeds
--- a/features/dispatch/random-run.steps.ts
+++ b/features/dispatch/random-run.steps.ts
@@ -47,6 +47,7 @@
 	'processes that pause': {...none, agentPauseMs: 4000, entryPauseMs: 5000},
 	'agents whose clocks stand still': {...none, agentSuspensionMs: 4000},
 	'workers that crash': {...none, workerCrashMs: 3000, darkCrashes: 0.5},
+	'callers that lose their connections': {...none, callerLossMs: 500},
 	'streams that close': {...none, streamLossMs: 1000},
 	'agents that are killed': {...none, agentKillMs: 4000},
 	'entries that are killed': {...none, entryKillMs: 5000},
