An entry without contact to any agent gives up its jobs before they are submitted elsewhere

Seen by callers: an entry that was cut off from agents and callers went on with its jobs when it was back, although their callers had submitted them at another entry: two runs of a task at once, each for one of the entries. Cause: the time limits assume that an entry that is cut off stays away; nothing ended its open jobs before the earliest resubmission. Change: once the last agent has been lost for the resubmission time less the contact time and a margin (704 ms at the bounds of the known installations), the jobs that were open at the loss are given up, or refused as not run, with reason 'isolated'.

--- a/features/dispatch/dispatch.feature
+++ b/features/dispatch/dispatch.feature
@@ -209,6 +209,34 @@
     Then task 0 of "j1" is not offered again within 1200 ms
     And task 0 of "j1" is offered again within 1400 ms
 
+  # Guards against two runs of a task: an entry that was cut off placed it again, beside its run for the entry that its caller had turned to.
+  Scenario: An entry without contact to any agent gives up its jobs before their callers submit them elsewhere
+    When job "j1" of 1 tasks of 3000 arrives
+    And both streams close
+    And 750 ms go by at the entry
+    Then "j1" is answered "given-up"
+    When agent "a1" returns
+    Then task 0 of "j1" is not offered again within 3000 ms
+
+  # Guards against refusing what arrives while agents are expected back.
+  Scenario: A job that arrives after the loss of all agents waits for them
+    When job "j1" of 1 tasks of 3000 arrives
+    And both streams close
+    And 600 ms go by at the entry
+    And job "j2" of 1 tasks of 3000 and 2000 ms arrives
+    And 150 ms go by at the entry
+    Then "j1" is answered "given-up"
+    And "j2" has no answer
+
+  # Guards against giving up jobs for a short loss.
+  Scenario: An entry that regains an agent in time keeps its jobs
+    When job "j1" of 1 tasks of 3000 arrives
+    And both streams close
+    And 600 ms go by at the entry
+    And agent "a1" returns
+    And 600 ms go by at the entry
+    Then "j1" has no answer
+
   Scenario: An agent that is back is asked about its tasks
     When job "j1" of 1 tasks of 3000 arrives
     And the stream to the agent of "j1" closes
--- a/features/dispatch/dispatch.steps.ts
+++ b/features/dispatch/dispatch.steps.ts
@@ -154,6 +154,11 @@
 	}
 });
 
+When('{int} ms go by at the entry', function (this: DispatchWorld, time: number) {
+	this.now += time;
+	recordEffects(this, advanceDispatch(this.state, this.now));
+});
+
 When('job {string} of {int} tasks of {int} arrives', function (this: DispatchWorld, id: string, count: number, cpu: number) {
 	submit(this, id, [createStep(count, cpu)]);
 });
--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -72,6 +72,8 @@
 		unclaimedMs: Math.max(0, bounds.resubmitMs - (2 * lapseMs) - marginMs),
 		renewMs: Math.floor(leaseMs / renewalsPerLease),
 		goneMs,
+		// The loss is noticed up to `contactMs` after the last contact.
+		isolationMs: bounds.resubmitMs - contactMs - marginMs,
 		orderMs: Math.floor(leaseMs / ordersPerLease),
 		workerSilenceMs: Math.floor(leaseMs / 2),
 	};
--- a/src/core/dispatch/agents.ts
+++ b/src/core/dispatch/agents.ts
@@ -5,6 +5,7 @@
 import type {TaskOffer} from '../../ports/dispatch-messages.ts';
 import {addToGroup} from '../groups.ts';
 import type {NodeName} from '../identity/types.ts';
+import {recordContactLoss} from './contact.ts';
 import {listFullAgents} from './placing.ts';
 import type {DispatchState} from './state.ts';
 import {createWithdrawals, placeWaitingTasks, removeCandidate} from './steps.ts';
@@ -108,6 +109,7 @@
 export function handleAgentDisconnect(state: DispatchState, agent: NodeName, now: Milliseconds): DispatchEffect[] {
 	const effects: DispatchEffect[] = [];
 	clearWithdrawals(state, agent);
+	recordContactLoss(state, now);
 	state.expectAgentsUntil = Math.max(state.expectAgentsUntil, now + state.timings.goneMs);
 	for (const {job, task} of state.tasks.values()) {
 		if (task.agent === agent && task.phase === 'placed') {
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -5,6 +5,7 @@
 import type {Route} from '../routes/types.ts';
 import {checkAdmission, checkWaitingJob} from './admission.ts';
 import {placeLostTasks} from './agents.ts';
+import {cancelIsolatedJobs} from './contact.ts';
 import {computeWork, estimateCriticalPath} from './estimates.ts';
 import {clearPlacement, createOffers, placeTasks} from './placing.ts';
 import {recordLabels} from './reach.ts';
@@ -193,7 +194,7 @@
  * @returns Effects to carry out.
  */
 export function advanceDispatch(state: DispatchState, now: Milliseconds): DispatchEffect[] {
-	const effects = placeLostTasks(state, now);
+	const effects = [...cancelIsolatedJobs(state, now), ...placeLostTasks(state, now)];
 	for (const job of state.openJobs) {
 		if (now >= job.deadlineAt) {
 			effects.push(...cancelJob(state, job.id, 'deadline', now));
--- a/src/core/dispatch/state.ts
+++ b/src/core/dispatch/state.ts
@@ -48,6 +48,8 @@
 	readonly runTimeModels: Map<string, RunTimeModel>;
 	/** Until when disconnected agents are expected to connect again. */
 	expectAgentsUntil: Milliseconds;
+	/** When the last stream to an agent closed; undefined while one is open, and before the first. */
+	contactLostAt: Milliseconds | undefined;
 	/** When this entry gives up its open jobs, as it shuts down; infinite before. */
 	endsAt: Milliseconds;
 	/** When answers were last dropped that are not kept any longer. */
@@ -75,6 +77,7 @@
 		labelsNeededAt: new Map(),
 		runTimeModels: new Map(),
 		expectAgentsUntil: 0,
+		contactLostAt: undefined,
 		endsAt: Number.POSITIVE_INFINITY,
 		prunedAt: 0,
 	};
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -44,7 +44,7 @@
 export type JobOutcome = 'completed' | 'failed' | 'not-run' | 'given-up';
 
 /** Why a job was refused, given up or has failed. */
-export type JobReason = 'overload' | 'no-worker' | 'unsupported' | 'too-large' | 'leaving' | 'deadline' | 'still-ending' | 'cancelled' | 'attempts' | 'none';
+export type JobReason = 'overload' | 'no-worker' | 'unsupported' | 'too-large' | 'leaving' | 'deadline' | 'isolated' | 'still-ending' | 'cancelled' | 'attempts' | 'none';
 
 /** Answer to a submission. */
 export type JobAnswer = {
