Use a stored capacity after a restart only if an entry has lately heard it

Seen: an agent that restarted took its worker's capacity from its key in the store, whatever its age. A worker that had shrunk while its agent was down for seconds, or while the store could not be written, was filled above its capacity for up to 1.5 s, until its next heartbeat. Cause: the stored figure says nothing of the present one; it is written only when it changes, and not while the store is down. Ruled out: writing it again every few seconds (each call is counted, and the store may be down); using a share of it (the worker may have shrunk by more). Change: an entry keeps the last capacity of an agent whose stream closes, with the time when it last heard the agent, and tells both with its claim. The agent uses the smaller of both figures, and only within 4 s of when the worker may have told it, one heartbeat interval before the agent was last heard. Otherwise it says that it is starting and waits for the heartbeat, as without a stored worker. A contact counts only if it was on the stream of the connected incarnation. Three scenarios of features/runs/runs.feature with a stored worker now also have an entry that tells its capacity, as otherwise they would pass without looking at the stored worker.

--- a/features/runs/capacity.feature
+++ b/features/runs/capacity.feature
@@ -210,3 +210,38 @@
     When the worker tells a capacity of 4000
     Then the free capacity is 0
     And the agent has asked entry "e2" about "b"
+
+  # Guards against starts by a capacity that was stored before the agent's restart and that the worker has taken back since.
+  Scenario: A stored worker without an entry that has lately heard its capacity waits for its heartbeat
+    Given an agent that restarted without a heartbeat since
+    When the stored worker of the same start is restored
+    And 50 ms go by
+    Then the agent reports the mode "starting"
+    When entry "e1" offers direct tasks "a" of 4000
+    Then the worker is ordered to start nothing
+
+  # Guards against starts above a capacity that shrank while the store was down, before the agent's restart.
+  Scenario Outline: The smaller of the stored and the last heard capacity counts until the next heartbeat
+    Given an agent that restarted without a heartbeat since
+    When the stored worker of the same start is restored
+    And entry "e1" tells a capacity of <told> that it knew <age> ms ago
+    And 50 ms go by
+    Then the agent reports the mode "<mode>"
+    And the free capacity is <free>
+
+    Examples: what was heard holds for the contact time, which includes the restart
+      | told  | age  | mode     | free  |
+      | 10000 | 200  | open     | 10000 |
+      | 4000  | 200  | open     | 4000  |
+      | 12000 | 200  | open     | 10000 |
+      | 4000  | 2400 | open     | 4000  |
+      | 4000  | 2600 | starting | 0     |
+
+  # Guards against a capacity that gets older than the contact time while nothing is heard from the worker.
+  Scenario: The last heard capacity expires if no heartbeat follows
+    Given an agent that restarted without a heartbeat since
+    When entry "e1" tells a capacity of 4000 that it knew 2000 ms ago
+    And the stored worker of the same start is restored
+    Then the agent accepts tasks
+    When 600 ms go by
+    Then the agent accepts no tasks
--- a/features/runs/capacity.steps.ts
+++ b/features/runs/capacity.steps.ts
@@ -3,9 +3,9 @@
  */
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
-import {handleAnnouncement, handleDeparture} from '../../src/core/runs/logic.ts';
+import {applyHeardCapacity, handleAnnouncement, handleDeparture} from '../../src/core/runs/logic.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
-import {handleWithdrawal} from '../../src/core/runs/owners.ts';
+import {handleClaim, handleWithdrawal} from '../../src/core/runs/owners.ts';
 import {applySnapshot} from '../../src/core/runs/snapshots.ts';
 import type {RunsState} from '../../src/core/runs/state.ts';
 import type {RunRecord, RunsEffect} from '../../src/core/runs/types.ts';
@@ -63,6 +63,13 @@
 	this.effects.push(...handleWithdrawal(this.state, owner, [`${task}.0.0.0`], this.now));
 });
 
+When('entry {string} tells a capacity of {int} that it knew {int} ms ago', function (this: CapacityWorld, owner: string, cpu: number, age: number) {
+	this.effects.push(
+		...applyHeardCapacity(this.state, {capacity: {cpu, memory: 1000, accelerators: 0}, age}, this.now),
+		...handleClaim(this.state, owner, [], this.now),
+	);
+});
+
 When('the worker announces its shutdown', function (this: CapacityWorld) {
 	this.effects.push(...handleDeparture(this.state, this.state.worker.announcement!.id, this.now));
 });
--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -160,6 +160,7 @@
   Scenario: A stored worker serves until its next heartbeat if it still lives
     Given an agent that restarted without a heartbeat since
     When the stored worker of the same start is restored
+    And entry "e1" tells a capacity of 10000 that it knew 200 ms ago
     Then the agent accepts tasks
 
   Scenario Outline: What is stored of a worker for the time after a restart
@@ -177,11 +178,13 @@
   Scenario: A worker that was shutting down is not used after a restart of its agent
     Given an agent that restarted without a heartbeat since
     When the stored worker that shuts down is restored
+    And entry "e1" tells a capacity of 10000 that it knew 200 ms ago
     Then the agent accepts no tasks
 
   Scenario: A stored worker of another start is forgotten
     Given an agent that restarted without a heartbeat since
     When the stored worker of another start is restored
+    And entry "e1" tells a capacity of 10000 that it knew 200 ms ago
     Then the agent accepts no tasks
 
   Scenario: An agent that has just started tells that it does not know its worker yet
--- a/src/core/fleet/state.ts
+++ b/src/core/fleet/state.ts
@@ -2,7 +2,8 @@
  * State of the agents that an entry is connected to, with their reported load.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
+import type {HeardCapacity, WorkerLoad} from '../../ports/dispatch-messages.ts';
+import type {Resources} from '../../ports/worker.ts';
 import type {NodeName, NodeRef} from '../identity/types.ts';
 import type {AgentView, TaskDemand} from './types.ts';
 
@@ -18,6 +19,8 @@
 	options: FleetOptions;
 	/** Agents with an open stream, by name. */
 	readonly agents: Map<NodeName, AgentView>;
+	/** Capacities of the workers of agents whose stream has closed, and when the agents were last heard. */
+	readonly heardCapacities: Map<NodeName, {readonly capacity: Resources; readonly at: Milliseconds}>;
 	/** Median slowness of the agents; undefined after a change, until it is needed. */
 	medianSlowness: number | undefined;
 };
@@ -32,13 +35,15 @@
  * @returns The state.
  */
 export function createFleetState(options: FleetOptions): FleetState {
-	return {options, agents: new Map(), medianSlowness: undefined};
+	return {
+		options, agents: new Map(), heardCapacities: new Map(), medianSlowness: undefined,
+	};
 }
 
 /** Adds an agent whose stream has opened. */
 export function addAgent(state: FleetState, agent: NodeRef, dataCentre: string): void {
 	state.agents.set(agent.name, {
-		agent, dataCentre, load: undefined, sentOfferCount: 0, unreportedOffers: [], avoidedUntil: 0, isRetiring: false,
+		agent, dataCentre, load: undefined, heardAt: 0, sentOfferCount: 0, unreportedOffers: [], avoidedUntil: 0, isRetiring: false,
 	});
 }
 
@@ -50,12 +55,39 @@
 	}
 }
 
-/** Removes an agent whose stream has closed. */
+/** Records when data of an agent last arrived. */
+export function recordContact(state: FleetState, name: NodeName, at: Milliseconds): void {
+	const view = state.agents.get(name);
+	if (view !== undefined) {
+		view.heardAt = Math.max(view.heardAt, at);
+	}
+}
+
+/** Removes an agent whose stream has closed, and keeps the capacity of its worker for its return. */
 export function removeAgent(state: FleetState, name: NodeName): void {
+	const view = state.agents.get(name);
+	if (view?.load !== undefined && view.load.target !== '') {
+		state.heardCapacities.set(name, {capacity: view.load.capacity, at: view.heardAt});
+	}
+
 	state.medianSlowness = undefined;
 	state.agents.delete(name);
 }
 
+/**
+ * Takes the capacity that an agent's worker had when the agent was last heard on an earlier stream.
+ *
+ * @param state - State of the fleet.
+ * @param name - The agent.
+ * @param now - Current time.
+ * @returns The capacity and its age; undefined if none is kept.
+ */
+export function takeHeardCapacity(state: FleetState, name: NodeName, now: Milliseconds): HeardCapacity | undefined {
+	const heard = state.heardCapacities.get(name);
+	state.heardCapacities.delete(name);
+	return heard && {capacity: heard.capacity, age: Math.round(now - heard.at)};
+}
+
 /**
  * Applies the load report of an agent.
  *
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -21,6 +21,8 @@
 	readonly agent: NodeRef;
 	readonly dataCentre: string;
 	load: WorkerLoad | undefined;
+	/** When data of it last arrived, as of the last check. */
+	heardAt: Milliseconds;
 	/** Number of offers sent on the current stream. */
 	sentOfferCount: number;
 	unreportedOffers: UnreportedOffer[];
--- a/src/core/resources/logic.ts
+++ b/src/core/resources/logic.ts
@@ -20,3 +20,10 @@
 export function removeResources(left: Resources, right: Resources): Resources {
 	return {cpu: left.cpu - right.cpu, memory: left.memory - right.memory, accelerators: left.accelerators - right.accelerators};
 }
+
+/** Returns the smaller amount of each resource. */
+export function computeSmallerResources(left: Resources, right: Resources): Resources {
+	return {
+		cpu: Math.min(left.cpu, right.cpu), memory: Math.min(left.memory, right.memory), accelerators: Math.min(left.accelerators, right.accelerators),
+	};
+}
--- a/src/core/runs/health.ts
+++ b/src/core/runs/health.ts
@@ -19,9 +19,14 @@
 /** Longest time, in ms, since the last heartbeat in which tasks are started; the capacity may have shrunk meanwhile. */
 const maxAnnouncementAgeMs = 4000;
 
+/** Returns whether a capacity that the worker told at a time may still be used to start tasks. */
+export function isRecent(toldAt: Milliseconds, now: Milliseconds): boolean {
+	return now - toldAt <= maxAnnouncementAgeMs;
+}
+
 /** Returns whether the worker has told its capacity recently enough to start tasks by it. */
 export function isAnnouncementCurrent({worker: {announcedAt}}: RunsState, now: Milliseconds): boolean {
-	return announcedAt !== undefined && now - announcedAt <= maxAnnouncementAgeMs;
+	return announcedAt !== undefined && isRecent(announcedAt, now);
 }
 
 /**
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -2,9 +2,9 @@
  * Worker heartbeats, lease renewals and timeouts of an agent.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
+import type {HeardCapacity, WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {LeaseRenewalErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
-import {isSameResources, noResources} from '../resources/logic.ts';
+import {computeSmallerResources, isSameResources, noResources} from '../resources/logic.ts';
 import {
 	endOversizedTasks, endUnstartedTasks, retryStop, startQueued,
 } from './orders.ts';
@@ -12,7 +12,7 @@
 import {endAllRuns, resetWorker} from './snapshots.ts';
 import {computeFreeResources, estimateWaits} from './capacity.ts';
 import {updateFencingToken, type RunsState} from './state.ts';
-import {getAgentMode, isAnnouncementCurrent} from './health.ts';
+import {getAgentMode, isAnnouncementCurrent, isRecent} from './health.ts';
 import type {RunsEffect, WorkerRecord} from './types.ts';
 
 /** Time, in ms, for entries to claim orphan runs before they are stopped. */
@@ -51,7 +51,8 @@
 }
 
 /**
- * Restores the worker that was stored before this agent restarted, if it answers with the same start time.
+ * Restores the worker that was stored before this agent restarted, if it answers with the same start time and an entry
+ * has lately heard its capacity: what was stored may be of any age.
  *
  * @param state - State of the agent.
  * @param worker - Stored worker heartbeat.
@@ -63,10 +64,31 @@
 	return applyRestoredWorker(state, now);
 }
 
-/** Uses the stored worker heartbeat once the worker has answered, until it sends a new one. */
+/** Longest time, in ms, between two heartbeats of a worker. */
+const heartbeatIntervalMs = 1500;
+
+/**
+ * Applies the capacity that an entry heard from this agent before it restarted.
+ *
+ * @param state - State of the agent.
+ * @param heard - The capacity; undefined if the entry heard none lately.
+ * @param now - Current time.
+ * @returns Effects to carry out.
+ */
+export function applyHeardCapacity(state: RunsState, heard: HeardCapacity | undefined, now: Milliseconds): RunsEffect[] {
+	const toldAt = now - (heard?.age ?? 0) - heartbeatIntervalMs;
+	if (heard !== undefined && toldAt > (state.heardCapacity?.toldAt ?? Number.NEGATIVE_INFINITY)) {
+		state.heardCapacity = {capacity: heard.capacity, toldAt};
+	}
+
+	return applyRestoredWorker(state, now);
+}
+
+/** Uses the stored worker heartbeat once the worker has answered and its capacity is confirmed, until it sends a new one. */
 export function applyRestoredWorker(state: RunsState, now: Milliseconds): RunsEffect[] {
-	const {restoredAnnouncement, worker} = state;
-	if (restoredAnnouncement === undefined || (worker.announcedAt === undefined && !worker.isReachable)) {
+	const {restoredAnnouncement, heardCapacity, worker} = state;
+	const isConfirmed = heardCapacity !== undefined && isRecent(heardCapacity.toldAt, now);
+	if (restoredAnnouncement === undefined || (worker.announcedAt === undefined && (!worker.isReachable || !isConfirmed))) {
 		return [];
 	}
 
@@ -76,8 +98,9 @@
 		return [];
 	}
 
-	worker.announcedAt = now;
-	return applyAnnouncement(state, {...restoredAnnouncement, sequence: 0}, now);
+	const capacity = computeSmallerResources(restoredAnnouncement.capacity, heardCapacity!.capacity);
+	worker.announcedAt = heardCapacity!.toldAt;
+	return applyAnnouncement(state, {...restoredAnnouncement, capacity, sequence: 0}, now);
 }
 
 /**
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -3,7 +3,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd, TaskOffer} from '../../ports/dispatch-messages.ts';
-import type {WorkerAnnouncement} from '../../ports/worker.ts';
+import type {Resources, WorkerAnnouncement} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
 import type {
 	RecentEnds, OrphanRun, OwnerRecord, RunRecord, RunsOptions, WorkerHealth, WorkerClock, WorkerRecord,
@@ -18,6 +18,8 @@
 	readonly worker: WorkerRecord;
 	/** Worker heartbeat stored before this agent restarted; dropped once the worker has answered. */
 	restoredAnnouncement: WorkerAnnouncement | undefined;
+	/** Capacity that an entry heard before this agent restarted, and when it may have last been told by the worker. */
+	heardCapacity: {readonly capacity: Resources; readonly toldAt: Milliseconds} | undefined;
 	workerClock: WorkerClock | undefined;
 	fencingToken: number;
 	/** Position in the worker's list of ends up to which they have been handled. */
@@ -53,6 +55,7 @@
 			announcement: undefined, announcedAt: undefined, bornAt: undefined, isReachable: false, lastAnswerAt: 0, lastRenewalAt: 0, lastFailureAt: Number.NEGATIVE_INFINITY, areRunsKnown: false,
 		},
 		restoredAnnouncement: undefined,
+		heardCapacity: undefined,
 		workerClock: undefined,
 		fencingToken: options.fencingToken,
 		acknowledgedPosition: 0,
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -120,7 +120,7 @@
 export type WorkerRecord = {
 	/** Last worker heartbeat; undefined before the first one. */
 	announcement: WorkerAnnouncement | undefined;
-	/** When a heartbeat last arrived that was not outdated; undefined before the first one. */
+	/** When the worker last told its capacity at the latest; undefined before a heartbeat, or a stored one that is confirmed. */
 	announcedAt: Milliseconds | undefined;
 	/** Start time of the worker process that answers. */
 	bornAt: Milliseconds | undefined;
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -90,6 +90,13 @@
 	readonly others?: OthersLoad;
 };
 
+/** Capacity of a worker as an entry last heard it from its agent. */
+export type HeardCapacity = {
+	readonly capacity: Resources;
+	/** Time since the agent was last heard, in ms. */
+	readonly age: Milliseconds;
+};
+
 /** Address of a process; an agent's may tell the labels of its worker, so that entries find the agents of a rack. */
 export type DispatchPeer = PeerAddress & {readonly labels?: readonly string[]};
 
@@ -107,8 +114,8 @@
 	| {readonly type: 'ask'; readonly tasks: readonly string[]}
 	/** Allows tasks of an earlier `ask` to start. */
 	| {readonly type: 'grant'; readonly tasks: readonly string[]}
-	/** All tasks that the entry believes to be at this agent; sent when a stream opens. */
-	| {readonly type: 'claim'; readonly tasks: readonly TaskOffer[]}
+	/** All tasks that the entry believes to be at this agent; sent when a stream opens. `heard`: from an earlier stream, if there was one lately. */
+	| {readonly type: 'claim'; readonly tasks: readonly TaskOffer[]; readonly heard?: HeardCapacity}
 	/** `seen`: number of tasks offered on this stream that `load` accounts for. */
 	| {readonly type: 'ended'; readonly reports: readonly TaskReport[]; readonly load: WorkerLoad; readonly seen: number}
 	| {readonly type: 'load'; readonly load: WorkerLoad; readonly seen: number}
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -5,7 +5,7 @@
 import {addToGroup} from '../../core/groups.ts';
 import {applySnapshot} from '../../core/runs/snapshots.ts';
 import {
-	advanceRuns, applyRenewalFailure, computeLoad, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, hasRecentFailure, isExtraRenewalDue,
+	advanceRuns, applyHeardCapacity, applyRenewalFailure, computeLoad, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, hasRecentFailure, isExtraRenewalDue,
 	recordRenewalSent, restoreWorker,
 } from '../../core/runs/logic.ts';
 import {computeOthersLoad, computeOwnersLoad, type OwnersLoad} from '../../core/runs/contention.ts';
@@ -67,7 +67,10 @@
 		},
 		withdraw: (from, {tasks}) => handleWithdrawal(this.state, from.name, tasks, this.#now()),
 		grant: (from, {tasks}) => handleGrant(this.state, from.name, tasks, this.#now()),
-		claim: (from, {tasks}) => handleClaim(this.state, from.name, tasks, this.#now()),
+		claim: (from, {tasks, heard}) => [
+			...applyHeardCapacity(this.state, heard, this.#now()),
+			...handleClaim(this.state, from.name, tasks, this.#now()),
+		],
 	};
 
 	readonly #effectHandlers: {readonly [Type in RunsEffect['type']]: (effect: Extract<RunsEffect, {type: Type}>) => void} = {
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -21,7 +21,7 @@
 	chooseFetch, createSharingState, recordPeerVersion, removePeerVersion,
 } from '../../core/routes/sharing.ts';
 import {
-	addAgent, applyLoad, createFleetState, removeAgent, setRetiring,
+	addAgent, applyLoad, createFleetState, recordContact, removeAgent, setRetiring, takeHeardCapacity,
 } from '../../core/fleet/state.ts';
 import type {DispatchMessage} from '../../ports/dispatch-messages.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
@@ -265,6 +265,7 @@
 		this.#updatePeerCounts();
 		for (const {agent} of this.state.fleet.agents.values()) {
 			setRetiring(this.state.fleet, agent.name, this.#links.isRetiring(agent.name));
+			recordContact(this.state.fleet, agent.name, this.#links.getLastContact(agent.name) ?? 0);
 		}
 
 		this.#applyEffects(advanceDispatch(this.state, now));
@@ -299,7 +300,7 @@
 		if (peer.role === 'agent') {
 			addAgent(this.state.fleet, peer, peer.dataCentre);
 			const claims = listClaims(this.state, peer.name);
-			this.#links.sendMessage(peer.name, {type: 'claim', tasks: claims});
+			this.#links.sendMessage(peer.name, {type: 'claim', tasks: claims, heard: takeHeardCapacity(this.state.fleet, peer.name, this.#now())});
 			return;
 		}
 
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -136,7 +136,8 @@
 
 	/** Returns when data of a peer last arrived; undefined without an open stream. */
 	getLastContact(name: NodeName): Milliseconds | undefined {
-		return this.#network.getLastContact(name);
+		const peer = this.state.connected.get(name);
+		return peer !== undefined && this.#network.hasStream(peer) ? this.#network.getLastContact(name) : undefined;
 	}
 
 	/** Counts the agents in the subset of this process. */
