End a job at once if a task of it needs more than any worker has

Seen: a job with a later step that no worker could hold was admitted, ran its first steps and then kept its caller waiting until the deadline (up to 60 s). So did a job whose only offer came back because the worker had shrunk, and it was then answered as given up although nothing of it had run. Cause: the admission looked at the tasks of the first steps only; an open job of which a task may have run was not looked at again, and a single direct offer counted as a run for good. Change: a step for which every worker of its target is too small, whether its agent takes tasks at present or not, refuses the job when it arrives, with the time to come back, and ends it at the next tick if a task of it waits: as not run if no report says otherwise, as given up if a task has run. Not while agents are expected to return or have not told their load.

--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -2,10 +2,13 @@
  * Admission control: refuses jobs that are not expected to end in time, with a retry time.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
+import {isOversized} from '../fleet/logic.ts';
 import {estimateCriticalPath} from './estimates.ts';
 import type {Placement} from './placing.ts';
 import type {DispatchState} from './state.ts';
-import type {AdmissionEstimate, Job, JobAnswer} from './types.ts';
+import type {
+	AdmissionEstimate, Job, JobAnswer, StepSubmission,
+} from './types.ts';
 import {estimateUtilization} from './waits.ts';
 
 /**
@@ -43,6 +46,33 @@
 	};
 }
 
+/** Returns whether a task of a step needs more than any worker has, while no agents are expected to connect again. */
+function isStepOversized(state: DispatchState, {route: {target}}: Job, {label, needs}: StepSubmission, now: Milliseconds): boolean {
+	return now >= state.expectAgentsUntil && isOversized(state.fleet, {target, label, needs});
+}
+
+/** Returns whether no task of a job has run: no agent has one, and no report of another end than `not-started` has come. */
+function hasNotRun(job: Job): boolean {
+	return job.tasks.every(({phase, nextRun, failures, moves}) => phase !== 'placed' && phase !== 'detached' && phase !== 'done' && nextRun === 1 && failures === 0 && moves === 0);
+}
+
+/**
+ * Checks an open job: it ends once a task that waits needs more than any worker has.
+ *
+ * @param state - State of the jobs.
+ * @param job - The job.
+ * @param now - Current time.
+ * @returns The answer, or undefined if the job goes on.
+ */
+export function checkOversizedJob(state: DispatchState, job: Job, now: Milliseconds): JobAnswer | undefined {
+	const waitingSteps = new Set(state.jobsToPlace.has(job) ? job.tasks.filter(({phase}) => phase === 'waiting').map(({step}) => step) : []);
+	if (![...waitingSteps].some(step => isStepOversized(state, job, job.submission.steps[step], now))) {
+		return undefined;
+	}
+
+	return {...createRefusal('no-worker', agentReturnMs), outcome: job.mayHaveRun && !hasNotRun(job) ? 'given-up' : 'not-run'};
+}
+
 /**
  * Checks whether a job is expected to end in time with its placement.
  *
@@ -55,6 +85,10 @@
 export function checkAdmission(state: DispatchState, job: Job, placement: Placement, now: Milliseconds): JobAnswer | undefined {
 	const criticalPath = estimateCriticalPath(state, job.route, job.submission);
 	const timeLeft = job.deadlineAt - now;
+	if (job.submission.steps.some(step => isStepOversized(state, job, step, now))) {
+		return createRefusal('no-worker', agentReturnMs);
+	}
+
 	if (!placement.hasSuitableAgents) {
 		const isExpected = now < state.expectAgentsUntil && state.endsAt === Number.POSITIVE_INFINITY && criticalPath + agentReturnMs <= Math.min(job.objectiveMs * maxUnstartedFactor, timeLeft);
 		return isExpected ? undefined : createRefusal('no-worker', agentReturnMs);
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -3,7 +3,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
-import {checkAdmission, checkWaitingJob} from './admission.ts';
+import {checkAdmission, checkOversizedJob, checkWaitingJob} from './admission.ts';
 import {placeLostTasks} from './agents.ts';
 import {computeWork, estimateCriticalPath} from './estimates.ts';
 import {clearPlacement, createOffers, placeTasks} from './placing.ts';
@@ -186,7 +186,7 @@
 }
 
 /**
- * Advances to a point in time: cancels jobs past their deadline, places waiting tasks, drops old answers.
+ * Advances to a point in time: cancels jobs past their deadline, places waiting tasks, ends jobs that can't run, drops old answers.
  *
  * @param state - State of the jobs.
  * @param now - Current time.
@@ -203,7 +203,7 @@
 	pruneAnswers(state, now);
 	effects.push(...placeAllWaitingTasks(state, now));
 	for (const job of state.openJobs) {
-		const refusal = job.mayHaveRun ? undefined : checkWaitingJob(state, job, now);
+		const refusal = checkOversizedJob(state, job, now) ?? (job.mayHaveRun ? undefined : checkWaitingJob(state, job, now));
 		if (refusal !== undefined) {
 			effects.push(...endJob(state, job, refusal, now));
 		}
--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -136,6 +136,28 @@
 	return spare;
 }
 
+/**
+ * Returns whether no worker of a target is large enough for a task: each agent has told its load, and none of the
+ * capacities covers the needs, whether the agents take tasks at present or not.
+ *
+ * @param state - State of the fleet.
+ * @param demand - Requirements of the task.
+ */
+export function isOversized(state: FleetState, {target, label, needs}: Pick<TaskDemand, 'target' | 'label' | 'needs'>): boolean {
+	let isTargetKnown = false;
+	for (const {load} of state.agents.values()) {
+		const isUnknown = load === undefined || load.mode === 'starting';
+		const isMatching = load?.target === target && (label === '' || load.labels.includes(label));
+		if (isUnknown || (isMatching && hasCapacityFor(load.capacity, needs))) {
+			return false;
+		}
+
+		isTargetKnown ||= isMatching;
+	}
+
+	return isTargetKnown;
+}
+
 /** Returns whether an agent can run a task, now or once resources are free. */
 export function isSuitable(state: FleetState, name: NodeName, demand: Pick<TaskDemand, 'target' | 'label' | 'needs'>): boolean {
 	const view = state.agents.get(name);
