--- a/features/dispatch/capacity.feature
+++ b/features/dispatch/capacity.feature
@@ -91,3 +91,12 @@
     And agent "a1" has 4000 more in use than it holds
     When job "j1" of 1 tasks of 3000 arrives
     Then agent "a1" has 1 tentative tasks
+
+  # Guards against a ranking that is not a number: the load of a worker without processor capacity was a division by 0.
+  Scenario: A worker without processor capacity does not upset the choice among the others
+    Given agents "a1 a2 a3" with 10000 thousandths of a core each
+    And agent "a2" tells a capacity of 0
+    And agent "a1" is 3 times as slow
+    When job "j1" of 1 tasks of 0 arrives
+    Then agent "a3" has 1 tasks
+    And "j1" has no answer
