Repeat a write of the worker to the store until it has succeeded

Seen: if the store was down, slow or lost the answer when a worker told a smaller capacity or that it shuts down, its key kept the old state until the worker told something new. After a restart the agent took a worker that was shutting down for ready. After one lost answer to a write, no later one succeeded in this life of the process. Cause: a failed write was given up; a heartbeat before the directory had been read was dropped; and after a write whose answer was lost the expected revision was never right again. Change: the last heartbeat is written until the store has it, with pauses from 100 ms to 1.6 s, also if it came before the directory was read; after a conflict the revision is read again. What the store already has is not written again.

--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -32,7 +32,8 @@
 	return isSameProcess ? next.sequence > previous.sequence : (next.bornAt ?? 0) >= (previous.bornAt ?? 0);
 }
 
-function isSameAnnouncement(left: WorkerAnnouncement, right: WorkerAnnouncement): boolean {
+/** Returns whether two heartbeats tell the same of what an agent relies on after a restart. */
+export function isSameAnnouncement(left: WorkerAnnouncement, right: WorkerAnnouncement): boolean {
 	return left.id === right.id && left.bornAt === right.bornAt && left.target === right.target && left.state === right.state
 		&& isSameResources(left.capacity, right.capacity);
 }
--- a/src/processes/dispatch/directory.ts
+++ b/src/processes/dispatch/directory.ts
@@ -4,6 +4,7 @@
  *
  * Keys have no lease: whether a process is alive is known from its streams, not from the store.
  */
+import {isSameAnnouncement} from '../../core/runs/logic.ts';
 import type {Clock} from '../../ports/clock.ts';
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {DispatchPeer} from '../../ports/dispatch-messages.ts';
@@ -38,8 +39,11 @@
 /** Registers one process in the directory and reads the others. */
 export class Directory {
 	#revision = 0;
+	#hasJoined = false;
 	#isWriting = false;
 	#latestWorker: WorkerAnnouncement | undefined;
+	/** What the store has, as far as this process knows. */
+	#storedWorker: WorkerAnnouncement | undefined;
 
 	/** @param input - Dependencies and callbacks. */
 	constructor(private readonly input: DirectoryInput) {}
@@ -51,25 +55,41 @@
 			await waitFor(this.input.clock, delay);
 			delay = Math.min(delay * 2, maxRetryMs);
 		}
+
+		this.#hasJoined = true;
+		await this.#writeLatest();
 	}
 
 	/**
-	 * Stores the worker's last heartbeat, so that this process need not wait for the next one after a restart.
+	 * Stores the worker's last heartbeat, so that this process need not wait for the next one after a restart. A write that
+	 * fails is repeated.
 	 *
 	 * @param worker - The heartbeat.
 	 */
 	async writeWorker(worker: WorkerAnnouncement): Promise<void> {
 		this.#latestWorker = worker;
-		if (this.#isWriting || this.#revision === 0) {
+		await this.#writeLatest();
+	}
+
+	async #writeLatest(): Promise<void> {
+		if (this.#isWriting || !this.#hasJoined) {
 			return;
 		}
 
 		this.#isWriting = true;
-		await this.#write(worker);
-		this.#isWriting = false;
-		if (this.#latestWorker !== worker) {
-			await this.writeWorker(this.#latestWorker);
+		let delay = minRetryMs;
+		while (!this.#isStored()) {
+			const worker = this.#latestWorker;
+			if (await this.#write(worker)) {
+				this.#storedWorker = worker;
+				delay = minRetryMs;
+			} else {
+				await waitFor(this.input.clock, delay);
+				delay = Math.min(delay * 2, maxRetryMs);
+			}
 		}
+
+		this.#isWriting = false;
 	}
 
 	async #listRecords(): Promise<ReadonlyArray<DirectoryRecord & {readonly revision: number}> | undefined> {
@@ -96,6 +116,10 @@
 		const written = await store.writeKey(peersPrefix + self.name, JSON.stringify({address: self, worker}), this.#revision);
 		if (written.isErr()) {
 			log.recordDecision('warn', 'directory-not-written', {reason: written.error.message});
+			if (written.error.kind === 'conflict') {
+				await this.#readRevision();
+			}
+
 			return false;
 		}
 
@@ -103,6 +127,20 @@
 		return true;
 	}
 
+	/** Returns whether the store has what the last heartbeat told. */
+	#isStored(): boolean {
+		const [latest, stored] = [this.#latestWorker, this.#storedWorker];
+		return latest === undefined || (stored !== undefined && isSameAnnouncement(stored, latest));
+	}
+
+	/** Reads the revision of this process's key: an earlier write was carried out although its answer was lost. */
+	async #readRevision(): Promise<void> {
+		const entry = await this.input.store.readKey(peersPrefix + this.input.self.name);
+		if (entry.isOk()) {
+			this.#revision = entry.value.revision;
+		}
+	}
+
 	async #joinOnce(): Promise<boolean> {
 		const {self, log, onPeers, onWorker} = this.input;
 		const records = await this.#listRecords();
@@ -113,6 +151,7 @@
 		const own = records.find(({address}) => address.name === self.name);
 		this.#revision = own?.revision ?? 0;
 		if (own !== undefined && isSameAddress(own.address, self)) {
+			this.#storedWorker = own.worker;
 			if (own.worker !== undefined) {
 				onWorker?.(own.worker);
 			}
@@ -123,7 +162,9 @@
 		}
 
 		// A new process that read the list before this key was written does not know this one: read the list again.
-		const others = await this.#write(this.#latestWorker) ? await this.#listRecords() : undefined;
+		const worker = this.#latestWorker;
+		const others = await this.#write(worker) ? await this.#listRecords() : undefined;
+		this.#storedWorker = worker;
 		if (others === undefined) {
 			return false;
 		}
