--- a/features/runs/capacity.feature
+++ b/features/runs/capacity.feature
@@ -245,3 +245,15 @@
     Then the agent accepts tasks
     When 600 ms go by
     Then the agent accepts no tasks
+
+  # Guards against a wait that is told too short: what is in use above the capacity has to end first.
+  Scenario: The expected wait counts what is in use above the capacity
+    When entry "e1" offers direct tasks "a b" of 4000
+    And the start of "a" is sent 1 ms later
+    And the start of "a" is answered "started"
+    And 40 ms go by
+    And the start of "b" is sent 1 ms later
+    And the start of "b" is answered "started"
+    And the worker tells a capacity of 4000
+    Then the free capacity is -4000
+    And the expected wait is 60 to 100 ms
--- a/features/runs/capacity.steps.ts
+++ b/features/runs/capacity.steps.ts
@@ -3,6 +3,7 @@
  */
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
+import {estimateWaits} from '../../src/core/runs/capacity.ts';
 import {applyHeardCapacity, handleAnnouncement, handleDeparture} from '../../src/core/runs/logic.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
 import {handleClaim, handleWithdrawal} from '../../src/core/runs/owners.ts';
@@ -88,6 +89,11 @@
 	assert.ok(this.effects.some(effect => effect.type === 'ask' && effect.owner === owner && effect.task === `${task}.0.0.0`));
 });
 
+Then('the expected wait is {int} to {int} ms', function (this: CapacityWorld, low: number, high: number) {
+	const [wait] = estimateWaits(this.state, this.now);
+	assert.ok(wait >= low && wait <= high, `the wait is ${wait} ms`);
+});
+
 Then('the waiting start of {string} is not sent', function (this: CapacityWorld, task: string) {
 	assert.equal(recordStartSent(this.state, findRecordOf(this, task), this.now), false);
 });
--- a/features/runs/load-reports.feature
+++ b/features/runs/load-reports.feature
@@ -33,3 +33,14 @@
       | age | result |
       | 50  | is not |
       | 250 | is     |
+
+  # Guards against offers by a capacity that has changed: entries hear of it at once.
+  Scenario Outline: A worker that tells another capacity is reported at once
+    Given a load with 4800 free of 16000 thousandths of a core was reported 10 ms ago
+    When the capacity changes to <capacity>
+    Then the load is reported
+
+    Examples:
+      | capacity |
+      | 8000     |
+      | 17000    |
--- a/features/runs/load-reports.steps.ts
+++ b/features/runs/load-reports.steps.ts
@@ -29,6 +29,11 @@
 	this.load = {...this.load, free: {...this.load.free, cpu: free}};
 });
 
+When('the capacity changes to {int}', function (this: LoadReportWorld, cpu: number) {
+	const {capacity, free} = this.load;
+	this.load = {...this.load, capacity: {...capacity, cpu}, free: {...free, cpu: free.cpu + cpu - capacity.cpu}};
+});
+
 When('the agent closes', function (this: LoadReportWorld) {
 	this.load = {...this.load, mode: 'closed'};
 });
