--- a/features/runs/capacity.steps.ts
+++ b/features/runs/capacity.steps.ts
@@ -3,9 +3,10 @@
  */
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
-import {handleAnnouncement, handleDeparture} from '../../src/core/runs/logic.ts';
+import {estimateWaits} from '../../src/core/runs/capacity.ts';
+import {applyHeardCapacity, handleAnnouncement, handleDeparture} from '../../src/core/runs/logic.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
-import {handleWithdrawal} from '../../src/core/runs/owners.ts';
+import {handleClaim, handleWithdrawal} from '../../src/core/runs/owners.ts';
 import {applySnapshot} from '../../src/core/runs/snapshots.ts';
 import type {RunsState} from '../../src/core/runs/state.ts';
 import type {RunRecord, RunsEffect} from '../../src/core/runs/types.ts';
@@ -63,6 +64,13 @@
 	this.effects.push(...handleWithdrawal(this.state, owner, [`${task}.0.0.0`], this.now));
 });
 
+When('entry {string} tells a capacity of {int} that it knew {int} ms ago', function (this: CapacityWorld, owner: string, cpu: number, age: number) {
+	this.effects.push(
+		...applyHeardCapacity(this.state, {capacity: {cpu, memory: 1000, accelerators: 0}, age}, this.now),
+		...handleClaim(this.state, owner, [], this.now),
+	);
+});
+
 When('the worker announces its shutdown', function (this: CapacityWorld) {
 	this.effects.push(...handleDeparture(this.state, this.state.worker.announcement!.id, this.now));
 });
@@ -81,6 +89,11 @@
 	assert.ok(this.effects.some(effect => effect.type === 'ask' && effect.owner === owner && effect.task === `${task}.0.0.0`));
 });
 
+Then('the expected wait is {int} to {int} ms', function (this: CapacityWorld, low: number, high: number) {
+	const [wait] = estimateWaits(this.state, this.now);
+	assert.ok(wait >= low && wait <= high, `the wait is ${wait} ms`);
+});
+
 Then('the waiting start of {string} is not sent', function (this: CapacityWorld, task: string) {
 	assert.equal(recordStartSent(this.state, findRecordOf(this, task), this.now), false);
 });
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -218,6 +218,14 @@
 	recordEffects(this, restoreWorker(this.state, {...announcement, bornAt: which === 'another' ? bornAt - 1 : bornAt}, this.now));
 });
 
+When('the stored worker that was resized before is restored', function (this: RunsWorld) {
+	recordEffects(this, restoreWorker(this.state, {...announcement, isResized: true}, this.now));
+});
+
+Then('the worker is stored as resized', function (this: RunsWorld) {
+	assert.equal(this.stored?.isResized, true);
+});
+
 When('the stored worker of the same start is restored', function (this: RunsWorld) {
 	recordEffects(this, restoreWorker(this.state, announcement, this.now));
 });
--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -60,7 +60,7 @@
 		unreportedWork += offer.isTentative ? 0 : offer.needs.cpu * offer.expectedMs;
 	}
 
-	return Math.max(minWaitMs, reportedWait) + (unreportedWork / load.capacity.cpu);
+	return Math.max(minWaitMs, reportedWait) + (unreportedWork / Math.max(1, load.capacity.cpu));
 }
 
 /**
@@ -102,7 +102,7 @@
 		const runMs = demand.expectedMs * (load.slowness / medianSlowness) * (isOutsideRack ? state.options.remoteFactor : 1);
 		const dataCentreDelay = view.dataCentre === state.options.dataCentre ? 0 : dataCentreDelayMs;
 		const total = wait + runMs + dataCentreDelay;
-		const utilization = 1 - Math.max(0, free.cpu / load.capacity.cpu);
+		const utilization = 1 - Math.max(0, free.cpu / Math.max(1, load.capacity.cpu));
 		const isPenalized = avoided.has(name) || now < view.avoidedUntil;
 		const queuedPenalty = wait > 0 ? (queuedWeight * demand.expectedMs) + ((waitWeight - 1) * wait) : 0;
 		const score = total + queuedPenalty + (utilization * loadWeight * demand.expectedMs) + (isPenalized ? avoidedPenaltyMs : 0);
@@ -136,6 +136,28 @@
 	return spare;
 }
 
+/**
+ * Returns whether no worker of a target is large enough for a task: each agent has told its load, and none of the
+ * capacities covers the needs, whether the agents take tasks at present or not.
+ *
+ * @param state - State of the fleet.
+ * @param demand - Requirements of the task.
+ */
+export function isOversized(state: FleetState, {target, label, needs}: Pick<TaskDemand, 'target' | 'label' | 'needs'>): boolean {
+	let isTargetKnown = false;
+	for (const {load} of state.agents.values()) {
+		const isUnknown = load === undefined || load.mode === 'starting';
+		const isMatching = load?.target === target && (label === '' || load.labels.includes(label));
+		if (isUnknown || (isMatching && hasCapacityFor(load.capacity, needs))) {
+			return false;
+		}
+
+		isTargetKnown ||= isMatching;
+	}
+
+	return isTargetKnown;
+}
+
 /** Returns whether an agent can run a task, now or once resources are free. */
 export function isSuitable(state: FleetState, name: NodeName, demand: Pick<TaskDemand, 'target' | 'label' | 'needs'>): boolean {
 	const view = state.agents.get(name);
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -2,9 +2,9 @@
  * Worker heartbeats, lease renewals and timeouts of an agent.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
+import type {HeardCapacity, WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {LeaseRenewal, LeaseRenewalErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
-import {isSameResources, noResources} from '../resources/logic.ts';
+import {computeSmallerResources, isSameResources, noResources} from '../resources/logic.ts';
 import {
 	endOversizedTasks, endUnstartedTasks, retryStop, startQueued,
 } from './orders.ts';
@@ -12,7 +12,7 @@
 import {endAllRuns, resetWorker} from './snapshots.ts';
 import {computeFreeResources, estimateWaits} from './capacity.ts';
 import {refuseLateCalls, updateFencingToken, type RunsState} from './state.ts';
-import {getAgentMode, isAnnouncementCurrent} from './health.ts';
+import {getAgentMode, isAnnouncementCurrent, isRecent} from './health.ts';
 import type {RunsEffect, WorkerRecord} from './types.ts';
 
 /** Time, in ms, for entries to claim orphan runs before they are stopped. */
@@ -32,7 +32,8 @@
 	return isSameProcess ? next.sequence > previous.sequence : (next.bornAt ?? 0) >= (previous.bornAt ?? 0);
 }
 
-function isSameAnnouncement(left: WorkerAnnouncement, right: WorkerAnnouncement): boolean {
+/** Returns whether two heartbeats tell the same of what an agent relies on after a restart. */
+export function isSameAnnouncement(left: WorkerAnnouncement, right: WorkerAnnouncement): boolean {
 	return left.id === right.id && left.bornAt === right.bornAt && left.target === right.target && left.state === right.state
 		&& isSameResources(left.capacity, right.capacity);
 }
@@ -51,7 +52,8 @@
 }
 
 /**
- * Restores the worker that was stored before this agent restarted, if it answers with the same start time.
+ * Restores the worker that was stored before this agent restarted, if it answers with the same start time and an entry
+ * has lately heard its capacity: what was stored may be of any age.
  *
  * @param state - State of the agent.
  * @param worker - Stored worker heartbeat.
@@ -63,21 +65,66 @@
 	return applyRestoredWorker(state, now);
 }
 
-/** Uses the stored worker heartbeat once the worker has answered, until it sends a new one. */
+/** Longest time, in ms, between two heartbeats of a worker. */
+const heartbeatIntervalMs = 1500;
+
+/**
+ * Applies the capacity that an entry heard from this agent before it restarted.
+ *
+ * @param state - State of the agent.
+ * @param heard - The capacity; undefined if the entry heard none lately.
+ * @param now - Current time.
+ * @returns Effects to carry out.
+ */
+export function applyHeardCapacity(state: RunsState, heard: HeardCapacity | undefined, now: Milliseconds): RunsEffect[] {
+	const toldAt = now - (heard?.age ?? 0) - heartbeatIntervalMs;
+	if (heard !== undefined && toldAt > (state.heardCapacity?.toldAt ?? Number.NEGATIVE_INFINITY)) {
+		state.heardCapacity = {capacity: heard.capacity, toldAt};
+	}
+
+	return applyRestoredWorker(state, now);
+}
+
+/**
+ * Uses the stored worker heartbeat once the worker has answered, until it sends a new one. If the entries have heard no
+ * capacity, as they have restarted too, what was stored holds for a worker whose capacity has never changed.
+ */
 export function applyRestoredWorker(state: RunsState, now: Milliseconds): RunsEffect[] {
-	const {restoredAnnouncement, worker} = state;
-	if (restoredAnnouncement === undefined || (worker.announcedAt === undefined && !worker.isReachable)) {
+	const {restoredAnnouncement: restored, heardCapacity, worker} = state;
+	// A heartbeat is newer than what was stored, also once the worker has left.
+	const hasHeartbeat = worker.announcedAt !== undefined && !worker.isRestored;
+	if (restored === undefined || (!hasHeartbeat && !worker.isReachable)) {
 		return [];
 	}
 
-	state.restoredAnnouncement = undefined;
-	// A heartbeat is newer than what was stored, also once the worker has left.
-	if (worker.announcedAt !== undefined || worker.bornAt === undefined || worker.bornAt !== restoredAnnouncement.bornAt || restoredAnnouncement.state !== 'ready') {
+	if (hasHeartbeat || worker.bornAt === undefined || worker.bornAt !== restored.bornAt || restored.state !== 'ready') {
+		state.restoredAnnouncement = undefined;
 		return [];
 	}
 
-	worker.announcedAt = now;
-	return applyAnnouncement(state, {...restoredAnnouncement, sequence: 0}, now);
+	if (heardCapacity === undefined) {
+		return worker.isRestored || restored.isResized === true ? [] : applyStoredCapacity(state, restored, now - heartbeatIntervalMs, now);
+	}
+
+	if (!isRecent(heardCapacity.toldAt, now)) {
+		return worker.isRestored ? dropRestoredWorker(state, now) : [];
+	}
+
+	state.restoredAnnouncement = undefined;
+	return applyStoredCapacity(state, {...restored, capacity: computeSmallerResources(restored.capacity, heardCapacity.capacity)}, heardCapacity.toldAt, now);
+}
+
+function dropRestoredWorker(state: RunsState, now: Milliseconds): RunsEffect[] {
+	state.worker.isRestored = false;
+	state.worker.announcement = undefined;
+	state.worker.announcedAt = undefined;
+	return endUnstartedTasks(state, now);
+}
+
+function applyStoredCapacity(state: RunsState, restored: WorkerAnnouncement, toldAt: Milliseconds, now: Milliseconds): RunsEffect[] {
+	state.worker.isRestored = true;
+	state.worker.announcedAt = toldAt;
+	return applyAnnouncement(state, {...restored, sequence: 0}, now);
 }
 
 /**
@@ -94,7 +141,14 @@
 	}
 
 	state.worker.announcedAt = now;
-	return applyAnnouncement(state, announcement, now);
+	state.worker.isRestored = false;
+	return applyAnnouncement(state, {...announcement, isResized: hasBeenResized(state, announcement)}, now);
+}
+
+/** Returns whether a worker process has changed its capacity, now or before. */
+function hasBeenResized({worker: {announcement: previous}}: RunsState, {id, bornAt, capacity}: WorkerAnnouncement): boolean {
+	const isSameProcess = previous?.id === id && previous.bornAt === bornAt;
+	return isSameProcess && (previous.isResized === true || !isSameResources(previous.capacity, capacity));
 }
 
 function applyAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -133,8 +133,10 @@
 export type WorkerRecord = {
 	/** Last worker heartbeat; undefined before the first one. */
 	announcement: WorkerAnnouncement | undefined;
-	/** When a heartbeat last arrived that was not outdated; undefined before the first one. */
+	/** When the worker last told its capacity at the latest; undefined before a heartbeat, or a stored one that is confirmed. */
 	announcedAt: Milliseconds | undefined;
+	/** Whether `announcement` was stored before this agent restarted. */
+	isRestored: boolean;
 	/** Start time of the worker process that answers. */
 	bornAt: Milliseconds | undefined;
 	/** Whether it answers lease renewals; false after `workerSilenceMs` without an answer, or at once if it has exited. */
--- a/src/ports/worker.ts
+++ b/src/ports/worker.ts
@@ -33,6 +33,8 @@
 	readonly sequence: number;
 	/** Start time of the worker process in ms since the epoch, if reported. */
 	readonly bornAt: Milliseconds | undefined;
+	/** Whether the worker process has told another capacity before; added by its agent. */
+	readonly isResized?: boolean;
 };
 
 /** Identifies one run: one start of one task. */
