Let a process join although an odd entry stands under its own name

Callers would see: a process that starts again beside such an entry never joins. It takes no part for the rest of its life: an entry opens no stream by itself, and an agent's new address is never told. directory-not-written is logged at each attempt. Cause: a value that names no process was left out before the revision of the own key was looked up, so that the write expected no key and met a conflict for ever. The list already read was given on only after a successful write. Change: the revision comes from the key itself, whatever its value is; the processes of the first list are used at once, also while the write fails. The log line names the field and its value, shortened; formatValue does so for values nested too deeply, too.

--- a/features/platform/random-bodies.steps.ts
+++ b/features/platform/random-bodies.steps.ts
@@ -27,7 +27,7 @@
 	'a job': text => parseBody(text, fields => decodeSubmission('00000000000000aa', fields)),
 	'a heartbeat': text => parseBody(text, fields => decodeAnnouncement('i-1', fields)),
 	'a configuration': text => parseBody(text, decodeConfiguration),
-	'a directory key': text => parseRecord(text) ?? 'names no process',
+	'a directory key': text => parseRecord(text),
 };
 
 const address = {
--- a/src/processes/dispatch/directory-records.ts
+++ b/src/processes/dispatch/directory-records.ts
@@ -6,6 +6,7 @@
 import type {DispatchPeer} from '../../ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import type {WorkerAnnouncement} from '../../ports/worker.ts';
+import {describeIssues} from '../../settings/issues.ts';
 
 const maxPort = 65_535;
 const nonNegative = z.int().check(z.minimum(0));
@@ -36,24 +37,25 @@
 	readonly worker: WorkerAnnouncement | undefined;
 };
 
+const recordSchema = z.object({address: addressSchema, worker: z.optional(z.unknown())});
+
 /**
  * Parses the value of a key. A worker that is not valid is left out: its agent has to wait for the next heartbeat.
  *
  * @param text - The value.
- * @returns The record; undefined if the value names no process.
+ * @returns The record; an error message if the value names no process.
  */
-export function parseRecord(text: string): DirectoryRecord | undefined {
+export function parseRecord(text: string): DirectoryRecord | string {
 	let value: unknown;
 	try {
 		value = JSON.parse(text);
 	} catch {
-		// Not JSON; the caller logs the key.
-		return undefined;
+		return 'the value is not JSON';
 	}
 
-	const record = z.object({address: addressSchema, worker: z.optional(z.unknown())}).safeParse(value);
+	const record = recordSchema.safeParse(value);
 	if (!record.success) {
-		return undefined;
+		return describeIssues(value, record.error);
 	}
 
 	const worker = workerSchema.safeParse(record.data.worker);
--- a/src/processes/dispatch/directory.ts
+++ b/src/processes/dispatch/directory.ts
@@ -8,7 +8,7 @@
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {DispatchPeer} from '../../ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
-import type {Store, StoreLister} from '../../ports/store.ts';
+import type {Store, StoreItem, StoreLister} from '../../ports/store.ts';
 import type {WorkerAnnouncement} from '../../ports/worker.ts';
 import {waitFor} from '../shared/wait.ts';
 import {createPeer, parseRecord, type DirectoryRecord} from './directory-records.ts';
@@ -19,6 +19,13 @@
 const minRetryMs = 100;
 const maxRetryMs = 1600;
 
+/** What the directory holds. */
+type Listing = {
+	readonly records: readonly DirectoryRecord[];
+	/** Revision of the key of this process, whatever its value is; 0 if there is none. */
+	readonly ownRevision: number;
+};
+
 function isSameAddress(left: PeerAddress, right: PeerAddress): boolean {
 	return left.name === right.name && left.host === right.host && left.port === right.port && left.role === right.role;
 }
@@ -72,22 +79,33 @@
 		}
 	}
 
-	async #listRecords(): Promise<ReadonlyArray<DirectoryRecord & {readonly revision: number}> | undefined> {
-		const {store, log} = this.input;
+	async #listRecords(): Promise<Listing | undefined> {
+		const {store, log, self} = this.input;
 		const listed = await store.listKeys(peersPrefix);
 		if (listed.isErr()) {
 			log.recordDecision('warn', 'directory-not-read', {reason: listed.error.message});
 			return undefined;
 		}
 
-		return listed.value.flatMap(item => {
-			const record = parseRecord(item.value);
-			if (record === undefined) {
-				log.recordDecision('warn', 'directory-key-ignored', {key: item.key});
+		return {
+			records: this.#parseItems(listed.value),
+			ownRevision: listed.value.find(({key}) => key === peersPrefix + self.name)?.revision ?? 0,
+		};
+	}
+
+	/** Parses the values of all keys; logs those that name no process. */
+	#parseItems(items: readonly StoreItem[]): DirectoryRecord[] {
+		const records: DirectoryRecord[] = [];
+		for (const {key, value} of items) {
+			const record = parseRecord(value);
+			if (typeof record === 'string') {
+				this.input.log.recordDecision('warn', 'directory-key-ignored', {key, fault: record.split('\n', 1)[0]});
+			} else {
+				records.push(record);
 			}
+		}
 
-			return record === undefined ? [] : [{...record, revision: item.revision}];
-		});
+		return records;
 	}
 
 	/** Writes this process's key; returns whether that succeeded. */
@@ -105,20 +123,20 @@
 
 	async #joinOnce(): Promise<boolean> {
 		const {self, log, onPeers, onWorker} = this.input;
-		const records = await this.#listRecords();
-		if (records === undefined) {
+		const listing = await this.#listRecords();
+		if (listing === undefined) {
 			return false;
 		}
 
-		const own = records.find(({address}) => address.name === self.name);
-		this.#revision = own?.revision ?? 0;
+		this.#revision = listing.ownRevision;
+		const own = listing.records.find(({address}) => address.name === self.name);
+		onPeers(listing.records.map(record => createPeer(record)));
 		if (own !== undefined && isSameAddress(own.address, self)) {
 			if (own.worker !== undefined) {
 				onWorker?.(own.worker);
 			}
 
-			onPeers(records.map(record => createPeer(record)));
-			log.recordDecision('info', 'directory-read', {peers: records.length});
+			log.recordDecision('info', 'directory-read', {peers: listing.records.length});
 			return true;
 		}
 
@@ -128,8 +146,8 @@
 			return false;
 		}
 
-		onPeers(others.map(record => createPeer(record)));
-		log.recordDecision('info', 'directory-joined', {peers: others.length});
+		onPeers(others.records.map(record => createPeer(record)));
+		log.recordDecision('info', 'directory-joined', {peers: others.records.length});
 		return true;
 	}
 }
--- a/src/settings/issues.ts
+++ b/src/settings/issues.ts
@@ -2,6 +2,7 @@
  * Errors in a settings file.
  */
 import type {core} from 'zod/mini';
+import {formatValue} from './values.ts';
 
 /** Why a settings file was refused. */
 export type SettingsErrorKind = 'unreadable' | 'malformed' | 'invalid';
@@ -31,9 +32,7 @@
 export function describeIssues(input: unknown, error: core.$ZodError): string {
 	return error.issues.map(issue => {
 		const path = ['$', ...issue.path.map(key => typeof key === 'number' ? `[${key}]` : `.${String(key)}`)].join('');
-		const value = JSON.stringify(getValue(input, issue.path)) ?? 'absent';
-		const shown = value.length > 80 ? `${value.slice(0, 77)}...` : value;
-		return `${path}: ${issue.message} (value: ${shown})`;
+		return `${path}: ${issue.message} (value: ${formatValue(getValue(input, issue.path))})`;
 	}).join('\n');
 }
 
