Ignore a directory key that names another process than its own

Callers would see: a key of another writer that names an agent at another address gave all processes that read it that address; one that names the reader kept it from joining, and its worker was restored as that of the reader's own worker. Cause: the directory went by the name in the value and not by the key; of several the last one counted for addresses, the first one for the own revision and worker. Change: a value has to name the process of its key; the line names $.address.name. Tests: four scenarios in features/platform/odd-entries.feature. Before: the reader knew agent-1 at port 4444, restored worker w2, or knew nobody.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -22,3 +22,27 @@
       | an incarnation of -1         |
       | an incarnation of 1.5        |
       | a host that is no IP address |
+      | the address of "agent-1"     |
+
+  # Guards against a process that never joins: it took the revision of the odd entry for that of its own key.
+  Scenario: A process joins although the key of another one names it
+    Given the directory holds "agent-1" and "agent-2"
+    And the key of "another" holds the address of "entry-1" at port 4444
+    When "entry-1" joins the directory
+    Then it knows "agent-1" and "agent-2" at their ports
+    And the key of "entry-1" holds its address
+    And a line "directory-key-ignored" names "another" and "$.address.name"
+
+  # Guards against streams to the wrong address: the last key that named a process won.
+  Scenario: A key that names another process does not change its address
+    Given the directory holds "agent-1" and "agent-2"
+    And the key of "another" holds the address of "agent-1" at port 4444
+    When "entry-1" joins the directory
+    Then it knows "agent-1" and "agent-2" at their ports
+
+  # Guards against a restarted agent that uses the worker of another entry.
+  Scenario: The worker of another key that names this process is not restored
+    Given the directory holds "agent-1" with worker "w1" and "agent-2"
+    And the key of "aaa" holds the address of "agent-1" with worker "w2"
+    When "agent-1" joins the directory
+    Then it restores the worker "w1"
--- a/src/processes/dispatch/directory-records.ts
+++ b/src/processes/dispatch/directory-records.ts
@@ -7,6 +7,7 @@
 import type {PeerAddress} from '../../ports/messages.ts';
 import type {WorkerAnnouncement} from '../../ports/worker.ts';
 import {describeIssues} from '../../settings/issues.ts';
+import {formatValue} from '../../settings/values.ts';
 
 const maxPort = 65_535;
 const nonNegative = z.int().check(z.minimum(0));
@@ -62,6 +63,20 @@
 	return {address: record.data.address, worker: worker.success ? {...worker.data, bornAt: worker.data.bornAt} : undefined};
 }
 
+/**
+ * Parses the value of the key of a process: a key that names another process may be of another writer, and is refused.
+ *
+ * @param name - Name of the process, from the key.
+ * @param text - The value.
+ * @returns The record, or an error message.
+ */
+export function parseRecordOf(name: string, text: string): DirectoryRecord | string {
+	const record = parseRecord(text);
+	return typeof record === 'string' || record.address.name === name
+		? record
+		: `$.address.name: must be the name in the key (value: ${formatValue(record.address.name)})`;
+}
+
 /** Returns the address of a record, with the labels of its worker. */
 export function createPeer({address, worker}: DirectoryRecord): DispatchPeer {
 	return worker === undefined ? address : {...address, labels: worker.labels};
--- a/src/processes/dispatch/directory.ts
+++ b/src/processes/dispatch/directory.ts
@@ -11,7 +11,7 @@
 import type {Store, StoreItem, StoreLister} from '../../ports/store.ts';
 import type {WorkerAnnouncement} from '../../ports/worker.ts';
 import {waitFor} from '../shared/wait.ts';
-import {createPeer, parseRecord, type DirectoryRecord} from './directory-records.ts';
+import {createPeer, parseRecordOf, type DirectoryRecord} from './directory-records.ts';
 
 const peersPrefix = 'medlardale/peers/';
 
@@ -97,7 +97,7 @@
 	#parseItems(items: readonly StoreItem[]): DirectoryRecord[] {
 		const records: DirectoryRecord[] = [];
 		for (const {key, value} of items) {
-			const record = parseRecord(value);
+			const record = parseRecordOf(key.slice(peersPrefix.length), value);
 			if (typeof record === 'string') {
 				this.input.log.recordDecision('warn', 'directory-key-ignored', {key, fault: record.split('\n', 1)[0]});
 			} else {
