Log at most ten ignored directory keys one by one, and each only once

Callers would see: nothing. Operators: thousands of odd keys spend the 400 lines a second that a log has for warnings, again at each attempt to join, and displace others. Cause: one line for each ignored key at each reading. Change: ten lines and a count; a key that was logged is not logged again in this life. Tests: features/platform/odd-entries.feature with 3000 keys; before, 3000 lines at one reading and as many at the next.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -46,3 +46,12 @@
     And the key of "aaa" holds the address of "agent-1" with worker "w2"
     When "agent-1" joins the directory
     Then it restores the worker "w1"
+
+  # Guards against a log in which thousands of odd entries displace every other line.
+  Scenario: Thousands of odd entries leave the others usable and the log readable
+    Given the directory holds "agent-1" and "agent-2"
+    And 3000 keys hold a port of 99999
+    When "entry-1" joins the directory
+    Then it knows "agent-1" and "agent-2" at their ports
+    And at most 12 lines are logged
+    And a line "directory-keys-ignored" counts 3000
--- a/src/processes/dispatch/directory.ts
+++ b/src/processes/dispatch/directory.ts
@@ -19,6 +19,9 @@
 const minRetryMs = 100;
 const maxRetryMs = 1600;
 
+/** Most ignored keys that are logged one by one. */
+const maxIgnoredLines = 10;
+
 /** What the directory holds. */
 type Listing = {
 	readonly records: readonly DirectoryRecord[];
@@ -47,6 +50,8 @@
 	#revision = 0;
 	#isWriting = false;
 	#latestWorker: WorkerAnnouncement | undefined;
+	/** Keys that have been logged as ignored. */
+	readonly #ignoredKeys = new Set<string>();
 
 	/** @param input - Dependencies and callbacks. */
 	constructor(private readonly input: DirectoryInput) {}
@@ -96,18 +101,32 @@
 	/** Parses the values of all keys; logs those that name no process. */
 	#parseItems(items: readonly StoreItem[]): DirectoryRecord[] {
 		const records: DirectoryRecord[] = [];
+		const faults = new Map<string, string>();
 		for (const {key, value} of items) {
 			const record = parseRecordOf(key.slice(peersPrefix.length), value);
-			if (typeof record === 'string') {
-				this.input.log.recordDecision('warn', 'directory-key-ignored', {key, fault: record.split('\n', 1)[0]});
-			} else {
+			if (typeof record !== 'string') {
 				records.push(record);
+			} else if (!this.#ignoredKeys.has(key)) {
+				faults.set(key, record);
+				this.#ignoredKeys.add(key);
 			}
 		}
 
+		this.#logIgnoredKeys(faults);
 		return records;
 	}
 
+	#logIgnoredKeys(faults: ReadonlyMap<string, string>): void {
+		const {log} = this.input;
+		for (const [key, fault] of [...faults].slice(0, maxIgnoredLines)) {
+			log.recordDecision('warn', 'directory-key-ignored', {key, fault: fault.split('\n', 1)[0]});
+		}
+
+		if (faults.size > maxIgnoredLines) {
+			log.recordDecision('warn', 'directory-keys-ignored', {count: faults.size});
+		}
+	}
+
 	/** Writes this process's key; returns whether that succeeded. */
 	async #write(worker: WorkerAnnouncement | undefined): Promise<boolean> {
 		const {store, self, log} = this.input;
