--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -55,3 +55,28 @@
     Then it knows "agent-1" and "agent-2" at their ports
     And at most 12 lines are logged
     And a line "directory-keys-ignored" counts 3000
+
+  # Guards against lists that end early, never end or fail because of a single row: the other processes were not read.
+  Scenario Outline: Odd rows in a list of keys leave the others
+    Given a store whose list has the pages <pages>
+    When the keys are listed
+    Then the keys are <keys>
+
+    Examples:
+      | pages                                | keys             |
+      | "a, b" and "c"                       | "a, b, c"        |
+      | "no item, no item" and "c"           | "c"              |
+      | "a, no item" and "c"                 | "a, c"           |
+      | "a, no key" and "c"                  | "a, c"           |
+
+  # Guards against a process that reads the same page for ever, and keeps all of its rows.
+  Scenario Outline: A list that does not advance ends with an error
+    Given a store whose list has the page <page> again and again
+    When the keys are listed
+    Then listing fails with "the list does not advance"
+
+    Examples:
+      | page         |
+      | "a, b"       |
+      | "no item"    |
+      | "no key"     |
