List the keys of the store although one has no encoding

Callers would see: a key with a lone surrogate at the end of a page keeps every process that starts later from joining: the entry knows no agent and serves nothing. Cause: encodeURIComponent throws for it, and the error ended the task that joins. Tests: features/platform/odd-entries.feature; before, listing threw URIError.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -67,6 +67,7 @@
       | "a, b" and "c"                       | "a, b, c"        |
       | "no item, no item" and "c"           | "c"              |
       | "a, no item" and "c"                 | "a, c"           |
+      | "a, lone surrogate" and "c"          | "a, �, c"   |
       | "a, no key" and "c"                  | "a, c"           |
 
   # Guards against a process that reads the same page for ever, and keeps all of its rows.
