Let the loops of a process go on after an unexpected error

Callers would see: after one error in a loop, an entry follows no configuration any more (it does not revert, but never learns of changes but by other entries), a process that joins never knows the others, or an agent renews no lease, so that its runs lapse and its worker counts as silent. The process stays up, so nothing starts it again. Cause: an error that nothing caught ends the async function. The process logs it as unexpected-error, which keeps it alive, but not the loop. After an error in a write, the mark of the write under way stayed, and no heartbeat was stored any more. Change: runLoop takes the steps of the directory, the configuration and the worker; a step that fails is logged as loop-failed with its stack, and the next one follows after 200 ms. The revision of a configuration is kept before it is applied, so that one that can't be applied is not read again. The mark of the write is removed in any case. Tests: features/platform/odd-entries.feature, five scenarios.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -81,3 +81,23 @@
       | "a, b"       |
       | "no item"    |
       | "no key"     |
+
+  # Guards against a process that goes on without its directory, configuration or worker, as an error ended the task.
+  Scenario Outline: A task of a process goes on after an unexpected error
+    Given a process whose <task> meets an unexpected error once
+    When the process goes on for 3000 ms
+    Then <result>
+    And a line "loop-failed" names "<loop>" and "odd"
+
+    Examples:
+      | task                   | result                          | loop          |
+      | reading the directory  | it knows the others             | directory     |
+      | reading the store      | configuration 8 is in force     | configuration |
+      | decoding configuration | configuration 8 is in force     | configuration |
+      | renewing the lease     | its lease is still renewed      | worker        |
+
+  # Guards against an agent that stores no heartbeat any more, as an error left the mark of a write under way.
+  Scenario: The worker is stored again after a write met an unexpected error
+    Given an agent in the directory whose next write meets an unexpected error
+    When it stores the worker "w1" and then the worker "w2"
+    Then its key holds the worker "w2"
--- a/features/platform/odd-entries.steps.ts
+++ b/features/platform/odd-entries.steps.ts
@@ -13,7 +13,7 @@
 import {Directory} from '../../src/processes/dispatch/directory.ts';
 import {TestClock} from '../contracts/clock.ts';
 
-const prefix = 'medlardale/peers/';
+export const prefix = 'medlardale/peers/';
 const joinMs = 1000;
 
 /** Lines of the decision log: event and fields. */
@@ -60,13 +60,13 @@
 
 const ports = new Map([['agent-1', 7001], ['agent-2', 7002], ['entry-1', 7003]]);
 
-function createAddress(name: string, port = ports.get(name) ?? 7000): PeerAddress {
+export function createAddress(name: string, port = ports.get(name) ?? 7000): PeerAddress {
 	return {
 		name, incarnation: 5, role: name.startsWith('entry') ? 'entry' : 'agent', dataCentre: 'dc', host: '10.1.0.1', port,
 	};
 }
 
-function createWorker(id: string): WorkerAnnouncement {
+export function createWorker(id: string): WorkerAnnouncement {
 	return {
 		id, target: 'desk', address: '10.1.0.1:8080', state: 'ready', capacity: {cpu: 1000, memory: 10, accelerators: 0}, labels: [], sequence: 4, bornAt: 5,
 	};
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -22,6 +22,7 @@
 import type {DispatchMessage, TaskReport, WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import type {RunRef, WorkerAnnouncement, WorkerControl} from '../../ports/worker.ts';
+import {runLoop} from '../shared/loops.ts';
 import {waitFor} from '../shared/wait.ts';
 import {Directory} from './directory.ts';
 import {createOwnAddress, type DispatchInput} from './input.ts';
@@ -233,27 +234,31 @@
 
 	/** Renews the lease and reads ended runs, one call after the other. */
 	async #watchWorker(): Promise<void> {
-		while (!this.#isClosed) {
+		const {clock, log} = this.input;
+		await runLoop({loop: 'worker', clock, log}, async () => {
 			const isAnswered = await this.#fetchSnapshot(computeRenewalWait(this.state, this.#now()));
 			if (!isAnswered && !this.state.worker.isReachable) {
-				await waitFor(this.input.clock, reconnectMs);
+				await waitFor(clock, reconnectMs);
 			}
-		}
+
+			return this.#isClosed ? 'ended' : 'continues';
+		});
 	}
 
 	/** Renews in a second loop while calls fail, so that a lost answer does not delay the ends of runs. */
 	async #watchUnreliableWorker(): Promise<void> {
-		if (this.#isWatchingUnreliable) {
+		if (this.#isWatchingUnreliable || this.#isClosed || !hasRecentFailure(this.state, this.#now())) {
 			return;
 		}
 
+		const {clock, log} = this.input;
 		this.#isWatchingUnreliable = true;
-		while (!this.#isClosed && hasRecentFailure(this.state, this.#now())) {
+		await runLoop({loop: 'unreliable-worker', clock, log}, async () => {
 			await (this.state.worker.isReachable
 				? this.#fetchSnapshot(computeRenewalWait(this.state, this.#now()))
-				: waitFor(this.input.clock, tickMs));
-		}
-
+				: waitFor(clock, tickMs));
+			return !this.#isClosed && hasRecentFailure(this.state, this.#now()) ? 'continues' : 'ended';
+		});
 		this.#isWatchingUnreliable = false;
 	}
 
--- a/src/processes/dispatch/configuration.ts
+++ b/src/processes/dispatch/configuration.ts
@@ -8,6 +8,7 @@
 import type {Clock} from '../../ports/clock.ts';
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {Store} from '../../ports/store.ts';
+import {runLoop} from '../shared/loops.ts';
 import {waitFor} from '../shared/wait.ts';
 
 /** Longest wait of one watch call, in ms; shorter ones mean more calls to the store. */
@@ -78,20 +79,23 @@
 
 	/** Watches the store until disposed of. */
 	async watchStore(): Promise<void> {
+		const {clock, log} = this.input;
 		let delay = minRetryMs;
 		let isLost = false;
-		while (!this.#isClosed) {
+		await runLoop({loop: 'configuration', clock, log}, async () => {
 			const isRead = await this.#readOnce();
 			if (isRead !== !isLost) {
 				isLost = !isRead;
-				this.input.log.recordDecision('warn', isLost ? 'store-lost' : 'store-regained', {version: this.version});
+				log.recordDecision('warn', isLost ? 'store-lost' : 'store-regained', {version: this.version});
 			}
 
 			delay = isRead ? minRetryMs : Math.min(delay * 2, maxRetryMs);
 			if (!isRead) {
-				await waitFor(this.input.clock, delay);
+				await waitFor(clock, delay);
 			}
-		}
+
+			return this.#isClosed ? 'ended' : 'continues';
+		});
 	}
 
 	/** Restarts the watch on a new connection, as the current one may hang; at most once per half of the configuration time. */
@@ -131,11 +135,12 @@
 		}
 
 		const {revision, value, at} = answer.value;
+		// Set first, so that a value which can't be applied is not read again.
+		this.#revision = at ?? revision;
 		if (value !== undefined) {
 			this.applyText(value, 'store');
 		}
 
-		this.#revision = at ?? revision;
 		return this.#revision > 0;
 	}
 }
--- a/src/processes/dispatch/directory.ts
+++ b/src/processes/dispatch/directory.ts
@@ -10,6 +10,7 @@
 import type {PeerAddress} from '../../ports/messages.ts';
 import type {Store, StoreItem, StoreLister} from '../../ports/store.ts';
 import type {WorkerAnnouncement} from '../../ports/worker.ts';
+import {runLoop} from '../shared/loops.ts';
 import {waitFor} from '../shared/wait.ts';
 import {createPeer, parseRecordOf, type DirectoryRecord} from './directory-records.ts';
 
@@ -58,11 +59,17 @@
 
 	/** Registers this process in the directory; retries until the store has answered. */
 	async joinDirectory(): Promise<void> {
+		const {clock, log} = this.input;
 		let delay = minRetryMs;
-		while (!await this.#joinOnce()) {
-			await waitFor(this.input.clock, delay);
+		await runLoop({loop: 'directory', clock, log}, async () => {
+			if (await this.#joinOnce()) {
+				return 'ended';
+			}
+
+			await waitFor(clock, delay);
 			delay = Math.min(delay * 2, maxRetryMs);
-		}
+			return 'continues';
+		});
 	}
 
 	/**
@@ -77,8 +84,12 @@
 		}
 
 		this.#isWriting = true;
-		await this.#write(worker);
-		this.#isWriting = false;
+		try {
+			await this.#write(worker);
+		} finally {
+			this.#isWriting = false;
+		}
+
 		if (this.#latestWorker !== worker) {
 			await this.writeWorker(this.#latestWorker);
 		}
