Check the addresses that processes announce and pass on

Callers would see: a value that is no address, passed on by a process of another build or from an odd key, closed the stream each time that it was passed on, and the addresses after it were not read. One with an odd port or host was kept and passed on further. Cause: only keys of the directory were checked. An announcement was entered under the name in it, whatever process the stream led to. Change: parsePeer checks each address; odd ones are logged (peers-ignored with count and first fault) and the others used. An announcement has to name the process and incarnation of its stream. A host with a zone is none for other machines. Tests: features/platform/odd-entries.feature, 17 addresses and an announcement.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -101,3 +101,39 @@
     Given an agent in the directory whose next write meets an unexpected error
     When it stores the worker "w1" and then the worker "w2"
     Then its key holds the worker "w2"
+
+  # Guards against streams that close again and again, or attempts that never count as failed, by an address passed on.
+  Scenario Outline: An odd address that another process passes on leaves the others and the stream
+    Given an entry with a stream to the entry "b"
+    When "b" passes on an address with <odd>, and that of "agent-9"
+    Then the entry knows "agent-9", and not the odd one
+    And a line "peers-ignored" names "b" and "value"
+    And the stream to "b" is open, and no error was left uncaught
+
+    Examples:
+      | odd                        |
+      | port 0                     |
+      | port 65536                 |
+      | port 10000000000           |
+      | port Infinity              |
+      | port -1                    |
+      | port "7000"                |
+      | host undefined             |
+      | host "x y"                 |
+      | host "fe80::1%eth0"        |
+      | host 7                     |
+      | name 7                     |
+      | role "third"               |
+      | incarnation 1e300          |
+      | labels 7                   |
+      | labels [7]                 |
+      | nothing but null           |
+      | nothing but a list of 100000 lists |
+
+  # Guards against a process that is taken for another one, whose messages then have no stream.
+  Scenario: An announcement that names another process than its stream is ignored
+    Given an entry with a stream to the entry "b"
+    When "b" announces itself as "c"
+    Then the entry is not connected to "c"
+    And a line "announcement-ignored" names "b" and "c"
+    And the stream to "b" is open, and no error was left uncaught
--- a/src/processes/dispatch/directory-records.ts
+++ b/src/processes/dispatch/directory-records.ts
@@ -1,5 +1,5 @@
 /**
- * Records of the directory: one for each process, as JSON under a key of its own.
+ * Records of the directory, one for each process, as JSON under a key of its own, and addresses that processes pass on.
  */
 import {isIP} from 'node:net';
 import * as z from 'zod/mini';
@@ -17,7 +17,8 @@
 	incarnation: nonNegative,
 	role: z.enum(['entry', 'agent']),
 	dataCentre: z.string(),
-	host: z.string().check(z.refine(text => isIP(text) !== 0, 'must be an IP address')),
+	// A zone, as in fe80::1%eth0, means nothing on other machines, and has no place in a URL.
+	host: z.string().check(z.refine(text => isIP(text) !== 0 && !text.includes('%'), 'must be an IP address')),
 	port: z.int().check(z.minimum(1), z.maximum(maxPort)),
 });
 
@@ -77,6 +78,19 @@
 		: `$.address.name: must be the name in the key (value: ${formatValue(record.address.name)})`;
 }
 
+const peerSchema = z.extend(addressSchema, {labels: z.optional(z.array(z.string()))});
+
+/**
+ * Parses an address that another process announces or passes on.
+ *
+ * @param value - The address.
+ * @returns The address, or an error message.
+ */
+export function parsePeer(value: unknown): DispatchPeer | string {
+	const peer = peerSchema.safeParse(value);
+	return peer.success ? peer.data : describeIssues(value, peer.error);
+}
+
 /** Returns the address of a record, with the labels of its worker. */
 export function createPeer({address, worker}: DirectoryRecord): DispatchPeer {
 	return worker === undefined ? address : {...address, labels: worker.labels};
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -19,6 +19,7 @@
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {DispatchMessage, DispatchPeer} from '../../ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
+import {parsePeer} from './directory-records.ts';
 
 /** Interval of opening streams that are due and of passing on new addresses, in ms. */
 const dialIntervalMs = 100;
@@ -237,18 +238,42 @@
 
 	#handleMessage(from: NodeRef, message: DispatchMessage): void {
 		if (message.type === 'announce') {
-			this.#handleAnnouncement(message);
+			this.#checkAnnouncement(from, message);
 			return;
 		}
 
 		const peer = this.state.connected.get(from.name);
 		if (message.type === 'peers') {
-			this.addPeers(message.addresses);
+			this.#addPassedPeers(from, message.addresses);
 		} else if (peer !== undefined) {
 			this.handlers.onMessage(peer, message);
 		}
 	}
 
+	/** Adds the addresses that another process passes on; those that are not valid are logged. */
+	#addPassedPeers(from: NodeRef, addresses: readonly unknown[]): void {
+		const parsed = addresses.map(address => parsePeer(address));
+		const faults = parsed.filter(peer => typeof peer === 'string');
+		if (faults.length > 0) {
+			this.input.log.recordDecision('warn', 'peers-ignored', {from: from.name, count: faults.length, fault: faults[0].split('\n', 1)[0]});
+		}
+
+		this.addPeers(parsed.filter(peer => typeof peer !== 'string'));
+	}
+
+	/** Handles an announcement if it names the process at the other end of its stream. */
+	#checkAnnouncement(from: NodeRef, message: Extract<DispatchMessage, {type: 'announce'}>): void {
+		const address = parsePeer(message.address);
+		const isSender = typeof address !== 'string' && address.name === from.name && address.incarnation === from.incarnation;
+		if (!isSender) {
+			const fault = typeof address === 'string' ? address.split('\n', 1)[0] : `it names "${address.name}" incarnation ${address.incarnation}`;
+			this.input.log.recordDecision('warn', 'announcement-ignored', {from: from.name, incarnation: from.incarnation, fault});
+			return;
+		}
+
+		this.#handleAnnouncement({...message, address});
+	}
+
 	#handleAnnouncement({address, version, digests, acceptsQuiet}: Extract<DispatchMessage, {type: 'announce'}>): void {
 		const previous = this.state.connected.get(address.name);
 		if (previous !== undefined && previous.incarnation !== address.incarnation) {
