Count an address that names no endpoint as unreachable

Callers would see: nothing at once. The process that can't be reached kept its place in the subset, so that no other took it, was tried once a second for ever, and each attempt left an unexpected-error; it was never forgotten. Cause: ws throws a SyntaxError for such an address, not a PeerError, so that the failure was not recorded and the error of the attempt was not caught. Change: the error of the address becomes a PeerError with kind unreachable. Tests: features/platform/odd-entries.feature; before, no line stream-not-opened was written.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -130,6 +130,13 @@
       | nothing but null           |
       | nothing but a list of 100000 lists |
 
+  # Guards against an attempt that never counts as failed, so that another process does not take the place in the subset.
+  Scenario: An address that names no endpoint counts as unreachable
+    Given an entry with a stream to the entry "b"
+    When the entry learns an address with host "x y"
+    Then a line "stream-not-opened" names "odd" and "unreachable"
+    And the stream to "b" is open, and no error was left uncaught
+
   # Guards against a process that is taken for another one, whose messages then have no stream.
   Scenario: An announcement that names another process than its stream is ignored
     Given an entry with a stream to the entry "b"
--- a/src/adapters/peer/network.ts
+++ b/src/adapters/peer/network.ts
@@ -4,12 +4,13 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server} from 'node:http';
 import type {Duplex} from 'node:stream';
-import {WebSocket, WebSocketServer} from 'ws';
+import {WebSocket, WebSocketServer, type ClientOptions} from 'ws';
 import {isSameNode} from '../../core/identity/logic.ts';
 import type {NodeName, NodeRef} from '../../core/identity/types.ts';
 import type {Clock, Milliseconds, Timer} from '../../ports/clock.ts';
 import type {Log} from '../../ports/log.ts';
 import type {PeerAddress, PeerMessage, TypedMessage} from '../../ports/messages.ts';
+import {formatValue} from '../../settings/values.ts';
 import {PeerError} from './errors.ts';
 import {createHello, verifyHello} from './handshake.ts';
 import {PeerStream, type StreamOptions} from './stream.ts';
@@ -30,6 +31,15 @@
 	mask.fill(0);
 }
 
+/** Creates the socket of a stream; throws `PeerError` for an address that names no endpoint. */
+function createSocket({name, host, port}: PeerAddress, options: ClientOptions): WebSocket {
+	try {
+		return new WebSocket(`ws://${host.includes(':') ? `[${host}]` : host}:${port}${streamPath}`, options);
+	} catch (error) {
+		throw new PeerError('unreachable', `cannot reach "${name}" at ${formatValue(host)} port ${formatValue(port)}: ${(error as Error).message}`);
+	}
+}
+
 /** Functions that are called for messages and for events of streams. */
 export type NetworkHandlers<Message extends TypedMessage = PeerMessage> = {
 	readonly onMessage: (from: NodeRef, message: Message) => void;
@@ -208,8 +218,7 @@
 	async #connect(to: PeerAddress): Promise<PeerStream<Message>> {
 		const {secret, self, clock, options} = this.input;
 		const hello = createHello(secret, self, clock.getTime());
-		const host = to.host.includes(':') ? `[${to.host}]` : to.host;
-		const socket = new WebSocket(`ws://${host}:${to.port}${streamPath}`, {
+		const socket = createSocket(to, {
 			headers: hello.headers, handshakeTimeout: openTimeoutMs, maxPayload: options.maxFrameBytes, perMessageDeflate: false, autoPong: false, generateMask: clearMask,
 		});
 
