Let the worker's answers decide which process it is, not a heartbeat

Callers would see: a heartbeat of another writer with a later start time, or another id, ended all runs of the agent as lost while the worker still had them. The entries started them elsewhere, so that tasks ran twice at once, and the worker was filled beyond its room. Genuine heartbeats counted as older from then on, as they did after a restart of a worker whose clock had been set back: what the odd one said of target, capacity and shutdown held until the worker started with a later time. Cause: a heartbeat was believed about the start of the process, although the agent calls the worker itself and each answer tells that start. Ruled out: holding such a heartbeat until an answer confirms it, as what is stored of a worker would then follow later. A heartbeat with the start that the worker answers with is the newer one. Tests: features/runs/runs.feature, five scenarios.

--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -245,6 +245,34 @@
     Then the free capacity is 10000
     And the agent accepts tasks
 
+  # Guards against runs reported as lost, and then started a second time, while the worker still has them.
+  Scenario Outline: A heartbeat that names another start than the worker's answers ends no runs
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And a heartbeat of "<id>" with start time <born> and number 1 gives the target "elsewhere"
+    And 50 ms pass and a snapshot shows "a" at 50 percent
+    Then no task is reported as ended
+    And the agent takes the worker for "w1" with target "desk"
+
+    Examples:
+      | id | born             |
+      | w9 | 9007199254740991 |
+      | w1 | 9007199254740991 |
+      | w9 | 5001             |
+
+  # Guards against a worker that is never used again because an odd heartbeat came first.
+  Scenario: The worker that answers comes into use after an odd heartbeat came first
+    Given an agent that restarted without a heartbeat since
+    When a heartbeat of "w9" with start time 9007199254740991 and number 1 gives the target "elsewhere"
+    And a heartbeat of "w1" with start time 5000 and number 2 gives the target "desk"
+    Then the agent takes the worker for "w1" with target "desk"
+
+  # Guards against a worker that is never used again because its clock was set back before it restarted.
+  Scenario: A worker that restarted with an earlier start time comes into use
+    When a snapshot shows a restart of the worker at 4000
+    And a heartbeat of "w1" with start time 4000 and number 1 gives the target "other"
+    Then the agent takes the worker for "w1" with target "other"
+
   Scenario: The run time counts from the sending of the start, which may have waited
     When entry "e1" offers direct tasks "a" of 4000
     And the start of "a" is sent 120 ms later
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -300,6 +300,32 @@
 	}, this.now));
 });
 
+When('a heartbeat of {string} with start time {int} and number {int} gives the target {string}', function (this: RunsWorld, id: string, born: number, sequence: number, target: string) {
+	recordEffects(this, handleAnnouncement(this.state, {
+		...announcement, id, bornAt: born, sequence, target,
+	}, this.now));
+});
+
+When('{int} further heartbeats of {string} from number {int} follow every {int} ms', function (this: RunsWorld, count: number, id: string, first: number, interval: number) {
+	for (let index = 0; index < count; index++) {
+		passTime(this, interval);
+		recordEffects(this, handleAnnouncement(this.state, {...announcement, id, sequence: first + index}, this.now));
+	}
+});
+
+When('a snapshot shows a restart of the worker at {int}', function (this: RunsWorld, born: number) {
+	applyNextSnapshot(this, {bornAt: born});
+});
+
+Then('no task is reported as ended', function (this: RunsWorld) {
+	assert.deepEqual(this.effects.filter(({type}) => type === 'report'), []);
+});
+
+Then('the agent takes the worker for {string} with target {string}', function (this: RunsWorld, id: string, target: string) {
+	const {worker} = this.state;
+	assert.deepEqual([worker.announcement?.id, worker.announcement?.target], [id, target]);
+});
+
 When('the stored worker of {word} start is restored', function (this: RunsWorld, which: string) {
 	recordEffects(this, restoreWorker(this.state, {...announcement, bornAt: which === 'another' ? bornAt - 1 : bornAt}, this.now));
 });
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -16,11 +16,20 @@
 /** Time, in ms, for entries to claim orphan runs before they are stopped. */
 const orphanClaimMs = 600;
 
-function isNewer(previous: WorkerAnnouncement | undefined, next: WorkerAnnouncement): boolean {
+/**
+ * Returns whether a heartbeat is newer than the last one. Of two processes, the one that answers is the newer one,
+ * and otherwise the one that started later.
+ */
+function isNewer({worker}: RunsState, next: WorkerAnnouncement): boolean {
+	const previous = worker.announcement;
 	if (previous === undefined) {
 		return true;
 	}
 
+	if (previous.bornAt !== next.bornAt && next.bornAt !== undefined && next.bornAt === worker.bornAt) {
+		return true;
+	}
+
 	const isSameProcess = previous.id === next.id && previous.bornAt === next.bornAt;
 	return isSameProcess ? next.sequence > previous.sequence : (next.bornAt ?? 0) >= (previous.bornAt ?? 0);
 }
@@ -71,6 +80,30 @@
 	return handleAnnouncement(state, {...restoredAnnouncement, sequence: 0}, now);
 }
 
+/**
+ * Checks whether a heartbeat names the process that answers. If not, the next answer decides whether the worker has
+ * restarted or the heartbeat is of another writer: the worker may still have its runs.
+ */
+function checkWorkerStart(state: RunsState, {id, bornAt}: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
+	const {worker} = state;
+	const previous = worker.announcement;
+	if (worker.bornAt === undefined || bornAt === undefined) {
+		worker.replaced = undefined;
+		return previous === undefined || previous.id === id ? [] : resetWorker(state, bornAt, now);
+	}
+
+	if (worker.bornAt === bornAt) {
+		worker.replaced = undefined;
+		return [];
+	}
+
+	if (previous?.bornAt === worker.bornAt) {
+		worker.replaced = {announcement: previous, at: now};
+	}
+
+	return [{type: 'fetch-snapshot'}];
+}
+
 /**
  * Applies a heartbeat of the worker. One of an earlier worker process, or older than the last, is ignored.
  *
@@ -82,16 +115,11 @@
 export function handleAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
 	const {worker} = state;
 	const previous = worker.announcement;
-	if (!isNewer(previous, announcement)) {
+	if (!isNewer(state, announcement)) {
 		return [];
 	}
 
-	const effects: RunsEffect[] = [];
-	const hasRestarted = worker.bornAt !== undefined && announcement.bornAt !== undefined && announcement.bornAt !== worker.bornAt;
-	if (hasRestarted || (previous !== undefined && previous.id !== announcement.id)) {
-		effects.push(...resetWorker(state, announcement.bornAt, now));
-	}
-
+	const effects = checkWorkerStart(state, announcement, now);
 	worker.announcement = announcement;
 	if (previous?.state !== announcement.state || previous.id !== announcement.id) {
 		effects.push({
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -177,6 +177,22 @@
 	return [...effects, {type: 'log', event: 'worker-restarted', details: {bornAt}}];
 }
 
+/** Uses the former heartbeat again if the worker still answers with its start: the last one is of another writer. */
+function restoreFormerHeartbeat({worker}: RunsState, requestedAt: Milliseconds): RunsEffect[] {
+	const {announcement, replaced, bornAt} = worker;
+	if (replaced === undefined || announcement === undefined || requestedAt < replaced.at) {
+		return [];
+	}
+
+	worker.replaced = undefined;
+	if (replaced.announcement.bornAt !== bornAt) {
+		return [];
+	}
+
+	worker.announcement = replaced.announcement;
+	return [{type: 'log', event: 'heartbeat-withdrawn', details: {worker: announcement.id, bornAt: announcement.bornAt, answeredBornAt: bornAt}}];
+}
+
 /**
  * Applies a snapshot of the worker.
  *
@@ -194,6 +210,7 @@
 	}
 
 	worker.bornAt ??= snapshot.bornAt;
+	effects.push(...restoreFormerHeartbeat(state, requestedAt));
 	worker.isReachable = true;
 	worker.lastAnswerAt = now;
 	state.workerClock = {workerTime: snapshot.workerTime, at: now};
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -50,7 +50,14 @@
 	return {
 		options,
 		worker: {
-			announcement: undefined, bornAt: undefined, isReachable: false, lastAnswerAt: 0, lastRenewalAt: 0, lastFailureAt: Number.NEGATIVE_INFINITY, areRunsKnown: false,
+			announcement: undefined,
+			replaced: undefined,
+			bornAt: undefined,
+			isReachable: false,
+			lastAnswerAt: 0,
+			lastRenewalAt: 0,
+			lastFailureAt: Number.NEGATIVE_INFINITY,
+			areRunsKnown: false,
 		},
 		restoredAnnouncement: undefined,
 		workerClock: undefined,
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -116,6 +116,8 @@
 export type WorkerRecord = {
 	/** Last worker heartbeat; undefined before the first one. */
 	announcement: WorkerAnnouncement | undefined;
+	/** Heartbeat before the last one, which names another start than the worker's answers, until an answer decides. */
+	replaced: {readonly announcement: WorkerAnnouncement; readonly at: Milliseconds} | undefined;
 	/** Start time of the worker process that answers. */
 	bornAt: Milliseconds | undefined;
 	/** Whether it answers lease renewals; false after `workerSilenceMs` without an answer, or at once if it has exited. */
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -164,10 +164,7 @@
 	handleAnnouncement(announcement: WorkerAnnouncement): void {
 		const previous = this.state.worker.announcement;
 		this.#applyEffects(handleAnnouncement(this.state, announcement, this.#now()));
-		const worker = findWorkerToStore(previous, this.state);
-		if (worker !== undefined) {
-			void this.#directory.writeWorker(worker);
-		}
+		this.#storeWorker(previous);
 	}
 
 	/** Applies the announcement that the worker shuts down. */
@@ -221,6 +218,14 @@
 		await this.control[Symbol.asyncDispose]();
 	}
 
+	/** Stores the worker if it has changed in what this agent relies on after a restart. */
+	#storeWorker(previous: WorkerAnnouncement | undefined): void {
+		const worker = findWorkerToStore(previous, this.state);
+		if (worker !== undefined) {
+			void this.#directory.writeWorker(worker);
+		}
+	}
+
 	#now(): Milliseconds {
 		return this.input.clock.getTime();
 	}
@@ -275,7 +280,9 @@
 		const now = this.#now();
 		this.#recordContacts();
 		if (answer.type === 'renewed') {
+			const previous = this.state.worker.announcement;
 			this.#applyEffects(applySnapshot(this.state, answer.snapshot, requestedAt, now));
+			this.#storeWorker(previous);
 			return true;
 		}
 
