Let heartbeats count again after one with a number too large

Callers would see: after one heartbeat with the id and start of the worker and a number of 2^53-1, the agent applies no other: tasks go on being started while the worker shuts down, or none are if the odd one gave another target, until the worker starts anew. Cause: a number below the last one was taken for a late heartbeat, for ever. Ruled out: a bound on numbers by the time since the start, as the clocks of machines step, and a number below the bound would block all the same. Change: three heartbeats of the same process with rising numbers, the last one 4 s or more after the one that was applied, hold. A burst of late ones changes nothing. Tests: features/runs/runs.feature, two scenarios; the first one kept the odd target before, the second one passed before, too.

--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -273,6 +273,18 @@
     And a heartbeat of "w1" with start time 4000 and number 1 gives the target "other"
     Then the agent takes the worker for "w1" with target "other"
 
+  # Guards against heartbeats that are all taken for older ones after one with a number too large.
+  Scenario: Heartbeats count again after one with a number too large
+    When a heartbeat of "w1" with start time 5000 and number 9007199254740991 gives the target "elsewhere"
+    And 3 further heartbeats of "w1" from number 6 follow every 1500 ms
+    Then the agent takes the worker for "w1" with target "desk"
+
+  # Guards against late heartbeats that replace a newer one.
+  Scenario: Late heartbeats that arrive together change nothing
+    When a heartbeat of "w1" with start time 5000 and number 20 gives the target "other"
+    And 5 further heartbeats of "w1" from number 6 follow every 10 ms
+    Then the agent takes the worker for "w1" with target "other"
+
   Scenario: The run time counts from the sending of the start, which may have waited
     When entry "e1" offers direct tasks "a" of 4000
     And the start of "a" is sent 120 ms later
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -16,6 +16,10 @@
 /** Time, in ms, for entries to claim orphan runs before they are stopped. */
 const orphanClaimMs = 600;
 
+/** Number of older heartbeats with rising numbers, and time in ms since the last one applied, after which they hold. */
+const maxIgnored = 3;
+const ignoredMs = 4000;
+
 /**
  * Returns whether a heartbeat is newer than the last one. Of two processes, the one that answers is the newer one,
  * and otherwise the one that started later.
@@ -34,6 +38,22 @@
 	return isSameProcess ? next.sequence > previous.sequence : (next.bornAt ?? 0) >= (previous.bornAt ?? 0);
 }
 
+/**
+ * Records a heartbeat that is older than the last one; returns whether the last one had a number that is not of this
+ * count, as others have followed below it for some time.
+ */
+function hasSequenceRestarted({worker}: RunsState, next: WorkerAnnouncement, now: Milliseconds): boolean {
+	const {announcement, ignored, announcedAt} = worker;
+	const isSameProcess = announcement?.id === next.id && announcement.bornAt === next.bornAt;
+	if (!isSameProcess || next.sequence <= (ignored?.sequence ?? -1)) {
+		return false;
+	}
+
+	const count = (ignored?.count ?? 0) + 1;
+	worker.ignored = {sequence: next.sequence, count};
+	return count >= maxIgnored && now - announcedAt >= ignoredMs;
+}
+
 function isSameAnnouncement(left: WorkerAnnouncement, right: WorkerAnnouncement): boolean {
 	return left.id === right.id && left.bornAt === right.bornAt && left.target === right.target && left.state === right.state
 		&& isSameResources(left.capacity, right.capacity);
@@ -115,12 +135,14 @@
 export function handleAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
 	const {worker} = state;
 	const previous = worker.announcement;
-	if (!isNewer(state, announcement)) {
+	if (!isNewer(state, announcement) && !hasSequenceRestarted(state, announcement, now)) {
 		return [];
 	}
 
 	const effects = checkWorkerStart(state, announcement, now);
 	worker.announcement = announcement;
+	worker.announcedAt = now;
+	worker.ignored = undefined;
 	if (previous?.state !== announcement.state || previous.id !== announcement.id) {
 		effects.push({
 			type: 'log', event: 'worker-announced', details: {worker: announcement.id, state: announcement.state, capacity: announcement.capacity},
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -52,6 +52,8 @@
 		worker: {
 			announcement: undefined,
 			replaced: undefined,
+			announcedAt: 0,
+			ignored: undefined,
 			bornAt: undefined,
 			isReachable: false,
 			lastAnswerAt: 0,
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -118,6 +118,9 @@
 	announcement: WorkerAnnouncement | undefined;
 	/** Heartbeat before the last one, which names another start than the worker's answers, until an answer decides. */
 	replaced: {readonly announcement: WorkerAnnouncement; readonly at: Milliseconds} | undefined;
+	/** When the last heartbeat was applied, and the older ones of the same process since, with rising numbers. */
+	announcedAt: Milliseconds;
+	ignored: {readonly sequence: number; readonly count: number} | undefined;
 	/** Start time of the worker process that answers. */
 	bornAt: Milliseconds | undefined;
 	/** Whether it answers lease renewals; false after `workerSilenceMs` without an answer, or at once if it has exited. */
