Leave out rows of a worker's lists whose numbers are none

Callers would see: a run numbered 1e400 in the first list after a restart of the agent is kept as an orphan that no order can stop, and while it is, nothing is free: the worker takes no task. An end at position 2^60 or 1e400 acknowledges all ends after it unseen, so that the runs count as lost and start again. A progress of 1e400 makes every later one look like a standstill, and the run is stopped. Cause: any number counted as a run, a position, a progress or a start time. Change: runs, positions and start times are non-negative safe integers; a progress outside 0 to 100 counts as none; ends are handled in the order of their positions.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -144,3 +144,30 @@
     Then the entry is not connected to "c"
     And a line "announcement-ignored" names "b" and "c"
     And the stream to "b" is open, and no error was left uncaught
+
+  # Guards against runs that can't be stopped, ends acknowledged unseen, and leases that end at no time.
+  Scenario Outline: Odd rows in a worker's lists leave the others
+    Given a worker that answers with born <born>, clock <clock>, runs <running> and ends <ended>
+    When its lease is renewed
+    Then it has the runs "<runs>", the ends "<ends>" and the start time <start>
+    And the first fault names "<fault>"
+
+    Examples:
+      | born  | clock | running                           | ended                                       | runs    | ends    | start | fault                  |
+      | 5     | 7     | ["a",1,"",5]                      | [1,"b",1,"done",""]                         | a 1 5   | 1 b 1   | 5     |                        |
+      | 5     | 7     | ["x",1e400,"",5],["a",1,"",5]     | [1,"b",1,"done",""]                         | a 1 5   | 1 b 1   | 5     | Running                |
+      | 5     | 7     | ["x",-1,"",5],["a",1,"",5]        | [1,"b",1,"done",""]                         | a 1 5   | 1 b 1   | 5     | Running                |
+      | 5     | 7     | ["x",1.5,"",5],["a",1,"",5]       | [1,"b",1,"done",""]                         | a 1 5   | 1 b 1   | 5     | Running                |
+      | 5     | 7     | ["x",9007199254740992,"",5],["a",1,"",5] | [1,"b",1,"done",""]                  | a 1 5   | 1 b 1   | 5     | Running                |
+      | 5     | 7     | NESTED,["a",1,"",5]               | [1,"b",1,"done",""]                         | a 1 5   | 1 b 1   | 5     | Running                |
+      | 5     | 7     | ["a",1,"",1e400]                  | [1,"b",1,"done",""]                         | a 1 0   | 1 b 1   | 5     |                        |
+      | 5     | 7     | ["a",1,"",-5]                     | [1,"b",1,"done",""]                         | a 1 0   | 1 b 1   | 5     |                        |
+      | 5     | 7     | ["a",1,"",150]                    | [1,"b",1,"done",""]                         | a 1 0   | 1 b 1   | 5     |                        |
+      | 5     | 7     | ["a",1,"",5]                      | [1e400,"x",1,"done",""],[1,"b",1,"done",""] | a 1 5   | 1 b 1   | 5     | Finished               |
+      | 5     | 7     | ["a",1,"",5]                      | [1152921504606846976,"x",1,"done",""],[1,"b",1,"done",""] | a 1 5 | 1 b 1 | 5 | Finished          |
+      | 5     | 7     | ["a",1,"",5]                      | [1.5,"x",1,"done",""],[1,"b",1,"done",""]   | a 1 5   | 1 b 1   | 5     | Finished               |
+      | 5     | 7     | ["a",1,"",5]                      | [1,"b",1,"done",""],[2,"x",1e400,"done",""] | a 1 5   | 1 b 1   | 5     | Finished               |
+      | 5     | 7     | ["a",1,"",5]                      | [1,"b",1,"done",""],[2,"x",1,"asleep",""]   | a 1 5   | 1 b 1   | 5     | Finished               |
+      | 5     | 7     | ["a",1,"",5]                      | [2,"c",1,"done",""],[1,"b",1,"done",""]     | a 1 5   | 1 b 1, 2 c 1 | 5 |                       |
+      | 1e400 | 7     | ["a",1,"",5]                      | [1,"b",1,"done",""]                         | a 1 5   | 1 b 1   | undefined | born               |
+      | 1.5   | 7     | ["a",1,"",5]                      | [1,"b",1,"done",""]                         | a 1 5   | 1 b 1   | undefined | born               |
