Take a worker's answer whose clock is no time for no answer

Callers would see: after an answer with the clock 1e400, the agent orders leases without an end until the next answer; a worker that takes a missing end for none lets the runs lapse. One below 0 makes each start late. Cause: any number counted as a clock, and JSON has no text for Infinity.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -171,3 +171,16 @@
       | 5     | 7     | ["a",1,"",5]                      | [2,"c",1,"done",""],[1,"b",1,"done",""]     | a 1 5   | 1 b 1, 2 c 1 | 5 |                       |
       | 1e400 | 7     | ["a",1,"",5]                      | [1,"b",1,"done",""]                         | a 1 5   | 1 b 1   | undefined | born               |
       | 1.5   | 7     | ["a",1,"",5]                      | [1,"b",1,"done",""]                         | a 1 5   | 1 b 1   | undefined | born               |
+
+  # Guards against a lease whose end is no number, which the worker reads as no lease at all.
+  Scenario Outline: A worker's answer whose clock is no time is no answer
+    Given a worker that answers with born 5, clock <clock>, runs ["a",1,"",5] and ends [1,"b",1,"done",""]
+    When its lease is renewed
+    Then the renewal fails as "invalid"
+
+    Examples:
+      | clock |
+      | 1e400 |
+      | -5    |
+      | "7"   |
+      | 1e300 |
