Acknowledge no end far beyond the others that a worker lists

Callers would see: an end at position 2^53-1 acknowledges every later one unseen: their runs count as lost some time after they ended, and start again elsewhere. Cause: each end that is listed moves the acknowledged position to its own. Change: an end more than 1,000,000,000 positions beyond those handled is left out. Tests: features/runs/runs.feature; the end of b was not reported before.

--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -285,6 +285,16 @@
     And 5 further heartbeats of "w1" from number 6 follow every 10 ms
     Then the agent takes the worker for "w1" with target "other"
 
+  # Guards against ends that are never seen because one far beyond them was acknowledged.
+  Scenario: An end at a position far beyond the others acknowledges none of them
+    When entry "e1" offers direct tasks "a b" of 4000
+    And the start of "a" is answered "started"
+    And the start of "b" is answered "started"
+    And a snapshot lists "a" as "done", and an end of another task at position 9007199254740991
+    And a snapshot lists the end "b" as "done" beside it
+    Then entry "e1" gets the report that "a" ended as "done"
+    And entry "e1" gets the report that "b" ended as "done"
+
   Scenario: The run time counts from the sending of the start, which may have waited
     When entry "e1" offers direct tasks "a" of 4000
     And the start of "a" is sent 120 ms later
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -317,6 +317,22 @@
 	applyNextSnapshot(this, {bornAt: born});
 });
 
+/** An end that no worker process can have come to. */
+function createFarEnd(position: number): EndedTask {
+	return {
+		task: 'x.0.0.0', run: 1, end: 'done', position,
+	};
+}
+
+When('a snapshot lists {string} as {string}, and an end of another task at position {int}', function (this: RunsWorld, task: string, end: RunEnd, position: number) {
+	const running = [{...findLastStart(this, 'b.0.0.0'), percent: 5}];
+	applyNextSnapshot(this, {running, ended: [createEnd(this, task, end), createFarEnd(position)]});
+});
+
+When('a snapshot lists the end {string} as {string} beside it', function (this: RunsWorld, task: string, end: RunEnd) {
+	applyNextSnapshot(this, {ended: [createEnd(this, task, end), createFarEnd(Number.MAX_SAFE_INTEGER)]});
+});
+
 Then('no task is reported as ended', function (this: RunsWorld) {
 	assert.deepEqual(this.effects.filter(({type}) => type === 'report'), []);
 });
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -30,6 +30,9 @@
 /** Number of ended runs in a snapshot from which its lists may be incomplete. */
 const maxListedEnds = 500;
 
+/** Number of ends, beyond those handled, that a worker process can't have come to by the next snapshot. */
+const maxPositionStep = 1_000_000_000;
+
 /** End that is reported for a run that was stopped, by the reason of the stop. */
 const endsByStopReason: Record<StopReason, TaskEnd> = {
 	withdrawn: 'stopped',
@@ -216,7 +219,8 @@
 	state.workerClock = {workerTime: snapshot.workerTime, at: now};
 	updateOrphans(state, snapshot, now);
 	for (const ended of snapshot.ended) {
-		if (ended.position > state.acknowledgedPosition) {
+		// One that is far beyond the others would acknowledge ends that were never listed.
+		if (ended.position > state.acknowledgedPosition && ended.position - state.acknowledgedPosition <= maxPositionStep) {
 			effects.push(...applyEnd(state, ended, now));
 			state.acknowledgedPosition = ended.position;
 		}
