Pause after a renewal that is answered early without a new end

Callers would see: slower answers. An agent called its worker without a pause as long as an end was listed that is left out, or the worker refused each call at once. Cause: the worker holds the answer back until an end is there, and one that is never acknowledged always is. Change: 20 ms of pause after an answer within half of the wait that moved no position; the second loop of renewals, after failures, does the same. Tests: features/platform/odd-entries.feature; 2001 renewals, the limit of the test, in one second of simulated time before, at most 100 now.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -184,3 +184,10 @@
       | -5    |
       | "7"   |
       | 1e300 |
+
+  # Guards against an agent that calls its worker without a pause while a row that it leaves out is listed.
+  Scenario: A row that is left out again and again does not make an agent call without a pause
+    Given an agent whose worker answers at once with an end that can't be acknowledged
+    When the process goes on for 1000 ms
+    Then its lease is still renewed
+    And at most 100 renewals were sent
--- a/features/platform/odd-loops.steps.ts
+++ b/features/platform/odd-loops.steps.ts
@@ -9,10 +9,11 @@
 import {computeTimings} from '../../src/core/bounds/logic.ts';
 import type {Configuration} from '../../src/core/routes/types.ts';
 import type {Store, StoreLister} from '../../src/ports/store.ts';
-import type {WorkerControl} from '../../src/ports/worker.ts';
+import type {EndedTask, LeaseRenewalResult, WorkerControl} from '../../src/ports/worker.ts';
 import {DispatchAgent} from '../../src/processes/dispatch/agent.ts';
 import {ConfigurationSource} from '../../src/processes/dispatch/configuration.ts';
 import {Directory} from '../../src/processes/dispatch/directory.ts';
+import {waitFor} from '../../src/processes/shared/wait.ts';
 import {
 	createAddress, createWorker, prefix, type OddWorld,
 } from './odd-entries.steps.ts';
@@ -27,6 +28,8 @@
 	maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: 6, configurationMs: 2000, remoteFactor: 1.5,
 };
 
+const maxRenewals = 2000;
+
 /** Returns a function that throws at its first call, and then does what another does. */
 function failOnce<Input extends unknown[], Output>(call: (...input: Input) => Output): (...input: Input) => Output {
 	let count = 0;
@@ -87,23 +90,23 @@
 	return {version: Number(text), routes: [], limits: {maxBodyBytes: 1}};
 }
 
-async function startAgent(world: LoopWorld): Promise<void> {
-	const {clock, store} = world.odd;
-	const timings = computeTimings(bounds);
-	const answer = failOnce(() => ({
-		type: 'renewed' as const,
+function createAnswer(ended: readonly EndedTask[]): LeaseRenewalResult {
+	return {
+		type: 'renewed',
 		snapshot: {
-			running: [], ended: [], workerTime: 5, bornAt: 5,
+			running: [], ended, workerTime: 5, bornAt: 5,
 		},
-	}));
+	};
+}
+
+async function startAgent(world: LoopWorld, answer: () => Promise<LeaseRenewalResult>): Promise<void> {
+	const {clock, store} = world.odd;
+	const timings = computeTimings(bounds);
 	const control: WorkerControl = {
 		startTask: async () => 'unanswered',
 		stopTask: async () => 'unanswered',
 		async extendLease() {
 			world.loop.renewals++;
-			await new Promise<void>(resolve => {
-				clock.startTimer(100, resolve);
-			});
 			return answer();
 		},
 		[Symbol.asyncDispose]: async () => undefined,
@@ -131,7 +134,13 @@
 	'decoding configuration'(world) {
 		startConfiguration(world, async () => Ok({revision: 2, value: '7', at: 2}), failOnce(decodeVersion));
 	},
-	'renewing the lease': startAgent,
+	async 'renewing the lease'(world) {
+		const answer = failOnce(() => createAnswer([]));
+		await startAgent(world, async () => {
+			await waitFor(world.odd.clock, 100);
+			return answer();
+		});
+	},
 };
 
 Given(/^a process whose ([\w ]+) meets an unexpected error once$/, async function (this: LoopWorld, task: string) {
@@ -139,6 +148,24 @@
 	await starters[task](this);
 });
 
+Given('an agent whose worker answers at once with an end that can\'t be acknowledged', async function (this: LoopWorld) {
+	this.loop = {resources: [], renewals: 0, configuration: undefined};
+	await startAgent(this, async () => {
+		// Without this limit, a loop without a pause would never let the test go on.
+		if (this.loop.renewals > maxRenewals) {
+			await waitFor(this.odd.clock, Number.POSITIVE_INFINITY);
+		}
+
+		return createAnswer([{
+			position: Number.MAX_SAFE_INTEGER, task: 'x', run: 1, end: 'done',
+		}]);
+	});
+});
+
+Then('at most {int} renewals were sent', function (this: LoopWorld, count: number) {
+	assert.ok(this.loop.renewals <= count, `${this.loop.renewals} renewals`);
+});
+
 When('the process goes on for {int} ms', async function (this: LoopWorld, time: number) {
 	await this.odd.clock.advance(time);
 });
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -35,6 +35,9 @@
 /** Time between attempts to reach an unreachable worker, in ms. */
 const reconnectMs = 100;
 
+/** Pause, in ms, after an answer that came early without a new end, as to an end that is listed but left out. */
+const earlyPauseMs = 20;
+
 /** Time before the end of the grace period at which the remaining runs are stopped, in ms. */
 const stopMarginMs = 900;
 
@@ -241,7 +244,7 @@
 	async #watchWorker(): Promise<void> {
 		const {clock, log} = this.input;
 		await runLoop({loop: 'worker', clock, log}, async () => {
-			const isAnswered = await this.#fetchSnapshot(computeRenewalWait(this.state, this.#now()));
+			const isAnswered = await this.#renewLease();
 			if (!isAnswered && !this.state.worker.isReachable) {
 				await waitFor(clock, reconnectMs);
 			}
@@ -260,13 +263,26 @@
 		this.#isWatchingUnreliable = true;
 		await runLoop({loop: 'unreliable-worker', clock, log}, async () => {
 			await (this.state.worker.isReachable
-				? this.#fetchSnapshot(computeRenewalWait(this.state, this.#now()))
+				? this.#renewLease()
 				: waitFor(clock, tickMs));
 			return !this.#isClosed && hasRecentFailure(this.state, this.#now()) ? 'continues' : 'ended';
 		});
 		this.#isWatchingUnreliable = false;
 	}
 
+	/** Renews the lease with the usual wait, and pauses if the answer came early without a new end; returns whether the worker answered. */
+	async #renewLease(): Promise<boolean> {
+		const {acknowledgedPosition} = this.state;
+		const sentAt = this.#now();
+		const wait = computeRenewalWait(this.state, sentAt);
+		const isAnswered = await this.#fetchSnapshot(wait);
+		if (this.#now() - sentAt < wait / 2 && this.state.acknowledgedPosition === acknowledgedPosition) {
+			await waitFor(this.input.clock, earlyPauseMs);
+		}
+
+		return isAnswered;
+	}
+
 	/** Renews the lease and applies the snapshot in the answer; returns whether the worker answered. */
 	async #fetchSnapshot(wait: Milliseconds): Promise<boolean> {
 		const requestedAt = this.#now();
