--- a/features/platform/random-bodies.feature
+++ b/features/platform/random-bodies.feature
@@ -35,6 +35,22 @@
       | Capacity | a heartbeat     |
       | Routes   | a configuration |
 
+  # Guards against answers and log lines that repeat a long value, or name no field.
+  Scenario Outline: The message for a long or deep value names the field and shows a part of it
+    When <field> of <kind> holds <value>
+    Then it is refused with an error message that names <name>
+
+    Examples:
+      | field    | kind            | value                     | name     |
+      | State    | a heartbeat     | a text of 60000 letters   | State    |
+      | Labels   | a heartbeat     | a list of 20000 numbers   | Labels   |
+      | Service  | a heartbeat     | lists nested 100000 times | Service  |
+      | Labels   | a heartbeat     | lists nested 100000 times | Labels   |
+      | Capacity | a heartbeat     | lists nested 100000 times | Capacity |
+      | Version  | a configuration | lists nested 100000 times | Version  |
+      | Spec     | a job           | lists nested 100000 times | Spec     |
+      | address  | a directory key | lists nested 100000 times | address  |
+
   Scenario Outline: Names that every object of the language has are no valid values
     When <field> of <kind> is "<value>"
     Then it is refused with an error message
--- a/features/platform/random-bodies.steps.ts
+++ b/features/platform/random-bodies.steps.ts
@@ -90,6 +90,25 @@
 	this.decoded = [decoders[kind](text)];
 });
 
+/** Texts of values that are long or deep, by description. */
+const longValues: Readonly<Record<string, string>> = {
+	'a text of 60000 letters': JSON.stringify('x'.repeat(60_000)),
+	'a list of 20000 numbers': JSON.stringify(Array.from({length: 20_000}, () => [1, 2, 3])),
+	'lists nested 100000 times': `${'['.repeat(100_000)}${']'.repeat(100_000)}`,
+};
+
+When(/^(\w+) of (.*) holds (a text of \d+ letters|a list of \d+ numbers|lists nested \d+ times)$/, function (this: RandomWorld, field: string, kind: string, value: string) {
+	const text = JSON.stringify({...validBodies[kind], [field]: 'long'}).replace('"long"', longValues[value]);
+	this.decoded = [decoders[kind](text)];
+});
+
+Then('it is refused with an error message that names {word}', function (this: RandomWorld, name: string) {
+	const message = this.decoded[0] as string;
+	assert.equal(typeof message, 'string');
+	assert.ok(message.split(' ', 1)[0].includes(name), message.slice(0, 100));
+	assert.ok(message.length < 200, 'the message must not repeat the whole value');
+});
+
 When(/^(\w+) of (.*) is "(\w+)"$/, function (this: RandomWorld, field: string, kind: string, value: string) {
 	this.decoded = [decoders[kind](JSON.stringify({...validBodies[kind], [field]: value}))];
 });
