Store the worker although another writer has changed the agent's key

Callers would see: after a restart of the agent, its worker is not used until the next heartbeat, as the stored one is that of an earlier time or none. Cause: once the key was at another revision, by another writer or by a write whose answer was lost, each further write met a conflict until the process ended. Ruled out: writing whatever the key holds, as a process that was replaced would take the key back from its successor. Change: after a conflict the key is read, and written once more unless it names a later process of the same name.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -191,3 +191,17 @@
     When the process goes on for 1000 ms
     Then its lease is still renewed
     And at most 100 renewals were sent
+
+  # Guards against an agent that stores no heartbeat any more after another writer has changed its key.
+  Scenario: An agent stores its worker although another writer has changed its key
+    Given an agent that has joined the directory
+    And the key of "agent-1" holds no JSON
+    When it stores the worker "w1" and then the worker "w2"
+    Then its key holds the worker "w2"
+
+  # Guards against a process that takes the key back from the one that replaced it.
+  Scenario: An agent leaves its key to a later process of its name
+    Given an agent that has joined the directory
+    And the key of "agent-1" holds the worker "w9" of a later process
+    When it stores the worker "w1" and then the worker "w2"
+    Then its key holds the worker "w9"
--- a/features/platform/odd-loops.steps.ts
+++ b/features/platform/odd-loops.steps.ts
@@ -182,14 +182,28 @@
 	assert.ok(this.loop.renewals > 5, `${this.loop.renewals} renewals`);
 });
 
-Given('an agent in the directory whose next write meets an unexpected error', async function (this: LoopWorld) {
-	const {store, clock} = this.odd;
-	this.odd.directory = createDirectory(this, store, 'agent-1');
-	void runTask(this.odd.directory.joinDirectory());
+async function joinAgent(world: LoopWorld): Promise<void> {
+	const {store, clock} = world.odd;
+	world.odd.directory = createDirectory(world, store, 'agent-1');
+	void runTask(world.odd.directory.joinDirectory());
 	await clock.advance(100);
+}
+
+Given('an agent in the directory whose next write meets an unexpected error', async function (this: LoopWorld) {
+	const {store} = this.odd;
+	await joinAgent(this);
 	store.writeKey = failOnce(store.writeKey);
 });
 
+Given('an agent that has joined the directory', async function (this: LoopWorld) {
+	await joinAgent(this);
+});
+
+Given('the key of {string} holds the worker {string} of a later process', function (this: LoopWorld, name: string, id: string) {
+	const address = {...createAddress(name), incarnation: 6, port: 7777};
+	this.odd.store.put(prefix + name, JSON.stringify({address, worker: createWorker(id)}));
+});
+
 When('it stores the worker {string} and then the worker {string}', async function (this: LoopWorld, first: string, second: string) {
 	for (const id of [first, second]) {
 		await runTask(this.odd.directory!.writeWorker(createWorker(id)));
--- a/src/processes/dispatch/directory.ts
+++ b/src/processes/dispatch/directory.ts
@@ -85,7 +85,7 @@
 
 		this.#isWriting = true;
 		try {
-			await this.#write(worker);
+			await this.#writeAgain(worker);
 		} finally {
 			this.#isWriting = false;
 		}
@@ -138,17 +138,35 @@
 		}
 	}
 
-	/** Writes this process's key; returns whether that succeeded. */
-	async #write(worker: WorkerAnnouncement | undefined): Promise<boolean> {
+	/** Writes the worker; once more if the key is at another revision, unless a later process of this name has written it. */
+	async #writeAgain(worker: WorkerAnnouncement): Promise<void> {
+		if (await this.#write(worker, this.#revision) !== 'conflict') {
+			return;
+		}
+
+		const {store, self} = this.input;
+		const entry = await store.readKey(peersPrefix + self.name);
+		if (entry.isErr()) {
+			return;
+		}
+
+		const record = parseRecordOf(self.name, entry.value.value ?? '');
+		if (typeof record === 'string' || record.address.incarnation <= self.incarnation) {
+			await this.#write(worker, entry.value.revision);
+		}
+	}
+
+	/** Writes this process's key if it is at a revision. */
+	async #write(worker: WorkerAnnouncement | undefined, revision: number): Promise<'written' | 'conflict' | 'failed'> {
 		const {store, self, log} = this.input;
-		const written = await store.writeKey(peersPrefix + self.name, JSON.stringify({address: self, worker}), this.#revision);
+		const written = await store.writeKey(peersPrefix + self.name, JSON.stringify({address: self, worker}), revision);
 		if (written.isErr()) {
 			log.recordDecision('warn', 'directory-not-written', {reason: written.error.message});
-			return false;
+			return written.error.kind === 'conflict' ? 'conflict' : 'failed';
 		}
 
 		this.#revision = written.value.revision;
-		return true;
+		return 'written';
 	}
 
 	async #joinOnce(): Promise<boolean> {
@@ -171,7 +189,7 @@
 		}
 
 		// A new process that read the list before this key was written does not know this one: read the list again.
-		const others = await this.#write(this.#latestWorker) ? await this.#listRecords() : undefined;
+		const others = await this.#write(this.#latestWorker, listing.ownRevision) === 'written' ? await this.#listRecords() : undefined;
 		if (others === undefined) {
 			return false;
 		}
