Test the bundled processes beside odd entries in the store

Change: tests only. Nine odd entries, four of them under the names of the processes or naming them, and a configuration nested 100,000 times; further, seven configurations that can't be read.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -205,3 +205,30 @@
     And the key of "agent-1" holds the worker "w9" of a later process
     When it stores the worker "w1" and then the worker "w2"
     Then its key holds the worker "w9"
+
+  # Guards against processes that end, never join or stop following, started as on the platform.
+  Scenario: Bundled processes serve and follow although odd entries stand among theirs
+    Given an entry and 2 agents that start beside odd entries, some of them under their names
+    When a job of 6 tasks is submitted
+    Then it is answered 200 "completed"
+    And every process still runs
+    When lists nested 100000 times and then version 9 without the route are written as the configuration
+    Then the route is removed within 2000 ms
+    And every process still runs
+
+  # Guards against an end of the watch by a configuration that can't be read; the former one stays in force.
+  Scenario Outline: A configuration that can't be read changes nothing
+    Given a process whose store holds <text> as the configuration and then version 8
+    When the process goes on for 3000 ms
+    Then configuration 8 is in force
+    And a line "configuration-ignored" names "store" and "<fault>"
+
+    Examples:
+      | text                      | fault   |
+      | lists nested 100000 times | object  |
+      | deep routes               | Routes  |
+      | a version of 1e400        | Version |
+      | a version of 2^53         | Version |
+      | a version of -1           | Version |
+      | a version of 7.5          | Version |
+      | no JSON                   | JSON    |
--- a/features/platform/odd-loops.steps.ts
+++ b/features/platform/odd-loops.steps.ts
@@ -6,6 +6,8 @@
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {Ok} from 'ts-results-es';
+import {decodeConfiguration} from '../../platform/bodies.ts';
+import {parseBody} from '../../platform/json-fields.ts';
 import {computeTimings} from '../../src/core/bounds/logic.ts';
 import type {Configuration} from '../../src/core/routes/types.ts';
 import type {Store, StoreLister} from '../../src/ports/store.ts';
@@ -66,7 +68,7 @@
 	});
 }
 
-function startConfiguration(world: LoopWorld, readKey: Store['readKey'], decode: (text: string) => Configuration): void {
+function startConfiguration(world: LoopWorld, readKey: Store['readKey'], decode: (text: string) => Configuration | string, next = '8'): void {
 	const {clock, store} = world.odd;
 	const never = new Promise<never>(() => {
 		// No change follows.
@@ -78,7 +80,7 @@
 			readKey,
 			async watchKey() {
 				watches++;
-				return watches === 1 ? Ok({revision: 3, value: '8', at: 3}) : never;
+				return watches === 1 ? Ok({revision: 3, value: next, at: 3}) : never;
 			},
 		},
 		key: 'op/config', decode, clock, log: createLog(world), bounds, onChange: () => undefined,
@@ -182,6 +184,22 @@
 	assert.ok(this.loop.renewals > 5, `${this.loop.renewals} renewals`);
 });
 
+const nested = `${'['.repeat(100_000)}${']'.repeat(100_000)}`;
+
+/** Texts that are no configuration, by description. */
+const oddConfigurations: Readonly<Record<string, string>> = {
+	'lists nested 100000 times': nested,
+	'deep routes': `{"Version":7,"Routes":{"a":${nested}}}`,
+	'no JSON': '{',
+};
+
+Given(/^a process whose store holds (.*) as the configuration and then version (\d+)$/, function (this: LoopWorld, description: string, version: string) {
+	this.loop = {resources: [], renewals: 0, configuration: undefined};
+	const number = description.replace('a version of ', '').replace('2^53', '9007199254740992');
+	const text = oddConfigurations[description] ?? `{"Version":${number},"Routes":[]}`;
+	startConfiguration(this, async () => Ok({revision: 2, value: text, at: 2}), value => parseBody(value, decodeConfiguration), `{"Version":${version},"Routes":[]}`);
+});
+
 async function joinAgent(world: LoopWorld): Promise<void> {
 	const {store, clock} = world.odd;
 	world.odd.directory = createDirectory(world, store, 'agent-1');
--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -51,10 +51,15 @@
 	 *
 	 * @param agents - Number of agents.
 	 * @param runMs - Run time of each task, in ms.
+	 * @param entries - Texts of keys that the store holds before, by key.
 	 */
-	async start(agents: number, runMs: number): Promise<void> {
+	async start(agents: number, runMs: number, entries: Readonly<Record<string, string>> = {}): Promise<void> {
 		this.#folder = await mkdtemp(path.join(tmpdir(), 'medlardale-platform-'));
 		this.#store = await startStoreStandIn();
+		for (const [key, text] of Object.entries(entries)) {
+			this.#store.writeText(key, text);
+		}
+
 		this.#store.writeKey('op/config', createConfiguration(7, true));
 		const ports = await takePorts((agents + 1) * portsPerProcess);
 		const entryPorts = ports.splice(0, portsPerProcess);
@@ -88,6 +93,13 @@
 		this.#store!.setDown(false);
 	}
 
+	/** Writes a text that is no configuration, and some time later a configuration without the route. */
+	async replaceConfiguration(text: string, version: number, delay: number): Promise<void> {
+		this.#store!.writeText('op/config', text);
+		await this.wait(delay);
+		this.#store!.writeKey('op/config', createConfiguration(version, false));
+	}
+
 	/** Submits a job and waits for the response. */
 	async submitJob(id: string, body: unknown, prefix = '/q/'): Promise<{status: number; body: unknown}> {
 		const response = await this.#send('POST', `${prefix}${id}`, JSON.stringify(body));
--- a/features/platform/processes.steps.ts
+++ b/features/platform/processes.steps.ts
@@ -37,6 +37,39 @@
 	await this.fleet.start(agents, runMs);
 });
 
+const depth = 100_000;
+const nested = `${'['.repeat(depth)}${']'.repeat(depth)}`;
+
+function createAddressText(name: string, role: string, port: string): string {
+	return `{"address":{"name":"${name}","incarnation":5,"role":"${role}","dataCentre":"dc","host":"127.0.0.1","port":${port}}}`;
+}
+
+/** Entries of another writer: under the names of the processes, and under others. */
+const oddEntries: Readonly<Record<string, string>> = {
+	'medlardale/peers/entry-0-entry': `{"address":${nested}}`,
+	'medlardale/peers/agent-0-agent': createAddressText('agent-0-agent', 'agent', '1e400'),
+	'medlardale/peers/agent-1-agent': createAddressText('agent-0-agent', 'agent', '9'),
+	'medlardale/peers/a': createAddressText('entry-0-entry', 'entry', '9'),
+	'medlardale/peers/b': createAddressText('b', 'agent', '99999'),
+	'medlardale/peers/c': createAddressText('c', 'agent', '0'),
+	'medlardale/peers/d': createAddressText('d', 'agent', '9'),
+	'medlardale/peers/e': '\uFFFD',
+	'medlardale/peers/z': createAddressText('agent-1-agent', 'agent', '9'),
+};
+
+Given('an entry and {int} agents that start beside odd entries, some of them under their names', timeLimit, async function (this: PlatformWorld, agents: number) {
+	this.fleet = new PlatformFleet();
+	await this.fleet.start(agents, 150, oddEntries);
+});
+
+When('lists nested {int} times and then version {int} without the route are written as the configuration', async function (this: PlatformWorld, _depth: number, version: number) {
+	await this.fleet!.replaceConfiguration(nested, version, 200);
+});
+
+Then('every process still runs', function (this: PlatformWorld) {
+	assert.deepEqual(this.fleet!.processes.map(({child}) => child.exitCode), this.fleet!.processes.map(() => null));
+});
+
 Given('each worker carries out its next {int} starts {int} ms late without an answer', function (this: PlatformWorld, count: number, delay: number) {
 	for (const worker of this.fleet!.workers) {
 		worker.delayStarts(count, delay);
