Pass addresses on in frames that the other side accepts

Callers would see: agents that are lost and found again: after one process has read keys with labels of more than 4 MiB in all, which others do not know, it sends them in one frame; the other side closes the stream for it, and on the new stream they are sent again, for as long as both differ in what they know. Cause: addresses were passed on in one message, with labels of any size, and all messages of a turn went into one frame, however large. Change: at most 64 labels of 200 characters are kept for a process, 100 addresses make one message, and messages that are too large for a frame together go into several. Tests: features/platform/odd-entries.feature, 100 addresses with a label of 60,000 letters and 500 with 50 of 200.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -232,3 +232,15 @@
       | a version of -1           | Version |
       | a version of 7.5          | Version |
       | no JSON                   | JSON    |
+
+  # Guards against streams that close again and again, as what is passed on does not fit into a frame.
+  Scenario Outline: Addresses with large or many labels are passed on without closing the stream
+    Given an entry with a stream to the entry "b"
+    When the entry learns <count> addresses with <labels> labels of <length> letters
+    Then "b" receives <count> addresses
+    And the stream to "b" is open, and no error was left uncaught
+
+    Examples:
+      | count | labels | length |
+      | 100   | 1      | 60000  |
+      | 500   | 50     | 200    |
--- a/features/platform/odd-links.steps.ts
+++ b/features/platform/odd-links.steps.ts
@@ -11,6 +11,9 @@
 import {PeerNetwork} from '../../src/adapters/peer/network.ts';
 import {createSystemClock} from '../../src/adapters/system/clock.ts';
 import {computeTimings} from '../../src/core/bounds/logic.ts';
+import {addPeers, recordOpenFailure, takeDuePeers} from '../../src/core/links/logic.ts';
+import {createLinksState, type LinksState} from '../../src/core/links/state.ts';
+import {defaultSubsetOptions} from '../../src/core/subsets/options.ts';
 import type {DispatchMessage} from '../../src/ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../src/ports/messages.ts';
 import {PeerLinks} from '../../src/processes/dispatch/links.ts';
@@ -25,10 +28,15 @@
 		readonly self: PeerAddress;
 		readonly sender: PeerAddress;
 		readonly uncaught: unknown[];
+		readonly received: Set<string>;
 		readonly stopListening: () => void;
 	};
 };
 
+type DueWorld = {
+	oddDue: {readonly state: LinksState; readonly count: number; readonly taken: string[][]};
+};
+
 const limit = {timeout: 10_000};
 const pollMs = 5;
 const waitMs = 1000;
@@ -71,7 +79,7 @@
 	};
 }
 
-async function createSender(sender: PeerAddress, server: NodeServer): Promise<PeerNetwork<DispatchMessage>> {
+async function createSender(sender: PeerAddress, server: NodeServer, received: Set<string>): Promise<PeerNetwork<DispatchMessage>> {
 	const network = new PeerNetwork<DispatchMessage>({
 		self: sender,
 		secret,
@@ -84,7 +92,17 @@
 		log: createLog('peer'),
 	});
 	network.setHandlers({
-		onMessage: () => undefined, onOpen: () => undefined, onClose: () => undefined, onConfirm: () => undefined,
+		onMessage(_from, message) {
+			for (const {name} of message.type === 'peers' ? message.addresses : []) {
+				// The entry passes on the address of the receiver, too.
+				if (name !== sender.name) {
+					received.add(name);
+				}
+			}
+		},
+		onOpen: () => undefined,
+		onClose: () => undefined,
+		onConfirm: () => undefined,
 	});
 	return network;
 }
@@ -109,10 +127,11 @@
 	});
 	const server = await startNodeServer('127.0.0.1', 0);
 	const sender = createEntry(name, server.port);
-	const network = await createSender(sender, server);
+	const received = new Set<string>();
+	const network = await createSender(sender, server, received);
 	const uncaught: unknown[] = [];
 	this.oddLink = {
-		links, network, server, self, sender, uncaught, stopListening: listenForErrors(uncaught),
+		links, network, server, self, sender, uncaught, received, stopListening: listenForErrors(uncaught),
 	};
 	await links.listen();
 	await network.openStream(self);
@@ -150,6 +169,19 @@
 	await waitUntil(() => this.odd.lines.some(({event}) => event === 'stream-not-opened'));
 });
 
+When('the entry learns {int} addresses with {int} labels of {int} letters', limit, async function (this: LinkWorld, count: number, labels: number, length: number) {
+	const {links, received} = this.oddLink;
+	const addresses = Array.from({length: count}, (_, index) => ({
+		...createEntry(`odd-${index}`, 9), role: 'agent' as const, labels: Array.from({length: labels}, () => 'x'.repeat(length)),
+	}));
+	links.addPeers(addresses);
+	await waitUntil(() => received.size >= count);
+});
+
+Then('{string} receives {int} addresses', function (this: LinkWorld, _name: string, count: number) {
+	assert.equal(this.oddLink.received.size, count);
+});
+
 When('{string} announces itself as {string}', async function (this: LinkWorld, _sender: string, other: string) {
 	const {network, self, sender, links} = this.oddLink;
 	network.sendMessage(self, {type: 'announce', address: {...sender, name: other}, version: 1});
@@ -170,6 +202,30 @@
 	assert.ok(this.oddLink.network.hasStream(this.oddLink.self), 'the stream is closed');
 });
 
+Given('an entry that knows {int} agents that can\'t be reached', function (this: DueWorld, count: number) {
+	const state = createLinksState(createEntry('a', 1), defaultSubsetOptions);
+	addPeers(state, Array.from({length: count}, (_, index) => ({...createEntry(`odd-${index}`, 9), role: 'agent' as const})), 0);
+	this.oddDue = {state, count, taken: []};
+});
+
+When('it takes the due addresses every {int} ms for {int} s', function (this: DueWorld, interval: number, seconds: number) {
+	const {state, taken} = this.oddDue;
+	for (let now = 0; now < seconds * 1000; now += interval) {
+		const names = takeDuePeers(state, now).map(({name}) => name);
+		taken.push(names);
+		for (const name of names) {
+			recordOpenFailure(state, name);
+		}
+	}
+});
+
+Then('it takes at most {int} at a time, and each of them at least once', function (this: DueWorld, limitCount: number) {
+	const {taken, count} = this.oddDue;
+	const most = Math.max(...taken.map(names => names.length));
+	assert.ok(most <= limitCount, `${most} at a time`);
+	assert.equal(new Set(taken.flat()).size, count);
+});
+
 After(async function (this: Partial<LinkWorld>) {
 	if (this.oddLink !== undefined) {
 		this.oddLink.stopListening();
--- a/src/adapters/peer/stream.ts
+++ b/src/adapters/peer/stream.ts
@@ -193,10 +193,23 @@
 			return;
 		}
 
-		const frame = packr.pack([this.handlers.getStamp(), this.#queue]);
-		recordMessagesSent(this.#contact, this.#queue.some(message => this.handlers.isAwaited(message)), this.clock.getTime());
+		const messages = this.#queue;
+		recordMessagesSent(this.#contact, messages.some(message => this.handlers.isAwaited(message)), this.clock.getTime());
 		this.#queue = [];
-		this.socket.send(frame);
+		this.#sendMessages(messages);
+	}
+
+	/** Sends messages in one frame, or in several if the other side would refuse it for its size. */
+	#sendMessages(messages: readonly Message[]): void {
+		const frame = packr.pack([this.handlers.getStamp(), messages]);
+		if (frame.length <= this.options.maxFrameBytes || messages.length === 1) {
+			this.socket.send(frame);
+			return;
+		}
+
+		const middle = messages.length >> 1;
+		this.#sendMessages(messages.slice(0, middle));
+		this.#sendMessages(messages.slice(middle));
 	}
 
 	#handleFrame(data: Uint8Array): void {
--- a/src/processes/dispatch/directory-records.ts
+++ b/src/processes/dispatch/directory-records.ts
@@ -10,10 +10,11 @@
 import {formatValue} from '../../settings/values.ts';
 
 const maxPort = 65_535;
+const maxNameLength = 200;
 const nonNegative = z.int().check(z.minimum(0));
 
 const addressSchema = z.object({
-	name: z.string().check(z.minLength(1)),
+	name: z.string().check(z.minLength(1), z.maxLength(maxNameLength)),
 	incarnation: nonNegative,
 	role: z.enum(['entry', 'agent']),
 	dataCentre: z.string(),
@@ -78,6 +79,16 @@
 		: `$.address.name: must be the name in the key (value: ${formatValue(record.address.name)})`;
 }
 
+/** Most labels of a process that are kept, and their greatest length; more of them would not fit into a frame. */
+const maxLabels = 64;
+const maxLabelLength = 200;
+
+/** Selects the labels of a process that are kept and passed on. */
+export function selectLabels(peer: DispatchPeer): DispatchPeer {
+	const labels = peer.labels?.filter(label => label.length <= maxLabelLength).slice(0, maxLabels);
+	return labels === undefined ? peer : {...peer, labels};
+}
+
 const peerSchema = z.extend(addressSchema, {labels: z.optional(z.array(z.string()))});
 
 /**
@@ -88,7 +99,7 @@
  */
 export function parsePeer(value: unknown): DispatchPeer | string {
 	const peer = peerSchema.safeParse(value);
-	return peer.success ? peer.data : describeIssues(value, peer.error);
+	return peer.success ? selectLabels(peer.data) : describeIssues(value, peer.error);
 }
 
 /** Returns the address of a record, with the labels of its worker. */
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -19,7 +19,7 @@
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {DispatchMessage, DispatchPeer} from '../../ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
-import {parsePeer} from './directory-records.ts';
+import {parsePeer, selectLabels} from './directory-records.ts';
 
 /** Interval of opening streams that are due and of passing on new addresses, in ms. */
 const dialIntervalMs = 100;
@@ -29,6 +29,9 @@
 
 const maxFrameBytes = 4_194_304;
 
+/** Most addresses in one message. */
+const maxPassedPeers = 100;
+
 /** Callbacks of the links. */
 export type LinkHandlers = {
 	readonly onConnect: (peer: ConnectedPeer) => void;
@@ -126,7 +129,7 @@
 	 * @param addresses - Their addresses.
 	 */
 	addPeers(addresses: readonly DispatchPeer[]): void {
-		addPeers(this.state, addresses, this.#now());
+		addPeers(this.state, addresses.map(address => selectLabels(address)), this.#now());
 		this.#openDueStreams();
 	}
 
@@ -199,9 +202,14 @@
 		const entries = news.filter(({role}) => role === 'entry');
 		for (const peer of this.state.connected.values()) {
 			const addresses = peer.role === 'entry' ? news : entries;
-			if (addresses.length > 0) {
-				this.#network.sendMessage(peer, {type: 'peers', addresses});
-			}
+			this.#sendPeers(peer, addresses);
+		}
+	}
+
+	/** Sends addresses, in messages that fit into a frame each. */
+	#sendPeers(to: NodeRef, addresses: readonly DispatchPeer[]): void {
+		for (let start = 0; start < addresses.length; start += maxPassedPeers) {
+			this.#network.sendMessage(to, {type: 'peers', addresses: addresses.slice(start, start + maxPassedPeers)});
 		}
 	}
 
@@ -290,10 +298,7 @@
 
 		this.input.log.recordDecision('info', 'stream-opened', {peer: address.name, incarnation: address.incarnation, version});
 		const addresses = this.state.self.role === 'entry' ? listMissingAddresses(this.state, address.role, digests) : [];
-		if (addresses.length > 0) {
-			this.#network.sendMessage(peer, {type: 'peers', addresses});
-		}
-
+		this.#sendPeers(peer, addresses);
 		this.handlers.onConnect(peer);
 	}
 }
