Begin to open at most 32 streams at once

Callers would see: a pause of an entry that has read thousands of keys of processes that are not there; others may take it for lost meanwhile. Cause: the attempts to all of them began in one turn, again after 100, 200, 400 ms and so on, since an entry wants each agent where entries are few. Change: 32 in 100 ms, those first that have been due for longest. The known cost stays for 10 minutes, after which those that can't be reached are forgotten. Tests: features/platform/odd-entries.feature: 3000 at a time before.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -244,3 +244,10 @@
       | count | labels | length |
       | 100   | 1      | 60000  |
       | 500   | 50     | 200    |
+      | 3000  | 10     | 200    |
+
+  # Guards against a process that is taken for lost while it tries thousands of dead addresses at once.
+  Scenario: Attempts to open streams to thousands of addresses are spread out
+    Given an entry that knows 3000 agents that can't be reached
+    When it takes the due addresses every 100 ms for 20 s
+    Then it takes at most 32 at a time, and each of them at least once
--- a/src/core/links/logic.ts
+++ b/src/core/links/logic.ts
@@ -18,6 +18,9 @@
 /** Time, in ms, that the side which usually does not open a stream waits for the other one. */
 const secondaryDelayMs = 300;
 
+/** Most streams whose opening begins at once. */
+const maxDuePeers = 32;
+
 /** Time, in ms, after which a process that cannot be reached is forgotten. */
 const peerExpiryMs = 600_000;
 
@@ -157,7 +160,7 @@
  * @returns Their addresses.
  */
 export function takeDuePeers(state: LinksState, now: Milliseconds): readonly DispatchPeer[] {
-	const due: DispatchPeer[] = [];
+	const due: KnownPeer[] = [];
 	for (const [name, peer] of state.known) {
 		if (state.connected.has(name) || !isWanted(state, name, now)) {
 			continue;
@@ -175,12 +178,17 @@
 			continue;
 		}
 
+		due.push(peer);
+	}
+
+	// Those that have been due for longest come first, so that addresses that can't be reached keep none from its turn.
+	const taken = due.length > maxDuePeers ? due.sort((left, right) => left.retryAt - right.retryAt).slice(0, maxDuePeers) : due;
+	for (const peer of taken) {
 		peer.retryAt = now + peer.retryDelay;
 		peer.retryDelay = Math.min(peer.retryDelay * 2, maxRetryMs);
-		due.push(peer.address);
 	}
 
-	return due;
+	return taken.map(({address}) => address);
 }
 
 /** Takes the addresses learned since the last call. */
