Rank agents although one tells no processors

Callers would see: tasks that need no processor go to any agent, the fullest one, too, as long as one worker tells a capacity of 0, or none. Cause: the used share was 0 divided by 0, and an order with a score that is no number is none. Change: a capacity below 1 counts as 1, as in the load reports. Tests: features/platform/odd-entries.feature; before, the score of that agent was no number, and the agent with a tenth of its room free came first.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -251,3 +251,9 @@
     Given an entry that knows 3000 agents that can't be reached
     When it takes the due addresses every 100 ms for 20 s
     Then it takes at most 32 at a time, and each of them at least once
+
+  # Guards against an order of agents that is none, as one worker told a capacity of 0 and its score is no number.
+  Scenario: A worker that tells no processors comes last, and leaves the order of the others
+    Given agents with 1000, 0 and 2000 thousandths of a core, the first one with 100 free
+    When they are ranked for a task that needs no processor
+    Then their order is "2000, 1000, 0"
--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -60,7 +60,7 @@
 		unreportedWork += offer.isTentative ? 0 : offer.needs.cpu * offer.expectedMs;
 	}
 
-	return Math.max(minWaitMs, reportedWait) + (unreportedWork / load.capacity.cpu);
+	return Math.max(minWaitMs, reportedWait) + (unreportedWork / Math.max(1, load.capacity.cpu));
 }
 
 /**
@@ -102,7 +102,7 @@
 		const runMs = demand.expectedMs * (load.slowness / medianSlowness) * (isOutsideRack ? state.options.remoteFactor : 1);
 		const dataCentreDelay = view.dataCentre === state.options.dataCentre ? 0 : dataCentreDelayMs;
 		const total = wait + runMs + dataCentreDelay;
-		const utilization = 1 - Math.max(0, free.cpu / load.capacity.cpu);
+		const utilization = 1 - Math.max(0, free.cpu / Math.max(1, load.capacity.cpu));
 		const isPenalized = avoided.has(name) || now < view.avoidedUntil;
 		const queuedPenalty = wait > 0 ? (queuedWeight * demand.expectedMs) + ((waitWeight - 1) * wait) : 0;
 		const score = total + queuedPenalty + (utilization * loadWeight * demand.expectedMs) + (isPenalized ? avoidedPenaltyMs : 0);
