Refuse a job of too many tasks before its tasks are made

Callers would see: an entry that ends at one request with a Count of 100,000,000, and all other requests that it has open with it; the caller gets no response and sends the job to the next entry, which ends as well. A Count of 2^53-1 was answered 500. Cause: the tasks of a job were made before their number was checked; the heap of an entry is limited to 96 MB. Change: the checks come first, and a refused job is kept without its tasks; its log line says 0 tasks. Tests: features/platform/odd-entries.feature on bundled processes, three counts. Before: the entry ran out of memory for two (fatal error of Node.js, connection closed), 500 instead of 503 for the third.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -257,3 +257,16 @@
     Given agents with 1000, 0 and 2000 thousandths of a core, the first one with 100 free
     When they are ranked for a task that needs no processor
     Then their order is "2000, 1000, 0"
+
+  # Guards against an entry that runs out of memory by one request, which its caller then sends to the next one.
+  Scenario Outline: A job of far too many tasks is refused before its tasks are made
+    Given an entry and 2 agents that start beside odd entries, some of them under their names
+    When a job of <count> tasks is submitted
+    Then it is answered 503 for "too-large"
+    And every process still runs
+
+    Examples:
+      | count            |
+      | 100000000        |
+      | 4294967295       |
+      | 9007199254740991 |
--- a/features/platform/processes.steps.ts
+++ b/features/platform/processes.steps.ts
@@ -120,6 +120,10 @@
 	assert.deepEqual(await this.answer, {status, body: {State: state}});
 });
 
+Then('it is answered {int} for {string}', timeLimit, async function (this: PlatformWorld, status: number, reason: string) {
+	assert.deepEqual(await this.answer, {status, body: {Error: reason}});
+});
+
 Then('each of its tasks started once', function (this: PlatformWorld) {
 	const tasks = listStarts(this).map(({task}) => task);
 	assert.equal(tasks.length, this.tasks);
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -105,16 +105,16 @@
 		return {job: earlier, effects: earlier.answer === undefined ? [] : [{type: 'answer', job: earlier, answer: earlier.answer}]};
 	}
 
-	const job = createJob(state, request, now);
-	if (earlier !== undefined && hasOpenRuns(earlier)) {
-		return {job, effects: refuseJob(job, createAnswer('given-up', 'still-ending', defaultRetryMs))};
-	}
-
-	const refusal = checkSubmission(request);
+	const refusal = earlier !== undefined && hasOpenRuns(earlier)
+		? createAnswer('given-up', 'still-ending', defaultRetryMs)
+		: checkSubmission(request);
 	if (refusal !== undefined) {
-		return {job, effects: refuseJob(job, refusal)};
+		// Without its tasks, which may be more than the memory holds.
+		const refused = createJob(state, {...request, submission: {...request.submission, steps: []}}, now);
+		return {job: refused, effects: refuseJob(refused, refusal)};
 	}
 
+	const job = createJob(state, request, now);
 	if (earlier !== undefined) {
 		for (const [index, task] of job.tasks.entries()) {
 			task.nextRun = earlier.tasks[index]?.nextRun ?? 1;
