Keep only the addresses of the directory while its list is read

Callers would see: every entry and agent that starts beside many large entries of another writer ends for want of memory, and again at each start. Ruled out: a limit for the size of a value, as enough smaller ones do the same. Change: each key is parsed as its page arrives; its address is kept, or the first error. A shortened value is copied, as a part of a text keeps the whole of it in memory. Tests: features/platform/odd-entries.feature, bundled processes beside 2000 entries of 60,000 letters.

--- a/features/platform/odd-entries.feature
+++ b/features/platform/odd-entries.feature
@@ -270,3 +270,15 @@
       | 100000000        |
       | 4294967295       |
       | 9007199254740991 |
+
+  # Guards against processes that run out of memory, again at each start, by entries with large values.
+  Scenario Outline: Processes start beside many entries with large values
+    Given an entry and one agent that start beside 2000 entries with <content> of 60000 letters
+    When a job of 6 tasks is submitted
+    Then it is answered 200 "completed"
+    And every process still runs
+
+    Examples:
+      | content    |
+      | an address |
+      | a label    |
--- a/features/platform/odd-entries.steps.ts
+++ b/features/platform/odd-entries.steps.ts
@@ -53,9 +53,10 @@
 
 	watchKey: Store['watchKey'] = async () => Err({kind: 'unavailable', message: 'not used'});
 
-	listKeys: StoreLister['listKeys'] = async start => Ok([...this.items.values()]
+	listKeys: StoreLister['listKeys'] = async (start, select) => Ok([...this.items.values()]
 		.filter(({key}) => key.startsWith(start))
-		.sort((left, right) => left.key < right.key ? -1 : 1));
+		.sort((left, right) => left.key < right.key ? -1 : 1)
+		.map(item => select(item)));
 }
 
 const ports = new Map([['agent-1', 7001], ['agent-2', 7002], ['entry-1', 7003]]);
--- a/features/platform/odd-loops.steps.ts
+++ b/features/platform/odd-loops.steps.ts
@@ -127,7 +127,17 @@
 	'reading the directory'(world) {
 		const {store} = world.odd;
 		store.put(`${prefix}agent-1`, JSON.stringify({address: createAddress('agent-1')}));
-		store.listKeys = failOnce(store.listKeys);
+		const {listKeys} = store;
+		let isFirst = true;
+		store.listKeys = async (start, select) => {
+			if (isFirst) {
+				isFirst = false;
+				throw new TypeError('odd');
+			}
+
+			return listKeys(start, select);
+		};
+
 		void runTask(createDirectory(world, store, 'entry-1').joinDirectory());
 	},
 	'reading the store'(world) {
--- a/features/platform/odd-pages.steps.ts
+++ b/features/platform/odd-pages.steps.ts
@@ -49,8 +49,8 @@
 
 When('the keys are listed', limit, async function (this: PagesWorld) {
 	await using store = createPlatformStore(this.pages.server.address);
-	const listed = await store.listKeys('');
-	this.pages.result = listed.isOk() ? listed.value.map(({key}) => Buffer.from(key).toString('utf8')) : listed.error.message;
+	const listed = await store.listKeys('', ({key}) => Buffer.from(key).toString('utf8'));
+	this.pages.result = listed.isOk() ? [...listed.value] : listed.error.message;
 });
 
 Then('the keys are {string}', function (this: PagesWorld, keys: string) {
--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -52,8 +52,9 @@
 	 * @param agents - Number of agents.
 	 * @param runMs - Run time of each task, in ms.
 	 * @param entries - Texts of keys that the store holds before, by key.
+	 * @param limitMs - Time in which the entry has to be ready, in ms.
 	 */
-	async start(agents: number, runMs: number, entries: Readonly<Record<string, string>> = {}): Promise<void> {
+	async start(agents: number, runMs: number, entries: Readonly<Record<string, string>> = {}, limitMs = startLimitMs): Promise<void> {
 		this.#folder = await mkdtemp(path.join(tmpdir(), 'medlardale-platform-'));
 		this.#store = await startStoreStandIn();
 		for (const [key, text] of Object.entries(entries)) {
@@ -82,7 +83,7 @@
 		await this.waitUntil(async () => {
 			const status = await this.readReadiness();
 			return status === 200 && this.#submitProbeJob();
-		}, startLimitMs);
+		}, limitMs);
 	}
 
 	/** Writes a configuration without the route while the store refuses all calls, for `downMs`. */
--- a/features/platform/processes.steps.ts
+++ b/features/platform/processes.steps.ts
@@ -62,6 +62,27 @@
 	await this.fleet.start(agents, 150, oddEntries);
 });
 
+/** Time in which an entry is ready that reads many pages, in ms. */
+const largeStartMs = 60_000;
+
+/** Creates the text of an entry with a large value, by what is large. */
+const largeTexts: Readonly<Record<string, (name: string, letters: string) => string>> = {
+	'a text': (_name, letters) => letters,
+	'an address': (_name, letters) => JSON.stringify({address: letters}),
+	'a label': (name, letters) => createAddressText(name, 'agent', '9').replace(/}$/, `,"worker":${JSON.stringify({
+		id: 'w', target: 't', address: '', state: 'ready', capacity: {cpu: 1, memory: 1, accelerators: 0}, labels: [letters], sequence: 1, bornAt: 1,
+	})}}`),
+};
+
+const largeLimit = {timeout: largeStartMs * 2};
+
+Given('an entry and one agent that start beside {int} entries with {} of {int} letters', largeLimit, async function (this: PlatformWorld, count: number, content: string, length: number) {
+	const letters = 'x'.repeat(length);
+	this.fleet = new PlatformFleet();
+	const entries = Array.from({length: count}, (_, index) => [`medlardale/peers/large-${index}`, largeTexts[content](`large-${index}`, letters)]);
+	await this.fleet.start(1, 150, Object.fromEntries(entries) as Record<string, string>, largeStartMs);
+});
+
 When('lists nested {int} times and then version {int} without the route are written as the configuration', async function (this: PlatformWorld, _depth: number, version: number) {
 	await this.fleet!.replaceConfiguration(nested, version, 200);
 });
--- a/src/ports/store.ts
+++ b/src/ports/store.ts
@@ -49,6 +49,6 @@
 
 /** Lists keys of the platform's key-value service. */
 export type StoreLister = {
-	/** Reads every key with a prefix. */
-	listKeys(prefix: string): Promise<Result<readonly StoreItem[], StoreError>>;
+	/** Reads every key with a prefix, and keeps what `select` returns for each: the values together may not fit into memory. */
+	listKeys<Kept>(prefix: string, select: (item: StoreItem) => Kept): Promise<Result<readonly Kept[], StoreError>>;
 };
--- a/src/processes/dispatch/directory-records.ts
+++ b/src/processes/dispatch/directory-records.ts
@@ -104,5 +104,5 @@
 
 /** Returns the address of a record, with the labels of its worker. */
 export function createPeer({address, worker}: DirectoryRecord): DispatchPeer {
-	return worker === undefined ? address : {...address, labels: worker.labels};
+	return worker === undefined ? address : selectLabels({...address, labels: worker.labels});
 }
--- a/src/processes/dispatch/directory.ts
+++ b/src/processes/dispatch/directory.ts
@@ -12,7 +12,7 @@
 import type {WorkerAnnouncement} from '../../ports/worker.ts';
 import {runLoop} from '../shared/loops.ts';
 import {waitFor} from '../shared/wait.ts';
-import {createPeer, parseRecordOf, type DirectoryRecord} from './directory-records.ts';
+import {createPeer, parseRecordOf} from './directory-records.ts';
 
 const peersPrefix = 'medlardale/peers/';
 
@@ -23,11 +23,20 @@
 /** Most ignored keys that are logged one by one. */
 const maxIgnoredLines = 10;
 
+/** What is kept of a key; `peer` is an error message if the value names no process. */
+type KeptKey = {
+	readonly key: string;
+	readonly revision: number;
+	readonly peer: DispatchPeer | string;
+	/** Worker of this process. */
+	readonly worker: WorkerAnnouncement | undefined;
+};
+
 /** What the directory holds. */
 type Listing = {
-	readonly records: readonly DirectoryRecord[];
-	/** Revision of the key of this process, whatever its value is; 0 if there is none. */
-	readonly ownRevision: number;
+	readonly peers: readonly DispatchPeer[];
+	/** The key of this process, whatever its value is. */
+	readonly own: KeptKey | undefined;
 };
 
 function isSameAddress(left: PeerAddress, right: PeerAddress): boolean {
@@ -95,46 +104,47 @@
 		}
 	}
 
-	async #listRecords(): Promise<Listing | undefined> {
+	async #listPeers(): Promise<Listing | undefined> {
 		const {store, log, self} = this.input;
-		const listed = await store.listKeys(peersPrefix);
+		const listed = await store.listKeys(peersPrefix, item => this.#selectKey(item));
 		if (listed.isErr()) {
 			log.recordDecision('warn', 'directory-not-read', {reason: listed.error.message});
 			return undefined;
 		}
 
+		this.#logIgnoredKeys(listed.value);
 		return {
-			records: this.#parseItems(listed.value),
-			ownRevision: listed.value.find(({key}) => key === peersPrefix + self.name)?.revision ?? 0,
+			peers: listed.value.flatMap(({peer}) => typeof peer === 'string' ? [] : [peer]),
+			own: listed.value.find(({key}) => key === peersPrefix + self.name),
 		};
 	}
 
-	/** Parses the values of all keys; logs those that name no process. */
-	#parseItems(items: readonly StoreItem[]): DirectoryRecord[] {
-		const records: DirectoryRecord[] = [];
-		const faults = new Map<string, string>();
-		for (const {key, value} of items) {
-			const record = parseRecordOf(key.slice(peersPrefix.length), value);
-			if (typeof record !== 'string') {
-				records.push(record);
-			} else if (!this.#ignoredKeys.has(key)) {
-				faults.set(key, record);
-				this.#ignoredKeys.add(key);
-			}
+	#selectKey({key, value, revision}: StoreItem): KeptKey {
+		const record = parseRecordOf(key.slice(peersPrefix.length), value);
+		if (typeof record === 'string') {
+			return {
+				key, revision, peer: record.split('\n', 1)[0], worker: undefined,
+			};
 		}
 
-		this.#logIgnoredKeys(faults);
-		return records;
+		return {
+			key, revision, peer: createPeer(record), worker: record.address.name === this.input.self.name ? record.worker : undefined,
+		};
 	}
 
-	#logIgnoredKeys(faults: ReadonlyMap<string, string>): void {
+	/** Logs the keys whose values name no process, each once. */
+	#logIgnoredKeys(keys: readonly KeptKey[]): void {
 		const {log} = this.input;
-		for (const [key, fault] of [...faults].slice(0, maxIgnoredLines)) {
-			log.recordDecision('warn', 'directory-key-ignored', {key, fault: fault.split('\n', 1)[0]});
+		const ignored = keys.filter(({key, peer}) => typeof peer === 'string' && !this.#ignoredKeys.has(key));
+		for (const [index, {key, peer}] of ignored.entries()) {
+			this.#ignoredKeys.add(key);
+			if (index < maxIgnoredLines) {
+				log.recordDecision('warn', 'directory-key-ignored', {key, fault: peer});
+			}
 		}
 
-		if (faults.size > maxIgnoredLines) {
-			log.recordDecision('warn', 'directory-keys-ignored', {count: faults.size});
+		if (ignored.length > maxIgnoredLines) {
+			log.recordDecision('warn', 'directory-keys-ignored', {count: ignored.length});
 		}
 	}
 
@@ -171,31 +181,31 @@
 
 	async #joinOnce(): Promise<boolean> {
 		const {self, log, onPeers, onWorker} = this.input;
-		const listing = await this.#listRecords();
+		const listing = await this.#listPeers();
 		if (listing === undefined) {
 			return false;
 		}
 
-		this.#revision = listing.ownRevision;
-		const own = listing.records.find(({address}) => address.name === self.name);
-		onPeers(listing.records.map(record => createPeer(record)));
-		if (own !== undefined && isSameAddress(own.address, self)) {
+		const {peers, own} = listing;
+		this.#revision = own?.revision ?? 0;
+		onPeers(peers);
+		if (own !== undefined && typeof own.peer !== 'string' && isSameAddress(own.peer, self)) {
 			if (own.worker !== undefined) {
 				onWorker?.(own.worker);
 			}
 
-			log.recordDecision('info', 'directory-read', {peers: listing.records.length});
+			log.recordDecision('info', 'directory-read', {peers: peers.length});
 			return true;
 		}
 
 		// A new process that read the list before this key was written does not know this one: read the list again.
-		const others = await this.#write(this.#latestWorker, listing.ownRevision) === 'written' ? await this.#listRecords() : undefined;
+		const others = await this.#write(this.#latestWorker, this.#revision) === 'written' ? await this.#listPeers() : undefined;
 		if (others === undefined) {
 			return false;
 		}
 
-		onPeers(others.records.map(record => createPeer(record)));
-		log.recordDecision('info', 'directory-joined', {peers: others.records.length});
+		onPeers(others.peers);
+		log.recordDecision('info', 'directory-joined', {peers: others.peers.length});
 		return true;
 	}
 }
--- a/src/settings/values.ts
+++ b/src/settings/values.ts
@@ -1,6 +1,7 @@
 /**
  * Shows values from outside in error messages and log lines.
  */
+import {Buffer} from 'node:buffer';
 
 /** Most characters that are shown of a value. */
 const maxShownLength = 80;
@@ -14,7 +15,8 @@
 export function formatValue(value: unknown): string {
 	try {
 		const text = JSON.stringify(value) ?? 'absent';
-		return text.length > maxShownLength ? `${text.slice(0, maxShownLength - 3)}...` : text;
+		// Copied, as a part of a text keeps the whole of it in memory.
+		return text.length > maxShownLength ? Buffer.from(`${text.slice(0, maxShownLength - 3)}...`).toString('utf8') : text;
 	} catch (error) {
 		if (error instanceof RangeError) {
 			return 'nested too deeply';
