--- a/features/dispatch/directory.steps.ts
+++ b/features/dispatch/directory.steps.ts
@@ -54,8 +54,8 @@
 		return this.readKey();
 	}
 
-	async listKeys(): Promise<Result<readonly StoreItem[], StoreError>> {
-		return this.isDown ? this.#createError('unavailable') : Ok(this.item === undefined ? [] : [this.item]);
+	async listKeys<Kept>(_prefix: string, select: (item: StoreItem) => Kept): Promise<Result<readonly Kept[], StoreError>> {
+		return this.isDown ? this.#createError('unavailable') : Ok(this.item === undefined ? [] : [select(this.item)]);
 	}
 
 	#createError(kind: StoreErrorKind): Err<StoreError> {
@@ -122,7 +122,9 @@
 });
 
 Then('the store has a worker with a capacity of {int}', function (this: DirectoryWorld, cpu: number) {
-	assert.equal(parseRecord(this.store.item!.value)?.worker?.capacity.cpu, cpu);
+	const record = parseRecord(this.store.item!.value);
+	assert.ok(typeof record !== 'string', String(record));
+	assert.equal(record.worker?.capacity.cpu, cpu);
 });
 
 Then('the store was written {int} times', function (this: DirectoryWorld, count: number) {
--- a/features/platform/processes.steps.ts
+++ b/features/platform/processes.steps.ts
@@ -37,6 +37,60 @@
 	await this.fleet.start(agents, runMs);
 });
 
+const depth = 100_000;
+const nested = `${'['.repeat(depth)}${']'.repeat(depth)}`;
+
+function createAddressText(name: string, role: string, port: string): string {
+	return `{"address":{"name":"${name}","incarnation":5,"role":"${role}","dataCentre":"dc","host":"127.0.0.1","port":${port}}}`;
+}
+
+/** Entries of another writer: under the names of the processes, and under others. */
+const oddEntries: Readonly<Record<string, string>> = {
+	'medlardale/peers/entry-0-entry': `{"address":${nested}}`,
+	'medlardale/peers/agent-0-agent': createAddressText('agent-0-agent', 'agent', '1e400'),
+	'medlardale/peers/agent-1-agent': createAddressText('agent-0-agent', 'agent', '9'),
+	'medlardale/peers/a': createAddressText('entry-0-entry', 'entry', '9'),
+	'medlardale/peers/b': createAddressText('b', 'agent', '99999'),
+	'medlardale/peers/c': createAddressText('c', 'agent', '0'),
+	'medlardale/peers/d': createAddressText('d', 'agent', '9'),
+	'medlardale/peers/e': '\uFFFD',
+	'medlardale/peers/z': createAddressText('agent-1-agent', 'agent', '9'),
+};
+
+Given('an entry and {int} agents that start beside odd entries, some of them under their names', timeLimit, async function (this: PlatformWorld, agents: number) {
+	this.fleet = new PlatformFleet();
+	await this.fleet.start(agents, 150, oddEntries);
+});
+
+/** Time in which an entry is ready that reads many pages, in ms. */
+const largeStartMs = 60_000;
+
+/** Creates the text of an entry with a large value, by what is large. */
+const largeTexts: Readonly<Record<string, (name: string, letters: string) => string>> = {
+	'a text': (_name, letters) => letters,
+	'an address': (_name, letters) => JSON.stringify({address: letters}),
+	'a label': (name, letters) => createAddressText(name, 'agent', '9').replace(/}$/, `,"worker":${JSON.stringify({
+		id: 'w', target: 't', address: '', state: 'ready', capacity: {cpu: 1, memory: 1, accelerators: 0}, labels: [letters], sequence: 1, bornAt: 1,
+	})}}`),
+};
+
+const largeLimit = {timeout: largeStartMs * 2};
+
+Given('an entry and one agent that start beside {int} entries with {} of {int} letters', largeLimit, async function (this: PlatformWorld, count: number, content: string, length: number) {
+	const letters = 'x'.repeat(length);
+	this.fleet = new PlatformFleet();
+	const entries = Array.from({length: count}, (_, index) => [`medlardale/peers/large-${index}`, largeTexts[content](`large-${index}`, letters)]);
+	await this.fleet.start(1, 150, Object.fromEntries(entries) as Record<string, string>, largeStartMs);
+});
+
+When('lists nested {int} times and then version {int} without the route are written as the configuration', async function (this: PlatformWorld, _depth: number, version: number) {
+	await this.fleet!.replaceConfiguration(nested, version, 200);
+});
+
+Then('every process still runs', function (this: PlatformWorld) {
+	assert.deepEqual(this.fleet!.processes.map(({child}) => child.exitCode), this.fleet!.processes.map(() => null));
+});
+
 Given('each worker carries out its next {int} starts {int} ms late without an answer', function (this: PlatformWorld, count: number, delay: number) {
 	for (const worker of this.fleet!.workers) {
 		worker.delayStarts(count, delay);
@@ -87,6 +141,10 @@
 	assert.deepEqual(await this.answer, {status, body: {State: state}});
 });
 
+Then('it is answered {int} for {string}', timeLimit, async function (this: PlatformWorld, status: number, reason: string) {
+	assert.deepEqual(await this.answer, {status, body: {Error: reason}});
+});
+
 Then('each of its tasks started once', function (this: PlatformWorld) {
 	const tasks = listStarts(this).map(({task}) => task);
 	assert.equal(tasks.length, this.tasks);
--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -250,6 +250,56 @@
     Then the free capacity is 10000
     And the agent accepts tasks
 
+  # Guards against runs reported as lost, and then started a second time, while the worker still has them.
+  Scenario Outline: A heartbeat that names another start than the worker's answers ends no runs
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And a heartbeat of "<id>" with start time <born> and number 1 gives the target "elsewhere"
+    And 50 ms pass and a snapshot shows "a" at 50 percent
+    Then no task is reported as ended
+    And the agent takes the worker for "w1" with target "desk"
+
+    Examples:
+      | id | born             |
+      | w9 | 9007199254740991 |
+      | w1 | 9007199254740991 |
+      | w9 | 5001             |
+
+  # Guards against a worker that is never used again because an odd heartbeat came first.
+  Scenario: The worker that answers comes into use after an odd heartbeat came first
+    Given an agent that restarted without a heartbeat since
+    When a heartbeat of "w9" with start time 9007199254740991 and number 1 gives the target "elsewhere"
+    And a heartbeat of "w1" with start time 5000 and number 2 gives the target "desk"
+    Then the agent takes the worker for "w1" with target "desk"
+
+  # Guards against a worker that is never used again because its clock was set back before it restarted.
+  Scenario: A worker that restarted with an earlier start time comes into use
+    When a snapshot shows a restart of the worker at 4000
+    And a heartbeat of "w1" with start time 4000 and number 1 gives the target "other"
+    Then the agent takes the worker for "w1" with target "other"
+
+  # Guards against heartbeats that are all taken for older ones after one with a number too large.
+  Scenario: Heartbeats count again after one with a number too large
+    When a heartbeat of "w1" with start time 5000 and number 9007199254740991 gives the target "elsewhere"
+    And 3 further heartbeats of "w1" from number 6 follow every 1500 ms
+    Then the agent takes the worker for "w1" with target "desk"
+
+  # Guards against late heartbeats that replace a newer one.
+  Scenario: Late heartbeats that arrive together change nothing
+    When a heartbeat of "w1" with start time 5000 and number 20 gives the target "other"
+    And 5 further heartbeats of "w1" from number 6 follow every 10 ms
+    Then the agent takes the worker for "w1" with target "other"
+
+  # Guards against ends that are never seen because one far beyond them was acknowledged.
+  Scenario: An end at a position far beyond the others acknowledges none of them
+    When entry "e1" offers direct tasks "a b" of 4000
+    And the start of "a" is answered "started"
+    And the start of "b" is answered "started"
+    And a snapshot lists "a" as "done", and an end of another task at position 9007199254740991
+    And a snapshot lists the end "b" as "done" beside it
+    Then entry "e1" gets the report that "a" ended as "done"
+    And entry "e1" gets the report that "b" ended as "done"
+
   Scenario: The run time counts from the sending of the start, which may have waited
     When entry "e1" offers direct tasks "a" of 4000
     And the start of "a" is sent 120 ms later
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -18,8 +18,12 @@
 /** Time, in ms, for entries to claim orphan runs before they are stopped. */
 const orphanClaimMs = 600;
 
+/** Number of older heartbeats with rising numbers, and time in ms since the last one applied, after which they hold. */
+const maxIgnored = 3;
+const ignoredMs = 4000;
+
 /** Start times are compared only with a process that does not answer: the clock may have been set back between two starts. */
-function isNewer({announcement: previous, bornAt}: WorkerRecord, next: WorkerAnnouncement): boolean {
+function isNewer({worker: {announcement: previous, bornAt}}: RunsState, next: WorkerAnnouncement): boolean {
 	if (bornAt !== undefined && next.bornAt !== bornAt) {
 		return (next.bornAt ?? 0) > bornAt;
 	}
@@ -32,6 +36,22 @@
 	return isSameProcess ? next.sequence > previous.sequence : (next.bornAt ?? 0) >= (previous.bornAt ?? 0);
 }
 
+/**
+ * Records a heartbeat that is older than the last one; returns whether the last one had a number that is not of this
+ * count, as others have followed below it for some time.
+ */
+function hasSequenceRestarted({worker}: RunsState, next: WorkerAnnouncement, now: Milliseconds): boolean {
+	const {announcement, ignored, announcedAt} = worker;
+	const isSameProcess = announcement?.id === next.id && announcement.bornAt === next.bornAt;
+	if (!isSameProcess || next.sequence <= (ignored?.sequence ?? -1)) {
+		return false;
+	}
+
+	const count = (ignored?.count ?? 0) + 1;
+	worker.ignored = {sequence: next.sequence, count};
+	return count >= maxIgnored && now - (announcedAt ?? now) >= ignoredMs;
+}
+
 /** Returns whether two heartbeats tell the same of what an agent relies on after a restart. */
 export function isSameAnnouncement(left: WorkerAnnouncement, right: WorkerAnnouncement): boolean {
 	return left.id === right.id && left.bornAt === right.bornAt && left.target === right.target && left.state === right.state
@@ -127,6 +147,30 @@
 	return applyAnnouncement(state, {...restored, sequence: 0}, now);
 }
 
+/**
+ * Checks whether a heartbeat names the process that answers. If not, the next answer decides whether the worker has
+ * restarted or the heartbeat is of another writer: the worker may still have its runs.
+ */
+function checkWorkerStart(state: RunsState, {id, bornAt}: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
+	const {worker} = state;
+	const previous = worker.announcement;
+	if (worker.bornAt === undefined || bornAt === undefined) {
+		worker.replaced = undefined;
+		return previous === undefined || previous.id === id ? [] : resetWorker(state, bornAt, now);
+	}
+
+	if (worker.bornAt === bornAt) {
+		worker.replaced = undefined;
+		return [];
+	}
+
+	if (previous?.bornAt === worker.bornAt) {
+		worker.replaced = {announcement: previous, at: now};
+	}
+
+	return [{type: 'fetch-snapshot'}];
+}
+
 /**
  * Applies a heartbeat of the worker. One of an earlier worker process, or older than the last, is ignored.
  *
@@ -136,7 +180,7 @@
  * @returns Effects to carry out.
  */
 export function handleAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
-	if (!isNewer(state.worker, announcement)) {
+	if (!isNewer(state, announcement) && !hasSequenceRestarted(state, announcement, now)) {
 		return [];
 	}
 
@@ -154,13 +198,9 @@
 function applyAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
 	const {worker} = state;
 	const previous = worker.announcement;
-	const effects: RunsEffect[] = [];
-	const hasRestarted = worker.bornAt !== undefined && announcement.bornAt !== undefined && announcement.bornAt !== worker.bornAt;
-	if (hasRestarted || (previous !== undefined && previous.id !== announcement.id)) {
-		effects.push(...resetWorker(state, announcement.bornAt, now));
-	}
-
+	const effects = checkWorkerStart(state, announcement, now);
 	worker.announcement = announcement;
+	worker.ignored = undefined;
 	if (previous?.state !== announcement.state || previous.id !== announcement.id) {
 		effects.push({
 			type: 'log', event: 'worker-announced', details: {worker: announcement.id, state: announcement.state, capacity: announcement.capacity},
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -32,6 +32,9 @@
 /** Number of ended runs in a snapshot from which its lists may be incomplete. */
 const maxListedEnds = 500;
 
+/** Number of ends, beyond those handled, that a worker process can't have come to by the next snapshot. */
+const maxPositionStep = 1_000_000_000;
+
 /** End that is reported for a run that was stopped, by the reason of the stop. */
 const endsByStopReason: Record<StopReason, TaskEnd> = {
 	withdrawn: 'stopped',
@@ -210,6 +213,22 @@
 	return [...effects, {type: 'log', event: 'worker-restarted', details: {bornAt}}];
 }
 
+/** Uses the former heartbeat again if the worker still answers with its start: the last one is of another writer. */
+function restoreFormerHeartbeat({worker}: RunsState, requestedAt: Milliseconds): RunsEffect[] {
+	const {announcement, replaced, bornAt} = worker;
+	if (replaced === undefined || announcement === undefined || requestedAt < replaced.at) {
+		return [];
+	}
+
+	worker.replaced = undefined;
+	if (replaced.announcement.bornAt !== bornAt) {
+		return [];
+	}
+
+	worker.announcement = replaced.announcement;
+	return [{type: 'log', event: 'heartbeat-withdrawn', details: {worker: announcement.id, bornAt: announcement.bornAt, answeredBornAt: bornAt}}];
+}
+
 /**
  * Applies a snapshot of the worker.
  *
@@ -227,6 +246,7 @@
 	}
 
 	worker.bornAt ??= snapshot.bornAt;
+	effects.push(...restoreFormerHeartbeat(state, requestedAt));
 	worker.isReachable = true;
 	worker.lastAnswerAt = now;
 	// Answers may overtake each other; an older one lists runs whose end has been handled.
@@ -234,7 +254,8 @@
 	state.workerClock = {workerTime: snapshot.workerTime, at: now};
 	updateOrphans(state, snapshot, isLatest, now);
 	for (const ended of snapshot.ended) {
-		if (ended.position > state.acknowledgedPosition) {
+		// One that is far beyond the others would acknowledge ends that were never listed.
+		if (ended.position > state.acknowledgedPosition && ended.position - state.acknowledgedPosition <= maxPositionStep) {
 			effects.push(...applyEnd(state, ended, now));
 			state.acknowledgedPosition = ended.position;
 		}
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -55,6 +55,8 @@
 			announcement: undefined,
 			announcedAt: undefined,
 			isRestored: false,
+			replaced: undefined,
+			ignored: undefined,
 			bornAt: undefined,
 			isReachable: false,
 			lastAnswerAt: 0,
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -137,6 +137,10 @@
 	announcedAt: Milliseconds | undefined;
 	/** Whether `announcement` was stored before this agent restarted. */
 	isRestored: boolean;
+	/** Heartbeat before the last one, which names another start than the worker's answers, until an answer decides. */
+	replaced: {readonly announcement: WorkerAnnouncement; readonly at: Milliseconds} | undefined;
+	/** Older heartbeats of the same process since the last one applied, with rising numbers. */
+	ignored: {readonly sequence: number; readonly count: number} | undefined;
 	/** Start time of the worker process that answers. */
 	bornAt: Milliseconds | undefined;
 	/** Whether it answers lease renewals; false after `workerSilenceMs` without an answer, or at once if it has exited. */
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -23,6 +23,7 @@
 import type {DispatchMessage, TaskReport, WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import type {RunRef, WorkerAnnouncement, WorkerControl} from '../../ports/worker.ts';
+import {runLoop} from '../shared/loops.ts';
 import {waitFor} from '../shared/wait.ts';
 import {Directory} from './directory.ts';
 import {createOwnAddress, type DispatchInput} from './input.ts';
@@ -35,6 +36,9 @@
 /** Time between attempts to reach an unreachable worker, in ms. */
 const reconnectMs = 100;
 
+/** Pause, in ms, after an answer that came early without a new end, as to an end that is listed but left out. */
+const earlyPauseMs = 20;
+
 /** Time before the end of the grace period at which the remaining runs are stopped, in ms. */
 const stopMarginMs = 900;
 
@@ -167,10 +171,7 @@
 	handleAnnouncement(announcement: WorkerAnnouncement): void {
 		const previous = this.state.worker.announcement;
 		this.#applyEffects(handleAnnouncement(this.state, announcement, this.#now()));
-		const worker = findWorkerToStore(previous, this.state);
-		if (worker !== undefined) {
-			void this.#directory.writeWorker(worker);
-		}
+		this.#storeWorker(previous);
 	}
 
 	/** Applies the announcement that the worker shuts down. */
@@ -224,6 +225,14 @@
 		await this.control[Symbol.asyncDispose]();
 	}
 
+	/** Stores the worker if it has changed in what this agent relies on after a restart. */
+	#storeWorker(previous: WorkerAnnouncement | undefined): void {
+		const worker = findWorkerToStore(previous, this.state);
+		if (worker !== undefined) {
+			void this.#directory.writeWorker(worker);
+		}
+	}
+
 	#now(): Milliseconds {
 		return this.input.clock.getTime();
 	}
@@ -237,28 +246,45 @@
 
 	/** Renews the lease and reads ended runs, one call after the other. */
 	async #watchWorker(): Promise<void> {
-		while (!this.#isClosed) {
-			const isAnswered = await this.#fetchSnapshot(computeRenewalWait(this.state, this.#now()));
+		const {clock, log} = this.input;
+		await runLoop({loop: 'worker', clock, log}, async () => {
+			const isAnswered = await this.#renewLease();
 			if (!isAnswered && !this.state.worker.isReachable) {
-				await waitFor(this.input.clock, reconnectMs);
+				await waitFor(clock, reconnectMs);
 			}
-		}
+
+			return this.#isClosed ? 'ended' : 'continues';
+		});
 	}
 
 	/** Renews in a second loop while calls fail, so that a lost answer does not delay the ends of runs. */
 	async #watchUnreliableWorker(): Promise<void> {
-		if (this.#isWatchingUnreliable) {
+		if (this.#isWatchingUnreliable || this.#isClosed || !hasRecentFailure(this.state, this.#now())) {
 			return;
 		}
 
+		const {clock, log} = this.input;
 		this.#isWatchingUnreliable = true;
-		while (!this.#isClosed && hasRecentFailure(this.state, this.#now())) {
+		await runLoop({loop: 'unreliable-worker', clock, log}, async () => {
 			await (this.state.worker.isReachable
-				? this.#fetchSnapshot(computeRenewalWait(this.state, this.#now()))
-				: waitFor(this.input.clock, tickMs));
+				? this.#renewLease()
+				: waitFor(clock, tickMs));
+			return !this.#isClosed && hasRecentFailure(this.state, this.#now()) ? 'continues' : 'ended';
+		});
+		this.#isWatchingUnreliable = false;
+	}
+
+	/** Renews the lease with the usual wait, and pauses if the answer came early without a new end; returns whether the worker answered. */
+	async #renewLease(): Promise<boolean> {
+		const {acknowledgedPosition} = this.state;
+		const sentAt = this.#now();
+		const wait = computeRenewalWait(this.state, sentAt);
+		const isAnswered = await this.#fetchSnapshot(wait);
+		if (this.#now() - sentAt < wait / 2 && this.state.acknowledgedPosition === acknowledgedPosition) {
+			await waitFor(this.input.clock, earlyPauseMs);
 		}
 
-		this.#isWatchingUnreliable = false;
+		return isAnswered;
 	}
 
 	/** Renews the lease and applies the snapshot in the answer; returns whether the worker answered. */
@@ -269,7 +295,9 @@
 		const now = this.#now();
 		this.#recordContacts();
 		if (answer.type === 'renewed') {
+			const previous = this.state.worker.announcement;
 			this.#applyEffects(applySnapshot(this.state, answer.snapshot, requestedAt, now));
+			this.#storeWorker(previous);
 			return true;
 		}
 
--- a/src/processes/dispatch/directory.ts
+++ b/src/processes/dispatch/directory.ts
@@ -9,10 +9,11 @@
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {DispatchPeer} from '../../ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
-import type {Store, StoreLister} from '../../ports/store.ts';
+import type {Store, StoreItem, StoreLister} from '../../ports/store.ts';
 import type {WorkerAnnouncement} from '../../ports/worker.ts';
+import {runLoop} from '../shared/loops.ts';
 import {waitFor} from '../shared/wait.ts';
-import {createPeer, parseRecord, type DirectoryRecord} from './directory-records.ts';
+import {createPeer, parseRecordOf} from './directory-records.ts';
 
 const peersPrefix = 'medlardale/peers/';
 
@@ -20,6 +21,25 @@
 const minRetryMs = 100;
 const maxRetryMs = 1600;
 
+/** Most ignored keys that are logged one by one. */
+const maxIgnoredLines = 10;
+
+/** What is kept of a key; `peer` is an error message if the value names no process. */
+type KeptKey = {
+	readonly key: string;
+	readonly revision: number;
+	readonly peer: DispatchPeer | string;
+	/** Worker of this process. */
+	readonly worker: WorkerAnnouncement | undefined;
+};
+
+/** What the directory holds. */
+type Listing = {
+	readonly peers: readonly DispatchPeer[];
+	/** The key of this process, whatever its value is. */
+	readonly own: KeptKey | undefined;
+};
+
 function isSameAddress(left: PeerAddress, right: PeerAddress): boolean {
 	return left.name === right.name && left.host === right.host && left.port === right.port && left.role === right.role;
 }
@@ -44,18 +64,25 @@
 	#latestWorker: WorkerAnnouncement | undefined;
 	/** What the store has, as far as this process knows. */
 	#storedWorker: WorkerAnnouncement | undefined;
+	/** Keys that have been logged as ignored. */
+	readonly #ignoredKeys = new Set<string>();
 
 	/** @param input - Dependencies and callbacks. */
 	constructor(private readonly input: DirectoryInput) {}
 
 	/** Registers this process in the directory; retries until the store has answered. */
 	async joinDirectory(): Promise<void> {
+		const {clock, log} = this.input;
 		let delay = minRetryMs;
-		while (!await this.#joinOnce()) {
-			await waitFor(this.input.clock, delay);
-			delay = Math.min(delay * 2, maxRetryMs);
-		}
+		await runLoop({loop: 'directory', clock, log}, async () => {
+			if (await this.#joinOnce()) {
+				return 'ended';
+			}
 
+			await waitFor(clock, delay);
+			delay = Math.min(delay * 2, maxRetryMs);
+			return 'continues';
+		});
 		this.#hasJoined = true;
 		await this.#writeLatest();
 	}
@@ -77,10 +104,18 @@
 		}
 
 		this.#isWriting = true;
+		try {
+			await this.#writeUntilStored();
+		} finally {
+			this.#isWriting = false;
+		}
+	}
+
+	async #writeUntilStored(): Promise<void> {
 		let delay = minRetryMs;
 		while (!this.#isStored()) {
 			const worker = this.#latestWorker;
-			if (await this.#write(worker)) {
+			if (await this.#writeAgain(worker)) {
 				this.#storedWorker = worker;
 				delay = minRetryMs;
 			} else {
@@ -88,43 +123,84 @@
 				delay = Math.min(delay * 2, maxRetryMs);
 			}
 		}
-
-		this.#isWriting = false;
 	}
 
-	async #listRecords(): Promise<ReadonlyArray<DirectoryRecord & {readonly revision: number}> | undefined> {
-		const {store, log} = this.input;
-		const listed = await store.listKeys(peersPrefix);
+	async #listPeers(): Promise<Listing | undefined> {
+		const {store, log, self} = this.input;
+		const listed = await store.listKeys(peersPrefix, item => this.#selectKey(item));
 		if (listed.isErr()) {
 			log.recordDecision('warn', 'directory-not-read', {reason: listed.error.message});
 			return undefined;
 		}
 
-		return listed.value.flatMap(item => {
-			const record = parseRecord(item.value);
-			if (record === undefined) {
-				log.recordDecision('warn', 'directory-key-ignored', {key: item.key});
+		this.#logIgnoredKeys(listed.value);
+		return {
+			peers: listed.value.flatMap(({peer}) => typeof peer === 'string' ? [] : [peer]),
+			own: listed.value.find(({key}) => key === peersPrefix + self.name),
+		};
+	}
+
+	#selectKey({key, value, revision}: StoreItem): KeptKey {
+		const record = parseRecordOf(key.slice(peersPrefix.length), value);
+		if (typeof record === 'string') {
+			return {
+				key, revision, peer: record.split('\n', 1)[0], worker: undefined,
+			};
+		}
+
+		return {
+			key, revision, peer: createPeer(record), worker: record.address.name === this.input.self.name ? record.worker : undefined,
+		};
+	}
+
+	/** Logs the keys whose values name no process, each once. */
+	#logIgnoredKeys(keys: readonly KeptKey[]): void {
+		const {log} = this.input;
+		const ignored = keys.filter(({key, peer}) => typeof peer === 'string' && !this.#ignoredKeys.has(key));
+		for (const [index, {key, peer}] of ignored.entries()) {
+			this.#ignoredKeys.add(key);
+			if (index < maxIgnoredLines) {
+				log.recordDecision('warn', 'directory-key-ignored', {key, fault: peer});
 			}
+		}
 
-			return record === undefined ? [] : [{...record, revision: item.revision}];
-		});
+		if (ignored.length > maxIgnoredLines) {
+			log.recordDecision('warn', 'directory-keys-ignored', {count: ignored.length});
+		}
 	}
 
-	/** Writes this process's key; returns whether that succeeded. */
-	async #write(worker: WorkerAnnouncement | undefined): Promise<boolean> {
+	/**
+	 * Writes the worker; once more if the key is at another revision, as the answer to an earlier write was lost or another
+	 * writer has changed it. Returns whether nothing is left to write, also if a later process of this name has written.
+	 */
+	async #writeAgain(worker: WorkerAnnouncement | undefined): Promise<boolean> {
+		const result = await this.#write(worker, this.#revision);
+		if (result !== 'conflict') {
+			return result === 'written';
+		}
+
+		const {store, self} = this.input;
+		const entry = await store.readKey(peersPrefix + self.name);
+		if (entry.isErr()) {
+			return false;
+		}
+
+		const record = parseRecordOf(self.name, entry.value.value ?? '');
+		const isOwn = typeof record === 'string' || record.address.incarnation <= self.incarnation;
+		return !isOwn || await this.#write(worker, entry.value.revision) === 'written';
+	}
+
+	/** Writes this process's key if it is at a revision. */
+	async #write(worker: WorkerAnnouncement | undefined, revision: number): Promise<'written' | 'conflict' | 'failed'> {
 		const {store, self, log} = this.input;
-		const written = await store.writeKey(peersPrefix + self.name, JSON.stringify({address: self, worker}), this.#revision);
+		const written = await store.writeKey(peersPrefix + self.name, JSON.stringify({address: self, worker}), revision);
 		if (written.isErr()) {
 			log.recordDecision('warn', 'directory-not-written', {reason: written.error.message});
-			if (written.error.kind === 'conflict') {
-				await this.#readRevision();
-			}
-
-			return false;
+			return written.error.kind === 'conflict' ? 'conflict' : 'failed';
 		}
 
 		this.#revision = written.value.revision;
-		return true;
+		return 'written';
 	}
 
 	/** Returns whether the store has what the last heartbeat told. */
@@ -133,44 +209,36 @@
 		return latest === undefined || (stored !== undefined && isSameAnnouncement(stored, latest));
 	}
 
-	/** Reads the revision of this process's key: an earlier write was carried out although its answer was lost. */
-	async #readRevision(): Promise<void> {
-		const entry = await this.input.store.readKey(peersPrefix + this.input.self.name);
-		if (entry.isOk()) {
-			this.#revision = entry.value.revision;
-		}
-	}
-
 	async #joinOnce(): Promise<boolean> {
 		const {self, log, onPeers, onWorker} = this.input;
-		const records = await this.#listRecords();
-		if (records === undefined) {
+		const listing = await this.#listPeers();
+		if (listing === undefined) {
 			return false;
 		}
 
-		const own = records.find(({address}) => address.name === self.name);
+		const {peers, own} = listing;
 		this.#revision = own?.revision ?? 0;
-		if (own !== undefined && isSameAddress(own.address, self)) {
+		onPeers(peers);
+		if (own !== undefined && typeof own.peer !== 'string' && isSameAddress(own.peer, self)) {
 			this.#storedWorker = own.worker;
 			if (own.worker !== undefined) {
 				onWorker?.(own.worker);
 			}
 
-			onPeers(records.map(record => createPeer(record)));
-			log.recordDecision('info', 'directory-read', {peers: records.length});
+			log.recordDecision('info', 'directory-read', {peers: peers.length});
 			return true;
 		}
 
 		// A new process that read the list before this key was written does not know this one: read the list again.
 		const worker = this.#latestWorker;
-		const others = await this.#write(worker) ? await this.#listRecords() : undefined;
+		const others = await this.#write(worker, this.#revision) === 'written' ? await this.#listPeers() : undefined;
 		this.#storedWorker = worker;
 		if (others === undefined) {
 			return false;
 		}
 
-		onPeers(others.map(record => createPeer(record)));
-		log.recordDecision('info', 'directory-joined', {peers: others.length});
+		onPeers(others.peers);
+		log.recordDecision('info', 'directory-joined', {peers: others.peers.length});
 		return true;
 	}
 }
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -20,6 +20,7 @@
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {DispatchMessage, DispatchPeer} from '../../ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
+import {parsePeer, selectLabels} from './directory-records.ts';
 
 /** Interval of opening streams that are due and of passing on new addresses, in ms. */
 const dialIntervalMs = 100;
@@ -29,6 +30,9 @@
 
 const maxFrameBytes = 4_194_304;
 
+/** Most addresses in one message. */
+const maxPassedPeers = 100;
+
 /** Callbacks of the links. */
 export type LinkHandlers = {
 	readonly onConnect: (peer: ConnectedPeer) => void;
@@ -126,7 +130,7 @@
 	 * @param addresses - Their addresses.
 	 */
 	addPeers(addresses: readonly DispatchPeer[]): void {
-		addPeers(this.state, addresses, this.#now());
+		addPeers(this.state, addresses.map(address => selectLabels(address)), this.#now());
 		this.#openDueStreams();
 	}
 
@@ -200,9 +204,14 @@
 		const entries = news.filter(({role}) => role === 'entry');
 		for (const peer of this.state.connected.values()) {
 			const addresses = peer.role === 'entry' ? news : entries;
-			if (addresses.length > 0) {
-				this.#network.sendMessage(peer, {type: 'peers', addresses});
-			}
+			this.#sendPeers(peer, addresses);
+		}
+	}
+
+	/** Sends addresses, in messages that fit into a frame each. */
+	#sendPeers(to: NodeRef, addresses: readonly DispatchPeer[]): void {
+		for (let start = 0; start < addresses.length; start += maxPassedPeers) {
+			this.#network.sendMessage(to, {type: 'peers', addresses: addresses.slice(start, start + maxPassedPeers)});
 		}
 	}
 
@@ -239,18 +248,42 @@
 
 	#handleMessage(from: NodeRef, message: DispatchMessage): void {
 		if (message.type === 'announce') {
-			this.#handleAnnouncement(message);
+			this.#checkAnnouncement(from, message);
 			return;
 		}
 
 		const peer = this.state.connected.get(from.name);
 		if (message.type === 'peers') {
-			this.addPeers(message.addresses);
+			this.#addPassedPeers(from, message.addresses);
 		} else if (peer !== undefined) {
 			this.handlers.onMessage(peer, message);
 		}
 	}
 
+	/** Adds the addresses that another process passes on; those that are not valid are logged. */
+	#addPassedPeers(from: NodeRef, addresses: readonly unknown[]): void {
+		const parsed = addresses.map(address => parsePeer(address));
+		const faults = parsed.filter(peer => typeof peer === 'string');
+		if (faults.length > 0) {
+			this.input.log.recordDecision('warn', 'peers-ignored', {from: from.name, count: faults.length, fault: faults[0].split('\n', 1)[0]});
+		}
+
+		this.addPeers(parsed.filter(peer => typeof peer !== 'string'));
+	}
+
+	/** Handles an announcement if it names the process at the other end of its stream. */
+	#checkAnnouncement(from: NodeRef, message: Extract<DispatchMessage, {type: 'announce'}>): void {
+		const address = parsePeer(message.address);
+		const isSender = typeof address !== 'string' && address.name === from.name && address.incarnation === from.incarnation;
+		if (!isSender) {
+			const fault = typeof address === 'string' ? address.split('\n', 1)[0] : `it names "${address.name}" incarnation ${address.incarnation}`;
+			this.input.log.recordDecision('warn', 'announcement-ignored', {from: from.name, incarnation: from.incarnation, fault});
+			return;
+		}
+
+		this.#handleAnnouncement({...message, address});
+	}
+
 	#handleAnnouncement({address, version, digests, acceptsQuiet}: Extract<DispatchMessage, {type: 'announce'}>): void {
 		const previous = this.state.connected.get(address.name);
 		if (previous !== undefined && previous.incarnation !== address.incarnation) {
@@ -267,10 +300,7 @@
 
 		this.input.log.recordDecision('info', 'stream-opened', {peer: address.name, incarnation: address.incarnation, version});
 		const addresses = this.state.self.role === 'entry' ? listMissingAddresses(this.state, address.role, digests) : [];
-		if (addresses.length > 0) {
-			this.#network.sendMessage(peer, {type: 'peers', addresses});
-		}
-
+		this.#sendPeers(peer, addresses);
 		this.handlers.onConnect(peer);
 	}
 }
