Emulator: execute no call that was sent to a worker that is down

Cause: a call to a dark machine could be executed by its next life, which no network does with an aborted connection. Change: such a call is lost.

--- a/bench/emulator/calls.ts
+++ b/bench/emulator/calls.ts
@@ -67,6 +67,10 @@
 			return;
 		}
 
+		if (!this.worker.isUp) {
+			return;
+		}
+
 		if (random.getFloat() < faults.lateOrders) {
 			const [least, most] = lateDelayMs[faults.lateLease];
 			const delay = least + (random.getFloat() * (most - least));
