Emulator: let workers drain and leave

Cause: planned ends of workers were not emulated. Change: options workerLeaveMs and lostLeaveAnswers; heartbeats of one life share one sequence.

--- a/bench/emulator/faults.ts
+++ b/bench/emulator/faults.ts
@@ -6,7 +6,7 @@
 import type {EmulatedCallers} from './callers.ts';
 import {chooseItem, type FleetContext} from './context.ts';
 import type {EmulatedEntry} from './entry.ts';
-import {startHeartbeats} from './heartbeats.ts';
+import {sendHeartbeat, startHeartbeats} from './heartbeats.ts';
 import type {EmulatedProcess, PauseKind} from './process.ts';
 import type {Outage, RandomFaults} from './types.ts';
 
@@ -31,6 +31,10 @@
 /** Longest time from the end of a cut until an entry notices that the connections of callers broke, in ms. */
 const maxNoticeMs = 1500;
 
+/** Time from the start of the draining of a worker to its departure, and from an acknowledged departure to its end, in ms. */
+const drainMs = 1000;
+const maxEndDelayMs = 20;
+
 /** Injects faults. */
 export class FaultInjector {
 	readonly #timedFaults: Readonly<Record<TimedFault, () => void>> = {
@@ -76,6 +80,9 @@
 		entryCutMs: () => {
 			this.#cutEntry(this.#drawEntry());
 		},
+		workerLeaveMs: () => {
+			this.#startLeaving(this.#drawAgent());
+		},
 		agentPauseMs: () => {
 			this.#startPause(this.#drawAgent().process, 'frozen');
 		},
@@ -124,13 +131,53 @@
 			});
 		}
 
-		events.addEvent(downMs, () => {
-			trace.record(`${worker.name} starts again`);
+		this.#startWorkerLater(agent, downMs);
+	}
+
+	#startWorkerLater(agent: EmulatedAgent, downMs: Milliseconds): void {
+		const {worker} = agent;
+		this.context.events.addEvent(downMs, () => {
+			this.context.trace.record(`${worker.name} starts again`);
 			worker.startLife();
 			startHeartbeats(agent, this.context);
 		});
 	}
 
+	/** Lets a worker drain and end; the next life begins some time later. */
+	#startLeaving(agent: EmulatedAgent): void {
+		const {worker, process} = agent;
+		const {scenario: {faults}, events, trace} = this.context;
+		if (!worker.isUp || worker.isDraining) {
+			return;
+		}
+
+		const {life} = worker;
+		const runIfSame = (delay: Milliseconds, callback: () => void): void => {
+			events.addEvent(delay, () => {
+				if (worker.life === life) {
+					callback();
+				}
+			});
+		};
+
+		trace.record(`${worker.name} drains`);
+		worker.isDraining = true;
+		sendHeartbeat(agent, this.context);
+		runIfSame(drainMs, () => {
+			const isLost = this.#isDrawn(faults.lostLeaveAnswers);
+			const endDelay = isLost ? this.#drawTime(1000, 3000) : this.#drawTime(0, maxEndDelayMs);
+			trace.record(`${worker.name} says that it leaves, and ends ${endDelay.toFixed(0)} ms later`);
+			process.handleArrival(() => {
+				agent.handleDeparture(worker.name);
+			});
+			runIfSame(endDelay, () => {
+				trace.record(`${worker.name} ends`);
+				worker.endLife();
+				this.#startWorkerLater(agent, this.#drawTime(500, 3000));
+			});
+		});
+	}
+
 	#planSchedule(): void {
 		const {
 			scenario: {outages, losses, slowdowns}, events,
--- a/bench/emulator/types.ts
+++ b/bench/emulator/types.ts
@@ -108,6 +108,12 @@
 	/** Mean time between crashes of workers, which come back after 0.5 to 3 s under the same id, and the share with a dark machine. */
 	readonly workerCrashMs: Milliseconds;
 	readonly darkCrashes: number;
+	/**
+	 * Mean time between workers that leave: they report that they drain, announce their end a second later and end up to
+	 * 20 ms after its acknowledgement, or 1 to 3 s later for the share whose acknowledgement is lost.
+	 */
+	readonly workerLeaveMs: Milliseconds;
+	readonly lostLeaveAnswers: number;
 	/** Share of heartbeats, and of crashes after which a departure arrives, up to 5 s late. */
 	readonly lateHeartbeats: number;
 	readonly lateDepartures: number;
@@ -193,6 +199,8 @@
 	agentSuspensionMs: 0,
 	workerCrashMs: 0,
 	darkCrashes: 0,
+	workerLeaveMs: 0,
+	lostLeaveAnswers: 0,
 	lateHeartbeats: 0,
 	lateDepartures: 0,
 	callerLossMs: 0,
--- a/bench/emulator/worker.ts
+++ b/bench/emulator/worker.ts
@@ -56,6 +56,9 @@
 	/** Processor time of the ended runs, in thousandths of a core times ms. */
 	processorTime = 0;
 	isUp = true;
+	isDraining = false;
+	/** Number of heartbeats sent in this life. */
+	heartbeatCount = 0;
 	/** Whether its machine is gone while the worker is down, so that connections are not even refused. */
 	isDark = false;
 	/** Until when connections are refused although the worker lives. */
@@ -183,6 +186,8 @@
 	/** Begins the next life, which knows nothing of the earlier ones. */
 	startLife(): void {
 		this.isUp = true;
+		this.isDraining = false;
+		this.heartbeatCount = 0;
 		this.isDark = false;
 		this.bornAt = Math.round(this.options.events.getTime()) + bornOffset;
 		this.#highestRuns = new Map();
