Emulator: split streams, workers, agents and faults further

Change: stream-ends, retries, worker-types and worker-faults are modules of their own; the trace describes messages and log entries itself. No change of behaviour.

--- a/bench/emulator/agent.ts
+++ b/bench/emulator/agent.ts
@@ -34,12 +34,6 @@
 	readonly [Type in DispatchMessage['type']]?: (owner: string, message: Extract<DispatchMessage, {type: Type}>) => RunsEffect[];
 };
 
-/** Returns whether a message names tasks that are traced. */
-function describeTasks({type, ...rest}: DispatchMessage): string {
-	const tasks = 'tasks' in rest ? rest.tasks : [];
-	return `${type} ${tasks.map(item => (typeof item === 'string' ? item : `${item.task} run ${item.run}${item.isTentative ? ' tentative' : ''}`)).join(', ')}`;
-}
-
 /** An emulated agent. */
 export class EmulatedAgent {
 	state: RunsState;
@@ -178,18 +172,12 @@
 	}
 
 	#handleMessage(owner: string, message: DispatchMessage): void {
-		this.#traceMessage(owner, message);
+		this.context.trace.recordMessage(this.process.name, owner, message);
 		recordOwnerContact(this.state, owner, this.#now());
 		const handler = this.#messageHandlers[message.type] as ((owner: string, message: DispatchMessage) => RunsEffect[]) | undefined;
 		this.#applyEffects(handler?.(owner, message) ?? []);
 	}
 
-	#traceMessage(owner: string, message: DispatchMessage): void {
-		if ('tasks' in message) {
-			this.context.trace.recordTask(message.tasks, () => `${this.process.name} gets from ${owner}: ${describeTasks(message)}`);
-		}
-	}
-
 	#applyEffects(effects: readonly RunsEffect[]): void {
 		const requests = new Map<string, string[]>();
 		const reports = new Map<string, TaskReport[]>();
@@ -210,7 +198,7 @@
 				addToGroup(reports, owner, ...added);
 			},
 			log: ({event, details}) => {
-				this.#traceLog(event, details);
+				this.context.trace.recordLog(this.process.name, event, details);
 			},
 		};
 		for (const effect of effects) {
@@ -227,15 +215,6 @@
 		}
 	}
 
-	#traceLog(event: string, details: Readonly<Record<string, unknown>>): void {
-		const {task} = details;
-		if (typeof task === 'string') {
-			this.context.trace.recordTask([task], () => `${this.process.name} logs ${event} ${JSON.stringify(details)}`);
-		} else {
-			this.context.trace.record(`${this.process.name} logs ${event} ${JSON.stringify(details)}`);
-		}
-	}
-
 	#sendReports(owner: string, reports: readonly TaskReport[]): void {
 		this.context.trace.recordTask(reports, () => `${this.process.name} reports to ${owner}: ${reports.map(({task, run, end}) => `${task} run ${run} ${end}`).join(', ')}`);
 		const load = this.#adaptLoad(owner, computeLoad(this.state, this.#now()));
--- a/bench/emulator/context.ts
+++ b/bench/emulator/context.ts
@@ -2,6 +2,7 @@
  * What the parts of an emulated fleet share.
  */
 import {computeTimings} from '../../src/core/bounds/logic.ts';
+import type {Milliseconds} from '../../src/ports/clock.ts';
 import type {DispatchMessage} from '../../src/ports/dispatch-messages.ts';
 import type {Random} from '../../src/ports/random.ts';
 import type {EventQueue} from '../event-queue.ts';
@@ -37,3 +38,13 @@
 export function chooseItem<Item>(random: Random, items: readonly Item[]): Item {
 	return items[random.getInteger(items.length)];
 }
+
+/** Draws a time between two bounds. */
+export function drawTime(random: Random, least: Milliseconds, most: Milliseconds): Milliseconds {
+	return least + (random.getFloat() * (most - least));
+}
+
+/** Draws whether something happens that has a given probability. */
+export function isDrawn(random: Random, probability: number): boolean {
+	return random.getFloat() < probability;
+}
--- a/bench/emulator/control.ts
+++ b/bench/emulator/control.ts
@@ -19,7 +19,8 @@
 } from './context.ts';
 import {EmulatedOrderQueue} from './orders.ts';
 import type {EmulatedProcess} from './process.ts';
-import type {EmulatedWorker, WorkerTask} from './worker.ts';
+import type {WorkerTask} from './worker-types.ts';
+import type {EmulatedWorker} from './worker.ts';
 
 /** Time between attempts to reach an unreachable worker, in ms. */
 const reconnectMs = 100;
--- a/bench/emulator/faults.ts
+++ b/bench/emulator/faults.ts
@@ -4,11 +4,13 @@
 import type {Milliseconds} from '../../src/ports/clock.ts';
 import type {EmulatedAgent} from './agent.ts';
 import type {EmulatedCallers} from './callers.ts';
-import {chooseItem, type FleetContext} from './context.ts';
+import {
+	chooseItem, drawTime, isDrawn, type FleetContext,
+} from './context.ts';
 import type {EmulatedEntry} from './entry.ts';
-import {sendHeartbeat, startHeartbeats} from './heartbeats.ts';
 import type {EmulatedProcess, PauseKind} from './process.ts';
 import type {Outage, RandomFaults} from './types.ts';
+import {WorkerFaults} from './worker-faults.ts';
 
 /** What faults act on. */
 export type FaultTargets = {
@@ -22,21 +24,13 @@
 /** Faults that occur at random times, by the option with their mean time. */
 type TimedFault = {[Key in keyof RandomFaults]: Key extends `${string}Ms` ? Key : never}[keyof RandomFaults];
 
-/** Directions of a path that are cut. */
-const directions = ['forward', 'backward', 'both'] as const;
-
-/** Greatest delay of the departure of a worker that has crashed, in ms. */
-const maxLateDepartureMs = 5000;
-
 /** Longest time from the end of a cut until an entry notices that the connections of callers broke, in ms. */
 const maxNoticeMs = 1500;
 
-/** Time from the start of the draining of a worker to its departure, and from an acknowledged departure to its end, in ms. */
-const drainMs = 1000;
-const maxEndDelayMs = 20;
-
 /** Injects faults. */
 export class FaultInjector {
+	readonly workers: WorkerFaults;
+
 	readonly #timedFaults: Readonly<Record<TimedFault, () => void>> = {
 		streamLossMs: () => {
 			const entry = this.#drawEntry();
@@ -44,32 +38,19 @@
 			entry.links.closeStream(agent.process.name);
 		},
 		agentKillMs: () => {
-			this.#endAgent(this.#drawAgent(), this.#drawTime(100, 3100));
+			this.#endAgent(this.#drawAgent(), drawTime(this.context.random, 100, 3100));
 		},
 		entryKillMs: () => {
-			this.#endEntry(this.#drawEntry(), this.#drawTime(500, 3500));
+			this.#endEntry(this.#drawEntry(), drawTime(this.context.random, 500, 3500));
 		},
 		workerCutMs: () => {
-			const {process: {name}, worker} = this.#drawAgent();
-			const direction = chooseItem(this.context.random, directions);
-			const duration = this.#drawTime(1000, 4000);
-			this.context.trace.record(`the path between ${name} and ${worker.name} is cut for ${duration.toFixed(0)} ms: ${direction}`);
-			if (direction !== 'backward') {
-				this.context.paths.startCut(name, worker.name, duration);
-			}
-
-			if (direction !== 'forward') {
-				this.context.paths.startCut(worker.name, name, duration);
-			}
+			this.workers.cutPath(this.#drawAgent());
 		},
 		workerRefusalMs: () => {
-			const {worker} = this.#drawAgent();
-			const duration = this.#drawTime(1000, 4000);
-			this.context.trace.record(`${worker.name} refuses connections for ${duration.toFixed(0)} ms`);
-			worker.refusedUntil = this.context.events.getTime() + duration;
+			this.workers.refuseCalls(this.#drawAgent());
 		},
 		workerCrashMs: () => {
-			this.endWorker(this.#drawAgent());
+			this.workers.endWorker(this.#drawAgent());
 		},
 		callerLossMs: () => {
 			this.#endConnection(0);
@@ -81,7 +62,7 @@
 			this.#cutEntry(this.#drawEntry());
 		},
 		workerLeaveMs: () => {
-			this.#startLeaving(this.#drawAgent());
+			this.workers.startLeaving(this.#drawAgent());
 		},
 		agentPauseMs: () => {
 			this.#startPause(this.#drawAgent().process, 'frozen');
@@ -98,7 +79,9 @@
 	 * @param context - What the parts of the fleet share.
 	 * @param targets - What faults act on.
 	 */
-	constructor(private readonly context: FleetContext, private readonly targets: FaultTargets) {}
+	constructor(private readonly context: FleetContext, private readonly targets: FaultTargets) {
+		this.workers = new WorkerFaults(context);
+	}
 
 	/** Plans all faults of the scenario. */
 	start(): void {
@@ -110,74 +93,6 @@
 		this.#planSchedule();
 	}
 
-	/** Crashes the worker of an agent, and starts it again later. */
-	endWorker(agent: EmulatedAgent): void {
-		const {worker, process} = agent;
-		const {scenario: {faults}, events, trace} = this.context;
-		if (!worker.isUp) {
-			return;
-		}
-
-		const downMs = this.#drawTime(500, 3000);
-		const isDark = this.#isDrawn(faults.darkCrashes);
-		trace.record(`${worker.name} crashes for ${downMs.toFixed(0)} ms${isDark ? ', dark' : ''}`);
-		worker.endLife(isDark);
-		if (this.#isDrawn(faults.lateDepartures)) {
-			events.addEvent(this.#drawTime(0, maxLateDepartureMs), () => {
-				trace.record(`${process.name} gets the departure of ${worker.name}`);
-				process.handleArrival(() => {
-					agent.handleDeparture(worker.name);
-				});
-			});
-		}
-
-		this.#startWorkerLater(agent, downMs);
-	}
-
-	#startWorkerLater(agent: EmulatedAgent, downMs: Milliseconds): void {
-		const {worker} = agent;
-		this.context.events.addEvent(downMs, () => {
-			this.context.trace.record(`${worker.name} starts again`);
-			worker.startLife();
-			startHeartbeats(agent, this.context);
-		});
-	}
-
-	/** Lets a worker drain and end; the next life begins some time later. */
-	#startLeaving(agent: EmulatedAgent): void {
-		const {worker, process} = agent;
-		const {scenario: {faults}, events, trace} = this.context;
-		if (!worker.isUp || worker.isDraining) {
-			return;
-		}
-
-		const {life} = worker;
-		const runIfSame = (delay: Milliseconds, callback: () => void): void => {
-			events.addEvent(delay, () => {
-				if (worker.life === life) {
-					callback();
-				}
-			});
-		};
-
-		trace.record(`${worker.name} drains`);
-		worker.isDraining = true;
-		sendHeartbeat(agent, this.context);
-		runIfSame(drainMs, () => {
-			const isLost = this.#isDrawn(faults.lostLeaveAnswers);
-			const endDelay = isLost ? this.#drawTime(1000, 3000) : this.#drawTime(0, maxEndDelayMs);
-			trace.record(`${worker.name} says that it leaves, and ends ${endDelay.toFixed(0)} ms later`);
-			process.handleArrival(() => {
-				agent.handleDeparture(worker.name);
-			});
-			runIfSame(endDelay, () => {
-				trace.record(`${worker.name} ends`);
-				worker.endLife();
-				this.#startWorkerLater(agent, this.#drawTime(500, 3000));
-			});
-		});
-	}
-
 	#planSchedule(): void {
 		const {
 			scenario: {outages, losses, slowdowns}, events,
@@ -215,16 +130,8 @@
 		return chooseItem(this.context.random, this.targets.entries);
 	}
 
-	#drawTime(least: Milliseconds, most: Milliseconds): Milliseconds {
-		return least + (this.context.random.getFloat() * (most - least));
-	}
-
-	#isDrawn(share: number): boolean {
-		return this.context.random.getFloat() < share;
-	}
-
 	#startPause(process: EmulatedProcess, kind: PauseKind): void {
-		const duration = this.#drawTime(500, 4000);
+		const duration = drawTime(this.context.random, 500, 4000);
 		this.context.trace.record(`${process.name} is ${kind} for ${duration.toFixed(0)} ms`);
 		process.startPause(duration, kind);
 	}
@@ -240,7 +147,7 @@
 	#cutEntry(entry: EmulatedEntry): void {
 		const {trace, paths} = this.context;
 		const {name} = entry.process;
-		const duration = this.#drawTime(1000, 4000);
+		const duration = drawTime(this.context.random, 1000, 4000);
 		trace.record(`${name} is cut off for ${duration.toFixed(0)} ms`);
 		for (const agent of this.targets.agents) {
 			paths.startCut(name, agent.process.name, duration);
@@ -249,7 +156,7 @@
 
 		entry.startCut(duration);
 		for (const id of this.targets.callers.listPending(entry)) {
-			this.targets.callers.endConnection(id, duration + this.#drawTime(0, maxNoticeMs));
+			this.targets.callers.endConnection(id, duration + drawTime(this.context.random, 0, maxNoticeMs));
 		}
 	}
 
@@ -259,7 +166,7 @@
 		}
 
 		this.context.trace.record(`${agent.process.name} is killed for ${downMs.toFixed(0)} ms`);
-		agent.endLife(this.#isDrawn(0.5));
+		agent.endLife(isDrawn(this.context.random, 0.5));
 		this.context.events.addEvent(downMs, () => {
 			this.context.trace.record(`${agent.process.name} starts again`);
 			agent.startLife();
@@ -275,7 +182,7 @@
 		}
 
 		this.context.trace.record(`${entry.process.name} is killed for ${downMs.toFixed(0)} ms`);
-		entry.endLife(this.#isDrawn(0.5));
+		entry.endLife(isDrawn(this.context.random, 0.5));
 		for (const id of this.targets.callers.listPending(entry)) {
 			this.targets.callers.endConnection(id, Number.POSITIVE_INFINITY);
 		}
@@ -288,11 +195,11 @@
 
 	#startOutage({downMs, entryBootMs, agentBootMs}: Outage): void {
 		for (const agent of this.targets.agents) {
-			this.#endAgent(agent, downMs + (agentBootMs * this.#drawTime(0.8, 1.2)));
+			this.#endAgent(agent, downMs + (agentBootMs * drawTime(this.context.random, 0.8, 1.2)));
 		}
 
 		for (const entry of this.targets.entries) {
-			this.#endEntry(entry, downMs + (entryBootMs * this.#drawTime(0.8, 1.2)));
+			this.#endEntry(entry, downMs + (entryBootMs * drawTime(this.context.random, 0.8, 1.2)));
 		}
 	}
 }
--- a/bench/emulator/fleet.ts
+++ b/bench/emulator/fleet.ts
@@ -17,7 +17,8 @@
 import {EmulatedProcess} from './process.ts';
 import {TaskTrace} from './trace.ts';
 import type {EmulationReport, Scenario, WorkerSpec} from './types.ts';
-import {EmulatedWorker, type RunOutcome, type WorkerRun} from './worker.ts';
+import type {RunOutcome, WorkerRun} from './worker-types.ts';
+import {EmulatedWorker} from './worker.ts';
 
 /** Added to the seed of the load, so that load and faults are drawn from different random sequences. */
 const loadSeedOffset = 1_000_003;
@@ -201,7 +202,7 @@
 		const agent = this.#agents.find(({process}) => process.name === agentName)!;
 		this.#events.addEvent(crashAfterMs, () => {
 			if (agent.worker.listRuns(task).some(other => other.run === run)) {
-				this.#faults.endWorker(agent);
+				this.#faults.workers.endWorker(agent);
 			}
 		});
 	}
--- a/bench/emulator/streams.ts
+++ b/bench/emulator/streams.ts
@@ -2,46 +2,20 @@
  * Emulated streams between processes: opens and closes them as the real processes do, with the same heartbeats.
  */
 import {
-	chooseHeartbeatAction, createContactState, isContactExpired, recordContact, recordHeartbeatSent, recordMessagesSent, type ContactState, type HeartbeatOptions,
+	chooseHeartbeatAction, isContactExpired, recordContact, recordHeartbeatSent, recordMessagesSent,
 } from '../../src/adapters/peer/heartbeat.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
 import type {DispatchMessage} from '../../src/ports/dispatch-messages.ts';
-import {timings, type FleetContext} from './context.ts';
+import type {FleetContext} from './context.ts';
 import type {EmulatedProcess} from './process.ts';
-
-const heartbeatOptions: HeartbeatOptions = {
-	heartbeatMs: timings.streamCheckMs,
-	heartbeatTimeoutMs: timings.silenceMs,
-	idleHeartbeatMs: timings.heartbeatMs,
-	quiet: {heartbeatMs: timings.quietHeartbeatMs, timeoutMs: timings.quietSilenceMs},
-};
+import {StreamRetries} from './retries.ts';
+import {
+	createStreamEnd, heartbeatOptions, type Frame, type StreamEnd,
+} from './stream-ends.ts';
 
 /** Timeout of opening a stream, in ms. */
 const openTimeoutMs = 2000;
 
-/** Time between attempts to open a stream, in ms; doubles with each up to the maximum. */
-const minRetryMs = 100;
-const maxRetryMs = 1000;
-
-/** Content of a frame: a message, a heartbeat, or the announcement that begins a stream. */
-type Frame =
-	| {readonly type: 'message'; readonly message: DispatchMessage}
-	| {readonly type: 'heartbeat'; readonly isQuiet: boolean}
-	| {readonly type: 'announce'};
-
-type StreamEnd = {
-	readonly links: EmulatedLinks;
-	readonly peerName: string;
-	readonly peerIncarnation: number;
-	readonly contact: ContactState;
-	isOpen: boolean;
-	/** Whether its process has ended, so that the machine refuses what arrives for it. */
-	isLost: boolean;
-	other: StreamEnd | undefined;
-	/** When the last frame arrives at the other end; frames keep their order. */
-	lastArrivalAt: Milliseconds;
-};
-
 /** Functions that are called for events of the streams of a process. */
 export type LinkHandlers = {
 	readonly onConnect: (peer: string) => void;
@@ -51,8 +25,6 @@
 	readonly isQuiet: (peer: string) => boolean;
 };
 
-type Retry = {nextAt: Milliseconds; delay: Milliseconds};
-
 /** The streams of one process. */
 export class EmulatedLinks {
 	/** Incarnation of each process whose announcement has arrived on an open stream. */
@@ -60,9 +32,7 @@
 	#ends = new Set<StreamEnd>();
 	readonly #current = new Map<string, StreamEnd>();
 	readonly #opening = new Set<string>();
-	readonly #retries = new Map<string, Retry>();
-	/** Since when a stream to a process has been missing. */
-	readonly #missingSince = new Map<string, Milliseconds>();
+	readonly #retries = new StreamRetries();
 
 	/**
 	 * @param process - The process.
@@ -84,20 +54,18 @@
 			return;
 		}
 
-		const missingSince = this.#missingSince.get(name) ?? now;
-		this.#missingSince.set(name, missingSince);
-		const retry = this.#retries.get(name) ?? {nextAt: 0, delay: minRetryMs};
-		if (this.#opening.has(name) || now < Math.max(retry.nextAt, missingSince + delay)) {
+		const isDue = this.#retries.isDue(name, delay, now);
+		if (!isDue || this.#opening.has(name)) {
 			return;
 		}
 
-		this.#retries.set(name, {nextAt: now + retry.delay, delay: Math.min(retry.delay * 2, maxRetryMs)});
+		this.#retries.recordAttempt(name, now);
 		this.#connect(peer);
 	}
 
 	/** Makes the next attempt to open a stream due, as the process has started. */
 	handleStart(name: string): void {
-		this.#retries.delete(name);
+		this.#retries.reset(name);
 	}
 
 	/** Sends a message if a stream is open. */
@@ -152,7 +120,6 @@
 		this.#current.clear();
 		this.#opening.clear();
 		this.#retries.clear();
-		this.#missingSince.clear();
 		this.connected.clear();
 	}
 
@@ -192,8 +159,8 @@
 	}
 
 	#acceptStream(opener: EmulatedLinks, confirm: () => boolean): void {
-		const openerEnd = opener.#createEnd(this);
-		const end = this.#createEnd(opener);
+		const openerEnd = createStreamEnd(opener, this);
+		const end = createStreamEnd(this, opener);
 		[end.other, openerEnd.other] = [openerEnd, end];
 		end.lastArrivalAt = this.#transmit(opener.process.name, () => {
 			opener.process.handleArrival(() => {
@@ -207,13 +174,6 @@
 		this.#addEnd(end);
 	}
 
-	#createEnd({process}: EmulatedLinks): StreamEnd {
-		const contact = createContactState(this.process.getTime());
-		return {
-			links: this, peerName: process.name, peerIncarnation: process.incarnation, contact, isOpen: false, isLost: false, other: undefined, lastArrivalAt: 0,
-		};
-	}
-
 	#addEnd(end: StreamEnd): void {
 		const previous = this.#current.get(end.peerName);
 		end.isOpen = true;
@@ -277,8 +237,7 @@
 
 		const isNew = !this.connected.has(peerName);
 		this.connected.set(peerName, peerIncarnation);
-		this.#retries.delete(peerName);
-		this.#missingSince.delete(peerName);
+		this.#retries.recordOpen(peerName);
 		if (isNew) {
 			this.context.trace.record(`${this.process.name} has a stream to ${peerName}`);
 			this.handlers.onConnect(peerName);
@@ -315,7 +274,7 @@
 
 	#handleDisconnect(peerName: string): void {
 		this.connected.delete(peerName);
-		this.#retries.delete(peerName);
+		this.#retries.reset(peerName);
 		this.context.trace.record(`${this.process.name} has lost its stream to ${peerName}`);
 		this.handlers.onDisconnect(peerName);
 	}
--- a/bench/emulator/trace.ts
+++ b/bench/emulator/trace.ts
@@ -1,8 +1,14 @@
 /**
  * Records the events of one task in an emulated fleet.
  */
+import type {DispatchMessage} from '../../src/ports/dispatch-messages.ts';
 import type {EventQueue} from '../event-queue.ts';
 
+function describeMessage({type, ...rest}: DispatchMessage): string {
+	const tasks = 'tasks' in rest ? rest.tasks : [];
+	return `${type} ${tasks.map(item => (typeof item === 'string' ? item : `${item.task} run ${item.run}${item.isTentative ? ' tentative' : ''}`)).join(', ')}`;
+}
+
 /** Events of one task, and those that concern whole processes. */
 export class TaskTrace {
 	readonly lines: string[] = [];
@@ -33,4 +39,19 @@
 			this.record(describe());
 		}
 	}
+
+	/** Records a message of an entry to an agent if it names the task. */
+	recordMessage(agent: string, entry: string, message: DispatchMessage): void {
+		if ('tasks' in message) {
+			this.recordTask(message.tasks, () => `${agent} gets from ${entry}: ${describeMessage(message)}`);
+		}
+	}
+
+	/** Records a log entry of a process if it concerns the task, or none in particular. */
+	recordLog(process: string, event: string, details: Readonly<Record<string, unknown>>): void {
+		const {task = this.task} = details;
+		if (task === this.task) {
+			this.record(`${process} logs ${event} ${JSON.stringify(details)}`);
+		}
+	}
 }
