--- a/bench/emulator/worker.ts
+++ b/bench/emulator/worker.ts
@@ -5,44 +5,9 @@
 import type {
 	RunRef, StartAnswer, StopAnswer, WorkerSnapshot,
 } from '../../src/ports/worker.ts';
-import type {EventQueue} from '../event-queue.ts';
-
-/** How a run ends if it is not stopped and its lease does not expire; a stalled run does not end by itself. */
-export type RunOutcome = 'done' | 'failed' | 'stalled';
-
-/** A task in an order to start it. */
-export type WorkerTask = {
-	readonly task: string;
-	readonly run: number;
-	readonly cpu: number;
-	/** Run time on a worker of nominal speed. */
-	readonly nominalRunMs: Milliseconds;
-	readonly outcome: RunOutcome;
-};
-
-/** A run at a worker. */
-export type WorkerRun = WorkerTask & {readonly startedAt: Milliseconds; readonly runMs: Milliseconds};
-
-type WorkerEnd = 'done' | 'failed' | 'stopped' | 'lapsed';
-
-/** What the orders of one agent have in common: the lease, on the worker's clock, and the fencing token. */
-export type OrderHeader = {readonly leaseUntil: Milliseconds; readonly token: number};
-
-/** Properties and callbacks of a worker. */
-export type WorkerOptions = {
-	readonly name: string;
-	readonly cpu: number;
-	readonly slowness: number;
-	readonly clockRate: number;
-	readonly maxLeaseMs: Milliseconds;
-	readonly events: EventQueue;
-	/** Called when a run has started. */
-	readonly onStart: (run: WorkerRun) => void;
-	/** Called when a run has ended, for whatever reason but the end of the worker. */
-	readonly onEnd: (run: WorkerRun, end: WorkerEnd) => void;
-	/** Called with a message when the runs exceed the worker's capacity. */
-	readonly onViolation: (text: string) => void;
-};
+import type {
+	OrderHeader, WorkerEnd, WorkerOptions, WorkerRun, WorkerTask,
+} from './worker-types.ts';
 
 type Waiter = {readonly position: number; readonly reply: () => void};
 
@@ -56,6 +21,9 @@
 	/** Processor time of the ended runs, in thousandths of a core times ms. */
 	processorTime = 0;
 	isUp = true;
+	isDraining = false;
+	/** Number of heartbeats sent in this life. */
+	heartbeatCount = 0;
 	/** Whether its machine is gone while the worker is down, so that connections are not even refused. */
 	isDark = false;
 	/** Until when connections are refused although the worker lives. */
@@ -183,6 +151,8 @@
 	/** Begins the next life, which knows nothing of the earlier ones. */
 	startLife(): void {
 		this.isUp = true;
+		this.isDraining = false;
+		this.heartbeatCount = 0;
 		this.isDark = false;
 		this.bornAt = Math.round(this.options.events.getTime()) + bornOffset;
 		this.#highestRuns = new Map();
