--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -17,7 +17,7 @@
 import {canAcceptTask, getAgentMode} from '../../src/core/runs/health.ts';
 import type {AgentMode} from '../../src/ports/dispatch-messages.ts';
 import type {
-	RunEnd, RunningTask, StartAnswer, StopAnswer, WorkerAnnouncement,
+	EndedTask, RunEnd, RunningTask, StartAnswer, StopAnswer, WorkerAnnouncement,
 } from '../../src/ports/worker.ts';
 import {
 	announcement, applyNextSnapshot, bornAt, createEnd, createOffer, findLastStart, listStarts, passTime, recordEffects, resetWorld, type RunsWorld,
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -13,7 +13,7 @@
 import {computeFreeResources, estimateWaits} from './capacity.ts';
 import {refuseLateCalls, updateFencingToken, type RunsState} from './state.ts';
 import {getAgentMode, isAnnouncementCurrent, isRecent} from './health.ts';
-import type {RunsEffect, WorkerRecord} from './types.ts';
+import type {RunsEffect} from './types.ts';
 
 /** Time, in ms, for entries to claim orphan runs before they are stopped. */
 const orphanClaimMs = 600;
