Log why the runs of a worker ended with it

Cause: the agent's lines did not tell a crash of the worker from a planned end, a cut link or a lapse. Change: a line worker-lost with the cause, the number of runs, the youngest and its age, from one function that classifies the loss. Measured: runs.feature passes with six new examples. No decision changes.

--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -318,3 +318,19 @@
     And the start of "a" is answered "late"
     Then entry "e1" gets the report that "a" ended as "not-started"
     And the worker is ordered to start "a" 1 time
+
+  # Guards against a crash under a task being taken for a planned end, a cut link or a lapse, and the reverse.
+  Scenario Outline: The log tells a crash of the worker from its other ends
+    When entry "e1" offers direct tasks "a" of 1000
+    And the start of "a" is answered "started"
+    And <event>
+    Then the log tells that 1 run ended with the worker, which "<cause>"
+
+    Examples:
+      | event                                                                                  | cause   |
+      | the worker crashes                                                                     | crashed |
+      | a snapshot shows a restart of the worker                                               | crashed |
+      | the worker leaves                                                                      | left    |
+      | the worker announces that it drains and then crashes                                   | left    |
+      | the worker is silent for 300 ms and then crashes                                       | silent  |
+      | the worker is silent for 300 ms and then for another 1000 ms                           | lapsed  |
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -6,7 +6,7 @@
 import {computeTimings} from '../../src/core/bounds/logic.ts';
 import {applySnapshot} from '../../src/core/runs/snapshots.ts';
 import {
-	advanceRuns, applyRenewalFailure, computeRenewalWait, findWorkerToStore, handleAnnouncement, isExtraRenewalDue, recordRenewalSent, restoreWorker,
+	advanceRuns, applyRenewalFailure, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, isExtraRenewalDue, recordRenewalSent, restoreWorker,
 } from '../../src/core/runs/logic.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../src/core/runs/answers.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
@@ -390,6 +390,19 @@
 	assert.deepEqual(ends, [end]);
 });
 
+When('the worker {word}', function (this: RunsWorld, event: string) {
+	const events: Readonly<Record<string, () => RunsEffect[]>> = {
+		crashes: () => applyRenewalFailure(this.state, 'unreachable', this.now),
+		leaves: () => handleDeparture(this.state, announcement.id, this.now),
+	};
+	recordEffects(this, events[event]());
+});
+
+Then('the log tells that {int} run(s) ended with the worker, which {string}', function (this: RunsWorld, count: number, cause: string) {
+	const lines = this.effects.flatMap(effect => effect.type === 'log' && effect.event === 'worker-lost' ? [effect.details] : []);
+	assert.deepEqual(lines.map(({runs, cause: logged}) => [runs, logged]), [[count, cause]]);
+});
+
 Then('entry {string} is asked about {string}', function (this: RunsWorld, owner: string, task: string) {
 	const asked = this.effects.flatMap(effect => effect.type === 'ask' ? [`${effect.owner} ${effect.task}`] : []);
 	assert.deepEqual(asked, [`${owner} ${task}.0.0.0`]);
@@ -422,3 +435,21 @@
 Then('entry {string} is not asked about {string}', function (this: RunsWorld, owner: string, task: string) {
 	assert.ok(!this.effects.some(effect => effect.type === 'ask' && effect.owner === owner && effect.task === `${task}.0.0.0`));
 });
+
+When('the worker announces that it drains and then crashes', function (this: RunsWorld) {
+	recordEffects(this, handleAnnouncement(this.state, {...announcement, state: 'draining', sequence: 6}, this.now));
+	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now));
+});
+
+When('the worker is silent for {int} ms and then crashes', function (this: RunsWorld, time: number) {
+	passTime(this, time);
+	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now));
+	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now));
+});
+
+When('the worker is silent for {int} ms and then for another {int} ms', function (this: RunsWorld, time: number, more: number) {
+	passTime(this, time);
+	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now));
+	passTime(this, more);
+	recordEffects(this, advanceRuns(this.state, this.now));
+});
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -5,6 +5,7 @@
 import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
 import type {LeaseRenewalErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
 import {isSameResources, noResources} from '../resources/logic.ts';
+import {findLossCause} from './crashes.ts';
 import {endUnstartedTasks, retryStop, startQueued} from './orders.ts';
 import {applyPendingClaims, dropDisconnectedOwners} from './owners.ts';
 import {endAllRuns, resetWorker} from './snapshots.ts';
@@ -119,10 +120,11 @@
 		return [];
 	}
 
+	const cause = findLossCause(state, 'departed');
 	state.worker.announcement = undefined;
 	state.worker.isReachable = false;
 	state.worker.lastFailureAt = now;
-	return [...endAllRuns(state, now), {type: 'log', event: 'worker-left', details: {worker: id}}];
+	return [...endAllRuns(state, cause, now), {type: 'log', event: 'worker-left', details: {worker: id}}];
 }
 
 /**
@@ -149,11 +151,12 @@
 	}
 
 	const wasReachable = worker.isReachable;
+	const cause = findLossCause(state, 'gone');
 	worker.isReachable = false;
 	const effects: RunsEffect[] = wasReachable ? [{type: 'log', event: 'worker-unreachable', details: {kind}}] : [];
 	// Nothing listens on its port: the process has exited and its runs with it.
 	return kind === 'unreachable'
-		? [...effects, ...endAllRuns(state, now)]
+		? [...effects, ...endAllRuns(state, cause, now)]
 		: [...effects, ...endUnstartedTasks(state, now)];
 }
 
@@ -161,7 +164,7 @@
 function endLapsedRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const {leaseMs, orderMs} = state.options.timings;
 	const lapsedAt = state.worker.lastAnswerAt + ((leaseMs + orderMs) * 2);
-	return state.worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, now);
+	return state.worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, findLossCause(state, 'lapsed'), now);
 }
 
 function stopOrphans(state: RunsState, now: Milliseconds): RunsEffect[] {
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -6,6 +6,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {EndedTask, WorkerSnapshot} from '../../ports/worker.ts';
+import {findLossCause, type LossCause} from './crashes.ts';
 import {
 	endRecord, retryWithNextRun, retryStop, startQueued, stopRecord,
 } from './orders.ts';
@@ -149,15 +150,30 @@
 	state.worker.areRunsKnown = true;
 }
 
+/** Describes the runs that end with the worker; undefined if it has none. */
+function describeLoss(state: RunsState, cause: LossCause, now: Milliseconds): RunsEffect | undefined {
+	const lost = [...state.records.values()].filter(record => isStartOrdered(record)).sort((left, right) => right.orderedAt - left.orderedAt);
+	const youngest = lost.at(0);
+	return youngest && {
+		type: 'log',
+		event: 'worker-lost',
+		details: {
+			cause, runs: lost.length, youngest: youngest.offer.task, youngestMs: Math.round(now - youngest.orderedAt),
+		},
+	};
+}
+
 /**
  * Ends all records, as no run can be left at the worker: it has restarted or exited, or the leases have expired.
  *
  * @param state - State of the agent.
+ * @param cause - Why the worker's runs have ended.
  * @param now - Current time.
  * @returns Reports.
  */
-export function endAllRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
-	const effects: RunsEffect[] = [];
+export function endAllRuns(state: RunsState, cause: LossCause, now: Milliseconds): RunsEffect[] {
+	const loss = describeLoss(state, cause, now);
+	const effects: RunsEffect[] = loss === undefined ? [] : [loss];
 	for (const record of state.records.values()) {
 		effects.push(endRecord(state, record, isStartOrdered(record) ? 'lost' : 'not-started', now));
 	}
@@ -170,7 +186,7 @@
 
 /** Resets the state after a restart of the worker: the new process has no runs and no fencing token. */
 export function resetWorker(state: RunsState, bornAt: Milliseconds | undefined, now: Milliseconds): RunsEffect[] {
-	const effects = endAllRuns(state, now);
+	const effects = endAllRuns(state, findLossCause(state, 'gone'), now);
 	state.worker.bornAt = bornAt;
 	resetHealth(state);
 	state.slowness = 1;
