--- /dev/null
+++ b/features/dispatch/crash-fleet.ts
@@ -0,0 +1,372 @@
+/**
+ * Entries, agents and workers in simulated time, for tasks that crash the worker that starts them.
+ */
+import {computeTimings} from '../../src/core/bounds/logic.ts';
+import {handleGrantRequests, listClaims} from '../../src/core/dispatch/agents.ts';
+import {
+	advanceDispatch, cancelJob, placeAllWaitingTasks, submitJob,
+} from '../../src/core/dispatch/logic.ts';
+import {applyReports} from '../../src/core/dispatch/reports.ts';
+import {extendOffers} from '../../src/core/dispatch/placing.ts';
+import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
+import {addPendingWithdrawals} from '../../src/core/dispatch/withdrawals.ts';
+import type {DispatchEffect, JobAnswer} from '../../src/core/dispatch/types.ts';
+import {addAgent, applyLoad, createFleetState} from '../../src/core/fleet/state.ts';
+import type {Route} from '../../src/core/routes/types.ts';
+import {applyStartAnswer, applyStopAnswer} from '../../src/core/runs/answers.ts';
+import {
+	advanceRuns, applyRenewalFailure, computeLoad, handleAnnouncement,
+} from '../../src/core/runs/logic.ts';
+import {recordStartSent} from '../../src/core/runs/orders.ts';
+import {
+	handleClaim, handleGrant, handleOffers, handleWithdrawal, recordOwnerContact,
+} from '../../src/core/runs/owners.ts';
+import {applySnapshot} from '../../src/core/runs/snapshots.ts';
+import {createRunsState, type RunsState} from '../../src/core/runs/state.ts';
+import type {RunsEffect} from '../../src/core/runs/types.ts';
+import type {Milliseconds} from '../../src/ports/clock.ts';
+import type {EndedTask, RunEnd} from '../../src/ports/worker.ts';
+
+const timings = computeTimings({
+	maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: 6, configurationMs: 2000, remoteFactor: 1.5,
+});
+
+const messageMs = 1;
+const tickMs = 50;
+
+/** Time from the start of a deadly task to the crash, and until the worker is back. */
+export const fuseMs = 10;
+const outageMs = 3000;
+
+const capacity = {cpu: 32_000, memory: 10_000, accelerators: 0};
+const taskCpu = 3000;
+
+type Worker = {
+	bornAt: Milliseconds;
+	isUp: boolean;
+	readonly running: Map<string, {readonly run: number; readonly startedAt: Milliseconds; readonly runMs: Milliseconds}>;
+	ended: EndedTask[];
+};
+
+type Agent = {readonly name: string; readonly state: RunsState; readonly worker: Worker; readonly seenOffers: Map<string, number>};
+
+type Entry = {readonly name: string; state: DispatchState; isUp: boolean};
+
+/** A job of the load. */
+export type JobPlan = {
+	readonly id: string;
+	readonly route: string;
+	readonly tasks: number;
+	readonly runMs: Milliseconds;
+	/** Position of the task that crashes its worker; undefined for none. */
+	readonly deadly?: number;
+};
+
+/** A fleet with one target. */
+export class CrashFleet {
+	now: Milliseconds = 10_000;
+	readonly answers = new Map<string, JobAnswer & {readonly ms: Milliseconds; readonly at: Milliseconds}>();
+	/** Crashes by the task that caused them. */
+	readonly crashes = new Map<string, number>();
+	/** Number of starts of each task. */
+	readonly starts = new Map<string, number>();
+	readonly entries: Entry[];
+	readonly agents: Agent[];
+	readonly #events: Array<{readonly at: Milliseconds; readonly run: () => void}> = [];
+	readonly #plans = new Map<string, JobPlan & {readonly at: Milliseconds}>();
+
+	/**
+	 * @param agentCount - Number of agents, each with a worker.
+	 * @param entryCount - Number of entries.
+	 */
+	constructor(agentCount: number, entryCount: number) {
+		this.entries = Array.from({length: entryCount}, (_, index) => ({name: `e${index}`, state: this.#createEntryState(), isUp: true}));
+		this.agents = Array.from({length: agentCount}, (_, index) => ({
+			name: `a${index}`,
+			state: createRunsState({timings, fencingToken: 1}),
+			worker: {
+				bornAt: this.now, isUp: true, running: new Map(), ended: [],
+			},
+			seenOffers: new Map(),
+		}));
+		for (const agent of this.agents) {
+			for (const entry of this.entries) {
+				this.#connect(entry, agent);
+			}
+
+			this.#announce(agent);
+		}
+
+		this.#tick();
+	}
+
+	/** Submits a job to an entry after a delay. */
+	submit(plan: JobPlan, entryIndex: number, delay: Milliseconds): void {
+		this.#schedule(delay, () => {
+			const entry = this.entries[entryIndex];
+			if (!entry.isUp) {
+				return;
+			}
+
+			this.#plans.set(plan.id, {...plan, at: this.now});
+			const step = {
+				count: plan.tasks, needs: {cpu: taskCpu, memory: 1, accelerators: 0}, estimateMs: plan.runMs, after: [], label: '', dataRack: '', maxPerWorker: 0,
+			};
+			const {effects} = submitJob(entry.state, {
+				route: this.#createRoute(plan.route), timeLimitMs: 3000, submission: {
+					id: plan.id, spec: '', steps: [step], unsupported: '',
+				},
+			}, this.now);
+			this.#runDispatch(entry, effects);
+		});
+	}
+
+	/** Kills an entry after a delay; its successor starts without its state. */
+	restartEntry(index: number, delay: Milliseconds): void {
+		this.#schedule(delay, () => {
+			const entry = this.entries[index];
+			entry.state = this.#createEntryState();
+			for (const agent of this.agents) {
+				this.#connect(entry, agent);
+				this.#sendLoad(agent, entry);
+			}
+		});
+	}
+
+	/** Ends the process of a worker from outside after a delay. */
+	killWorker(index: number, delay: Milliseconds): void {
+		this.#schedule(delay, () => {
+			this.#crash(this.agents[index]);
+		});
+	}
+
+	/** Cancels a job, as its caller has left. */
+	cancel(id: string, entryIndex: number, delay: Milliseconds): void {
+		this.#schedule(delay, () => {
+			this.#runDispatch(this.entries[entryIndex], cancelJob(this.entries[entryIndex].state, id, 'cancelled', this.now));
+		});
+	}
+
+	/** Lets time pass. */
+	run(time: Milliseconds): void {
+		const endAt = this.now + time;
+		while (this.#events.length > 0 && this.#events[0].at <= endAt) {
+			const {at, run} = this.#events.shift()!;
+			this.now = at;
+			run();
+		}
+
+		this.now = endAt;
+	}
+
+	#createEntryState(): DispatchState {
+		const state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1}), timings);
+		state.agentCount = this.agents?.length ?? 0;
+		return state;
+	}
+
+	#createRoute(name: string): Route {
+		return {
+			name, host: 'h', prefix: `/${name}/`, target: 'desk', priority: 1, maxAttempts: 3, slackFactor: 1.6, targetMs: 60, timeoutMs: 0, needsApproval: false,
+		};
+	}
+
+	#schedule(delay: Milliseconds, run: () => void): void {
+		const at = this.now + delay;
+		let position = this.#events.length;
+		while (position > 0 && this.#events[position - 1].at > at) {
+			position--;
+		}
+
+		this.#events.splice(position, 0, {at, run});
+	}
+
+	#connect(entry: Entry, agent: Agent): void {
+		agent.seenOffers.set(entry.name, 0);
+		addAgent(entry.state.fleet, {name: agent.name, incarnation: 1}, 'dc');
+		this.#runAgent(agent, handleClaim(agent.state, entry.name, listClaims(entry.state, agent.name), this.now));
+	}
+
+	#announce(agent: Agent): void {
+		this.#readSnapshot(agent);
+		this.#runAgent(agent, handleAnnouncement(agent.state, {
+			id: agent.name, target: 'desk', address: '', state: 'ready', capacity, labels: [], sequence: 1, bornAt: agent.worker.bornAt,
+		}, this.now));
+		for (const entry of this.entries) {
+			this.#sendLoad(agent, entry);
+		}
+	}
+
+	#tick(): void {
+		for (const agent of this.agents) {
+			for (const entry of this.entries) {
+				recordOwnerContact(agent.state, entry.name, this.now);
+			}
+
+			this.#runAgent(agent, advanceRuns(agent.state, this.now));
+			this.#readSnapshot(agent);
+			for (const entry of this.entries) {
+				this.#sendLoad(agent, entry);
+			}
+		}
+
+		for (const entry of this.entries) {
+			this.#runDispatch(entry, advanceDispatch(entry.state, this.now));
+		}
+
+		this.#schedule(tickMs, () => {
+			this.#tick();
+		});
+	}
+
+	#readSnapshot(agent: Agent): void {
+		const {worker, state} = agent;
+		if (!worker.isUp) {
+			return;
+		}
+
+		const running = [...worker.running].map(([task, {run, startedAt, runMs}]) => ({task, run, percent: Math.min(99, (this.now - startedAt) * 100 / runMs)}));
+		this.#runAgent(agent, applySnapshot(state, {
+			running, ended: worker.ended, workerTime: this.now - worker.bornAt, bornAt: worker.bornAt,
+		}, this.now, this.now));
+	}
+
+	#endRun(agent: Agent, task: string, end: RunEnd): void {
+		const {worker} = agent;
+		const {run} = worker.running.get(task)!;
+		worker.running.delete(task);
+		worker.ended.push({
+			task, run, end, position: worker.ended.length + 1,
+		});
+		this.#readSnapshot(agent);
+	}
+
+	#crash(agent: Agent): void {
+		const {worker} = agent;
+		worker.isUp = false;
+		worker.running.clear();
+		worker.ended = [];
+		this.#runAgent(agent, applyRenewalFailure(agent.state, 'unreachable', this.now));
+		this.#schedule(outageMs, () => {
+			worker.isUp = true;
+			worker.bornAt = this.now;
+			this.#announce(agent);
+		});
+	}
+
+	#startTask(agent: Agent, {record}: Extract<RunsEffect, {type: 'start'}>): void {
+		if (!recordStartSent(agent.state, record, this.now)) {
+			return;
+		}
+
+		const {worker} = agent;
+		const ref = {task: record.offer.task, run: record.run};
+		if (!worker.isUp) {
+			this.#runAgent(agent, applyStartAnswer(agent.state, ref, 'refused', this.now));
+			return;
+		}
+
+		const [id, , , position] = ref.task.split('.');
+		const plan = this.#plans.get(id)!;
+		const {bornAt} = worker;
+		worker.running.set(ref.task, {run: ref.run, startedAt: this.now, runMs: plan.runMs});
+		this.starts.set(ref.task, (this.starts.get(ref.task) ?? 0) + 1);
+		const isDeadly = plan.deadly === Number(position);
+		this.#schedule(isDeadly ? fuseMs : plan.runMs, () => {
+			if (!worker.isUp || worker.bornAt !== bornAt || worker.running.get(ref.task)?.run !== ref.run) {
+				return;
+			}
+
+			if (isDeadly) {
+				this.crashes.set(ref.task, (this.crashes.get(ref.task) ?? 0) + 1);
+				this.#crash(agent);
+			} else {
+				this.#endRun(agent, ref.task, 'done');
+			}
+		});
+		this.#runAgent(agent, applyStartAnswer(agent.state, ref, 'started', this.now));
+	}
+
+	#sendLoad(agent: Agent, entry: Entry, effects: () => readonly DispatchEffect[] = () => []): void {
+		const load = computeLoad(agent.state, this.now);
+		const seen = agent.seenOffers.get(entry.name) ?? 0;
+		this.#send(entry, () => {
+			applyLoad(entry.state.fleet, agent.name, load, seen);
+			this.#runDispatch(entry, [...effects(), ...placeAllWaitingTasks(entry.state, this.now), ...extendOffers(entry.state, agent.name)]);
+		});
+	}
+
+	/** Sends a message to an entry, unless that is replaced before it arrives. */
+	#send(entry: Entry, handle: () => void): void {
+		const {state} = entry;
+		this.#schedule(messageMs, () => {
+			if (entry.state === state) {
+				handle();
+			}
+		});
+	}
+
+	#runAgent(agent: Agent, effects: readonly RunsEffect[]): void {
+		for (const effect of effects) {
+			switch (effect.type) {
+				case 'start': {
+					this.#startTask(agent, effect);
+
+					break;
+				}
+
+				case 'stop': {
+					if (agent.worker.running.has(effect.ref.task)) {
+						this.#endRun(agent, effect.ref.task, 'stopped');
+					}
+
+					this.#runAgent(agent, applyStopAnswer(agent.state, effect.ref, 'stopped', this.now));
+
+					break;
+				}
+
+				case 'report': {
+					const entry = this.entries.find(({name}) => name === effect.owner)!;
+					this.#sendLoad(agent, entry, () => applyReports(entry.state, agent.name, effect.reports, this.now));
+
+					break;
+				}
+
+				case 'ask': {
+					const entry = this.entries.find(({name}) => name === effect.owner)!;
+					this.#send(entry, () => {
+						this.#runDispatch(entry, handleGrantRequests(entry.state, agent.name, [effect.task], this.now));
+					});
+
+					break;
+				}
+			// No default
+			}
+		}
+	}
+
+	#runDispatch(entry: Entry, effects: readonly DispatchEffect[]): void {
+		for (const effect of addPendingWithdrawals(entry.state, effects)) {
+			if (effect.type === 'answer') {
+				const {id} = effect.job;
+				this.answers.set(id, {...effect.answer, ms: this.now - (this.#plans.get(id)?.at ?? this.now), at: this.now});
+				continue;
+			}
+
+			const agent = this.agents.find(({name}) => name === effect.agent)!;
+			this.#schedule(messageMs, () => {
+				this.#runAgent(agent, this.#handleAtAgent(agent, entry, effect));
+			});
+		}
+	}
+
+	#handleAtAgent(agent: Agent, entry: Entry, effect: Exclude<DispatchEffect, {type: 'answer'}>): RunsEffect[] {
+		if (effect.type === 'offer') {
+			agent.seenOffers.set(entry.name, (agent.seenOffers.get(entry.name) ?? 0) + effect.tasks.length);
+			return handleOffers(agent.state, entry.name, effect.tasks, this.now);
+		}
+
+		const handle = effect.type === 'withdraw' ? handleWithdrawal : handleGrant;
+		return handle(agent.state, entry.name, effect.tasks, this.now);
+	}
+}
