Agents report runs that ended with a crash of their worker as crashed

Cause: an entry saw the same end, lost, for a run under which the worker crashed and for one whose worker left, was cut off or lapsed, so it could count neither. Change: the end crashed, with the evidence whether the run had started within 50 ms before the crash or its start had no answer. An existing scenario named the end of runs after an unexpected restart of the worker lost; it now expects crashed, which says more: lost there fails.

--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -237,7 +237,7 @@
     When entry "e1" offers direct tasks "a" of 9000
     And the start of "a" is answered "started"
     And a snapshot shows a restart of the worker
-    Then entry "e1" gets the report that "a" ended as "lost"
+    Then entry "e1" gets the report that "a" ended as "crashed"
     And the free capacity is 10000
 
   Scenario: A delayed heartbeat of an earlier life changes nothing
@@ -334,3 +334,23 @@
       | the worker announces that it drains and then crashes                                   | left    |
       | the worker is silent for 300 ms and then crashes                                       | silent  |
       | the worker is silent for 300 ms and then for another 1000 ms                           | lapsed  |
+
+  # Guards against blaming a run that had run quietly for long, or one whose worker left, was silent or lapsed.
+  Scenario Outline: A crash is blamed on the runs that had just started
+    When entry "e1" offers direct tasks "old" of 1000
+    And the start of "old" is answered "started"
+    And 100 ms pass and a snapshot shows "old" at 10 percent
+    And entry "e1" offers direct tasks "a" of 1000
+    And the start of "a" is answered "<answer>"
+    And <event>
+    Then "a" has ended as "<end>", "blamed" for it
+    And "old" has ended as "<end>", "not blamed" for it
+
+    Examples:
+      | answer     | event                                                | end     |
+      | started    | the worker crashes                                   | crashed |
+      | unanswered | the worker crashes                                   | crashed |
+      | started    | a snapshot shows a restart of the worker             | crashed |
+      | started    | the worker leaves                                    | lost    |
+      | started    | the worker announces that it drains and then crashes | lost    |
+      | started    | the worker is silent for 300 ms and then crashes     | lost    |
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -453,3 +453,9 @@
 	passTime(this, more);
 	recordEffects(this, advanceRuns(this.state, this.now));
 });
+
+Then('{string} has ended as {string}, {string} for it', function (this: RunsWorld, task: string, end: string, blame: string) {
+	const reports = this.effects.flatMap(effect => effect.type === 'report' ? effect.reports : []).filter(report => report.task === `${task}.0.0.0`);
+	const isBlamed = end === 'crashed' ? blame === 'blamed' : undefined;
+	assert.deepEqual(reports.map(report => [report.end, report.isBlamed]), [[end, isBlamed]]);
+});
--- a/src/core/dispatch/reports.ts
+++ b/src/core/dispatch/reports.ts
@@ -70,6 +70,7 @@
 	},
 	stopped: handleLostRun,
 	lapsed: handleLostRun,
+	crashed: handleLostRun,
 	lost: handleLostRun,
 	broken: handleLostRun,
 	alone: handleLostRun,
--- a/src/core/runs/crashes.ts
+++ b/src/core/runs/crashes.ts
@@ -1,7 +1,13 @@
 /**
  * Tells a crash of the worker process from the other ways in which an agent loses its worker.
  */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {RunsState} from './state.ts';
+import type {RunPhase, RunRecord} from './types.ts';
+
+/** Age of a run, in ms, up to which a crash of its worker is blamed on it. */
+const blameWindowMs = 50;
 
 /**
  * What an agent has learned about its worker.
@@ -46,3 +52,29 @@
 export function findLossCause(state: RunsState, event: LossEvent): LossCause {
 	return causeFinders[event](state);
 }
+
+/** Ends of started runs by the cause of their loss. */
+const lossEnds: Record<LossCause, TaskEnd> = {
+	crashed: 'crashed',
+	left: 'lost',
+	silent: 'lost',
+	lapsed: 'lost',
+};
+
+/** Returns how a started run has ended with its worker. */
+export function getLossEnd(cause: LossCause): TaskEnd {
+	return lossEnds[cause];
+}
+
+/** Phases in which a run is about to start, so that its age is not known. */
+const startingPhases: ReadonlySet<RunPhase> = new Set(['starting', 'checking']);
+
+/**
+ * Returns whether a run may have caused a crash of its worker: its start has no answer yet, or it is young.
+ *
+ * @param record - A run whose start was ordered.
+ * @param now - Time of the crash.
+ */
+export function isBlamed({phase, orderedAt}: RunRecord, now: Milliseconds): boolean {
+	return startingPhases.has(phase) || now - orderedAt <= blameWindowMs;
+}
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -8,6 +8,7 @@
 import type {TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
 import {computeFreeResources} from './capacity.ts';
+import {isBlamed} from './crashes.ts';
 import {
 	computeLeaseEnd, getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
@@ -39,6 +40,7 @@
 		expectedMs: record.offer.expectedMs,
 		runMs: hasRun ? Math.round(now - record.orderedAt) : 0,
 		waitMs: Math.round((isStartOrdered(record) ? record.orderedAt : now) - record.queuedAt),
+		...(end === 'crashed' && {isBlamed: isBlamed(record, now)}),
 	};
 	return {type: 'report', owner: record.owner, reports: [report]};
 }
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -6,7 +6,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {EndedTask, WorkerSnapshot} from '../../ports/worker.ts';
-import {findLossCause, type LossCause} from './crashes.ts';
+import {findLossCause, getLossEnd, type LossCause} from './crashes.ts';
 import {
 	endRecord, retryWithNextRun, retryStop, startQueued, stopRecord,
 } from './orders.ts';
@@ -175,7 +175,7 @@
 	const loss = describeLoss(state, cause, now);
 	const effects: RunsEffect[] = loss === undefined ? [] : [loss];
 	for (const record of state.records.values()) {
-		effects.push(endRecord(state, record, isStartOrdered(record) ? 'lost' : 'not-started', now));
+		effects.push(endRecord(state, record, isStartOrdered(record) ? getLossEnd(cause) : 'not-started', now));
 	}
 
 	state.orphans.clear();
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -38,10 +38,11 @@
  *
  * - `not-started`: it never ran at this agent, and never will under this offer.
  * - `abandoned`: it was stopped because it made no progress or would have taken too long.
- * - `lost`: the worker is gone.
+ * - `crashed`: the worker process has ended unexpectedly.
+ * - `lost`: the worker is gone for another or an unknown reason.
  * - others: as reported by the worker.
  */
-export type TaskEnd = RunEnd | 'abandoned' | 'lost' | 'not-started';
+export type TaskEnd = RunEnd | 'abandoned' | 'crashed' | 'lost' | 'not-started';
 
 /** Result of one offer. */
 export type TaskReport = {
@@ -55,6 +56,8 @@
 	readonly runMs: Milliseconds;
 	/** Time in the agent's queue. */
 	readonly waitMs: Milliseconds;
+	/** Whether a `crashed` run had started so shortly before the crash that it may have caused it. */
+	readonly isBlamed?: boolean;
 };
 
 /**
