Give up a task under which workers have crashed, and contain its route

Cause: ends as crashed were not limited, so one task took worker after worker. Change: an entry counts crashes by task. After two that are blamed on it, or four in all, the job fails for the reason crashes. A suspect task starts alone on one of a third of the target's workers, chosen by rendezvous hashing, so that a crash can be blamed on it and no run beside it is. While a route has had such crashes, with a half-life of 3 s, each new job of it starts with one canary there; the others wait until it has survived 30 ms. Other work keeps off these workers. If none is open, the route's jobs are refused at once.

--- a/features/dispatch/crash-fleet.ts
+++ b/features/dispatch/crash-fleet.ts
@@ -6,7 +6,7 @@
 import {
 	advanceDispatch, cancelJob, placeAllWaitingTasks, submitJob,
 } from '../../src/core/dispatch/logic.ts';
-import {applyReports} from '../../src/core/dispatch/reports.ts';
+import {applyReports, handleSurvival} from '../../src/core/dispatch/reports.ts';
 import {extendOffers} from '../../src/core/dispatch/placing.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
 import {addPendingWithdrawals} from '../../src/core/dispatch/withdrawals.ts';
@@ -17,15 +17,16 @@
 import {
 	advanceRuns, applyRenewalFailure, computeLoad, handleAnnouncement,
 } from '../../src/core/runs/logic.ts';
-import {recordStartSent} from '../../src/core/runs/orders.ts';
+import {findSurvivor, settleMs} from '../../src/core/runs/isolation.ts';
+import {recordStartSent, startQueued} from '../../src/core/runs/orders.ts';
 import {
 	handleClaim, handleGrant, handleOffers, handleWithdrawal, recordOwnerContact,
 } from '../../src/core/runs/owners.ts';
 import {applySnapshot} from '../../src/core/runs/snapshots.ts';
-import {createRunsState, type RunsState} from '../../src/core/runs/state.ts';
+import {createRunsState, getJobId, type RunsState} from '../../src/core/runs/state.ts';
 import type {RunsEffect} from '../../src/core/runs/types.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
-import type {EndedTask, RunEnd} from '../../src/ports/worker.ts';
+import type {EndedTask, RunEnd, RunRef} from '../../src/ports/worker.ts';
 
 const timings = computeTimings({
 	maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: 6, configurationMs: 2000, remoteFactor: 1.5,
@@ -266,12 +267,12 @@
 			return;
 		}
 
-		const [id, , , position] = ref.task.split('.');
-		const plan = this.#plans.get(id)!;
+		const plan = this.#plans.get(getJobId(ref.task))!;
+		const position = Number(ref.task.split('.').at(-1));
 		const {bornAt} = worker;
 		worker.running.set(ref.task, {run: ref.run, startedAt: this.now, runMs: plan.runMs});
 		this.starts.set(ref.task, (this.starts.get(ref.task) ?? 0) + 1);
-		const isDeadly = plan.deadly === Number(position);
+		const isDeadly = plan.deadly === position;
 		this.#schedule(isDeadly ? fuseMs : plan.runMs, () => {
 			if (!worker.isUp || worker.bornAt !== bornAt || worker.running.get(ref.task)?.run !== ref.run) {
 				return;
@@ -285,6 +286,9 @@
 			}
 		});
 		this.#runAgent(agent, applyStartAnswer(agent.state, ref, 'started', this.now));
+		if (record.offer.isolation !== undefined) {
+			this.#watchIsolatedRun(agent, ref);
+		}
 	}
 
 	#sendLoad(agent: Agent, entry: Entry, effects: () => readonly DispatchEffect[] = () => []): void {
@@ -306,42 +310,56 @@
 		});
 	}
 
-	#runAgent(agent: Agent, effects: readonly RunsEffect[]): void {
-		for (const effect of effects) {
-			switch (effect.type) {
-				case 'start': {
-					this.#startTask(agent, effect);
-
-					break;
-				}
-
-				case 'stop': {
-					if (agent.worker.running.has(effect.ref.task)) {
-						this.#endRun(agent, effect.ref.task, 'stopped');
-					}
-
-					this.#runAgent(agent, applyStopAnswer(agent.state, effect.ref, 'stopped', this.now));
+	/** Tells the entry, as the process does, once an isolated run has survived the time after its start. */
+	#watchIsolatedRun(agent: Agent, ref: RunRef): void {
+		this.#schedule(settleMs, () => {
+			const record = findSurvivor(agent.state, ref, this.now);
+			if (record !== undefined) {
+				const entry = this.#getEntry(record.owner);
+				this.#send(entry, () => {
+					this.#runDispatch(entry, handleSurvival(entry.state, agent.name, [ref.task], this.now));
+				});
+			}
 
-					break;
-				}
+			this.#runAgent(agent, startQueued(agent.state, this.now));
+		});
+	}
 
-				case 'report': {
-					const entry = this.entries.find(({name}) => name === effect.owner)!;
-					this.#sendLoad(agent, entry, () => applyReports(entry.state, agent.name, effect.reports, this.now));
+	#getEntry(name: string): Entry {
+		return this.entries.find(entry => entry.name === name)!;
+	}
 
-					break;
+	#runAgent(agent: Agent, effects: readonly RunsEffect[]): void {
+		const handlers: {readonly [Type in RunsEffect['type']]: (effect: Extract<RunsEffect, {type: Type}>) => void} = {
+			start: effect => {
+				this.#startTask(agent, effect);
+			},
+			stop: ({ref}) => {
+				if (agent.worker.running.has(ref.task)) {
+					this.#endRun(agent, ref.task, 'stopped');
 				}
 
-				case 'ask': {
-					const entry = this.entries.find(({name}) => name === effect.owner)!;
-					this.#send(entry, () => {
-						this.#runDispatch(entry, handleGrantRequests(entry.state, agent.name, [effect.task], this.now));
-					});
-
-					break;
-				}
-			// No default
-			}
+				this.#runAgent(agent, applyStopAnswer(agent.state, ref, 'stopped', this.now));
+			},
+			report: ({owner, reports}) => {
+				const entry = this.#getEntry(owner);
+				this.#sendLoad(agent, entry, () => applyReports(entry.state, agent.name, reports, this.now));
+			},
+			ask: ({owner, task}) => {
+				const entry = this.#getEntry(owner);
+				this.#send(entry, () => {
+					this.#runDispatch(entry, handleGrantRequests(entry.state, agent.name, [task], this.now));
+				});
+			},
+			'fetch-snapshot'() {
+				// Read at each tick.
+			},
+			log() {
+				// Not looked at.
+			},
+		};
+		for (const effect of effects) {
+			(handlers[effect.type] as (effect: RunsEffect) => void)(effect);
 		}
 	}
 
--- a/features/dispatch/crashes.steps.ts
+++ b/features/dispatch/crashes.steps.ts
@@ -38,10 +38,10 @@
 	this.crashFleet.run(1000);
 });
 
-When('job {string} of {int} tasks on route {string} arrives at entry {int}, and its task {int} crashes each worker', function (this: CrashWorld, id: string, tasks: number, route: string, entry: number, deadly: number) {
+When('job {string} of 8 tasks on route {string} arrives at entry {int}, and its task {int} crashes each worker', function (this: CrashWorld, id: string, route: string, entry: number, deadly: number) {
 	this.deadly.push(id);
 	this.crashFleet.submit({
-		id, route, tasks, runMs: 60, deadly,
+		id, route, tasks: 8, runMs: 60, deadly,
 	}, entry, 500);
 });
 
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -457,5 +457,5 @@
 Then('{string} has ended as {string}, {string} for it', function (this: RunsWorld, task: string, end: string, blame: string) {
 	const reports = this.effects.flatMap(effect => effect.type === 'report' ? effect.reports : []).filter(report => report.task === `${task}.0.0.0`);
 	const isBlamed = end === 'crashed' ? blame === 'blamed' : undefined;
-	assert.deepEqual(reports.map(report => [report.end, report.isBlamed]), [[end, isBlamed]]);
+	assert.deepEqual(reports.map(report => [report.end, report.crash?.isBlamed]), [[end, isBlamed]]);
 });
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -2,6 +2,7 @@
  * Admission control: refuses jobs that are not expected to end in time, with a retry time.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
+import {settleMs} from '../runs/isolation.ts';
 import {estimateCriticalPath} from './estimates.ts';
 import type {Placement} from './placing.ts';
 import type {DispatchState} from './state.ts';
@@ -34,6 +35,9 @@
 /** Multiple of the estimated response time that must be left before an entry that shuts down gives up its jobs. */
 const endMarginFactor = 1.5;
 
+/** Retry time, in ms, of a job for which no quarantine worker is free in time. */
+const quarantineRetryMs = 1000;
+
 /** Shortest retry time, in ms. */
 const minRetryMs = 1000;
 
@@ -55,6 +59,10 @@
 export function checkAdmission(state: DispatchState, job: Job, placement: Placement, now: Milliseconds): JobAnswer | undefined {
 	const criticalPath = estimateCriticalPath(state, job.route, job.submission);
 	const timeLeft = job.deadlineAt - now;
+	if (placement.lacksQuarantine) {
+		return createRefusal('quarantine', quarantineRetryMs);
+	}
+
 	if (!placement.hasSuitableAgents) {
 		const isExpected = now < state.expectAgentsUntil && state.endsAt === Number.POSITIVE_INFINITY && criticalPath + agentReturnMs <= Math.min(job.objectiveMs * maxUnstartedFactor, timeLeft);
 		return isExpected ? undefined : createRefusal('no-worker', agentReturnMs);
@@ -86,6 +94,11 @@
  */
 export function checkWaitingJob(state: DispatchState, job: Job, now: Milliseconds): JobAnswer | undefined {
 	const criticalPath = estimateCriticalPath(state, job.route, job.submission);
+	if (job.canary !== undefined) {
+		const latestStart = Math.min(job.receivedAt + job.objectiveMs, job.deadlineAt) - criticalPath - settleMs;
+		return job.canary.phase === 'offered' && now < latestStart ? undefined : createRefusal('quarantine', quarantineRetryMs);
+	}
+
 	const latest = Math.min(job.receivedAt + (job.objectiveMs * maxUnstartedFactor), job.deadlineAt) - criticalPath;
 	return now < latest ? undefined : createRefusal(state.jobsToPlace.has(job) ? 'no-worker' : 'overload', agentReturnMs);
 }
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -3,8 +3,10 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
+import {isGivenUp, pruneCrashes} from '../crashes/logic.ts';
 import {checkAdmission, checkWaitingJob} from './admission.ts';
 import {placeLostTasks} from './agents.ts';
+import {updateReservedAgents} from './containment.ts';
 import {computeWork, estimateCriticalPath} from './estimates.ts';
 import {clearPlacement, createOffers, placeTasks} from './placing.ts';
 import {recordLabels} from './reach.ts';
@@ -44,6 +46,7 @@
 		failures: 0,
 		moves: 0,
 		avoidedAgents: new Set(),
+		isUnproven: false,
 		reassignableAt: 0,
 	})));
 }
@@ -73,6 +76,8 @@
 		tasks,
 		openTaskCounts: submission.steps.map(({count}) => count),
 		mayHaveRun: false,
+		canary: undefined,
+		isProven: false,
 		answer: undefined,
 		answeredAt: now,
 	};
@@ -115,6 +120,10 @@
 		return {job, effects: refuseJob(job, refusal)};
 	}
 
+	if (job.tasks.some(({name}) => isGivenUp(state.crashes, name))) {
+		return {job, effects: refuseJob(job, createAnswer('failed', 'crashes'))};
+	}
+
 	if (earlier !== undefined) {
 		for (const [index, task] of job.tasks.entries()) {
 			task.nextRun = earlier.tasks[index]?.nextRun ?? 1;
@@ -201,6 +210,8 @@
 	}
 
 	pruneAnswers(state, now);
+	pruneCrashes(state.crashes, now);
+	updateReservedAgents(state, now);
 	effects.push(...placeAllWaitingTasks(state, now));
 	for (const job of state.openJobs) {
 		const refusal = job.mayHaveRun ? undefined : checkWaitingJob(state, job, now);
--- a/src/core/dispatch/placing.ts
+++ b/src/core/dispatch/placing.ts
@@ -2,7 +2,7 @@
  * Assigns the waiting tasks of a job to agents.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {TaskOffer} from '../../ports/dispatch-messages.ts';
+import type {Isolation, TaskOffer} from '../../ports/dispatch-messages.ts';
 import {
 	computeSpareResources, hasFreeCapacity, isSuitable, listPlacementEstimates,
 } from '../fleet/logic.ts';
@@ -11,6 +11,9 @@
 import {addToGroup} from '../groups.ts';
 import type {NodeName} from '../identity/types.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
+import {
+	chooseStartMode, isQuarantineAgent, isReserved, listIsolationAgents, type StartMode,
+} from './containment.ts';
 import {estimateRunTime} from './estimates.ts';
 import {estimateWait} from './waits.ts';
 import type {DispatchState} from './state.ts';
@@ -48,6 +51,7 @@
 		abandonMs: Math.round(((demand.expectedMs * abandonFactor) + moveDelayMs) * (abandonGrowth ** task.moves)),
 		target: demand.target,
 		label: demand.label,
+		route: job.route.name,
 	};
 }
 
@@ -99,6 +103,8 @@
 	hasTentativeOffer: boolean;
 	/** Whether every waiting task has an agent that can run it, now or after other tasks of its step. */
 	hasSuitableAgents: boolean;
+	/** Whether no agent is open for a task that has to start isolated. */
+	lacksQuarantine: boolean;
 };
 
 /** Most tasks of a step that one agent gets in a row: fewer messages, and fewer jobs that a lost or slow worker delays. */
@@ -134,7 +140,9 @@
 	const demand = createDemand(state, job, task);
 	const fullAgents = listFullAgents(job, task);
 	const suitable = listPlacementEstimates(state.fleet, demand, task.avoidedAgents, now);
-	const choices = suitable.filter(({agent}) => !fullAgents.has(agent));
+	const possible = suitable.filter(({agent}) => !fullAgents.has(agent));
+	const unreserved = possible.filter(({agent}) => !isReserved(state, demand.target, agent));
+	const choices = unreserved.length > 0 ? unreserved : possible;
 	const best = choices.at(0);
 	if (best === undefined) {
 		placement.isComplete = false;
@@ -166,6 +174,47 @@
 	}
 }
 
+type Placer = (state: DispatchState, job: Job, task: TaskState, placement: Placement, now: Milliseconds) => void;
+
+/** Creates the function that offers a task to the quarantine agents of its route; the first one where it can start alone gets it. */
+function createIsolatedPlacer(isolation: Isolation): Placer {
+	return (state, job, task, placement, now) => {
+		const demand = createDemand(state, job, task);
+		const agents = listIsolationAgents(state, job, task, demand);
+		if (agents.length === 0) {
+			placement.isComplete = false;
+			placement.lacksQuarantine = true;
+			return;
+		}
+
+		task.phase = 'offered';
+		task.offeredAt = now;
+		task.isUnproven = true;
+		task.offer = {
+			...createOffer(job, task, demand), isTentative: true, copies: agents.length, isolation,
+		};
+		for (const agent of agents) {
+			task.candidates.add(agent);
+			recordOffer(state.fleet, agent, demand, true);
+			addToGroup(placement.offers, agent, task.offer);
+		}
+	};
+}
+
+const placers: Record<StartMode, Placer> = {
+	free(state, job, task, placement, now) {
+		task.isUnproven = false;
+		if (!placeOnLastAgent(state, job, task, placement)) {
+			placeTask(state, job, task, placement, now);
+		}
+	},
+	canary: createIsolatedPlacer('canary'),
+	suspect: createIsolatedPlacer('suspect'),
+	held(_state, _job, _task, placement) {
+		placement.isComplete = false;
+	},
+};
+
 /**
  * Places every waiting task of a job: on an agent with free resources, or tentatively on several without.
  *
@@ -176,11 +225,11 @@
  */
 export function placeTasks(state: DispatchState, job: Job, now: Milliseconds): Placement {
 	const placement: Placement = {
-		offers: new Map(), wait: estimateWait(state, job.route, now), total: 0, isComplete: true, hasTentativeOffer: false, hasSuitableAgents: true,
+		offers: new Map(), wait: estimateWait(state, job.route, now), total: 0, isComplete: true, hasTentativeOffer: false, hasSuitableAgents: true, lacksQuarantine: false,
 	};
 	for (const task of job.tasks) {
-		if (task.phase === 'waiting' && !placeOnLastAgent(state, job, task, placement)) {
-			placeTask(state, job, task, placement, now);
+		if (task.phase === 'waiting') {
+			placers[chooseStartMode(state, job, task, now)](state, job, task, placement, now);
 		}
 	}
 
@@ -213,9 +262,9 @@
 }
 
 /** Lists the tasks that wait at agents, the most urgent ones first, then the oldest. */
-function listOfferedTasks(state: DispatchState): readonly TaskState[] {
+function listOfferedTasks(state: DispatchState): ReadonlyArray<{readonly job: Job; readonly task: TaskState}> {
 	const jobs = [...state.openJobs].sort((left, right) => left.route.priority - right.route.priority);
-	return jobs.flatMap(({tasks}) => tasks.filter(({phase}) => phase === 'offered'));
+	return jobs.flatMap(job => job.tasks.filter(({phase}) => phase === 'offered').map(task => ({job, task})));
 }
 
 /**
@@ -232,8 +281,10 @@
 	}
 
 	const offers: TaskOffer[] = [];
-	for (const {candidates, avoidedAgents, offer} of listOfferedTasks(state)) {
-		const isCandidate = !candidates.has(agent) && !avoidedAgents.has(agent) && hasCapacityFor(spare, offer!.needs);
+	for (const {job, task} of listOfferedTasks(state)) {
+		const {candidates, avoidedAgents, offer} = task;
+		const isWanted = offer!.isolation === undefined ? !isReserved(state, offer!.target, agent) : isQuarantineAgent(state, job.route, agent);
+		const isCandidate = isWanted && !candidates.has(agent) && !avoidedAgents.has(agent) && hasCapacityFor(spare, offer!.needs);
 		if (isCandidate && isSuitable(state.fleet, agent, offer!)) {
 			candidates.add(agent);
 			spare = removeResources(spare, offer!.needs);
--- a/src/core/dispatch/reports.ts
+++ b/src/core/dispatch/reports.ts
@@ -3,9 +3,11 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
+import {isGivenUp, recordCrash} from '../crashes/logic.ts';
 import {computeMedianSlowness} from '../fleet/logic.ts';
 import {recordRefusal} from '../fleet/state.ts';
 import type {NodeName} from '../identity/types.ts';
+import {updateReservedAgents} from './containment.ts';
 import {recordRunTime} from './estimates.ts';
 import type {DispatchState} from './state.ts';
 import {
@@ -70,7 +72,14 @@
 	},
 	stopped: handleLostRun,
 	lapsed: handleLostRun,
-	crashed: handleLostRun,
+	crashed(state, job, task, report, now) {
+		if (isGivenUp(state.crashes, task.name)) {
+			task.phase = 'waiting';
+			return endJob(state, job, createAnswer('failed', 'crashes'), now);
+		}
+
+		return handleLostRun(state, job, task, report, now);
+	},
 	lost: handleLostRun,
 	broken: handleLostRun,
 	alone: handleLostRun,
@@ -82,7 +91,17 @@
 	return isAssigned && task.agent === agent && report.run >= (task.offer?.run ?? 0);
 }
 
+/** Ends that show that the worker has survived the start of the run. */
+const survivalEnds: ReadonlySet<TaskEnd> = new Set(['done', 'failed', 'abandoned']);
+
 function applyReport(state: DispatchState, agent: NodeName, report: TaskReport, now: Milliseconds): DispatchEffect[] {
+	if (report.crash !== undefined) {
+		recordCrash(state.crashes, {
+			task: report.task, run: report.run, agent, ...report.crash,
+		}, now);
+		updateReservedAgents(state, now);
+	}
+
 	const found = state.tasks.get(report.task);
 	if (found?.task.phase === 'offered' && found.task.candidates.has(agent)) {
 		return removeCandidate(state, found.job, found.task, agent, now);
@@ -93,6 +112,8 @@
 	}
 
 	const {job, task} = found;
+	job.isProven ||= task.isUnproven && survivalEnds.has(report.end);
+	task.isUnproven &&= !survivalEnds.has(report.end);
 	task.nextRun = report.end === 'not-started' && report.run === task.offer?.run ? report.run : report.run + 1;
 	if (job.answer !== undefined) {
 		task.phase = report.end === 'done' ? 'done' : 'waiting';
@@ -115,3 +136,28 @@
 export function applyReports(state: DispatchState, agent: NodeName, reports: readonly TaskReport[], now: Milliseconds): DispatchEffect[] {
 	return reports.flatMap(report => applyReport(state, agent, report, now));
 }
+
+/**
+ * Records isolated tasks that have survived the time after their start: the other tasks of their jobs may start.
+ *
+ * @param state - State of the jobs.
+ * @param agent - Their agent.
+ * @param tasks - Names of the tasks.
+ * @param now - Current time.
+ * @returns Offers.
+ */
+export function handleSurvival(state: DispatchState, agent: NodeName, tasks: readonly string[], now: Milliseconds): DispatchEffect[] {
+	const effects: DispatchEffect[] = [];
+	for (const name of tasks) {
+		const found = state.tasks.get(name);
+		if (found?.task.agent !== agent || found.job.answer !== undefined) {
+			continue;
+		}
+
+		found.task.isUnproven = false;
+		found.job.isProven = true;
+		effects.push(...placeWaitingTasks(state, found.job, now));
+	}
+
+	return effects;
+}
--- a/src/core/dispatch/state.ts
+++ b/src/core/dispatch/state.ts
@@ -3,6 +3,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Timings} from '../bounds/types.ts';
+import {createCrashState, type CrashState} from '../crashes/state.ts';
 import type {FleetState} from '../fleet/state.ts';
 import type {NodeName} from '../identity/types.ts';
 import type {Job, TaskState} from './types.ts';
@@ -28,6 +29,7 @@
 export type DispatchState = {
 	timings: Timings;
 	readonly fleet: FleetState;
+	readonly crashes: CrashState;
 	/** Open and recently answered jobs, by id. */
 	readonly jobs: Map<string, Job>;
 	/** Jobs without an answer; looked through often, while `jobs` also keeps the answered ones for seconds. */
@@ -65,6 +67,7 @@
 	return {
 		timings,
 		fleet,
+		crashes: createCrashState(),
 		jobs: new Map(),
 		openJobs: new Set(),
 		tasks: new Map(),
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -37,14 +37,17 @@
  * Outcome of a job, as reported to the caller.
  *
  * - `completed`: every task has ended as done.
- * - `failed`: a task has failed as many times as its route allows.
+ * - `failed`: a task has failed as many times as its route allows, or workers have crashed under it.
  * - `not-run`: no task has run or will run for this request.
  * - `given-up`: tasks may have run, and may still be stopping; no task will be started any more.
  */
 export type JobOutcome = 'completed' | 'failed' | 'not-run' | 'given-up';
 
-/** Why a job was refused, given up or has failed. */
-export type JobReason = 'overload' | 'no-worker' | 'unsupported' | 'too-large' | 'leaving' | 'deadline' | 'still-ending' | 'cancelled' | 'attempts' | 'none';
+/**
+ * Why a job was refused, given up or has failed. `crashes`: workers have crashed under one of its tasks. `quarantine`:
+ * its route has crashed workers recently, and none of those that are kept for such a job can start it in time.
+ */
+export type JobReason = 'overload' | 'no-worker' | 'unsupported' | 'too-large' | 'leaving' | 'deadline' | 'still-ending' | 'cancelled' | 'attempts' | 'crashes' | 'quarantine' | 'none';
 
 /** Answer to a submission. */
 export type JobAnswer = {
@@ -98,6 +101,8 @@
 	moves: number;
 	/** Agents where a run failed or was abandoned. */
 	readonly avoidedAgents: Set<NodeName>;
+	/** Whether its last offer was isolated and it has not survived the time after its start. */
+	isUnproven: boolean;
 	/** Time from which no run of a detached task can be left at its agent. */
 	reassignableAt: Milliseconds;
 };
@@ -116,6 +121,10 @@
 	readonly openTaskCounts: number[];
 	/** Whether some task may have run. */
 	mayHaveRun: boolean;
+	/** Task whose start shows whether the job crashes its worker; the others wait for it. Undefined if the job needs none. */
+	canary: TaskState | undefined;
+	/** Whether an isolated task has survived the time after its start. */
+	isProven: boolean;
 	/** Set when the job has ended; its record is kept for duplicates of the request, and until no task is placed or detached. */
 	answer: JobAnswer | undefined;
 	answeredAt: Milliseconds;
--- a/src/core/dispatch/waits.ts
+++ b/src/core/dispatch/waits.ts
@@ -8,6 +8,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {OthersLoad} from '../../ports/dispatch-messages.ts';
 import type {Route} from '../routes/types.ts';
+import {isReserved} from './containment.ts';
 import type {DispatchState, TargetLoad} from './state.ts';
 import type {Job} from './types.ts';
 
@@ -77,9 +78,9 @@
 function computeCapacity(state: DispatchState, target: string, now: Milliseconds): number {
 	let capacity = 0;
 	let reportedCount = 0;
-	for (const {load} of state.fleet.agents.values()) {
+	for (const [name, {load}] of state.fleet.agents) {
 		reportedCount += load === undefined || load.mode === 'starting' ? 0 : 1;
-		capacity += load?.mode === 'open' && load.target === target ? load.capacity.cpu / Math.max(1, load.slowness) : 0;
+		capacity += load?.mode === 'open' && load.target === target && !isReserved(state, target, name) ? load.capacity.cpu / Math.max(1, load.slowness) : 0;
 	}
 
 	const areAgentsExpected = now < state.expectAgentsUntil && reportedCount > 0;
--- a/src/core/runs/crashes.ts
+++ b/src/core/runs/crashes.ts
@@ -2,7 +2,7 @@
  * Tells a crash of the worker process from the other ways in which an agent loses its worker.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {TaskEnd} from '../../ports/dispatch-messages.ts';
+import type {CrashEvidence, TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {RunsState} from './state.ts';
 import type {RunPhase, RunRecord} from './types.ts';
 
@@ -75,6 +75,14 @@
  * @param record - A run whose start was ordered.
  * @param now - Time of the crash.
  */
-export function isBlamed({phase, orderedAt}: RunRecord, now: Milliseconds): boolean {
+function isBlamed({phase, orderedAt}: RunRecord, now: Milliseconds): boolean {
 	return startingPhases.has(phase) || now - orderedAt <= blameWindowMs;
 }
+
+/** Describes a run that ended with a crash of its worker. */
+export function createCrashEvidence(record: RunRecord, now: Milliseconds): CrashEvidence {
+	const {route, target, isolation} = record.offer;
+	return {
+		route: route ?? '', target, isBlamed: isBlamed(record, now), isIsolated: isolation !== undefined,
+	};
+}
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -5,15 +5,16 @@
  * shows the run, or a stop of it has been acknowledged: from then on the worker refuses the start.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
+import type {Isolation, TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
 import {computeFreeResources} from './capacity.ts';
-import {isBlamed} from './crashes.ts';
+import {createCrashEvidence} from './crashes.ts';
 import {
 	computeLeaseEnd, getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
 import {hasOtherStartedRun, isStartOrdered, removeRecord} from './records.ts';
 import {canAcceptTask} from './health.ts';
+import {addSettling, canStartBeside, countSettling} from './isolation.ts';
 import type {RunRecord, RunsEffect, StopReason} from './types.ts';
 
 /** Age, in ms, from which a waiting task that does not fit blocks the smaller ones behind it. */
@@ -40,7 +41,7 @@
 		expectedMs: record.offer.expectedMs,
 		runMs: hasRun ? Math.round(now - record.orderedAt) : 0,
 		waitMs: Math.round((isStartOrdered(record) ? record.orderedAt : now) - record.queuedAt),
-		...(end === 'crashed' && {isBlamed: isBlamed(record, now)}),
+		...(end === 'crashed' && {crash: createCrashEvidence(record, now)}),
 	};
 	return {type: 'report', owner: record.owner, reports: [report]};
 }
@@ -50,11 +51,18 @@
 	return [...state.records.values()].filter(record => !isStartOrdered(record)).map(record => endRecord(state, record, 'not-started', now));
 }
 
+/** Order of the isolated tasks in the queue; they go before others, which would otherwise start one after the other in their way. */
+const isolationRanks: Record<Isolation | 'none', number> = {canary: 0, suspect: 1, none: 2};
+
+function getIsolationRank({offer}: RunRecord): number {
+	return isolationRanks[offer.isolation ?? 'none'];
+}
+
 function compareRecords(left: RunRecord, right: RunRecord): number {
-	return left.offer.priority - right.offer.priority || left.queuedAt - right.queuedAt;
+	return getIsolationRank(left) - getIsolationRank(right) || left.offer.priority - right.offer.priority || left.queuedAt - right.queuedAt;
 }
 
-/** Puts a record into the queue by priority, then by age. */
+/** Puts a record into the queue: isolated ones first, then by priority, then by age. */
 export function addToQueue(state: RunsState, record: RunRecord): void {
 	let position = state.queue.length;
 	while (position > 0 && compareRecords(state.queue[position - 1], record) > 0) {
@@ -133,7 +141,8 @@
 
 /**
  * Starts waiting tasks that fit, by priority and age, unless their entry is disconnected or another run of the task is
- * left. Smaller tasks may overtake one that does not fit until its age reaches `maxBypassMs`.
+ * left. Smaller tasks may overtake one that does not fit until its age reaches `maxBypassMs`. An isolated task starts
+ * alone: nothing starts beside it until it has settled.
  *
  * @param state - State of the agent.
  * @param now - Current time.
@@ -145,6 +154,7 @@
 		return effects;
 	}
 
+	const settling = countSettling(state, now);
 	let free = computeFreeResources(state);
 	const taken: RunRecord[] = [];
 	for (const record of state.queue) {
@@ -154,7 +164,7 @@
 			continue;
 		}
 
-		if (isBlocking) {
+		if (isBlocking || !canStartBeside(settling, record)) {
 			break;
 		}
 
@@ -164,6 +174,7 @@
 		}
 
 		taken.push(record);
+		addSettling(settling, record);
 		free = removeResources(free, record.offer.needs);
 		effects.push(start);
 	}
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -31,8 +31,20 @@
 	readonly isTentative: boolean;
 	/** Number of agents that a tentative task is offered to at first; undefined for one. */
 	readonly copies?: number;
+	/** Name of the route of its job; undefined from processes of an earlier build. */
+	readonly route?: string;
+	/** Why it has to start alone; undefined if it does not. */
+	readonly isolation?: Isolation;
 };
 
+/**
+ * Why a task starts alone on its worker, so that a crash can be blamed on it.
+ *
+ * - `canary`: it is the first of a job whose route has crashed workers recently.
+ * - `suspect`: a worker has crashed under it.
+ */
+export type Isolation = 'canary' | 'suspect';
+
 /**
  * How an offered task ended.
  *
@@ -44,6 +56,17 @@
  */
 export type TaskEnd = RunEnd | 'abandoned' | 'crashed' | 'lost' | 'not-started';
 
+/** What an agent knows of a run that ended with a crash of its worker. */
+export type CrashEvidence = {
+	/** Name of the route of its job; empty if unknown. */
+	readonly route: string;
+	readonly target: string;
+	/** Whether it had started so shortly before the crash that it may have caused it. */
+	readonly isBlamed: boolean;
+	/** Whether it had started alone. */
+	readonly isIsolated: boolean;
+};
+
 /** Result of one offer. */
 export type TaskReport = {
 	readonly task: string;
@@ -56,8 +79,8 @@
 	readonly runMs: Milliseconds;
 	/** Time in the agent's queue. */
 	readonly waitMs: Milliseconds;
-	/** Whether a `crashed` run had started so shortly before the crash that it may have caused it. */
-	readonly isBlamed?: boolean;
+	/** Set for `crashed`. */
+	readonly crash?: CrashEvidence;
 };
 
 /**
@@ -114,6 +137,8 @@
 	| {readonly type: 'claim'; readonly tasks: readonly TaskOffer[]}
 	/** `seen`: number of tasks offered on this stream that `load` accounts for. */
 	| {readonly type: 'ended'; readonly reports: readonly TaskReport[]; readonly load: WorkerLoad; readonly seen: number}
+	/** Isolated tasks whose worker has not crashed in the time after their start. */
+	| {readonly type: 'survived'; readonly tasks: readonly string[]}
 	| {readonly type: 'load'; readonly load: WorkerLoad; readonly seen: number}
 	/** Version of the configuration that an entry has applied. */
 	| {readonly type: 'version'; readonly version: number}
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -10,7 +10,8 @@
 } from '../../core/runs/logic.ts';
 import {computeOthersLoad, computeOwnersLoad, type OwnersLoad} from '../../core/runs/contention.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../core/runs/answers.ts';
-import {recordStartSent} from '../../core/runs/orders.ts';
+import {findSurvivor, settleMs} from '../../core/runs/isolation.ts';
+import {recordStartSent, startQueued} from '../../core/runs/orders.ts';
 import {hasRecordsOf} from '../../core/runs/records.ts';
 import {
 	handleClaim, handleGrant, handleOffers, handleOwnerDisconnect, handleWithdrawal, recordOwnerContact, startShutdown, stopAllRuns,
@@ -307,6 +308,21 @@
 		});
 		this.#applyEffects(applyStartAnswer(this.state, ref, answer, this.#now()));
 		void this.#watchUnreliableWorker();
+		if (record.offer.isolation !== undefined && answer === 'started') {
+			this.#watchIsolatedRun(ref);
+		}
+	}
+
+	/** Tells the entry once an isolated run has survived the time after its start, and starts what waits for that. */
+	#watchIsolatedRun(ref: RunRef): void {
+		this.input.clock.startTimer(settleMs, () => {
+			const record = findSurvivor(this.state, ref, this.#now());
+			if (record !== undefined) {
+				this.#links.sendMessage(record.owner, {type: 'survived', tasks: [ref.task]});
+			}
+
+			this.#applyEffects(startQueued(this.state, this.#now()));
+		});
 	}
 
 	async #stopTask({ref, fencingToken}: Extract<RunsEffect, {type: 'stop'}>): Promise<void> {
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -8,7 +8,7 @@
 import {
 	advanceDispatch, cancelJob, placeAllWaitingTasks, submitJob, type JobRequest,
 } from '../../core/dispatch/logic.ts';
-import {applyReports} from '../../core/dispatch/reports.ts';
+import {applyReports, handleSurvival} from '../../core/dispatch/reports.ts';
 import {extendOffers} from '../../core/dispatch/placing.ts';
 import {countOpenJobs, createDispatchState, type DispatchState} from '../../core/dispatch/state.ts';
 import type {DispatchEffect, Job, JobAnswer} from '../../core/dispatch/types.ts';
@@ -72,6 +72,9 @@
 			applyLoad(this.state.fleet, from.name, load, seen);
 			this.#requestPlacing(from.name);
 		},
+		survived: (from, {tasks}) => {
+			this.#applyEffects(handleSurvival(this.state, from.name, tasks, this.#now()));
+		},
 		ask: (from, {tasks}) => {
 			this.#applyEffects(handleGrantRequests(this.state, from.name, tasks, this.#now()));
 		},
