Tell crashes of workers to all entries

Cause: only the entry that owned a run learned of its crash, so each entry paid for a route by itself, and one that took over a job counted anew. Change: the agent tells its crashed runs to every other entry at once, and the recent ones to each entry that connects; a crash counts once by agent and run. Entries log route-quarantined and route-released, with a gauge. Measured: crashes.feature passes with five new scenarios (entry killed between two crashes, restarted entry, a series of such jobs, workers killed from outside, end of the quarantine).

--- a/features/dispatch/crash-fleet.ts
+++ b/features/dispatch/crash-fleet.ts
@@ -2,18 +2,21 @@
  * Entries, agents and workers in simulated time, for tasks that crash the worker that starts them.
  */
 import {computeTimings} from '../../src/core/bounds/logic.ts';
+import {listCarefulRoutes} from '../../src/core/crashes/logic.ts';
 import {handleGrantRequests, listClaims} from '../../src/core/dispatch/agents.ts';
 import {
-	advanceDispatch, cancelJob, placeAllWaitingTasks, submitJob,
+	advanceDispatch, placeAllWaitingTasks, submitJob,
 } from '../../src/core/dispatch/logic.ts';
-import {applyReports, handleSurvival} from '../../src/core/dispatch/reports.ts';
+import {applyReports, handleCrashes, handleSurvival} from '../../src/core/dispatch/reports.ts';
 import {extendOffers} from '../../src/core/dispatch/placing.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
 import {addPendingWithdrawals} from '../../src/core/dispatch/withdrawals.ts';
 import type {DispatchEffect, JobAnswer} from '../../src/core/dispatch/types.ts';
 import {addAgent, applyLoad, createFleetState} from '../../src/core/fleet/state.ts';
+import {addToGroup} from '../../src/core/groups.ts';
 import type {Route} from '../../src/core/routes/types.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../src/core/runs/answers.ts';
+import {listRecentCrashes} from '../../src/core/runs/crashes.ts';
 import {
 	advanceRuns, applyRenewalFailure, computeLoad, handleAnnouncement,
 } from '../../src/core/runs/logic.ts';
@@ -25,6 +28,7 @@
 import {applySnapshot} from '../../src/core/runs/snapshots.ts';
 import {createRunsState, getJobId, type RunsState} from '../../src/core/runs/state.ts';
 import type {RunsEffect} from '../../src/core/runs/types.ts';
+import type {TaskCrash} from '../../src/ports/dispatch-messages.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
 import type {EndedTask, RunEnd, RunRef} from '../../src/ports/worker.ts';
 
@@ -66,7 +70,8 @@
 /** A fleet with one target. */
 export class CrashFleet {
 	now: Milliseconds = 10_000;
-	readonly answers = new Map<string, JobAnswer & {readonly ms: Milliseconds; readonly at: Milliseconds}>();
+	/** Answers by job, with the time since its last submission. */
+	readonly answers = new Map<string, Array<JobAnswer & {readonly ms: Milliseconds}>>();
 	/** Crashes by the task that caused them. */
 	readonly crashes = new Map<string, number>();
 	/** Number of starts of each task. */
@@ -122,6 +127,18 @@
 		});
 	}
 
+	/** Submits a job again. */
+	resubmit(id: string, entryIndex: number, delay: Milliseconds): void {
+		this.#schedule(delay, () => {
+			this.submit(this.#plans.get(id)!, entryIndex, 0);
+		});
+	}
+
+	/** Lists the routes in quarantine at each entry. */
+	listQuarantinedRoutes(): readonly string[] {
+		return this.entries.map(({state}) => listCarefulRoutes(state.crashes, this.now).join(' '));
+	}
+
 	/** Kills an entry after a delay; its successor starts without its state. */
 	restartEntry(index: number, delay: Milliseconds): void {
 		this.#schedule(delay, () => {
@@ -141,13 +158,6 @@
 		});
 	}
 
-	/** Cancels a job, as its caller has left. */
-	cancel(id: string, entryIndex: number, delay: Milliseconds): void {
-		this.#schedule(delay, () => {
-			this.#runDispatch(this.entries[entryIndex], cancelJob(this.entries[entryIndex].state, id, 'cancelled', this.now));
-		});
-	}
-
 	/** Lets time pass. */
 	run(time: Milliseconds): void {
 		const endAt = this.now + time;
@@ -186,6 +196,7 @@
 		agent.seenOffers.set(entry.name, 0);
 		addAgent(entry.state.fleet, {name: agent.name, incarnation: 1}, 'dc');
 		this.#runAgent(agent, handleClaim(agent.state, entry.name, listClaims(entry.state, agent.name), this.now));
+		this.#sendCrashes(agent, entry, listRecentCrashes(agent.state, this.now));
 	}
 
 	#announce(agent: Agent): void {
@@ -325,6 +336,12 @@
 		});
 	}
 
+	#sendCrashes(agent: Agent, entry: Entry, crashes: readonly TaskCrash[]): void {
+		this.#send(entry, () => {
+			this.#runDispatch(entry, handleCrashes(entry.state, agent.name, crashes, this.now));
+		});
+	}
+
 	#getEntry(name: string): Entry {
 		return this.entries.find(entry => entry.name === name)!;
 	}
@@ -344,6 +361,12 @@
 			report: ({owner, reports}) => {
 				const entry = this.#getEntry(owner);
 				this.#sendLoad(agent, entry, () => applyReports(entry.state, agent.name, reports, this.now));
+				const crashes = reports.flatMap(({task, run, crash}) => crash === undefined ? [] : [{task, run, ...crash}]);
+				for (const other of this.entries) {
+					if (other !== entry) {
+						this.#sendCrashes(agent, other, crashes);
+					}
+				}
 			},
 			ask: ({owner, task}) => {
 				const entry = this.#getEntry(owner);
@@ -367,7 +390,7 @@
 		for (const effect of addPendingWithdrawals(entry.state, effects)) {
 			if (effect.type === 'answer') {
 				const {id} = effect.job;
-				this.answers.set(id, {...effect.answer, ms: this.now - (this.#plans.get(id)?.at ?? this.now), at: this.now});
+				addToGroup(this.answers, id, {...effect.answer, ms: this.now - this.#plans.get(id)!.at});
 				continue;
 			}
 
--- a/features/dispatch/crashes.feature
+++ b/features/dispatch/crashes.feature
@@ -10,3 +10,58 @@
     Then task 0 of "bad" has crashed at most 2 workers
     And "bad" is shown as "failed" for "crashes"
     And at least 98% of the other jobs are completed
+
+  # Guards against counting anew when the entry is killed and its caller submits the job to another one.
+  Scenario: Crashes are remembered when the entry is killed between them
+    Given a simulated fleet of 8 workers and 3 entries
+    And a job of 4 tasks every 40 ms for 8 s on route "other"
+    When job "bad" of 8 tasks on route "r" arrives at entry 0, and its task 0 crashes each worker
+    And entry 0 is restarted 516 ms later
+    And job "bad" is submitted again at entry 1 after 1900 ms
+    And job "bad" is submitted again at entry 0 after 4000 ms
+    And the simulated fleet runs for 12 s
+    Then task 0 of "bad" has crashed at most 2 workers
+    And "bad" is shown as "failed" for "crashes"
+
+  # Guards against a restarted entry that knows nothing of a task that was given up.
+  Scenario: The answer stays the same after a restart of the entry
+    Given a simulated fleet of 8 workers and 2 entries
+    When job "bad" of 8 tasks on route "r" arrives at entry 0, and its task 0 crashes each worker
+    And entry 0 is restarted 2000 ms later
+    And job "bad" is submitted again at entry 0 after 2500 ms
+    And job "bad" is submitted again at entry 1 after 3000 ms
+    And the simulated fleet runs for 5 s
+    Then task 0 of "bad" has crashed at most 2 workers
+    And "bad" is answered 3 times, as "failed" for "crashes"
+
+  # Guards against a route that takes down the fleet by many tasks that each crash few workers.
+  Scenario: A series of such jobs leaves other routes their workers
+    Given a simulated fleet of 11 workers and 4 entries
+    And a job of 4 tasks every 15 ms for 14 s on route "other"
+    And a job of 8 tasks every 40 ms for 14 s on route "r"
+    And every 400 ms for 8 s a job on route "r" whose first task crashes each worker
+    And the simulated fleet runs for 18 s
+    Then no task has crashed more than 2 workers
+    And at least 98% of the jobs on route "other" are completed
+    And at least 40% of the jobs on route "r" are completed
+    And every job on route "r" that is not run is told so within 150 ms, with a retry time
+    And no other job is shown as failed
+
+  # Guards against innocent runs beside a crash being given up, and their routes being quarantined.
+  Scenario: Workers that are killed from outside put no route in quarantine
+    Given a simulated fleet of 8 workers and 2 entries
+    And a job of 4 tasks every 20 ms for 8 s on route "other"
+    And workers 0 to 3 are killed every 700 ms
+    And the simulated fleet runs for 9 s
+    Then no route is in quarantine
+    And no other job is shown as failed
+    And at least 98% of the other jobs are completed
+
+  # Guards against a quarantine that never ends.
+  Scenario: A route is out of quarantine again some seconds after the last crash
+    Given a simulated fleet of 8 workers and 2 entries
+    When job "bad" of 8 tasks on route "r" arrives at entry 0, and its task 0 crashes each worker
+    And the simulated fleet runs for 1 s
+    Then route "r" is in quarantine at all entries
+    When the simulated fleet runs for 10 s
+    Then no route is in quarantine
--- a/features/dispatch/crashes.steps.ts
+++ b/features/dispatch/crashes.steps.ts
@@ -28,16 +28,6 @@
 	}
 });
 
-Given('the entries know the run times of route {string}', function (this: CrashWorld, route: string) {
-	for (let index = 0; index < 10; index++) {
-		this.crashFleet.submit({
-			id: `warm-${route}${index}`, route, tasks: 2, runMs: 60,
-		}, index % this.crashFleet.entries.length, index * 20);
-	}
-
-	this.crashFleet.run(1000);
-});
-
 When('job {string} of 8 tasks on route {string} arrives at entry {int}, and its task {int} crashes each worker', function (this: CrashWorld, id: string, route: string, entry: number, deadly: number) {
 	this.deadly.push(id);
 	this.crashFleet.submit({
@@ -55,11 +45,71 @@
 });
 
 Then('{string} is shown as {string} for {string}', function (this: CrashWorld, id: string, outcome: string, reason: string) {
-	const answer = this.crashFleet.answers.get(id);
+	const answer = this.crashFleet.answers.get(id)?.at(-1);
 	assert.deepEqual([answer?.outcome, answer?.reason], [outcome, reason]);
 });
 
 Then('at least {int}% of the other jobs are completed', function (this: CrashWorld, percent: number) {
-	const completed = this.innocents.filter(id => this.crashFleet.answers.get(id)?.outcome === 'completed').length;
+	const completed = this.innocents.filter(id => this.crashFleet.answers.get(id)?.at(-1)?.outcome === 'completed').length;
 	assert.ok(completed * 100 >= percent * this.innocents.length, `${completed} of ${this.innocents.length}`);
 });
+
+When('entry {int} is restarted {int} ms later', function (this: CrashWorld, entry: number, delay: number) {
+	this.crashFleet.restartEntry(entry, delay);
+});
+
+When('job {string} is submitted again at entry {int} after {int} ms', function (this: CrashWorld, id: string, entry: number, delay: number) {
+	this.crashFleet.resubmit(id, entry, delay);
+});
+
+Given('every {int} ms for {int} s a job on route {string} whose first task crashes each worker', function (this: CrashWorld, interval: number, seconds: number, route: string) {
+	for (let delay = 500, index = 0; delay < seconds * 1000; delay += interval, index++) {
+		this.deadly.push(`deadly-${route}${index}`);
+		this.crashFleet.submit({
+			id: `deadly-${route}${index}`, route, tasks: 8, runMs: 60, deadly: 0,
+		}, index % this.crashFleet.entries.length, delay);
+	}
+});
+
+Given('workers {int} to {int} are killed every {int} ms', function (this: CrashWorld, first: number, last: number, interval: number) {
+	for (let worker = first; worker <= last; worker++) {
+		this.crashFleet.killWorker(worker, 500 + ((worker - first) * interval));
+	}
+});
+
+Then('no task has crashed more than {int} workers', function (this: CrashWorld, most: number) {
+	assert.ok(this.crashFleet.crashes.size > 0);
+	assert.deepEqual([...this.crashFleet.crashes].filter(([, count]) => count > most), []);
+});
+
+function listJobs(world: CrashWorld, route: string): readonly string[] {
+	return world.innocents.filter(id => id.startsWith(route));
+}
+
+Then('at least {int}% of the jobs on route {string} are completed', function (this: CrashWorld, percent: number, route: string) {
+	const jobs = listJobs(this, route);
+	const completed = jobs.filter(id => this.crashFleet.answers.get(id)?.at(-1)?.outcome === 'completed').length;
+	assert.ok(completed * 100 >= percent * jobs.length, `${completed} of ${jobs.length}`);
+});
+
+Then('every job on route {string} that is not run is told so within {int} ms, with a retry time', function (this: CrashWorld, route: string, limit: number) {
+	const refused = listJobs(this, route).flatMap(id => this.crashFleet.answers.get(id) ?? []).filter(({outcome}) => outcome === 'not-run');
+	assert.deepEqual(refused.filter(({ms, retryAfter}) => ms > limit || retryAfter <= 0), []);
+});
+
+Then('no other job is shown as failed', function (this: CrashWorld) {
+	assert.deepEqual(this.innocents.filter(id => this.crashFleet.answers.get(id)?.some(({outcome}) => outcome === 'failed')), []);
+});
+
+Then('no route is in quarantine', function (this: CrashWorld) {
+	assert.deepEqual(this.crashFleet.listQuarantinedRoutes(), this.crashFleet.entries.map(() => ''));
+});
+
+Then('route {string} is in quarantine at all entries', function (this: CrashWorld, route: string) {
+	assert.deepEqual(this.crashFleet.listQuarantinedRoutes(), this.crashFleet.entries.map(() => route));
+});
+
+Then('{string} is answered {int} times, as {string} for {string}', function (this: CrashWorld, id: string, count: number, outcome: string, reason: string) {
+	const answers = this.crashFleet.answers.get(id) ?? [];
+	assert.deepEqual(answers.map(answer => [answer.outcome, answer.reason]), Array.from({length: count}, () => [outcome, reason]));
+});
--- a/src/core/crashes/types.ts
+++ b/src/core/crashes/types.ts
@@ -2,12 +2,11 @@
  * Types of the record of worker crashes, by task and by route.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {CrashEvidence} from '../../ports/dispatch-messages.ts';
-import type {RunRef} from '../../ports/worker.ts';
+import type {TaskCrash} from '../../ports/dispatch-messages.ts';
 import type {NodeName} from '../identity/types.ts';
 
 /** A run that ended with a crash of its worker. */
-export type Crash = RunRef & CrashEvidence & {
+export type Crash = TaskCrash & {
 	/** The agent of the worker. */
 	readonly agent: NodeName;
 };
--- a/src/core/dispatch/reports.ts
+++ b/src/core/dispatch/reports.ts
@@ -2,7 +2,7 @@
  * Handles reports of ended tasks.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
+import type {TaskCrash, TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
 import {isGivenUp, recordCrash} from '../crashes/logic.ts';
 import {computeMedianSlowness} from '../fleet/logic.ts';
 import {recordRefusal} from '../fleet/state.ts';
@@ -97,7 +97,7 @@
 function applyReport(state: DispatchState, agent: NodeName, report: TaskReport, now: Milliseconds): DispatchEffect[] {
 	if (report.crash !== undefined) {
 		recordCrash(state.crashes, {
-			task: report.task, run: report.run, agent, ...report.crash,
+			...report.crash, task: report.task, run: report.run, agent,
 		}, now);
 		updateReservedAgents(state, now);
 	}
@@ -161,3 +161,28 @@
 
 	return effects;
 }
+
+/**
+ * Records crashes under tasks of other entries. A job of this entry that waits to start such a task, as its caller has
+ * submitted it again, fails once workers have crashed under that.
+ *
+ * @param state - State of the jobs.
+ * @param agent - The agent of the workers.
+ * @param crashes - The crashed runs.
+ * @param now - Current time.
+ * @returns Answers.
+ */
+export function handleCrashes(state: DispatchState, agent: NodeName, crashes: readonly TaskCrash[], now: Milliseconds): DispatchEffect[] {
+	const effects: DispatchEffect[] = [];
+	for (const crash of crashes) {
+		recordCrash(state.crashes, {...crash, agent}, now);
+		const found = state.tasks.get(crash.task);
+		const isWaiting = found?.task.phase === 'waiting' || found?.task.phase === 'offered';
+		if (isWaiting && found.job.answer === undefined && isGivenUp(state.crashes, crash.task)) {
+			effects.push(...endJob(state, found.job, createAnswer('failed', 'crashes'), now));
+		}
+	}
+
+	updateReservedAgents(state, now);
+	return effects;
+}
--- a/src/core/runs/crashes.ts
+++ b/src/core/runs/crashes.ts
@@ -2,7 +2,7 @@
  * Tells a crash of the worker process from the other ways in which an agent loses its worker.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {CrashEvidence, TaskEnd} from '../../ports/dispatch-messages.ts';
+import type {CrashEvidence, TaskCrash, TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {RunsState} from './state.ts';
 import type {RunPhase, RunRecord} from './types.ts';
 
@@ -86,3 +86,17 @@
 		route: route ?? '', target, isBlamed: isBlamed(record, now), isIsolated: isolation !== undefined,
 	};
 }
+
+/** Most crashed runs that are kept for entries that connect later, and the time for which they are, in ms. */
+const maxRecentCrashes = 64;
+const recentCrashMs = 30_000;
+
+/** Keeps a crashed run for entries that connect later. */
+export function recordRecentCrash(state: RunsState, crash: TaskCrash, now: Milliseconds): void {
+	state.recentCrashes = [...state.recentCrashes, {crash, at: now}].slice(-maxRecentCrashes);
+}
+
+/** Lists the crashed runs that an entry that connects has to know, oldest first. */
+export function listRecentCrashes({recentCrashes}: RunsState, now: Milliseconds): readonly TaskCrash[] {
+	return recentCrashes.filter(({at}) => now - at < recentCrashMs).map(({crash}) => crash);
+}
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -8,7 +8,7 @@
 import type {Isolation, TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
 import {computeFreeResources} from './capacity.ts';
-import {createCrashEvidence} from './crashes.ts';
+import {createCrashEvidence, recordRecentCrash} from './crashes.ts';
 import {
 	computeLeaseEnd, getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
@@ -43,6 +43,10 @@
 		waitMs: Math.round((isStartOrdered(record) ? record.orderedAt : now) - record.queuedAt),
 		...(end === 'crashed' && {crash: createCrashEvidence(record, now)}),
 	};
+	if (report.crash !== undefined) {
+		recordRecentCrash(state, {task: report.task, run: report.run, ...report.crash}, now);
+	}
+
 	return {type: 'report', owner: record.owner, reports: [report]};
 }
 
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -6,7 +6,7 @@
 import type {WorkerAnnouncement} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
 import type {
-	RecentEnds, OrphanRun, OwnerRecord, RunRecord, RunsOptions, WorkerHealth, WorkerClock, WorkerRecord,
+	RecentCrash, RecentEnds, OrphanRun, OwnerRecord, RunRecord, RunsOptions, WorkerHealth, WorkerClock, WorkerRecord,
 } from './types.ts';
 
 /** Pause before the first trial of an unhealthy worker, in ms; about the run time of a few tasks. */
@@ -30,6 +30,8 @@
 	/** By task and run. */
 	readonly orphans: Map<string, OrphanRun>;
 	readonly recentEnds: RecentEnds;
+	/** Oldest first. */
+	recentCrashes: readonly RecentCrash[];
 	/** Entries that have opened a stream, by name. */
 	readonly owners: Map<NodeName, OwnerRecord>;
 	/** Claims that arrived before the worker's runs were known. */
@@ -61,6 +63,7 @@
 		queue: [],
 		orphans: new Map(),
 		recentEnds: new Map(),
+		recentCrashes: [],
 		owners: new Map(),
 		pendingClaims: new Map(),
 		health: {
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -2,7 +2,9 @@
  * Types of the runs that an agent manages on its worker.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {TaskEnd, TaskOffer, TaskReport} from '../../ports/dispatch-messages.ts';
+import type {
+	TaskCrash, TaskEnd, TaskOffer, TaskReport,
+} from '../../ports/dispatch-messages.ts';
 import type {RunRef, WorkerAnnouncement} from '../../ports/worker.ts';
 import type {Timings} from '../bounds/types.ts';
 import type {NodeName} from '../identity/types.ts';
@@ -130,5 +132,11 @@
 	areRunsKnown: boolean;
 };
 
+/** A run that ended with a crash of the worker. */
+export type RecentCrash = {
+	readonly crash: TaskCrash;
+	readonly at: Milliseconds;
+};
+
 /** Ends of recent runs, including those before a restart of this agent, by task and run. */
 export type RecentEnds = Map<string, TaskEnd>;
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -4,7 +4,7 @@
 import type {PeerDigests} from '../core/links/types.ts';
 import type {Milliseconds} from './clock.ts';
 import type {PeerAddress} from './messages.ts';
-import type {Resources, RunEnd} from './worker.ts';
+import type {Resources, RunEnd, RunRef} from './worker.ts';
 
 /** A task as an entry offers it to an agent. */
 export type TaskOffer = {
@@ -67,6 +67,9 @@
 	readonly isIsolated: boolean;
 };
 
+/** A run that ended with a crash of its worker, as agents tell it to the entries that do not own it. */
+export type TaskCrash = RunRef & CrashEvidence;
+
 /** Result of one offer. */
 export type TaskReport = {
 	readonly task: string;
@@ -139,6 +142,8 @@
 	| {readonly type: 'ended'; readonly reports: readonly TaskReport[]; readonly load: WorkerLoad; readonly seen: number}
 	/** Isolated tasks whose worker has not crashed in the time after their start. */
 	| {readonly type: 'survived'; readonly tasks: readonly string[]}
+	/** Runs of other entries that ended with a crash of the worker: recent ones when a stream opens, then each at once. */
+	| {readonly type: 'crashes'; readonly crashes: readonly TaskCrash[]}
 	| {readonly type: 'load'; readonly load: WorkerLoad; readonly seen: number}
 	/** Version of the configuration that an entry has applied. */
 	| {readonly type: 'version'; readonly version: number}
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -8,6 +8,7 @@
 	advanceRuns, applyRenewalFailure, computeLoad, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, hasRecentFailure, isExtraRenewalDue,
 	recordRenewalSent, restoreWorker,
 } from '../../core/runs/logic.ts';
+import {listRecentCrashes} from '../../core/runs/crashes.ts';
 import {computeOthersLoad, computeOwnersLoad, type OwnersLoad} from '../../core/runs/contention.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../core/runs/answers.ts';
 import {findSurvivor, settleMs} from '../../core/runs/isolation.ts';
@@ -20,7 +21,9 @@
 import {computeLeaseEnd, createRunsState, type RunsState} from '../../core/runs/state.ts';
 import type {RunsEffect} from '../../core/runs/types.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {DispatchMessage, TaskReport, WorkerLoad} from '../../ports/dispatch-messages.ts';
+import type {
+	DispatchMessage, TaskCrash, TaskReport, WorkerLoad,
+} from '../../ports/dispatch-messages.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import type {RunRef, WorkerAnnouncement, WorkerControl} from '../../ports/worker.ts';
 import {waitFor} from '../shared/wait.ts';
@@ -54,6 +57,8 @@
 	readonly #reportedLoads = new Map<string, ReportedLoad>();
 	/** Reports to send, by entry. */
 	readonly #reports = new Map<string, TaskReport[]>();
+	/** Runs that ended with a crash of the worker and that the other entries have not been told, by the entry that owns them. */
+	readonly #crashes = new Map<string, TaskCrash[]>();
 	/** Names of tasks whose start has to be granted, by entry. */
 	readonly #grantRequests = new Map<string, string[]>();
 	readonly #orders: OrderQueue;
@@ -90,6 +95,10 @@
 			}
 
 			addToGroup(this.#reports, owner, ...reports);
+			const crashes = reports.flatMap(({task, run, crash}) => crash === undefined ? [] : [{task, run, ...crash}]);
+			if (crashes.length > 0) {
+				addToGroup(this.#crashes, owner, ...crashes);
+			}
 		},
 		log: ({event, details}) => {
 			this.input.log.recordDecision('warn', event, details);
@@ -117,6 +126,7 @@
 			onConnect: peer => {
 				this.#receivedOfferCounts.delete(peer.name);
 				this.#reportedLoads.delete(peer.name);
+				this.#sendCrashes(peer.name, listRecentCrashes(this.state, this.#now()));
 			},
 			onDisconnect: peer => {
 				handleOwnerDisconnect(this.state, peer.name, this.#now());
@@ -337,6 +347,7 @@
 
 		this.#sendGrantRequests();
 		this.#sendReports();
+		this.#shareCrashes();
 	}
 
 	#sendGrantRequests(): void {
@@ -347,6 +358,25 @@
 		this.#grantRequests.clear();
 	}
 
+	#sendCrashes(entry: string, crashes: readonly TaskCrash[]): void {
+		if (crashes.length > 0) {
+			this.#links.sendMessage(entry, {type: 'crashes', crashes});
+		}
+	}
+
+	/** Tells crashes to the entries that do not own the runs: their callers may submit the same jobs or others of the same route there. */
+	#shareCrashes(): void {
+		if (this.#crashes.size === 0) {
+			return;
+		}
+
+		for (const {name} of this.#links.listConnected()) {
+			this.#sendCrashes(name, [...this.#crashes].flatMap(([owner, crashes]) => owner === name ? [] : crashes));
+		}
+
+		this.#crashes.clear();
+	}
+
 	#sendReports(): void {
 		if (this.#reports.size === 0) {
 			return;
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -8,8 +8,9 @@
 import {
 	advanceDispatch, cancelJob, placeAllWaitingTasks, submitJob, type JobRequest,
 } from '../../core/dispatch/logic.ts';
-import {applyReports, handleSurvival} from '../../core/dispatch/reports.ts';
+import {applyReports, handleCrashes, handleSurvival} from '../../core/dispatch/reports.ts';
 import {extendOffers} from '../../core/dispatch/placing.ts';
+import {listCarefulRoutes} from '../../core/crashes/logic.ts';
 import {countOpenJobs, createDispatchState, type DispatchState} from '../../core/dispatch/state.ts';
 import type {DispatchEffect, Job, JobAnswer} from '../../core/dispatch/types.ts';
 import {chooseExtraAgents} from '../../core/dispatch/reach.ts';
@@ -60,6 +61,7 @@
 	readonly #sharing = createSharingState();
 	/** Agents that have reported their load in this turn of the event loop. */
 	readonly #reportedAgents = new Set<NodeName>();
+	#carefulRoutes: ReadonlySet<string> = new Set();
 	#isStopping = false;
 
 	readonly #messageHandlers: MessageHandlers = {
@@ -72,6 +74,9 @@
 			applyLoad(this.state.fleet, from.name, load, seen);
 			this.#requestPlacing(from.name);
 		},
+		crashes: (from, {crashes}) => {
+			this.#applyEffects(handleCrashes(this.state, from.name, crashes, this.#now()));
+		},
 		survived: (from, {tasks}) => {
 			this.#applyEffects(handleSurvival(this.state, from.name, tasks, this.#now()));
 		},
@@ -222,6 +227,7 @@
 		return {
 			open_jobs: countOpenJobs(this.state),
 			waiting_jobs: this.state.jobsToPlace.size,
+			quarantined_routes: this.#carefulRoutes.size,
 			linked_agents: this.state.fleet.agents.size,
 			subset_agents: this.state.agentCount,
 			configuration_version: this.configuration.version,
@@ -271,6 +277,7 @@
 		}
 
 		this.#applyEffects(advanceDispatch(this.state, now));
+		this.#recordCarefulRoutes(now);
 		this.#links.extendStreams(chooseExtraAgents(this.state, () => this.#links.listUnconnectedAgents(), now));
 		const peer = chooseFetch(this.#sharing, this.configuration.version, now);
 		if (peer !== undefined) {
@@ -278,6 +285,21 @@
 		}
 	}
 
+	/** Logs which routes begin or cease to start their jobs with a canary. */
+	#recordCarefulRoutes(now: Milliseconds): void {
+		const careful = new Set(listCarefulRoutes(this.state.crashes, now));
+		for (const route of [...careful].filter(name => !this.#carefulRoutes.has(name))) {
+			const {target} = this.state.crashes.routes.get(route)!;
+			this.input.log.recordDecision('warn', 'route-quarantined', {route, agents: [...this.state.crashes.reservedAgents.get(target) ?? []]});
+		}
+
+		for (const route of [...this.#carefulRoutes].filter(name => !careful.has(name))) {
+			this.input.log.recordDecision('warn', 'route-released', {route});
+		}
+
+		this.#carefulRoutes = careful;
+	}
+
 	/** Places waiting tasks after the load reports of this turn of the event loop. */
 	#requestPlacing(agent: NodeName): void {
 		this.#reportedAgents.add(agent);
