Blame a crash on the isolated run alone, and spare quarantine workers

And tasks that had crashed a worker alone took a second one from the canaries. Change: only the isolated run that has not settled is blamed, if there is one; a task that has crashed a worker alone starts again only while all quarantine workers of its route are open. Measured: runs.feature has two scenarios more and passes.

--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -354,3 +354,32 @@
       | started    | the worker leaves                                    | lost    |
       | started    | the worker announces that it drains and then crashes | lost    |
       | started    | the worker is silent for 300 ms and then crashes     | lost    |
+
+  # Guards against blaming a crash on several runs, so that an innocent one is blamed again and given up.
+  Scenario: A suspect starts alone, and a crash then is blamed on it only
+    When entry "e1" offers direct tasks "young" of 1000
+    And the start of "young" is answered "started"
+    And 10 ms go by
+    And entry "e1" offers tentative tasks "a" of 1000 as suspect
+    And entry "e2" offers tentative tasks "b" of 1000
+    Then entry "e1" is not asked about "a"
+    And entry "e2" is not asked about "b"
+    When 30 ms go by
+    Then entry "e1" is asked about "a"
+    When entry "e1" grants "a"
+    And the start of "a" is answered "started"
+    And the worker crashes
+    Then "a" has ended as "crashed", "blamed" for it
+    And "young" has ended as "crashed", "not blamed" for it
+
+  # Guards against a worker that stays closed for others after an isolated start.
+  Scenario: Others start once an isolated run has settled
+    When entry "e1" offers tentative tasks "a" of 1000 as canary
+    And entry "e1" grants "a"
+    And the start of "a" is answered "started"
+    And entry "e2" offers tentative tasks "b" of 1000
+    Then entry "e2" is not asked about "b"
+    And "a" has not survived yet
+    When 30 ms go by
+    Then "a" has survived
+    And entry "e2" is now asked about "b"
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -9,6 +9,7 @@
 	advanceRuns, applyRenewalFailure, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, isExtraRenewalDue, recordRenewalSent, restoreWorker,
 } from '../../src/core/runs/logic.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../src/core/runs/answers.ts';
+import {findSurvivor} from '../../src/core/runs/isolation.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
 import {
 	handleClaim, handleGrant, handleOffers, handleOwnerDisconnect, recordOwnerContact,
@@ -19,7 +20,7 @@
 import {canAcceptTask, getAgentMode} from '../../src/core/runs/health.ts';
 import type {RunRecord, RunsEffect} from '../../src/core/runs/types.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
-import type {AgentMode, TaskOffer} from '../../src/ports/dispatch-messages.ts';
+import type {AgentMode, Isolation, TaskOffer} from '../../src/ports/dispatch-messages.ts';
 import type {
 	EndedTask, RunEnd, RunningTask, StartAnswer, StopAnswer, WorkerAnnouncement, WorkerSnapshot,
 } from '../../src/ports/worker.ts';
@@ -459,3 +460,19 @@
 	const isBlamed = end === 'crashed' ? blame === 'blamed' : undefined;
 	assert.deepEqual(reports.map(report => [report.end, report.crash?.isBlamed]), [[end, isBlamed]]);
 });
+
+When('entry {string} offers tentative tasks {string} of {int} as {word}', function (this: RunsWorld, owner: string, task: string, cpu: number, isolation: Isolation) {
+	recordEffects(this, handleOffers(this.state, owner, [{...createOffer(task, cpu, true), isolation}], this.now));
+});
+
+Then('{string} has survived', function (this: RunsWorld, task: string) {
+	assert.ok(findSurvivor(this.state, findLastStart(this, `${task}.0.0.0`), this.now));
+});
+
+Then('{string} has not survived yet', function (this: RunsWorld, task: string) {
+	assert.equal(findSurvivor(this.state, findLastStart(this, `${task}.0.0.0`), this.now), undefined);
+});
+
+Then('entry {string} is now asked about {string}', function (this: RunsWorld, owner: string, task: string) {
+	assert.ok(this.effects.some(effect => effect.type === 'ask' && effect.owner === owner && effect.task === `${task}.0.0.0`));
+});
--- a/src/core/dispatch/containment.ts
+++ b/src/core/dispatch/containment.ts
@@ -14,9 +14,6 @@
 import type {DispatchState} from './state.ts';
 import type {Job, TaskPhase, TaskState} from './types.ts';
 
-/** Least number of open quarantine agents for a task that has crashed a worker alone, so that it never takes the last one. */
-const minAgentsForConfirmed = 2;
-
 /**
  * How a waiting task may start.
  *
@@ -88,8 +85,9 @@
 	}
 
 	const open = quarantine.filter(name => isSuitable(fleet, name, demand));
-	const least = getSuspicion(crashes, task.name) === 'confirmed' ? Math.min(minAgentsForConfirmed, quarantine.length) : 1;
-	return open.length < least ? [] : open;
+	// A task that has crashed a worker alone must not take one from the canaries.
+	const isSpared = getSuspicion(crashes, task.name) === 'confirmed' && open.length < quarantine.length;
+	return isSpared ? [] : open;
 }
 
 /** Returns whether an agent is one of those on which isolated tasks of a route start. */
--- a/src/core/runs/crashes.ts
+++ b/src/core/runs/crashes.ts
@@ -3,6 +3,8 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {CrashEvidence, TaskCrash, TaskEnd} from '../../ports/dispatch-messages.ts';
+import {isIsolated} from './isolation.ts';
+import {isStartOrdered} from './records.ts';
 import type {RunsState} from './state.ts';
 import type {RunPhase, RunRecord} from './types.ts';
 
@@ -69,21 +71,29 @@
 /** Phases in which a run is about to start, so that its age is not known. */
 const startingPhases: ReadonlySet<RunPhase> = new Set(['starting', 'checking']);
 
+function isYoung({phase, orderedAt}: RunRecord, now: Milliseconds): boolean {
+	return startingPhases.has(phase) || now - orderedAt <= blameWindowMs;
+}
+
 /**
- * Returns whether a run may have caused a crash of its worker: its start has no answer yet, or it is young.
+ * Lists the runs that may have caused a crash of the worker: the one that had started alone and has not settled;
+ * otherwise all whose start has no answer or that are young.
  *
- * @param record - A run whose start was ordered.
+ * @param state - State of the agent.
  * @param now - Time of the crash.
+ * @returns Their records.
  */
-function isBlamed({phase, orderedAt}: RunRecord, now: Milliseconds): boolean {
-	return startingPhases.has(phase) || now - orderedAt <= blameWindowMs;
+export function listBlamed({records}: RunsState, now: Milliseconds): ReadonlySet<RunRecord> {
+	const started = [...records.values()].filter(record => isStartOrdered(record));
+	const isolated = started.filter(record => isIsolated(record, now));
+	return new Set(isolated.length > 0 ? isolated : started.filter(record => isYoung(record, now)));
 }
 
 /** Describes a run that ended with a crash of its worker. */
-export function createCrashEvidence(record: RunRecord, now: Milliseconds): CrashEvidence {
-	const {route, target, isolation} = record.offer;
+export function createCrashEvidence(record: RunRecord, blamed: ReadonlySet<RunRecord>, now: Milliseconds): CrashEvidence {
+	const {route, target} = record.offer;
 	return {
-		route: route ?? '', target, isBlamed: isBlamed(record, now), isIsolated: isolation !== undefined,
+		route: route ?? '', target, isBlamed: blamed.has(record), isIsolated: isIsolated(record, now),
 	};
 }
 
--- a/src/core/runs/isolation.ts
+++ b/src/core/runs/isolation.ts
@@ -23,6 +23,11 @@
 	return pendingPhases.has(phase) || (phase !== 'queued' && now - orderedAt < settleMs);
 }
 
+/** Returns whether a run has started alone and nothing has started beside it yet. */
+export function isIsolated(record: RunRecord, now: Milliseconds): boolean {
+	return record.offer.isolation !== undefined && isSettling(record, now);
+}
+
 /** Adds a run that is about to start. */
 export function addSettling(settling: Settling, {offer}: RunRecord): void {
 	settling.count++;
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -5,10 +5,12 @@
  * shows the run, or a stop of it has been acknowledged: from then on the worker refuses the start.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {Isolation, TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
+import type {
+	CrashEvidence, Isolation, TaskEnd, TaskReport,
+} from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
 import {computeFreeResources} from './capacity.ts';
-import {createCrashEvidence, recordRecentCrash} from './crashes.ts';
+import {recordRecentCrash} from './crashes.ts';
 import {
 	computeLeaseEnd, getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
@@ -27,9 +29,10 @@
  * @param record - The record.
  * @param end - How the task ended.
  * @param now - Current time.
+ * @param crash - Set if it ended with a crash of the worker.
  * @returns The report.
  */
-export function endRecord(state: RunsState, record: RunRecord, end: TaskEnd, now: Milliseconds): RunsEffect {
+export function endRecord(state: RunsState, record: RunRecord, end: TaskEnd, now: Milliseconds, crash?: CrashEvidence): RunsEffect {
 	removeRecord(state, record);
 	// Stored under the run number of the offer, which claims carry; `record.run` may have been raised since.
 	recordEnd(state, record.offer.task, record.offer.run, end);
@@ -41,10 +44,10 @@
 		expectedMs: record.offer.expectedMs,
 		runMs: hasRun ? Math.round(now - record.orderedAt) : 0,
 		waitMs: Math.round((isStartOrdered(record) ? record.orderedAt : now) - record.queuedAt),
-		...(end === 'crashed' && {crash: createCrashEvidence(record, now)}),
+		...(crash !== undefined && {crash}),
 	};
-	if (report.crash !== undefined) {
-		recordRecentCrash(state, {task: report.task, run: report.run, ...report.crash}, now);
+	if (crash !== undefined) {
+		recordRecentCrash(state, {task: report.task, run: report.run, ...crash}, now);
 	}
 
 	return {type: 'report', owner: record.owner, reports: [report]};
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -6,7 +6,9 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {EndedTask, WorkerSnapshot} from '../../ports/worker.ts';
-import {findLossCause, getLossEnd, type LossCause} from './crashes.ts';
+import {
+	createCrashEvidence, findLossCause, getLossEnd, listBlamed, type LossCause,
+} from './crashes.ts';
 import {
 	endRecord, retryWithNextRun, retryStop, startQueued, stopRecord,
 } from './orders.ts';
@@ -172,10 +174,13 @@
  * @returns Reports.
  */
 export function endAllRuns(state: RunsState, cause: LossCause, now: Milliseconds): RunsEffect[] {
+	const blamed = listBlamed(state, now);
 	const loss = describeLoss(state, cause, now);
 	const effects: RunsEffect[] = loss === undefined ? [] : [loss];
 	for (const record of state.records.values()) {
-		effects.push(endRecord(state, record, isStartOrdered(record) ? getLossEnd(cause) : 'not-started', now));
+		const isStarted = isStartOrdered(record);
+		const evidence = isStarted && cause === 'crashed' ? createCrashEvidence(record, blamed, now) : undefined;
+		effects.push(endRecord(state, record, isStarted ? getLossEnd(cause) : 'not-started', now, evidence));
 	}
 
 	state.orphans.clear();
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -63,7 +63,7 @@
 	readonly target: string;
 	/** Whether it had started so shortly before the crash that it may have caused it. */
 	readonly isBlamed: boolean;
-	/** Whether it had started alone. */
+	/** Whether it had started alone and nothing had started beside it. */
 	readonly isIsolated: boolean;
 };
 
