--- a/src/core/dispatch/placing.ts
+++ b/src/core/dispatch/placing.ts
@@ -2,7 +2,7 @@
  * Assigns the waiting tasks of a job to agents.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {Isolation, TaskOffer} from '../../ports/dispatch-messages.ts';
+import type {TaskOffer} from '../../ports/dispatch-messages.ts';
 import {
 	computeSpareResources, hasFreeCapacity, isSuitable, listPlacementEstimates,
 } from '../fleet/logic.ts';
@@ -12,49 +12,14 @@
 import type {NodeName} from '../identity/types.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
 import {
-	chooseStartMode, isQuarantineAgent, isReserved, listIsolationAgents, type StartMode,
+	chooseStartMode, isQuarantineAgent, isReserved, type StartMode,
 } from './containment.ts';
-import {estimateRunTime} from './estimates.ts';
+import {createIsolatedPlacer, type Placer} from './isolated-placing.ts';
+import {createDemand, createOffer} from './task-offers.ts';
 import {estimateWait} from './waits.ts';
 import type {DispatchState} from './state.ts';
 import type {DispatchEffect, Job, TaskState} from './types.ts';
 
-/** A run is abandoned if its remaining time is more than this multiple of its expected run time. */
-const abandonFactor = 2.5;
-
-/** Delay of moving a task to another agent, in ms; added to the allowed remaining time of a slow run. */
-const moveDelayMs = 150;
-
-/** Growth of the allowed remaining time with each move, so that tasks are not moved repeatedly while every worker is slow. */
-const abandonGrowth = 2.5;
-
-function createDemand(state: DispatchState, job: Job, task: TaskState): TaskDemand {
-	const step = job.submission.steps[task.step];
-	return {
-		target: job.route.target,
-		needs: step.needs,
-		priority: job.route.priority,
-		expectedMs: estimateRunTime(state, job.route, step),
-		label: step.label,
-		dataRack: step.dataRack,
-	};
-}
-
-function createOffer(job: Job, task: TaskState, demand: TaskDemand): Omit<TaskOffer, 'isTentative'> {
-	return {
-		task: task.name,
-		run: task.nextRun,
-		spec: job.submission.spec,
-		needs: demand.needs,
-		priority: demand.priority,
-		expectedMs: Math.round(demand.expectedMs),
-		abandonMs: Math.round(((demand.expectedMs * abandonFactor) + moveDelayMs) * (abandonGrowth ** task.moves)),
-		target: demand.target,
-		label: demand.label,
-		route: job.route.name,
-	};
-}
-
 /**
  * Lists the agents that have reached the limit of a step's tasks per worker.
  *
@@ -174,33 +139,6 @@
 	}
 }
 
-type Placer = (state: DispatchState, job: Job, task: TaskState, placement: Placement, now: Milliseconds) => void;
-
-/** Creates the function that offers a task to the quarantine agents of its route; the first one where it can start alone gets it. */
-function createIsolatedPlacer(isolation: Isolation): Placer {
-	return (state, job, task, placement, now) => {
-		const demand = createDemand(state, job, task);
-		const agents = listIsolationAgents(state, job, task, demand);
-		if (agents.length === 0) {
-			placement.isComplete = false;
-			placement.lacksQuarantine = true;
-			return;
-		}
-
-		task.phase = 'offered';
-		task.offeredAt = now;
-		task.isUnproven = true;
-		task.offer = {
-			...createOffer(job, task, demand), isTentative: true, copies: agents.length, isolation,
-		};
-		for (const agent of agents) {
-			task.candidates.add(agent);
-			recordOffer(state.fleet, agent, demand, true);
-			addToGroup(placement.offers, agent, task.offer);
-		}
-	};
-}
-
 const placers: Record<StartMode, Placer> = {
 	free(state, job, task, placement, now) {
 		task.isUnproven = false;
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -5,15 +5,14 @@
  * shows the run, or a stop of it has been acknowledged: from then on the worker refuses the start.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {
-	CrashEvidence, Isolation, TaskEnd, TaskReport,
-} from '../../ports/dispatch-messages.ts';
+import type {CrashEvidence, TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
 import {computeFreeResources} from './capacity.ts';
 import {recordRecentCrash} from './crashes.ts';
 import {
 	computeLeaseEnd, getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
+import {addToQueue} from './queue.ts';
 import {hasOtherStartedRun, isStartOrdered, removeRecord} from './records.ts';
 import {canAcceptTask} from './health.ts';
 import {addSettling, canStartBeside, countSettling} from './isolation.ts';
@@ -58,27 +57,6 @@
 	return [...state.records.values()].filter(record => !isStartOrdered(record)).map(record => endRecord(state, record, 'not-started', now));
 }
 
-/** Order of the isolated tasks in the queue; they go before others, which would otherwise start one after the other in their way. */
-const isolationRanks: Record<Isolation | 'none', number> = {canary: 0, suspect: 1, none: 2};
-
-function getIsolationRank({offer}: RunRecord): number {
-	return isolationRanks[offer.isolation ?? 'none'];
-}
-
-function compareRecords(left: RunRecord, right: RunRecord): number {
-	return getIsolationRank(left) - getIsolationRank(right) || left.offer.priority - right.offer.priority || left.queuedAt - right.queuedAt;
-}
-
-/** Puts a record into the queue: isolated ones first, then by priority, then by age. */
-export function addToQueue(state: RunsState, record: RunRecord): void {
-	let position = state.queue.length;
-	while (position > 0 && compareRecords(state.queue[position - 1], record) > 0) {
-		position--;
-	}
-
-	state.queue.splice(position, 0, record);
-}
-
 /**
  * Returns whether the entry of a record has been heard within the contact time. Otherwise, for instance after a pause
  * of this process, the entry may count this agent as lost and start the task elsewhere.
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -4,8 +4,9 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskOffer, TaskReport} from '../../ports/dispatch-messages.ts';
 import type {NodeName} from '../identity/types.ts';
+import {addToQueue} from './queue.ts';
 import {
-	addToQueue, endRecord, endUnstartedTasks, startGranted, startQueued, stopRecord,
+	endRecord, endUnstartedTasks, startGranted, startQueued, stopRecord,
 } from './orders.ts';
 import {
 	addRecord, hasOtherRecord, isStartOrdered, listRecordsOfTask, removeRecord,
