--- a/features/explain/explain.feature
+++ b/features/explain/explain.feature
@@ -15,6 +15,10 @@
       {"time":9000,"level":"warn","process":"side-4","event":"worker-unreachable","kind":"unreachable"}
       {"time":3100,"level":"warn","process":"side-4","event":"worker-unreachable","kind":"unreachable"}
       {"time":3200,"level":"warn","process":"side-4","event":"lines-left-out","of":"info","count":7}
+      {"time":12000,"level":"warn","process":"side-5","event":"task-ended","task":"f6.0.0.0","run":1,"end":"crashed","expectedMs":200,"runMs":10,"waitMs":1}
+      {"time":12100,"level":"warn","process":"side-6","event":"task-ended","task":"f6.0.0.0","run":2,"end":"crashed","expectedMs":200,"runMs":10,"waitMs":1}
+      {"time":12101,"level":"warn","process":"edge-3","event":"job-answered","job":"f6","outcome":"failed","reason":"crashes","ms":130,"objectiveMs":160}
+      {"time":12300,"level":"warn","process":"edge-3","event":"job-answered","job":"g7","outcome":"not-run","reason":"quarantine","ms":0,"objectiveMs":160}
       not a decision
       {"time":"soon","process":"side-4","event":"task-ended"}
       {"time":4000,"level":
@@ -37,6 +41,14 @@
     And the conclusions name "No entry logged an answer"
     And 7 lines were left out
 
+  Scenario: A job under which workers crashed names their agents
+    When request "f6" is explained
+    Then the conclusions name "Workers crashed under a task of it, at side-5, side-6"
+
+  Scenario: A refusal for the quarantine of its route
+    When request "g7" is explained
+    Then the conclusions name "its route had crashed workers shortly before"
+
   Scenario: A request that no line names
     When request "e5" is explained
     Then there is no explanation
--- a/src/core/crashes/logic.ts
+++ b/src/core/crashes/logic.ts
@@ -30,7 +30,7 @@
 const maxAmount = 4;
 
 /** Share of a target's workers on which isolated runs of a route start. */
-const quarantineShare = 1 / 3;
+const quarantineShare = 0.25;
 
 function recordTaskCrash({tasks}: CrashState, crash: Crash, now: Milliseconds): boolean {
 	const record = tasks.get(crash.task) ?? {
--- a/src/core/explain/logic.ts
+++ b/src/core/explain/logic.ts
@@ -18,6 +18,9 @@
 	'configuration-applied',
 	'worker-unreachable',
 	'worker-restarted',
+	'worker-lost',
+	'route-quarantined',
+	'route-released',
 	'worker-announced',
 	'worker-left',
 	'worker-distrusted',
@@ -79,6 +82,11 @@
 	deadline: answer => `It was cancelled at its caller's deadline, after ${getNumber(answer, 'ms')} ms.`,
 	'still-ending': () => 'It was refused: runs of an earlier submission of the same job were still ending.',
 	cancelled: answer => `Its caller disconnected or cancelled it after ${getNumber(answer, 'ms')} ms.`,
+	crashes(_answer, decisions) {
+		const crashed = decisions.filter(({event, fields}) => event === 'task-ended' && fields.end === 'crashed');
+		return `Workers crashed under a task of it, at ${[...new Set(crashed.map(({process}) => process))].join(', ')}.`;
+	},
+	quarantine: () => 'It was refused: its route had crashed workers shortly before, and none of those kept for its jobs could start one in time.',
 	attempts(_answer, decisions) {
 		const failed = decisions.filter(({event, fields}) => event === 'task-ended' && fields.end === 'failed');
 		return `A task failed as many times as its route allows, at ${[...new Set(failed.map(({process}) => process))].join(', ')}.`;
