Entries pass on crashes under their own runs

Cause: in a fleet where entries have streams to some of the agents only, an entry that takes over a job may not have heard of crashes at an agent that it is not connected to, and would count anew. Change: the entry that owns the runs tells the other entries, naming the agent, so that a crash counts once. Not measured with separate processes.

--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -142,8 +142,11 @@
 	| {readonly type: 'ended'; readonly reports: readonly TaskReport[]; readonly load: WorkerLoad; readonly seen: number}
 	/** Isolated tasks whose worker has not crashed in the time after their start. */
 	| {readonly type: 'survived'; readonly tasks: readonly string[]}
-	/** Runs of other entries that ended with a crash of the worker: recent ones when a stream opens, then each at once. */
-	| {readonly type: 'crashes'; readonly crashes: readonly TaskCrash[]}
+	/**
+	 * Runs of other entries that ended with a crash of the worker: recent ones when a stream opens, then each at once.
+	 * Agents tell their own; an entry passes on those of its own runs, with the agent, to entries without a stream to that.
+	 */
+	| {readonly type: 'crashes'; readonly crashes: readonly TaskCrash[]; readonly agent?: string}
 	| {readonly type: 'load'; readonly load: WorkerLoad; readonly seen: number}
 	/** Version of the configuration that an entry has applied. */
 	| {readonly type: 'version'; readonly version: number}
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -24,7 +24,7 @@
 import {
 	addAgent, applyLoad, createFleetState, removeAgent, setRetiring,
 } from '../../core/fleet/state.ts';
-import type {DispatchMessage} from '../../ports/dispatch-messages.ts';
+import type {DispatchMessage, TaskReport} from '../../ports/dispatch-messages.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import {waitFor} from '../shared/wait.ts';
@@ -67,6 +67,7 @@
 	readonly #messageHandlers: MessageHandlers = {
 		ended: (from, {reports, load, seen}) => {
 			applyLoad(this.state.fleet, from.name, load, seen);
+			this.#shareCrashes(from.name, reports);
 			this.#applyEffects(applyReports(this.state, from.name, reports, this.#now()));
 			this.#requestPlacing(from.name);
 		},
@@ -74,8 +75,8 @@
 			applyLoad(this.state.fleet, from.name, load, seen);
 			this.#requestPlacing(from.name);
 		},
-		crashes: (from, {crashes}) => {
-			this.#applyEffects(handleCrashes(this.state, from.name, crashes, this.#now()));
+		crashes: (from, {crashes, agent}) => {
+			this.#applyEffects(handleCrashes(this.state, agent ?? from.name, crashes, this.#now()));
 		},
 		survived: (from, {tasks}) => {
 			this.#applyEffects(handleSurvival(this.state, from.name, tasks, this.#now()));
@@ -345,6 +346,16 @@
 		}
 	}
 
+	/** Passes on crashes under runs of this entry: other entries may have no stream to the agent, and this one may be killed. */
+	#shareCrashes(agent: NodeName, reports: readonly TaskReport[]): void {
+		const crashes = reports.flatMap(({task, run, crash}) => crash === undefined ? [] : [{task, run, ...crash}]);
+		for (const peer of crashes.length > 0 ? this.#links.listConnected() : []) {
+			if (peer.role === 'entry') {
+				this.#links.sendMessage(peer.name, {type: 'crashes', crashes, agent});
+			}
+		}
+	}
+
 	#shareVersion(version: number): void {
 		for (const peer of this.#links.listConnected()) {
 			// Send it also to entries that watch the store themselves: the store may be unavailable to some of them.
