Give back a job whose suspect can't start in a useful time

Change: the job is given up for quarantine once its answer would be later than three objectives; submitted again, it is given up at once while no agent is open, not told as not run, as it has run.

--- a/features/dispatch/crashes.feature
+++ b/features/dispatch/crashes.feature
@@ -69,6 +69,16 @@
     When the simulated fleet runs for 30 s
     Then the entries remember no crash
 
+  # Guards against a job that is held until its deadline although it is known that it cannot start in time.
+  Scenario: A job whose suspect finds no open quarantine agent is given back
+    Given a simulated fleet of 8 workers and 2 entries
+    And the route "r" has been in quarantine since a crash at entry 0
+    When job "bad" of 8 tasks on route "r" arrives at entry 0, and its task 0 crashes each worker
+    And the simulated fleet runs for 2 s
+    Then task 0 of "bad" has crashed at most 1 workers
+    And "bad" is shown as "given-up" for "quarantine"
+    And "bad" is answered within 700 ms
+
   # Guards against a quarantine that takes all workers of a small target from its other routes.
   Scenario Outline: A small target serves its other routes beside a quarantine
     Given a simulated fleet of <workers> workers and 2 entries
--- a/features/dispatch/crashes.steps.ts
+++ b/features/dispatch/crashes.steps.ts
@@ -163,3 +163,16 @@
 Then('the entries remember no crash', function (this: CrashWorld) {
 	assert.deepEqual(this.crashFleet.entries.map(({state: {crashes}}) => [crashes.tasks.size, crashes.routes.size, crashes.escapes.size]), this.crashFleet.entries.map(() => [0, 0, 0]));
 });
+
+Given('the route {string} has been in quarantine since a crash at entry {int}', function (this: CrashWorld, route: string, entry: number) {
+	this.crashFleet.submit({
+		id: 'first', route, tasks: 8, runMs: 60, deadly: 0,
+	}, entry, 0);
+	this.crashFleet.run(600);
+	assert.equal(this.crashFleet.answers.get('first')?.at(-1)?.reason, 'crashes');
+});
+
+Then('{string} is answered within {int} ms', function (this: CrashWorld, id: string, limit: number) {
+	const ms = this.crashFleet.answers.get(id)?.at(-1)?.ms ?? Number.POSITIVE_INFINITY;
+	assert.ok(ms <= limit, `${ms} ms`);
+});
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -2,6 +2,7 @@
  * Admission control: refuses jobs that are not expected to end in time, with a retry time.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
+import {getSuspicion} from '../crashes/logic.ts';
 import {settleMs} from '../runs/isolation.ts';
 import {estimateCriticalPath} from './estimates.ts';
 import type {Placement} from './placing.ts';
@@ -47,6 +48,11 @@
 	};
 }
 
+/** Returns whether a waiting task of a job is suspected of crashing workers. */
+function hasSuspect({crashes}: DispatchState, {tasks}: Job): boolean {
+	return tasks.some(({name, phase}) => phase === 'waiting' && getSuspicion(crashes, name) !== 'none');
+}
+
 /**
  * Checks whether a job is expected to end in time with its placement.
  *
@@ -60,7 +66,9 @@
 	const criticalPath = estimateCriticalPath(state, job.route, job.submission);
 	const timeLeft = job.deadlineAt - now;
 	if (placement.lacksQuarantine) {
-		return createRefusal('quarantine', quarantineRetryMs);
+		const refusal = createRefusal('quarantine', quarantineRetryMs);
+		// A suspect has run before, at another entry or for an earlier request.
+		return hasSuspect(state, job) ? {...refusal, outcome: 'given-up'} : refusal;
 	}
 
 	if (!placement.hasSuitableAgents) {
@@ -84,6 +92,23 @@
 		});
 }
 
+/**
+ * Checks a job with a suspect that waits for a quarantine agent: it is given up once its answer could not be useful any
+ * more, instead of being held until its deadline.
+ *
+ * @param state - State of the jobs.
+ * @param job - A job of which some task may have run.
+ * @param now - Current time.
+ * @returns The answer, or undefined while it may still wait.
+ */
+export function checkSuspendedJob(state: DispatchState, job: Job, now: Milliseconds): JobAnswer | undefined {
+	if (!state.jobsToPlace.has(job) || now < job.receivedAt + (job.objectiveMs * maxResponseFactor) - estimateCriticalPath(state, job.route, job.submission)) {
+		return undefined;
+	}
+
+	return hasSuspect(state, job) ? {...createRefusal('quarantine', quarantineRetryMs), outcome: 'given-up'} : undefined;
+}
+
 /**
  * Checks a job of which no task has started: it is refused once it cannot end within the accepted response time.
  *
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -4,7 +4,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
 import {isGivenUp, pruneCrashes} from '../crashes/logic.ts';
-import {checkAdmission, checkWaitingJob} from './admission.ts';
+import {checkAdmission, checkSuspendedJob, checkWaitingJob} from './admission.ts';
 import {placeLostTasks} from './agents.ts';
 import {updateReservedAgents} from './containment.ts';
 import {computeWork, estimateCriticalPath} from './estimates.ts';
@@ -214,7 +214,7 @@
 	updateReservedAgents(state, now);
 	effects.push(...placeAllWaitingTasks(state, now));
 	for (const job of state.openJobs) {
-		const refusal = job.mayHaveRun ? undefined : checkWaitingJob(state, job, now);
+		const refusal = job.mayHaveRun ? checkSuspendedJob(state, job, now) : checkWaitingJob(state, job, now);
 		if (refusal !== undefined) {
 			effects.push(...endJob(state, job, refusal, now));
 		}
