--- a/bench/emulator/types.ts
+++ b/bench/emulator/types.ts
@@ -32,6 +32,8 @@
 	/** The response time objective is `slackFactor` times the longest run time of the job's tasks, plus `targetMs`. */
 	readonly slackFactor: number;
 	readonly targetMs: Milliseconds;
+	/** Share of the jobs whose tasks crash their worker, and the time from a start to the crash. */
+	readonly deadly?: {readonly share: number; readonly crashAfterMs: Milliseconds};
 };
 
 /** One worker with its agent. */
@@ -40,6 +42,8 @@
 	readonly cpu: number;
 	/** Multiplier of run times; 1 is the nominal speed. */
 	readonly slowness: number;
+	/** Speed of the worker's clock, on which leases are measured; 1 if undefined. */
+	readonly clockRate?: number;
 };
 
 /** A period in which jobs of one kind arrive at `factor` times their usual rate. */
@@ -74,14 +78,47 @@
 	readonly to: Milliseconds;
 };
 
+/**
+ * How long the lease lasts that an order grants when it is executed late.
+ *
+ * - `absolute`: until the time that the order names.
+ * - `from-execution`: as long as it would have lasted in time, counted from the execution.
+ */
+export type LateLease = 'absolute' | 'from-execution';
+
 /** Faults injected at random: shares are from 0 to 1, and a mean time of 0 disables the fault. */
 export type RandomFaults = {
 	/** Share of orders to workers that time out without an answer and are executed later. */
 	readonly lateOrders: number;
+	readonly lateLease: LateLease;
 	/** Mean times between lost streams, killed agents and killed entries, over the whole fleet. */
 	readonly streamLossMs: Milliseconds;
 	readonly agentKillMs: Milliseconds;
 	readonly entryKillMs: Milliseconds;
+	/**
+	 * Mean times between cuts of the path between an agent and its worker, in one direction or both, and between periods
+	 * in which a worker that lives refuses connections; each of 1 to 4 s.
+	 */
+	readonly workerCutMs: Milliseconds;
+	readonly workerRefusalMs: Milliseconds;
+	/** Mean times between pauses of 0.5 to 4 s of agents and of entries, and of suspensions of agents, whose clocks stand still meanwhile. */
+	readonly agentPauseMs: Milliseconds;
+	readonly entryPauseMs: Milliseconds;
+	readonly agentSuspensionMs: Milliseconds;
+	/** Mean time between crashes of workers, which come back after 0.5 to 3 s under the same id, and the share with a dark machine. */
+	readonly workerCrashMs: Milliseconds;
+	readonly darkCrashes: number;
+	/** Share of heartbeats, and of crashes after which a departure arrives, up to 5 s late. */
+	readonly lateHeartbeats: number;
+	readonly lateDepartures: number;
+	/**
+	 * Mean times between lost connections of callers, who submit again under the same id: their entry cancels the job
+	 * (`callerLossMs`), is cut off from all agents for 1 to 4 s too and told nothing (`entryCutMs`), or is told nothing
+	 * while it keeps its agents (`callerCutMs`).
+	 */
+	readonly callerLossMs: Milliseconds;
+	readonly entryCutMs: Milliseconds;
+	readonly callerCutMs: Milliseconds;
 	/** Share of runs that fail, and of runs that stall without progress. */
 	readonly failures: number;
 	readonly stalls: number;
@@ -128,8 +165,10 @@
 	readonly answers: Record<string, number>;
 	readonly kinds: Readonly<Record<string, KindReport>>;
 	readonly submitted: number;
-	/** Violated invariants, one message each: a task that ran on two workers at once, or an overcommitted worker. */
-	readonly violations: string[];
+	/** Violated invariants, one message each: a task with two runs at once, or an overcommitted worker. */
+	readonly violations: readonly string[];
+	/** Events of the traced task, one line each. */
+	readonly trace: readonly string[];
 	/** Jobs without an answer at the end. */
 	readonly unanswered: number;
 	/** Messages from entries to agents and back, by type. */
@@ -142,5 +181,24 @@
 
 /** Disables all random faults. */
 export const noFaults: RandomFaults = {
-	lateOrders: 0, streamLossMs: 0, agentKillMs: 0, entryKillMs: 0, failures: 0, stalls: 0, cancels: 0,
+	lateOrders: 0,
+	lateLease: 'absolute',
+	streamLossMs: 0,
+	agentKillMs: 0,
+	entryKillMs: 0,
+	workerCutMs: 0,
+	workerRefusalMs: 0,
+	agentPauseMs: 0,
+	entryPauseMs: 0,
+	agentSuspensionMs: 0,
+	workerCrashMs: 0,
+	darkCrashes: 0,
+	lateHeartbeats: 0,
+	lateDepartures: 0,
+	callerLossMs: 0,
+	entryCutMs: 0,
+	callerCutMs: 0,
+	failures: 0,
+	stalls: 0,
+	cancels: 0,
 };
--- a/features/dispatch/crash-fleet.ts
+++ b/features/dispatch/crash-fleet.ts
@@ -39,6 +39,9 @@
 const messageMs = 1;
 const tickMs = 50;
 
+/** Time between heartbeats of a worker. */
+const heartbeatMs = 1000;
+
 /** Time from the start of a deadly task to the crash, and until the worker is back. */
 export const fuseMs = 10;
 const outageMs = 3000;
@@ -51,6 +54,8 @@
 	isUp: boolean;
 	readonly running: Map<string, {readonly run: number; readonly startedAt: Milliseconds; readonly runMs: Milliseconds}>;
 	ended: EndedTask[];
+	sequence: number;
+	heartbeatAt: Milliseconds;
 };
 
 type Agent = {readonly name: string; readonly state: RunsState; readonly worker: Worker; readonly seenOffers: Map<string, number>};
@@ -95,7 +100,7 @@
 			name: `a${index}`,
 			state: createRunsState({timings, fencingToken: 1}),
 			worker: {
-				bornAt: this.now, isUp: true, running: new Map(), ended: [],
+				bornAt: this.now, isUp: true, running: new Map(), ended: [], sequence: 0, heartbeatAt: 0,
 			},
 			seenOffers: new Map(),
 		}));
@@ -220,11 +225,18 @@
 		this.#sendCrashes(agent, entry, listRecentCrashes(agent.state, this.now));
 	}
 
+	#sendHeartbeat(agent: Agent): void {
+		const {name, state, worker} = agent;
+		worker.sequence++;
+		worker.heartbeatAt = this.now;
+		this.#runAgent(agent, handleAnnouncement(state, {
+			id: name, target: 'desk', address: '', state: 'ready', capacity, labels: [], sequence: worker.sequence, bornAt: worker.bornAt,
+		}, this.now));
+	}
+
 	#announce(agent: Agent): void {
 		this.#readSnapshot(agent);
-		this.#runAgent(agent, handleAnnouncement(agent.state, {
-			id: agent.name, target: 'desk', address: '', state: 'ready', capacity, labels: [], sequence: 1, bornAt: agent.worker.bornAt,
-		}, this.now));
+		this.#sendHeartbeat(agent);
 		for (const entry of this.entries) {
 			this.#sendLoad(agent, entry);
 		}
@@ -236,6 +248,10 @@
 				recordOwnerContact(agent.state, entry.name, this.now);
 			}
 
+			if (agent.worker.isUp && this.now - agent.worker.heartbeatAt >= heartbeatMs) {
+				this.#sendHeartbeat(agent);
+			}
+
 			this.#runAgent(agent, advanceRuns(agent.state, this.now));
 			this.#readSnapshot(agent);
 			for (const entry of this.entries) {
@@ -283,7 +299,7 @@
 
 		worker.running.clear();
 		worker.ended = [];
-		this.#runAgent(agent, applyRenewalFailure(agent.state, 'unreachable', this.now));
+		this.#runAgent(agent, applyRenewalFailure(agent.state, 'unreachable', this.now, {wait: 0, fencingToken: agent.state.fencingToken}));
 		this.#schedule(outageMs, () => {
 			worker.isUp = true;
 			worker.bornAt = this.now;
@@ -291,7 +307,7 @@
 		});
 	}
 
-	#startTask(agent: Agent, {record}: Extract<RunsEffect, {type: 'start'}>): void {
+	#startTask(agent: Agent, {record, fencingToken}: Extract<RunsEffect, {type: 'start'}>): void {
 		if (!recordStartSent(agent.state, record, this.now)) {
 			return;
 		}
@@ -299,7 +315,7 @@
 		const {worker} = agent;
 		const ref = {task: record.offer.task, run: record.run};
 		if (!worker.isUp) {
-			this.#runAgent(agent, applyStartAnswer(agent.state, ref, 'refused', this.now));
+			this.#runAgent(agent, applyStartAnswer(agent.state, {...ref, fencingToken}, 'refused', this.now));
 			return;
 		}
 
@@ -321,7 +337,7 @@
 				this.#endRun(agent, ref.task, 'done');
 			}
 		});
-		this.#runAgent(agent, applyStartAnswer(agent.state, ref, 'started', this.now));
+		this.#runAgent(agent, applyStartAnswer(agent.state, {...ref, fencingToken}, 'started', this.now));
 		if (record.offer.isolation !== undefined) {
 			this.#watchIsolatedRun(agent, ref);
 		}
@@ -376,12 +392,12 @@
 			start: effect => {
 				this.#startTask(agent, effect);
 			},
-			stop: ({ref}) => {
+			stop: ({ref, fencingToken}) => {
 				if (agent.worker.running.has(ref.task)) {
 					this.#endRun(agent, ref.task, 'stopped');
 				}
 
-				this.#runAgent(agent, applyStopAnswer(agent.state, ref, 'stopped', this.now));
+				this.#runAgent(agent, applyStopAnswer(agent.state, {...ref, fencingToken}, 'stopped', this.now));
 			},
 			report: ({owner, reports}) => {
 				const entry = this.#getEntry(owner);
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -3,114 +3,27 @@
  */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {computeTimings} from '../../src/core/bounds/logic.ts';
-import {applySnapshot} from '../../src/core/runs/snapshots.ts';
 import {
-	advanceRuns, applyRenewalFailure, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, isExtraRenewalDue, recordRenewalSent, restoreWorker,
+	advanceRuns, applyRenewalFailure, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, isExtraRenewalDue, restoreWorker,
 } from '../../src/core/runs/logic.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../src/core/runs/answers.ts';
 import {findSurvivor} from '../../src/core/runs/isolation.ts';
+import {createRenewal} from '../../src/core/runs/leases.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
 import {
 	handleClaim, handleGrant, handleOffers, handleOwnerDisconnect, recordOwnerContact,
 } from '../../src/core/runs/owners.ts';
 import {computeOthersLoad, computeOwnersLoad} from '../../src/core/runs/contention.ts';
 import {computeFreeResources} from '../../src/core/runs/capacity.ts';
-import {createRunsState, type RunsState} from '../../src/core/runs/state.ts';
 import {canAcceptTask, getAgentMode} from '../../src/core/runs/health.ts';
-import type {RunRecord, RunsEffect} from '../../src/core/runs/types.ts';
-import type {Milliseconds} from '../../src/ports/clock.ts';
-import type {AgentMode, Isolation, TaskOffer} from '../../src/ports/dispatch-messages.ts';
+import type {RunsEffect} from '../../src/core/runs/types.ts';
+import type {AgentMode, Isolation} from '../../src/ports/dispatch-messages.ts';
 import type {
-	EndedTask, RunEnd, RunningTask, StartAnswer, StopAnswer, WorkerAnnouncement, WorkerSnapshot,
+	RunEnd, RunningTask, StartAnswer, StopAnswer, WorkerAnnouncement,
 } from '../../src/ports/worker.ts';
-
-type RunsWorld = {
-	stored: WorkerAnnouncement | undefined;
-	unsentRecord: RunRecord | undefined;
-	state: RunsState;
-	now: Milliseconds;
-	effects: RunsEffect[];
-	position: number;
-};
-
-const timings = computeTimings({
-	maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: 6, configurationMs: 2000, remoteFactor: 1.5,
-});
-
-const bornAt = 5000;
-const expectedMs = 100;
-const abandonMs = 400;
-const startTime = 10_000;
-
-/** Interval in which entries are heard, in ms. */
-const heartbeatMs = 100;
-
-const announcement: WorkerAnnouncement = {
-	id: 'w1',
-	target: 'desk',
-	address: '127.0.0.1:9',
-	state: 'ready',
-	capacity: {cpu: 10_000, memory: 1000, accelerators: 0},
-	labels: ['a'],
-	sequence: 5,
-	bornAt,
-};
-
-function createOffer(task: string, cpu: number, isTentative: boolean, priority = 1): TaskOffer {
-	return {
-		task: `${task}.0.0.0`, run: 1, spec: '', needs: {cpu, memory: 1, accelerators: 0}, priority, expectedMs, abandonMs, target: 'desk', label: '', isTentative,
-	};
-}
-
-function recordEffects(world: RunsWorld, effects: readonly RunsEffect[]): void {
-	world.effects.push(...effects);
-}
-
-function applyNextSnapshot(world: RunsWorld, fields: Partial<WorkerSnapshot> = {}): void {
-	const requestedAt = world.now;
-	world.now += 1;
-	recordEffects(world, applySnapshot(world.state, {
-		running: [], ended: [], workerTime: world.now - bornAt, bornAt, ...fields,
-	}, requestedAt, world.now));
-}
-
-function resetWorld(world: RunsWorld): void {
-	world.now = startTime;
-	world.state = createRunsState({timings, fencingToken: 1});
-	world.effects = [];
-	world.position = 0;
-	for (const owner of ['e1', 'e2']) {
-		recordEffects(world, handleClaim(world.state, owner, [], world.now));
-	}
-}
-
-/** Lets time pass in which both entries are heard. */
-function passTime(world: RunsWorld, time: number): void {
-	const endAt = world.now + time;
-	while (world.now < endAt) {
-		world.now = Math.min(endAt, world.now + heartbeatMs);
-		for (const owner of ['e1', 'e2']) {
-			recordOwnerContact(world.state, owner, world.now);
-		}
-	}
-}
-
-function listStarts(world: RunsWorld): string[] {
-	return world.effects.flatMap(effect => effect.type === 'start' ? [`${effect.record.offer.task}`] : []);
-}
-
-function findLastStart(world: RunsWorld, task: string): {task: string; run: number} {
-	const starts = world.effects.filter(effect => effect.type === 'start' && effect.record.offer.task === task);
-	const newest = starts.at(-1);
-	assert.ok(newest?.type === 'start', `"${task}" was never started`);
-	return {task, run: newest.record.run};
-}
-
-function createEnd(world: RunsWorld, task: string, end: RunEnd): EndedTask {
-	world.position++;
-	return {...findLastStart(world, `${task}.0.0.0`), end, position: world.position};
-}
+import {
+	announcement, applyNextSnapshot, bornAt, createEnd, createOffer, findLastStart, listStarts, passTime, recordEffects, resetWorld, type RunsWorld,
+} from './world.ts';
 
 Given('an agent whose worker has {int} thousandths of a core', function (this: RunsWorld, cpu: number) {
 	resetWorld(this);
@@ -139,11 +52,13 @@
 			phase: 'running',
 			isGranted: true,
 			run: 1,
+			isConfirmed: true,
 			orderedAt: 0,
 			percent: 0,
 			progressAt: 0,
 			paceBaseline: {at: 0, percent: 0},
 			stopReason: undefined,
+			stopOrderedAt: undefined,
 			stoppedAt: undefined,
 			stopRetryAt: 0,
 		},
@@ -210,11 +125,11 @@
 });
 
 When('the start of {string} is answered {string}', function (this: RunsWorld, task: string, answer: StartAnswer) {
-	recordEffects(this, applyStartAnswer(this.state, findLastStart(this, `${task}.0.0.0`), answer, this.now));
+	recordEffects(this, applyStartAnswer(this.state, {...findLastStart(this, `${task}.0.0.0`), fencingToken: this.state.fencingToken}, answer, this.now));
 });
 
 When('the stop of {string} is answered {string}', function (this: RunsWorld, task: string, answer: StopAnswer) {
-	recordEffects(this, applyStopAnswer(this.state, findLastStart(this, `${task}.0.0.0`), answer, this.now));
+	recordEffects(this, applyStopAnswer(this.state, {...findLastStart(this, `${task}.0.0.0`), fencingToken: this.state.fencingToken}, answer, this.now));
 });
 
 When('the worker lists {string} as ended {string}', function (this: RunsWorld, task: string, end: RunEnd) {
@@ -258,7 +173,7 @@
 });
 
 When('a renewal finds the worker unreachable', function (this: RunsWorld) {
-	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now));
+	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
 });
 
 When('the agent has not heard entry {string} for {int} ms, then hears it', function (this: RunsWorld, owner: string, time: number) {
@@ -268,11 +183,11 @@
 });
 
 Given('the agent has sent a renewal to its idle worker', function (this: RunsWorld) {
-	recordRenewalSent(this.state, this.now);
+	createRenewal(this.state, 0, this.now);
 });
 
 When('a renewal that waited for {int} ms gets no answer', function (this: RunsWorld, wait: number) {
-	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now, wait));
+	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now, {wait, fencingToken: this.state.fencingToken}));
 });
 
 Then('an extra renewal is due', function (this: RunsWorld) {
@@ -284,7 +199,7 @@
 });
 
 When('a renewal gets no answer', function (this: RunsWorld) {
-	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now));
+	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
 });
 
 When('the stream to entry {string} closes', function (this: RunsWorld, owner: string) {
@@ -305,6 +220,14 @@
 	recordEffects(this, restoreWorker(this.state, {...announcement, bornAt: which === 'another' ? bornAt - 1 : bornAt}, this.now));
 });
 
+When('the stored worker that was resized before is restored', function (this: RunsWorld) {
+	recordEffects(this, restoreWorker(this.state, {...announcement, isResized: true}, this.now));
+});
+
+Then('the worker is stored as resized', function (this: RunsWorld) {
+	assert.equal(this.stored?.isResized, true);
+});
+
 When('the stored worker of the same start is restored', function (this: RunsWorld) {
 	recordEffects(this, restoreWorker(this.state, announcement, this.now));
 });
@@ -334,7 +257,7 @@
 
 function runTask(world: RunsWorld, task: string, end: RunEnd): void {
 	recordEffects(world, handleOffers(world.state, 'e1', [createOffer(task, 1000, false)], world.now));
-	recordEffects(world, applyStartAnswer(world.state, findLastStart(world, `${task}.0.0.0`), 'started', world.now));
+	recordEffects(world, applyStartAnswer(world.state, {...findLastStart(world, `${task}.0.0.0`), fencingToken: world.state.fencingToken}, 'started', world.now));
 	applyNextSnapshot(world, {ended: [createEnd(world, task, end)]});
 }
 
@@ -393,15 +316,18 @@
 
 When('the worker {word}', function (this: RunsWorld, event: string) {
 	const events: Readonly<Record<string, () => RunsEffect[]>> = {
-		crashes: () => applyRenewalFailure(this.state, 'unreachable', this.now),
-		leaves: () => handleDeparture(this.state, announcement.id, this.now),
+		crashes: () => applyRenewalFailure(this.state, 'unreachable', this.now, {wait: 0, fencingToken: this.state.fencingToken}),
+		leaves: () => [
+			...handleDeparture(this.state, announcement.id, this.now),
+			...applyRenewalFailure(this.state, 'unreachable', this.now, {wait: 0, fencingToken: this.state.fencingToken}),
+		],
 	};
 	recordEffects(this, events[event]());
 });
 
 Then('the log tells that {int} run(s) ended with the worker, which {string}', function (this: RunsWorld, count: number, cause: string) {
-	const lines = this.effects.flatMap(effect => effect.type === 'log' && effect.event === 'worker-lost' ? [effect.details] : []);
-	assert.deepEqual(lines.map(({runs, cause: logged}) => [runs, logged]), [[count, cause]]);
+	const lines = this.effects.flatMap(effect => effect.type === 'log' && effect.event === 'runs-lost' ? [effect.details] : []);
+	assert.deepEqual(lines.map(({count: logged, cause: found}) => [logged, found]), [[count, cause]]);
 });
 
 Then('entry {string} is asked about {string}', function (this: RunsWorld, owner: string, task: string) {
@@ -439,18 +365,18 @@
 
 When('the worker announces that it drains and then crashes', function (this: RunsWorld) {
 	recordEffects(this, handleAnnouncement(this.state, {...announcement, state: 'draining', sequence: 6}, this.now));
-	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now));
+	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
 });
 
 When('the worker is silent for {int} ms and then crashes', function (this: RunsWorld, time: number) {
 	passTime(this, time);
-	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now));
-	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now));
+	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
+	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
 });
 
 When('the worker is silent for {int} ms and then for another {int} ms', function (this: RunsWorld, time: number, more: number) {
 	passTime(this, time);
-	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now));
+	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
 	passTime(this, more);
 	recordEffects(this, advanceRuns(this.state, this.now));
 });
--- /dev/null
+++ b/features/runs/single-run.feature
@@ -0,0 +1,114 @@
+Feature: One run of a task at a time
+  An entry starts a task elsewhere once its agent must have ended the earlier run. So an agent reports no run as lost that
+  may be active, and extends no lease under which a run outlives that time.
+
+  Background:
+    Given an agent whose worker has 10000 thousandths of a core
+
+  # Guards against a run that outlives its entry's loss, as its stop gets no answer and renewals for other runs extend its lease.
+  Scenario Outline: The lease is not extended while <event> and the stop is not acknowledged
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    Then a renewal extends the lease
+    When <event>
+    Then the worker is ordered to stop "a"
+    And a renewal extends the lease
+    When 70 ms go by
+    And the stop of "a" is answered "unanswered"
+    Then a renewal does not extend the lease
+    When entry "e2" offers direct tasks "b" of 1000
+    Then the worker is not ordered to start "b"
+    When the stop of "a" is answered "stopped"
+    Then a renewal extends the lease
+
+    Examples:
+      | event                                                     |
+      | entry "e1" withdraws "a"                                  |
+      | entry "e2" offers direct tasks "a" of 4000                |
+      | the stream to entry "e1" has been closed for 200 ms       |
+
+  # Guards against a second run while the first one lives on under renewals whose answers are lost.
+  Scenario: A run counts as lost only after the lease of the last unanswered renewal
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And renewals are sent every 70 ms for 2000 ms without an answer
+    Then entry "e1" gets the report that "a" ended as "lost"
+    And the last renewal that extended the lease was sent at least 545 ms before that report
+
+  # Guards against a second run while a restarted agent takes a run under a raised number for another one.
+  Scenario: A restarted agent adopts a run under a higher number than the entry knows
+    Given an agent that restarted while its worker runs "a" as run 17
+    When entry "e1" claims "a"
+    Then entry "e1" gets no report on "a"
+    When the worker lists run 17 of "a" as ended "done"
+    Then entry "e1" gets the report that "a" ended as "done"
+
+  # Guards against a second run beside one of an earlier number that the worker has not stopped yet.
+  Scenario: A claimed task waits at a restarted agent until a run of an earlier number has ended
+    Given an agent that restarted while its worker runs "a" as run 1
+    When entry "e1" claims run 2 of "a"
+    Then entry "e1" gets no report on "a"
+    And the worker is ordered to stop "a"
+    When 10 ms pass and a snapshot shows no runs
+    Then the worker is ordered to start "a" as run 2
+
+  # Guards against a second run while a worker that has announced its shutdown is still ending its runs.
+  Scenario: A departure ends no run before the worker's port is closed
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And the worker announces its departure
+    Then entry "e1" gets no report on "a"
+    And the agent accepts no tasks
+    When a renewal finds the worker unreachable
+    Then entry "e1" gets the report that "a" ended as "lost"
+
+  # Guards against a task that starts again by itself after its entry has withdrawn it, beside its run elsewhere.
+  Scenario Outline: A start without an answer is not repeated after <event>
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "unanswered"
+    And 200 ms pass and a snapshot shows no runs
+    Then the worker is ordered to stop "a"
+    When <event>
+    And the stop of "a" is answered "stopped"
+    And 10 ms pass and a snapshot shows no runs
+    Then the worker is ordered to start "a" 1 time
+    And entry "e1" gets the report that "a" ended as "not-started"
+
+    Examples:
+      | event                                               |
+      | entry "e1" withdraws "a"                            |
+      | the stream to entry "e1" has been closed for 200 ms |
+
+  # Guards against an order that is carried out seconds late, after its task has been started elsewhere.
+  Scenario Outline: After <call> without an answer every order carries a higher token
+    When entry "e1" offers direct tasks "a" of 4000
+    And <call> ends without an answer
+    Then the next renewal carries a higher token than that call
+    When an order with the token of that call is answered "fenced"
+    Then the next renewal carries the same token as before
+
+    Examples:
+      | call                |
+      | a renewal           |
+      | the start of "a"    |
+
+  # Guards against a run of a lost entry that a restarted agent keeps alive until nobody claims it.
+  Scenario: The lease is not extended for long while runs of an earlier life are not claimed
+    Given an agent that restarted while its worker runs "a" as run 1
+    Then a renewal extends the lease
+    When 200 ms go by
+    Then a renewal does not extend the lease
+    When entry "e1" claims "a"
+    Then a renewal extends the lease
+  # Guards against a late start that nothing bars, after the silence of its worker was taken for the end of its runs.
+  Scenario: A start without an answer is not reported as lost while its worker is silent
+    When entry "e1" offers direct tasks "a b" of 4000
+    And the start of "a" is answered "started"
+    And the start of "b" is answered "unanswered"
+    And renewals are sent every 70 ms for 2000 ms without an answer
+    Then entry "e1" gets the report that "a" ended as "lost"
+    And entry "e1" gets no report on "b"
+    When 10 ms pass and a snapshot shows no runs
+    And the stop of "b" is answered "stopped"
+    And 10 ms pass and a snapshot shows no runs
+    Then entry "e1" is told the end of "b", or the worker is ordered to start it again
--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -54,7 +54,8 @@
 	const timeForLease = bounds.resubmitMs - detectionMs - bounds.stopMs - marginMs;
 	const silenceMs = contactMs - streamCheckMs;
 	const leaseMs = Math.max(marginMs, Math.floor(Math.min(bounds.maxLeaseMs, timeForLease / (1 + maxClockDrift))));
-	const goneMs = Math.ceil(detectionMs + bounds.stopMs + (leaseMs * (1 + maxClockDrift))) + marginMs;
+	const lapseMs = Math.ceil(leaseMs * (1 + maxClockDrift));
+	const goneMs = detectionMs + bounds.stopMs + lapseMs + marginMs;
 	const quietSilenceMs = Math.max(silenceMs, goneMs - reconnectMs - bounds.stopMs - marginMs);
 	return {
 		contactMs,
@@ -66,8 +67,13 @@
 		quietSilenceMs,
 		reconnectMs,
 		leaseMs,
+		lapseMs,
+		// An agent that restarts finds runs only if it reads them within a lease after the end of its earlier life.
+		unclaimedMs: Math.max(0, bounds.resubmitMs - (2 * lapseMs) - marginMs),
 		renewMs: Math.floor(leaseMs / renewalsPerLease),
 		goneMs,
+		// The loss is noticed up to `contactMs` after the last contact.
+		isolationMs: bounds.resubmitMs - contactMs - marginMs,
 		orderMs: Math.floor(leaseMs / ordersPerLease),
 		workerSilenceMs: Math.floor(leaseMs / 2),
 	};
--- a/src/core/bounds/types.ts
+++ b/src/core/bounds/types.ts
@@ -36,10 +36,16 @@
 	readonly reconnectMs: Milliseconds;
 	/** Duration of the lease that an agent requests from its worker. */
 	readonly leaseMs: Milliseconds;
+	/** Time after its last extension within which a lease has expired, also on a slow worker clock. */
+	readonly lapseMs: Milliseconds;
+	/** Time for which a restarted agent extends the lease of runs that no entry has claimed yet. */
+	readonly unclaimedMs: Milliseconds;
 	/** Longest time between two renewals of the lease. */
 	readonly renewMs: Milliseconds;
 	/** Time after the loss of an agent within which all of its runs have ended, whatever the cause of the loss. */
 	readonly goneMs: Milliseconds;
+	/** Time after the loss of its last agent from which an entry gives up its jobs, as their callers may submit them again. */
+	readonly isolationMs: Milliseconds;
 	/** Timeout of an order to a worker, in addition to the time for which a renewal waits for an end. */
 	readonly orderMs: Milliseconds;
 	/** Time without an answer after which a worker gets no more tasks. */
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -3,11 +3,14 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import {getSuspicion} from '../crashes/logic.ts';
+import {isOversized} from '../fleet/logic.ts';
 import {settleMs} from '../runs/isolation.ts';
 import {estimateCriticalPath} from './estimates.ts';
 import type {Placement} from './placing.ts';
 import type {DispatchState} from './state.ts';
-import type {AdmissionEstimate, Job, JobAnswer} from './types.ts';
+import type {
+	AdmissionEstimate, Job, JobAnswer, StepSubmission,
+} from './types.ts';
 import {estimateUtilization} from './waits.ts';
 
 /**
@@ -53,6 +56,33 @@
 	return tasks.some(({name, phase}) => phase === 'waiting' && getSuspicion(crashes, name) !== 'none');
 }
 
+/** Returns whether a task of a step needs more than any worker has, while no agents are expected to connect again. */
+function isStepOversized(state: DispatchState, {route: {target}}: Job, {label, needs}: StepSubmission, now: Milliseconds): boolean {
+	return now >= state.expectAgentsUntil && isOversized(state.fleet, {target, label, needs});
+}
+
+/** Returns whether no task of a job has run: no agent has one, and no report of another end than `not-started` has come. */
+function hasNotRun(job: Job): boolean {
+	return job.tasks.every(({phase, nextRun, failures, moves}) => phase !== 'placed' && phase !== 'detached' && phase !== 'done' && nextRun === 1 && failures === 0 && moves === 0);
+}
+
+/**
+ * Checks an open job: it ends once a task that waits needs more than any worker has.
+ *
+ * @param state - State of the jobs.
+ * @param job - The job.
+ * @param now - Current time.
+ * @returns The answer, or undefined if the job goes on.
+ */
+export function checkOversizedJob(state: DispatchState, job: Job, now: Milliseconds): JobAnswer | undefined {
+	const waitingSteps = new Set(state.jobsToPlace.has(job) ? job.tasks.filter(({phase}) => phase === 'waiting').map(({step}) => step) : []);
+	if (![...waitingSteps].some(step => isStepOversized(state, job, job.submission.steps[step], now))) {
+		return undefined;
+	}
+
+	return {...createRefusal('no-worker', agentReturnMs), outcome: job.mayHaveRun && !hasNotRun(job) ? 'given-up' : 'not-run'};
+}
+
 /**
  * Checks whether a job is expected to end in time with its placement.
  *
@@ -65,6 +95,10 @@
 export function checkAdmission(state: DispatchState, job: Job, placement: Placement, now: Milliseconds): JobAnswer | undefined {
 	const criticalPath = estimateCriticalPath(state, job.route, job.submission);
 	const timeLeft = job.deadlineAt - now;
+	if (job.submission.steps.some(step => isStepOversized(state, job, step, now))) {
+		return createRefusal('no-worker', agentReturnMs);
+	}
+
 	if (placement.lacksQuarantine) {
 		const refusal = createRefusal('quarantine', quarantineRetryMs);
 		// A suspect has run before, at another entry or for an earlier request.
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -4,8 +4,11 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
 import {isGivenUp, pruneCrashes} from '../crashes/logic.ts';
-import {checkAdmission, checkSuspendedJob, checkWaitingJob} from './admission.ts';
+import {
+	checkAdmission, checkOversizedJob, checkSuspendedJob, checkWaitingJob,
+} from './admission.ts';
 import {placeLostTasks} from './agents.ts';
+import {cancelIsolatedJobs} from './contact.ts';
 import {updateReservedAgents} from './containment.ts';
 import {computeWork, estimateCriticalPath} from './estimates.ts';
 import {clearPlacement, createOffers, placeTasks} from './placing.ts';
@@ -195,14 +198,14 @@
 }
 
 /**
- * Advances to a point in time: cancels jobs past their deadline, places waiting tasks, drops old answers.
+ * Advances to a point in time: cancels jobs past their deadline, places waiting tasks, ends jobs that can't run, drops old answers.
  *
  * @param state - State of the jobs.
  * @param now - Current time.
  * @returns Effects to carry out.
  */
 export function advanceDispatch(state: DispatchState, now: Milliseconds): DispatchEffect[] {
-	const effects = placeLostTasks(state, now);
+	const effects = [...cancelIsolatedJobs(state, now), ...placeLostTasks(state, now)];
 	for (const job of state.openJobs) {
 		if (now >= job.deadlineAt) {
 			effects.push(...cancelJob(state, job.id, 'deadline', now));
@@ -214,7 +217,7 @@
 	updateReservedAgents(state, now);
 	effects.push(...placeAllWaitingTasks(state, now));
 	for (const job of state.openJobs) {
-		const refusal = job.mayHaveRun ? checkSuspendedJob(state, job, now) : checkWaitingJob(state, job, now);
+		const refusal = checkOversizedJob(state, job, now) ?? (job.mayHaveRun ? checkSuspendedJob(state, job, now) : checkWaitingJob(state, job, now));
 		if (refusal !== undefined) {
 			effects.push(...endJob(state, job, refusal, now));
 		}
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -47,7 +47,7 @@
  * Why a job was refused, given up or has failed. `crashes`: workers have crashed under one of its tasks. `quarantine`:
  * its route has crashed workers recently, and none of those that are kept for such a job can start it in time.
  */
-export type JobReason = 'overload' | 'no-worker' | 'unsupported' | 'too-large' | 'leaving' | 'deadline' | 'still-ending' | 'cancelled' | 'attempts' | 'crashes' | 'quarantine' | 'none';
+export type JobReason = 'overload' | 'no-worker' | 'unsupported' | 'too-large' | 'leaving' | 'deadline' | 'isolated' | 'still-ending' | 'cancelled' | 'attempts' | 'crashes' | 'quarantine' | 'none';
 
 /** Answer to a submission. */
 export type JobAnswer = {
--- a/src/core/explain/logic.ts
+++ b/src/core/explain/logic.ts
@@ -18,7 +18,7 @@
 	'configuration-applied',
 	'worker-unreachable',
 	'worker-restarted',
-	'worker-lost',
+	'runs-lost',
 	'route-quarantined',
 	'route-released',
 	'worker-announced',
--- a/src/core/runs/crashes.ts
+++ b/src/core/runs/crashes.ts
@@ -6,20 +6,11 @@
 import {isIsolated} from './isolation.ts';
 import {isStartOrdered} from './records.ts';
 import type {RunsState} from './state.ts';
-import type {RunPhase, RunRecord} from './types.ts';
+import type {LossEvidence, RunPhase, RunRecord} from './types.ts';
 
 /** Age of a run, in ms, up to which a crash of its worker is blamed on it. */
 const blameWindowMs = 50;
 
-/**
- * What an agent has learned about its worker.
- *
- * - `gone`: nothing listens on its port, or a process with another start time answers.
- * - `departed`: it has announced its end.
- * - `lapsed`: it was unreachable for so long that the leases have expired.
- */
-export type LossEvent = 'gone' | 'departed' | 'lapsed';
-
 /**
  * Why the runs of a worker have ended together.
  *
@@ -32,15 +23,18 @@
 
 type CauseFinder = (state: RunsState) => LossCause;
 
-const causeFinders: Record<LossEvent, CauseFinder> = {
-	gone({worker}) {
-		if (worker.announcement?.state === 'draining') {
-			return 'left';
-		}
+function findCauseOfEnd({worker: {announcement, isReachable}}: RunsState): LossCause {
+	// Without a heartbeat in force, the worker has announced its departure.
+	if (announcement?.state !== 'ready') {
+		return 'left';
+	}
+
+	return isReachable ? 'crashed' : 'silent';
+}
 
-		return worker.isReachable ? 'crashed' : 'silent';
-	},
-	departed: () => 'left',
+const causeFinders: Record<LossEvidence, CauseFinder> = {
+	refused: findCauseOfEnd,
+	restarted: findCauseOfEnd,
 	lapsed: () => 'lapsed',
 };
 
@@ -48,11 +42,11 @@
  * Finds why the runs of the worker have ended. To be called before the worker is marked as unreachable.
  *
  * @param state - State of the agent.
- * @param event - What has been learned about the worker.
+ * @param evidence - How the end is known.
  * @returns The cause.
  */
-export function findLossCause(state: RunsState, event: LossEvent): LossCause {
-	return causeFinders[event](state);
+export function findLossCause(state: RunsState, evidence: LossEvidence): LossCause {
+	return causeFinders[evidence](state);
 }
 
 /** Ends of started runs by the cause of their loss. */
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -2,23 +2,29 @@
  * Worker heartbeats, lease renewals and timeouts of an agent.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {WorkerLoad} from '../../ports/dispatch-messages.ts';
-import type {LeaseRenewalErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
-import {isSameResources, noResources} from '../resources/logic.ts';
-import {findLossCause} from './crashes.ts';
-import {endUnstartedTasks, retryStop, startQueued} from './orders.ts';
+import type {HeardCapacity, WorkerLoad} from '../../ports/dispatch-messages.ts';
+import type {LeaseRenewal, LeaseRenewalErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
+import {computeSmallerResources, isSameResources, noResources} from '../resources/logic.ts';
+import {
+	endOversizedTasks, endUnstartedTasks, retryStop, startQueued,
+} from './orders.ts';
 import {applyPendingClaims, dropDisconnectedOwners} from './owners.ts';
 import {endAllRuns, resetWorker} from './snapshots.ts';
 import {computeFreeResources, estimateWaits} from './capacity.ts';
-import {updateFencingToken, type RunsState} from './state.ts';
-import {getAgentMode} from './health.ts';
-import type {RunsEffect} from './types.ts';
+import {refuseLateCalls, updateFencingToken, type RunsState} from './state.ts';
+import {getAgentMode, isAnnouncementCurrent, isRecent} from './health.ts';
+import type {RunsEffect, WorkerRecord} from './types.ts';
 
 /** Time, in ms, for entries to claim orphan runs before they are stopped. */
 const orphanClaimMs = 600;
 
-function isNewer(previous: WorkerAnnouncement | undefined, next: WorkerAnnouncement): boolean {
-	if (previous === undefined) {
+/** Start times are compared only with a process that does not answer: the clock may have been set back between two starts. */
+function isNewer({announcement: previous, bornAt}: WorkerRecord, next: WorkerAnnouncement): boolean {
+	if (bornAt !== undefined && next.bornAt !== bornAt) {
+		return (next.bornAt ?? 0) > bornAt;
+	}
+
+	if (previous === undefined || (bornAt !== undefined && previous.bornAt !== bornAt)) {
 		return true;
 	}
 
@@ -26,7 +32,8 @@
 	return isSameProcess ? next.sequence > previous.sequence : (next.bornAt ?? 0) >= (previous.bornAt ?? 0);
 }
 
-function isSameAnnouncement(left: WorkerAnnouncement, right: WorkerAnnouncement): boolean {
+/** Returns whether two heartbeats tell the same of what an agent relies on after a restart. */
+export function isSameAnnouncement(left: WorkerAnnouncement, right: WorkerAnnouncement): boolean {
 	return left.id === right.id && left.bornAt === right.bornAt && left.target === right.target && left.state === right.state
 		&& isSameResources(left.capacity, right.capacity);
 }
@@ -45,7 +52,8 @@
 }
 
 /**
- * Restores the worker that was stored before this agent restarted, if it answers with the same start time.
+ * Restores the worker that was stored before this agent restarted, if it answers with the same start time and an entry
+ * has lately heard its capacity: what was stored may be of any age.
  *
  * @param state - State of the agent.
  * @param worker - Stored worker heartbeat.
@@ -57,19 +65,66 @@
 	return applyRestoredWorker(state, now);
 }
 
-/** Uses the stored worker heartbeat once the worker has answered, until it sends a new one. */
+/** Longest time, in ms, between two heartbeats of a worker. */
+const heartbeatIntervalMs = 1500;
+
+/**
+ * Applies the capacity that an entry heard from this agent before it restarted.
+ *
+ * @param state - State of the agent.
+ * @param heard - The capacity; undefined if the entry heard none lately.
+ * @param now - Current time.
+ * @returns Effects to carry out.
+ */
+export function applyHeardCapacity(state: RunsState, heard: HeardCapacity | undefined, now: Milliseconds): RunsEffect[] {
+	const toldAt = now - (heard?.age ?? 0) - heartbeatIntervalMs;
+	if (heard !== undefined && toldAt > (state.heardCapacity?.toldAt ?? Number.NEGATIVE_INFINITY)) {
+		state.heardCapacity = {capacity: heard.capacity, toldAt};
+	}
+
+	return applyRestoredWorker(state, now);
+}
+
+/**
+ * Uses the stored worker heartbeat once the worker has answered, until it sends a new one. If the entries have heard no
+ * capacity, as they have restarted too, what was stored holds for a worker whose capacity has never changed.
+ */
 export function applyRestoredWorker(state: RunsState, now: Milliseconds): RunsEffect[] {
-	const {restoredAnnouncement, worker} = state;
-	if (restoredAnnouncement === undefined || worker.announcement !== undefined || !worker.isReachable) {
+	const {restoredAnnouncement: restored, heardCapacity, worker} = state;
+	// A heartbeat is newer than what was stored, also once the worker has left.
+	const hasHeartbeat = worker.announcedAt !== undefined && !worker.isRestored;
+	if (restored === undefined || (!hasHeartbeat && !worker.isReachable)) {
 		return [];
 	}
 
-	state.restoredAnnouncement = undefined;
-	if (worker.bornAt === undefined || worker.bornAt !== restoredAnnouncement.bornAt || restoredAnnouncement.state !== 'ready') {
+	if (hasHeartbeat || worker.bornAt === undefined || worker.bornAt !== restored.bornAt || restored.state !== 'ready') {
+		state.restoredAnnouncement = undefined;
 		return [];
 	}
 
-	return handleAnnouncement(state, {...restoredAnnouncement, sequence: 0}, now);
+	if (heardCapacity === undefined) {
+		return worker.isRestored || restored.isResized === true ? [] : applyStoredCapacity(state, restored, now - heartbeatIntervalMs, now);
+	}
+
+	if (!isRecent(heardCapacity.toldAt, now)) {
+		return worker.isRestored ? dropRestoredWorker(state, now) : [];
+	}
+
+	state.restoredAnnouncement = undefined;
+	return applyStoredCapacity(state, {...restored, capacity: computeSmallerResources(restored.capacity, heardCapacity.capacity)}, heardCapacity.toldAt, now);
+}
+
+function dropRestoredWorker(state: RunsState, now: Milliseconds): RunsEffect[] {
+	state.worker.isRestored = false;
+	state.worker.announcement = undefined;
+	state.worker.announcedAt = undefined;
+	return endUnstartedTasks(state, now);
+}
+
+function applyStoredCapacity(state: RunsState, restored: WorkerAnnouncement, toldAt: Milliseconds, now: Milliseconds): RunsEffect[] {
+	state.worker.isRestored = true;
+	state.worker.announcedAt = toldAt;
+	return applyAnnouncement(state, {...restored, sequence: 0}, now);
 }
 
 /**
@@ -81,12 +136,24 @@
  * @returns Effects to carry out.
  */
 export function handleAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
-	const {worker} = state;
-	const previous = worker.announcement;
-	if (!isNewer(previous, announcement)) {
+	if (!isNewer(state.worker, announcement)) {
 		return [];
 	}
 
+	state.worker.announcedAt = now;
+	state.worker.isRestored = false;
+	return applyAnnouncement(state, {...announcement, isResized: hasBeenResized(state, announcement)}, now);
+}
+
+/** Returns whether a worker process has changed its capacity, now or before. */
+function hasBeenResized({worker: {announcement: previous}}: RunsState, {id, bornAt, capacity}: WorkerAnnouncement): boolean {
+	const isSameProcess = previous?.id === id && previous.bornAt === bornAt;
+	return isSameProcess && (previous.isResized === true || !isSameResources(previous.capacity, capacity));
+}
+
+function applyAnnouncement(state: RunsState, announcement: WorkerAnnouncement, now: Milliseconds): RunsEffect[] {
+	const {worker} = state;
+	const previous = worker.announcement;
 	const effects: RunsEffect[] = [];
 	const hasRestarted = worker.bornAt !== undefined && announcement.bornAt !== undefined && announcement.bornAt !== worker.bornAt;
 	if (hasRestarted || (previous !== undefined && previous.id !== announcement.id)) {
@@ -100,31 +167,29 @@
 		});
 	}
 
-	if (announcement.state === 'draining') {
-		effects.push(...endUnstartedTasks(state, now));
-	}
+	effects.push(...(announcement.state === 'draining' ? endUnstartedTasks(state, now) : endOversizedTasks(state, now)));
 
 	return [...effects, ...startQueued(state, now)];
 }
 
 /**
- * Drops a worker that has announced its shutdown.
+ * Gives a worker that has announced its shutdown no more tasks. Its runs end when its port is closed, as the
+ * announcement precedes the end of the process, or may be a late one of an earlier process.
  *
  * @param state - State of the agent.
  * @param id - Id of the worker; ignored if this agent has another one.
  * @param now - Current time.
- * @returns Reports of the ended runs.
+ * @returns Reports of the tasks that wait.
  */
 export function handleDeparture(state: RunsState, id: string, now: Milliseconds): RunsEffect[] {
 	if (state.worker.announcement?.id !== id) {
 		return [];
 	}
 
-	const cause = findLossCause(state, 'departed');
 	state.worker.announcement = undefined;
 	state.worker.isReachable = false;
 	state.worker.lastFailureAt = now;
-	return [...endAllRuns(state, cause, now), {type: 'log', event: 'worker-left', details: {worker: id}}];
+	return [...endUnstartedTasks(state, now), {type: 'log', event: 'worker-left', details: {worker: id}}];
 }
 
 /**
@@ -133,15 +198,20 @@
  * @param state - State of the agent.
  * @param kind - Why it failed.
  * @param now - Current time.
- * @param wait - For how long the worker was to wait for an end; a silence of that time says nothing.
+ * @param renewal - Its token, and for how long the worker was to wait for an end; a silence of that time says nothing.
  * @returns Effects to carry out.
  */
-export function applyRenewalFailure(state: RunsState, kind: LeaseRenewalErrorKind, now: Milliseconds, wait: Milliseconds = 0): RunsEffect[] {
+export function applyRenewalFailure(state: RunsState, kind: LeaseRenewalErrorKind, now: Milliseconds, renewal: Pick<LeaseRenewal, 'fencingToken' | 'wait'>): RunsEffect[] {
+	const {fencingToken, wait} = renewal;
 	if (kind === 'fenced') {
-		updateFencingToken(state);
+		updateFencingToken(state, fencingToken);
 		return [];
 	}
 
+	if (kind === 'unanswered') {
+		refuseLateCalls(state);
+	}
+
 	const {worker, options} = state;
 	worker.lastFailureAt = now;
 	const {renewMs, workerSilenceMs} = options.timings;
@@ -151,20 +221,24 @@
 	}
 
 	const wasReachable = worker.isReachable;
-	const cause = findLossCause(state, 'gone');
+	// Nothing listens on its port: the process has exited and its runs with it. Only one that answered until now has crashed.
+	const ended = kind === 'unreachable' ? endAllRuns(state, 'refused', now) : endUnstartedTasks(state, now);
 	worker.isReachable = false;
 	const effects: RunsEffect[] = wasReachable ? [{type: 'log', event: 'worker-unreachable', details: {kind}}] : [];
-	// Nothing listens on its port: the process has exited and its runs with it.
-	return kind === 'unreachable'
-		? [...effects, ...endAllRuns(state, cause, now)]
-		: [...effects, ...endUnstartedTasks(state, now)];
+	return [...effects, ...ended];
 }
 
 /** Ends all runs once their lease must have expired while the worker was unreachable. */
 function endLapsedRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
-	const {leaseMs, orderMs} = state.options.timings;
-	const lapsedAt = state.worker.lastAnswerAt + ((leaseMs + orderMs) * 2);
-	return state.worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, findLossCause(state, 'lapsed'), now);
+	const {worker, options} = state;
+	const lapsedAt = Math.max(worker.lastAnswerAt, worker.lastRenewalAt) + options.timings.lapseMs + options.timings.orderMs;
+	return worker.isReachable || now < lapsedAt ? [] : endAllRuns(state, 'lapsed', now);
+}
+
+/** Gives waiting tasks back once the capacity of the worker is not known any more. */
+function dropWaitingTasks(state: RunsState, now: Milliseconds): RunsEffect[] {
+	const isOutdated = state.worker.announcement !== undefined && !isAnnouncementCurrent(state, now);
+	return isOutdated ? endUnstartedTasks(state, now) : [];
 }
 
 function stopOrphans(state: RunsState, now: Milliseconds): RunsEffect[] {
@@ -198,6 +272,7 @@
 		...applyPendingClaims(state, now),
 		...dropDisconnectedOwners(state, now),
 		...endLapsedRuns(state, now),
+		...dropWaitingTasks(state, now),
 		...stopOrphans(state, now),
 		...retryStops(state, now),
 		...startQueued(state, now),
@@ -247,11 +322,6 @@
 	return !worker.areRunsKnown || records.size > 0 || orphans.size > 0;
 }
 
-/** Records that a call is sent that renews the lease. */
-export function recordRenewalSent({worker}: RunsState, now: Milliseconds): void {
-	worker.lastRenewalAt = now;
-}
-
 /**
  * Returns whether the lease has to be renewed beside the call that waits for an end: if that was sent while the worker
  * had no runs, it may wait for longer than the lease of a run that was started since.
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -5,16 +5,19 @@
  * shows the run, or a stop of it has been acknowledged: from then on the worker refuses the start.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {CrashEvidence, TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
+import type {
+	CrashEvidence, TaskEnd, TaskOffer, TaskReport,
+} from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
-import {computeFreeResources} from './capacity.ts';
+import {computeLeaseEnd} from './leases.ts';
+import {computeFreeResources, hasReservedCapacity} from './capacity.ts';
 import {recordRecentCrash} from './crashes.ts';
 import {
-	computeLeaseEnd, getRecordKey, recordEnd, type RunsState,
+	getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
 import {addToQueue} from './queue.ts';
 import {hasOtherStartedRun, isStartOrdered, removeRecord} from './records.ts';
-import {canAcceptTask} from './health.ts';
+import {canAcceptTask, isAnnouncementCurrent} from './health.ts';
 import {addSettling, canStartBeside, countSettling} from './isolation.ts';
 import type {RunRecord, RunsEffect, StopReason} from './types.ts';
 
@@ -33,8 +36,7 @@
  */
 export function endRecord(state: RunsState, record: RunRecord, end: TaskEnd, now: Milliseconds, crash?: CrashEvidence): RunsEffect {
 	removeRecord(state, record);
-	// Stored under the run number of the offer, which claims carry; `record.run` may have been raised since.
-	recordEnd(state, record.offer.task, record.offer.run, end);
+	recordEnd(state, record.offer.task, record.run, end);
 	const hasRun = isStartOrdered(record) && end !== 'not-started';
 	const report: TaskReport = {
 		task: record.offer.task,
@@ -57,6 +59,19 @@
 	return [...state.records.values()].filter(record => !isStartOrdered(record)).map(record => endRecord(state, record, 'not-started', now));
 }
 
+/** Returns whether the worker could hold a task if nothing else ran there. */
+export function canEverFit(state: RunsState, {needs}: Pick<TaskOffer, 'needs'>): boolean {
+	const capacity = state.worker.announcement?.capacity;
+	return capacity !== undefined && hasCapacityFor(capacity, needs);
+}
+
+/** Returns to the entries every task whose start was not ordered and that the worker can no longer hold. */
+export function endOversizedTasks(state: RunsState, now: Milliseconds): RunsEffect[] {
+	return [...state.records.values()]
+		.filter(record => !isStartOrdered(record) && !canEverFit(state, record.offer))
+		.map(record => endRecord(state, record, 'not-started', now));
+}
+
 /**
  * Returns whether the entry of a record has been heard within the contact time. Otherwise, for instance after a pause
  * of this process, the entry may count this agent as lost and start the task elsewhere.
@@ -87,11 +102,14 @@
  * @param state - State of the agent.
  * @param record - The record.
  * @param now - Current time.
- * @returns Whether it may be sent; false if it was stopped in the meantime, removed with its worker, or its entry is silent.
+ * @returns Whether it may be sent; false if it was stopped in the meantime, removed with its worker, its entry is silent, or
+ * the capacity has shrunk below what is reserved or is not known any more, or the lease must not be extended.
  */
 export function recordStartSent(state: RunsState, record: RunRecord, now: Milliseconds): boolean {
 	const isKnown = state.records.get(getRecordKey(record.owner, record.offer.task)) === record;
-	if (!isKnown || record.phase !== 'starting' || !isOwnerPresent(state, record, now)) {
+	const hasCapacity = isAnnouncementCurrent(state, now) && hasReservedCapacity(state);
+	const hasLease = computeLeaseEnd(state, now) !== undefined;
+	if (!isKnown || record.phase !== 'starting' || !isOwnerPresent(state, record, now) || !hasCapacity || !hasLease) {
 		return false;
 	}
 
@@ -116,11 +134,11 @@
  * @param state - State of the agent.
  * @param record - A record in phase `asking`.
  * @param now - Current time.
- * @returns The start, or a report of `not-started` if this agent no longer accepts tasks.
+ * @returns The start, or a report of `not-started` if this agent no longer accepts tasks, or the task no longer fits.
  */
 export function startGranted(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect {
 	record.isGranted = true;
-	const start = canAcceptTask(state, now) ? createStart(state, record, now) : undefined;
+	const start = canAcceptTask(state, now) && hasReservedCapacity(state) ? createStart(state, record, now) : undefined;
 	return start ?? endRecord(state, record, 'not-started', now);
 }
 
@@ -135,7 +153,8 @@
  */
 export function startQueued(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
-	if (state.queue.length === 0 || !state.worker.isReachable || !state.worker.areRunsKnown) {
+	const canStart = state.worker.isReachable && state.worker.areRunsKnown && isAnnouncementCurrent(state, now) && computeLeaseEnd(state, now) !== undefined;
+	if (state.queue.length === 0 || !canStart) {
 		return effects;
 	}
 
@@ -181,13 +200,15 @@
  * @returns The stop order, and a log entry for the first one.
  */
 export function stopRecord(state: RunsState, record: RunRecord, reason: StopReason, now: Milliseconds): RunsEffect[] {
-	record.stopReason ??= reason;
+	// A task whose start got no answer is started again after the stop, unless there is another reason to end it.
+	record.stopReason = record.stopReason === undefined || record.stopReason === 'unanswered' ? reason : record.stopReason;
 	if (record.stoppedAt !== undefined || now < record.stopRetryAt) {
 		return [];
 	}
 
 	const isFirst = record.phase !== 'stopping';
 	record.phase = 'stopping';
+	record.stopOrderedAt ??= now;
 	record.stopRetryAt = now + (2 * state.options.timings.orderMs);
 	const effects: RunsEffect[] = [{type: 'stop', ref: {task: record.offer.task, run: record.run}, fencingToken: state.fencingToken}];
 	if (isFirst) {
@@ -208,10 +229,11 @@
 	return stopRecord(state, record, record.stopReason ?? 'withdrawn', now);
 }
 
-/** Queues a task again whose start the worker refused, unless the agent no longer starts tasks. */
+/** Queues a task again whose start the worker refused, unless the agent no longer starts tasks or the worker can no longer hold it. */
 export function retryStart(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
 	record.phase = 'queued';
-	if (state.isShuttingDown || state.worker.announcement?.state !== 'ready') {
+	record.isConfirmed = false;
+	if (state.isShuttingDown || state.worker.announcement?.state !== 'ready' || !canEverFit(state, record.offer)) {
 		return [endRecord(state, record, 'not-started', now)];
 	}
 
@@ -223,6 +245,7 @@
 export function retryWithNextRun(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
 	record.run++;
 	record.stopReason = undefined;
+	record.stopOrderedAt = undefined;
 	record.stoppedAt = undefined;
 	record.stopRetryAt = 0;
 	return retryStart(state, record, now);
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -22,7 +22,9 @@
 import {
 	canAcceptTask, recordFailure, recordSuccess, resetHealth,
 } from './health.ts';
-import type {RunRecord, RunsEffect, StopReason} from './types.ts';
+import type {
+	LossEvidence, RunRecord, RunsEffect, StopReason,
+} from './types.ts';
 
 /** Least time without progress after which a run counts as stalled, in ms; workers report whole percents. */
 const minStallMs = 200;
@@ -99,6 +101,7 @@
 function applyRunState(state: RunsState, percents: ReadonlyMap<string, number>, record: RunRecord, requestedAt: Milliseconds, now: Milliseconds): RunsEffect[] {
 	const percent = percents.get(getRunKey(record.offer.task, record.run));
 	if (percent !== undefined) {
+		record.isConfirmed = true;
 		if (record.phase === 'checking') {
 			record.phase = 'running';
 		}
@@ -126,16 +129,29 @@
 		: [];
 }
 
-/** Makes every run of the first snapshot an orphan; later snapshots remove the orphans that they no longer list. */
-function updateOrphans(state: RunsState, snapshot: WorkerSnapshot, now: Milliseconds): void {
-	if (state.worker.areRunsKnown) {
-		const present = new Set(snapshot.running.map(({task, run}) => getRunKey(task, run)));
-		for (const key of state.orphans.keys()) {
-			if (!present.has(key)) {
-				state.orphans.delete(key);
-			}
+/** Removes the orphans that a snapshot no longer lists, and adds the runs that were reported as lost but go on, to be stopped. */
+function updateKnownOrphans(state: RunsState, {running}: WorkerSnapshot, isLatest: boolean): void {
+	const present = new Set(running.map(({task, run}) => getRunKey(task, run)));
+	for (const key of state.orphans.keys()) {
+		if (!present.has(key)) {
+			state.orphans.delete(key);
 		}
+	}
 
+	for (const {task, run} of isLatest ? running : []) {
+		const key = getRunKey(task, run);
+		if (!state.orphans.has(key) && findRecord(state, {task, run}) === undefined) {
+			state.orphans.set(key, {
+				task, run, seenAt: Number.NEGATIVE_INFINITY, stopRetryAt: 0,
+			});
+		}
+	}
+}
+
+/** Makes every run of the first snapshot an orphan. */
+function updateOrphans(state: RunsState, snapshot: WorkerSnapshot, isLatest: boolean, now: Milliseconds): void {
+	if (state.worker.areRunsKnown) {
+		updateKnownOrphans(state, snapshot, isLatest);
 		return;
 	}
 
@@ -152,35 +168,48 @@
 	state.worker.areRunsKnown = true;
 }
 
-/** Describes the runs that end with the worker; undefined if it has none. */
-function describeLoss(state: RunsState, cause: LossCause, now: Milliseconds): RunsEffect | undefined {
-	const lost = [...state.records.values()].filter(record => isStartOrdered(record)).sort((left, right) => right.orderedAt - left.orderedAt);
+/** Returns whether no run of a record can be left: the lapse of a lease does not end a start that may be carried out later. */
+function isRunOver(record: RunRecord, evidence: LossEvidence): boolean {
+	return evidence !== 'lapsed' || record.isConfirmed || !isStartOrdered(record);
+}
+
+/** Describes the runs that end with the worker; undefined if no start had been ordered. */
+function describeLoss({worker}: RunsState, evidence: LossEvidence, cause: LossCause, ended: readonly RunRecord[], now: Milliseconds): RunsEffect | undefined {
+	const lost = ended.filter(record => isStartOrdered(record)).sort((left, right) => right.orderedAt - left.orderedAt);
 	const youngest = lost.at(0);
 	return youngest && {
 		type: 'log',
-		event: 'worker-lost',
+		event: 'runs-lost',
 		details: {
-			cause, runs: lost.length, youngest: youngest.offer.task, youngestMs: Math.round(now - youngest.orderedAt),
+			evidence,
+			cause,
+			count: lost.length,
+			youngest: youngest.offer.task,
+			youngestMs: Math.round(now - youngest.orderedAt),
+			answerAgeMs: Math.round(now - worker.lastAnswerAt),
+			renewalAgeMs: Math.round(now - worker.lastRenewalAt),
 		},
 	};
 }
 
 /**
- * Ends all records, as no run can be left at the worker: it has restarted or exited, or the leases have expired.
+ * Ends the records of which no run can be left at the worker: it has restarted or exited, or the leases have expired.
  *
  * @param state - State of the agent.
- * @param cause - Why the worker's runs have ended.
+ * @param evidence - How this is known.
  * @param now - Current time.
- * @returns Reports.
+ * @returns Reports, and a log entry if a start had been ordered.
  */
-export function endAllRuns(state: RunsState, cause: LossCause, now: Milliseconds): RunsEffect[] {
+export function endAllRuns(state: RunsState, evidence: LossEvidence, now: Milliseconds): RunsEffect[] {
+	const cause = findLossCause(state, evidence);
 	const blamed = listBlamed(state, now);
-	const loss = describeLoss(state, cause, now);
+	const ended = [...state.records.values()].filter(record => isRunOver(record, evidence));
+	const loss = describeLoss(state, evidence, cause, ended, now);
 	const effects: RunsEffect[] = loss === undefined ? [] : [loss];
-	for (const record of state.records.values()) {
+	for (const record of ended) {
 		const isStarted = isStartOrdered(record);
-		const evidence = isStarted && cause === 'crashed' ? createCrashEvidence(record, blamed, now) : undefined;
-		effects.push(endRecord(state, record, isStarted ? getLossEnd(cause) : 'not-started', now, evidence));
+		const crash = isStarted && cause === 'crashed' ? createCrashEvidence(record, blamed, now) : undefined;
+		effects.push(endRecord(state, record, isStarted ? getLossEnd(cause) : 'not-started', now, crash));
 	}
 
 	state.orphans.clear();
@@ -191,7 +220,7 @@
 
 /** Resets the state after a restart of the worker: the new process has no runs and no fencing token. */
 export function resetWorker(state: RunsState, bornAt: Milliseconds | undefined, now: Milliseconds): RunsEffect[] {
-	const effects = endAllRuns(state, findLossCause(state, 'gone'), now);
+	const effects = endAllRuns(state, 'restarted', now);
 	state.worker.bornAt = bornAt;
 	resetHealth(state);
 	state.slowness = 1;
@@ -217,8 +246,10 @@
 	worker.bornAt ??= snapshot.bornAt;
 	worker.isReachable = true;
 	worker.lastAnswerAt = now;
+	// Answers may overtake each other; an older one lists runs whose end has been handled.
+	const isLatest = state.workerClock === undefined || snapshot.workerTime >= state.workerClock.workerTime;
 	state.workerClock = {workerTime: snapshot.workerTime, at: now};
-	updateOrphans(state, snapshot, now);
+	updateOrphans(state, snapshot, isLatest, now);
 	for (const ended of snapshot.ended) {
 		if (ended.position > state.acknowledgedPosition) {
 			effects.push(...applyEnd(state, ended, now));
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -3,7 +3,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd, TaskOffer} from '../../ports/dispatch-messages.ts';
-import type {WorkerAnnouncement} from '../../ports/worker.ts';
+import type {Resources, WorkerAnnouncement} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
 import type {
 	RecentCrash, RecentEnds, OrphanRun, OwnerRecord, RunRecord, RunsOptions, WorkerHealth, WorkerClock, WorkerRecord,
@@ -18,6 +18,8 @@
 	readonly worker: WorkerRecord;
 	/** Worker heartbeat stored before this agent restarted; dropped once the worker has answered. */
 	restoredAnnouncement: WorkerAnnouncement | undefined;
+	/** Capacity that an entry heard before this agent restarted, and when it may have last been told by the worker. */
+	heardCapacity: {readonly capacity: Resources; readonly toldAt: Milliseconds} | undefined;
 	workerClock: WorkerClock | undefined;
 	fencingToken: number;
 	/** Position in the worker's list of ends up to which they have been handled. */
@@ -52,9 +54,18 @@
 	return {
 		options,
 		worker: {
-			announcement: undefined, bornAt: undefined, isReachable: false, lastAnswerAt: 0, lastRenewalAt: 0, lastFailureAt: Number.NEGATIVE_INFINITY, areRunsKnown: false,
+			announcement: undefined,
+			announcedAt: undefined,
+			isRestored: false,
+			bornAt: undefined,
+			isReachable: false,
+			lastAnswerAt: 0,
+			lastRenewalAt: 0,
+			lastFailureAt: Number.NEGATIVE_INFINITY,
+			areRunsKnown: false,
 		},
 		restoredAnnouncement: undefined,
+		heardCapacity: undefined,
 		workerClock: undefined,
 		fencingToken: options.fencingToken,
 		acknowledgedPosition: 0,
@@ -93,17 +104,6 @@
 	return task.split('.', 1)[0];
 }
 
-/**
- * Computes the expiry of a lease that begins now.
- *
- * @param state - State of the agent.
- * @param now - Current time.
- * @returns Expiry on the worker's clock, in whole ms; undefined before its clock has been read.
- */
-export function computeLeaseEnd({workerClock, options}: RunsState, now: Milliseconds): Milliseconds | undefined {
-	return workerClock === undefined ? undefined : Math.floor(workerClock.workerTime + (now - workerClock.at) + options.timings.leaseMs);
-}
-
 /** Most ends kept for entries whose stream closed before they received the report. */
 const maxRecentEnds = 1000;
 
@@ -116,7 +116,11 @@
  * @param end - How it ended.
  */
 export function recordEnd({recentEnds}: RunsState, task: string, run: number, end: TaskEnd): void {
-	recentEnds.set(getRunKey(task, run), end);
+	if ((recentEnds.get(task)?.run ?? 0) > run) {
+		return;
+	}
+
+	recentEnds.set(task, {run, end});
 	if (recentEnds.size > maxRecentEnds) {
 		const [oldest] = recentEnds.keys();
 		recentEnds.delete(oldest);
@@ -129,7 +133,22 @@
  */
 const fencingTokenStep = 3_600_000;
 
-/** Raises the fencing token, as the worker has seen a higher one. */
-export function updateFencingToken(state: RunsState): void {
-	state.fencingToken += fencingTokenStep;
+/**
+ * Raises the fencing token after the worker has refused an order, as it has seen a higher one.
+ *
+ * @param state - State of the agent.
+ * @param refused - Token of the order; if a higher one is in use by now, nothing has to change.
+ */
+export function updateFencingToken(state: RunsState, refused: number): void {
+	if (refused >= state.fencingToken) {
+		state.fencingToken = refused + fencingTokenStep;
+	}
+}
+
+/**
+ * Raises the fencing token after a call without an answer: the worker may carry it out at any later time, but not after
+ * it has seen a higher token.
+ */
+export function refuseLateCalls(state: RunsState): void {
+	state.fencingToken++;
 }
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -34,6 +34,15 @@
  */
 export type StopReason = 'withdrawn' | 'owner-lost' | 'superseded' | 'unanswered' | 'stalled' | 'slow' | 'leaving';
 
+/**
+ * Evidence that no run is left at the worker.
+ *
+ * - `refused`: its port refuses connections, so the process has exited.
+ * - `restarted`: another worker process answers or announces itself.
+ * - `lapsed`: it has not answered for longer than a lease.
+ */
+export type LossEvidence = 'refused' | 'restarted' | 'lapsed';
+
 /** A task that an entry offered to this agent. */
 export type RunRecord = {
 	/** Name of the entry that offered it. */
@@ -45,6 +54,8 @@
 	isGranted: boolean;
 	/** Number of the run at the worker. */
 	run: number;
+	/** Whether the worker has confirmed that it has the run; an unconfirmed start may still be carried out later. */
+	isConfirmed: boolean;
 	/** When the start was sent; while `asking`, when the entry was asked. */
 	orderedAt: Milliseconds;
 	/** Last reported progress, 0 to 100. */
@@ -54,14 +65,20 @@
 	/** Time and progress from which the current pace is measured. */
 	paceBaseline: {readonly at: Milliseconds; readonly percent: number};
 	stopReason: StopReason | undefined;
+	/** When the stop was first ordered. */
+	stopOrderedAt: Milliseconds | undefined;
 	/** When the worker acknowledged the stop. */
 	stoppedAt: Milliseconds | undefined;
 	/** Earliest time at which the stop may be sent again. */
 	stopRetryAt: Milliseconds;
 };
 
-/** A run that was started before this agent process restarted and that no entry has claimed yet. */
+/**
+ * A run that was started before this agent process restarted and that no entry has claimed yet, or one that was reported
+ * as lost and goes on.
+ */
 export type OrphanRun = RunRef & {
+	/** When it was first listed; negative infinity if no entry waits for it. */
 	readonly seenAt: Milliseconds;
 	stopRetryAt: Milliseconds;
 };
@@ -118,13 +135,17 @@
 export type WorkerRecord = {
 	/** Last worker heartbeat; undefined before the first one. */
 	announcement: WorkerAnnouncement | undefined;
+	/** When the worker last told its capacity at the latest; undefined before a heartbeat, or a stored one that is confirmed. */
+	announcedAt: Milliseconds | undefined;
+	/** Whether `announcement` was stored before this agent restarted. */
+	isRestored: boolean;
 	/** Start time of the worker process that answers. */
 	bornAt: Milliseconds | undefined;
 	/** Whether it answers lease renewals; false after `workerSilenceMs` without an answer, or at once if it has exited. */
 	isReachable: boolean;
 	/** When it last answered a lease renewal. */
 	lastAnswerAt: Milliseconds;
-	/** When a call was last sent to it that renews the lease. */
+	/** When a call was last sent to it that extends the lease. */
 	lastRenewalAt: Milliseconds;
 	/** When a call to it last failed, or when it announced its shutdown. */
 	lastFailureAt: Milliseconds;
@@ -138,5 +159,5 @@
 	readonly at: Milliseconds;
 };
 
-/** Ends of recent runs, including those before a restart of this agent, by task and run. */
-export type RecentEnds = Map<string, TaskEnd>;
+/** Latest ends of recent tasks with the number of the run, including those before a restart of this agent, by task. */
+export type RecentEnds = Map<string, {readonly run: number; readonly end: TaskEnd}>;
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -5,20 +5,21 @@
 import {addToGroup} from '../../core/groups.ts';
 import {applySnapshot} from '../../core/runs/snapshots.ts';
 import {
-	advanceRuns, applyRenewalFailure, computeLoad, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, hasRecentFailure, isExtraRenewalDue,
-	recordRenewalSent, restoreWorker,
+	advanceRuns, applyHeardCapacity, applyRenewalFailure, computeLoad, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, hasRecentFailure, isExtraRenewalDue,
+	restoreWorker,
 } from '../../core/runs/logic.ts';
 import {listRecentCrashes} from '../../core/runs/crashes.ts';
 import {computeOthersLoad, computeOwnersLoad, type OwnersLoad} from '../../core/runs/contention.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../core/runs/answers.ts';
 import {findSurvivor, settleMs} from '../../core/runs/isolation.ts';
+import {computeLeaseEnd, createRenewal} from '../../core/runs/leases.ts';
 import {recordStartSent, startQueued} from '../../core/runs/orders.ts';
 import {hasRecordsOf} from '../../core/runs/records.ts';
 import {
 	handleClaim, handleGrant, handleOffers, handleOwnerDisconnect, handleWithdrawal, recordOwnerContact, startShutdown, stopAllRuns,
 } from '../../core/runs/owners.ts';
 import {computeTaskCpu, isReportDue, type ReportedLoad} from '../../core/runs/load-reports.ts';
-import {computeLeaseEnd, createRunsState, type RunsState} from '../../core/runs/state.ts';
+import {createRunsState, type RunsState} from '../../core/runs/state.ts';
 import type {RunsEffect} from '../../core/runs/types.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {
@@ -73,7 +74,10 @@
 		},
 		withdraw: (from, {tasks}) => handleWithdrawal(this.state, from.name, tasks, this.#now()),
 		grant: (from, {tasks}) => handleGrant(this.state, from.name, tasks, this.#now()),
-		claim: (from, {tasks}) => handleClaim(this.state, from.name, tasks, this.#now()),
+		claim: (from, {tasks, heard}) => [
+			...applyHeardCapacity(this.state, heard, this.#now()),
+			...handleClaim(this.state, from.name, tasks, this.#now()),
+		],
 	};
 
 	readonly #effectHandlers: {readonly [Type in RunsEffect['type']]: (effect: Extract<RunsEffect, {type: Type}>) => void} = {
@@ -271,13 +275,8 @@
 	/** Renews the lease and applies the snapshot in the answer; returns whether the worker answered. */
 	async #fetchSnapshot(wait: Milliseconds): Promise<boolean> {
 		const requestedAt = this.#now();
-		recordRenewalSent(this.state, requestedAt);
-		const answer = await this.control.extendLease({
-			leaseUntil: computeLeaseEnd(this.state, requestedAt),
-			fencingToken: this.state.fencingToken,
-			acknowledged: this.state.acknowledgedPosition,
-			wait,
-		});
+		const renewal = createRenewal(this.state, wait, requestedAt);
+		const answer = await this.control.extendLease(renewal);
 		const now = this.#now();
 		this.#recordContacts();
 		if (answer.type === 'renewed') {
@@ -285,7 +284,7 @@
 			return true;
 		}
 
-		this.#applyEffects(applyRenewalFailure(this.state, answer.kind, now, wait));
+		this.#applyEffects(applyRenewalFailure(this.state, answer.kind, now, renewal));
 		void this.#watchUnreliableWorker();
 		return false;
 	}
@@ -304,19 +303,21 @@
 		}
 	}
 
-	async #startTask(effect: Extract<RunsEffect, {type: 'start'}>): Promise<void> {
-		const {record, leaseUntil, fencingToken} = effect;
+	async #startTask({record, leaseUntil}: Extract<RunsEffect, {type: 'start'}>): Promise<void> {
 		const ref: RunRef = {task: record.offer.task, run: record.run};
+		// An order that waits for earlier ones is sent with the token and the lease of that time.
+		let {fencingToken} = this.state;
 		const answer = await this.#orders.startTask(() => {
 			const now = this.#now();
 			this.#recordContacts();
+			fencingToken = this.state.fencingToken;
 			return recordStartSent(this.state, record, now)
 				? {
 					...ref, spec: record.offer.spec, leaseUntil: computeLeaseEnd(this.state, now) ?? leaseUntil, fencingToken,
 				}
 				: undefined;
 		});
-		this.#applyEffects(applyStartAnswer(this.state, ref, answer, this.#now()));
+		this.#applyEffects(applyStartAnswer(this.state, {...ref, fencingToken}, answer, this.#now()));
 		void this.#watchUnreliableWorker();
 		if (record.offer.isolation !== undefined && answer === 'started') {
 			this.#watchIsolatedRun(ref);
@@ -336,8 +337,9 @@
 	}
 
 	async #stopTask({ref, fencingToken}: Extract<RunsEffect, {type: 'stop'}>): Promise<void> {
-		const answer = await this.#orders.stopTask({...ref, fencingToken});
-		this.#applyEffects(applyStopAnswer(this.state, ref, answer, this.#now()));
+		const order = {...ref, fencingToken};
+		const answer = await this.#orders.stopTask(order);
+		this.#applyEffects(applyStopAnswer(this.state, order, answer, this.#now()));
 	}
 
 	#applyEffects(effects: readonly RunsEffect[]): void {
--- a/src/processes/dispatch/directory-records.ts
+++ b/src/processes/dispatch/directory-records.ts
@@ -28,6 +28,7 @@
 	labels: z.array(z.string()),
 	sequence: nonNegative,
 	bornAt: z.optional(nonNegative),
+	isResized: z.optional(z.boolean()),
 });
 
 /** A process in the directory, with the last heartbeat of its worker if it is an agent. */
