--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -240,7 +240,7 @@
     When entry "e1" offers direct tasks "a" of 9000
     And the start of "a" is answered "started"
     And a snapshot shows a restart of the worker
-    Then entry "e1" gets the report that "a" ended as "lost"
+    Then entry "e1" gets the report that "a" ended as "crashed"
     And the free capacity is 0
     When the new worker process tells a capacity of 10000
     Then the free capacity is 10000
@@ -373,3 +373,68 @@
     And the start of "a" is answered "late"
     Then entry "e1" gets the report that "a" ended as "not-started"
     And the worker is ordered to start "a" 1 time
+
+  # Guards against a crash under a task being taken for a planned end, a cut link or a lapse, and the reverse.
+  Scenario Outline: The log tells a crash of the worker from its other ends
+    When entry "e1" offers direct tasks "a" of 1000
+    And the start of "a" is answered "started"
+    And <event>
+    Then the log tells that 1 run ended with the worker, which "<cause>"
+
+    Examples:
+      | event                                                                                  | cause   |
+      | the worker crashes                                                                     | crashed |
+      | a snapshot shows a restart of the worker                                               | crashed |
+      | the worker leaves                                                                      | left    |
+      | the worker announces that it drains and then crashes                                   | left    |
+      | the worker is silent for 300 ms and then crashes                                       | silent  |
+      | the worker is silent for 300 ms and then for another 1000 ms                           | lapsed  |
+
+  # Guards against blaming a run that had run quietly for long, or one whose worker left, was silent or lapsed.
+  Scenario Outline: A crash is blamed on the runs that had just started
+    When entry "e1" offers direct tasks "old" of 1000
+    And the start of "old" is answered "started"
+    And 100 ms pass and a snapshot shows "old" at 10 percent
+    And entry "e1" offers direct tasks "a" of 1000
+    And the start of "a" is answered "<answer>"
+    And <event>
+    Then "a" has ended as "<end>", "blamed" for it
+    And "old" has ended as "<end>", "not blamed" for it
+
+    Examples:
+      | answer     | event                                                | end     |
+      | started    | the worker crashes                                   | crashed |
+      | unanswered | the worker crashes                                   | crashed |
+      | started    | a snapshot shows a restart of the worker             | crashed |
+      | started    | the worker leaves                                    | lost    |
+      | started    | the worker announces that it drains and then crashes | lost    |
+      | started    | the worker is silent for 300 ms and then crashes     | lost    |
+
+  # Guards against blaming a crash on several runs, so that an innocent one is blamed again and given up.
+  Scenario: A suspect starts alone, and a crash then is blamed on it only
+    When entry "e1" offers direct tasks "young" of 1000
+    And the start of "young" is answered "started"
+    And 10 ms go by
+    And entry "e1" offers tentative tasks "a" of 1000 as suspect
+    And entry "e2" offers tentative tasks "b" of 1000
+    Then entry "e1" is not asked about "a"
+    And entry "e2" is not asked about "b"
+    When 30 ms go by
+    Then entry "e1" is asked about "a"
+    When entry "e1" grants "a"
+    And the start of "a" is answered "started"
+    And the worker crashes
+    Then "a" has ended as "crashed", "blamed" for it
+    And "young" has ended as "crashed", "not blamed" for it
+
+  # Guards against a worker that stays closed for others after an isolated start.
+  Scenario: Others start once an isolated run has settled
+    When entry "e1" offers tentative tasks "a" of 1000 as canary
+    And entry "e1" grants "a"
+    And the start of "a" is answered "started"
+    And entry "e2" offers tentative tasks "b" of 1000
+    Then entry "e2" is not asked about "b"
+    And "a" has not survived yet
+    When 30 ms go by
+    Then "a" has survived
+    And entry "e2" is now asked about "b"
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -4,9 +4,10 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {
-	advanceRuns, applyRenewalFailure, computeRenewalWait, findWorkerToStore, handleAnnouncement, isExtraRenewalDue, restoreWorker,
+	advanceRuns, applyRenewalFailure, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, isExtraRenewalDue, restoreWorker,
 } from '../../src/core/runs/logic.ts';
 import {applyStartAnswer, applyStopAnswer} from '../../src/core/runs/answers.ts';
+import {findSurvivor} from '../../src/core/runs/isolation.ts';
 import {createRenewal} from '../../src/core/runs/leases.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
 import {
@@ -15,7 +16,8 @@
 import {computeOthersLoad, computeOwnersLoad} from '../../src/core/runs/contention.ts';
 import {computeFreeResources} from '../../src/core/runs/capacity.ts';
 import {canAcceptTask, getAgentMode} from '../../src/core/runs/health.ts';
-import type {AgentMode} from '../../src/ports/dispatch-messages.ts';
+import type {RunsEffect} from '../../src/core/runs/types.ts';
+import type {AgentMode, Isolation} from '../../src/ports/dispatch-messages.ts';
 import type {
 	EndedTask, RunEnd, RunningTask, StartAnswer, StopAnswer, WorkerAnnouncement,
 } from '../../src/ports/worker.ts';
@@ -354,6 +356,22 @@
 	assert.deepEqual(ends, [end]);
 });
 
+When('the worker {word}', function (this: RunsWorld, event: string) {
+	const events: Readonly<Record<string, () => RunsEffect[]>> = {
+		crashes: () => applyRenewalFailure(this.state, 'unreachable', this.now, {wait: 0, fencingToken: this.state.fencingToken}),
+		leaves: () => [
+			...handleDeparture(this.state, announcement.id, this.now),
+			...applyRenewalFailure(this.state, 'unreachable', this.now, {wait: 0, fencingToken: this.state.fencingToken}),
+		],
+	};
+	recordEffects(this, events[event]());
+});
+
+Then('the log tells that {int} run(s) ended with the worker, which {string}', function (this: RunsWorld, count: number, cause: string) {
+	const lines = this.effects.flatMap(effect => effect.type === 'log' && effect.event === 'runs-lost' ? [effect.details] : []);
+	assert.deepEqual(lines.map(({count: logged, cause: found}) => [logged, found]), [[count, cause]]);
+});
+
 Then('entry {string} is asked about {string}', function (this: RunsWorld, owner: string, task: string) {
 	const asked = this.effects.flatMap(effect => effect.type === 'ask' ? [`${effect.owner} ${effect.task}`] : []);
 	assert.deepEqual(asked, [`${owner} ${task}.0.0.0`]);
@@ -386,3 +404,43 @@
 Then('entry {string} is not asked about {string}', function (this: RunsWorld, owner: string, task: string) {
 	assert.ok(!this.effects.some(effect => effect.type === 'ask' && effect.owner === owner && effect.task === `${task}.0.0.0`));
 });
+
+When('the worker announces that it drains and then crashes', function (this: RunsWorld) {
+	recordEffects(this, handleAnnouncement(this.state, {...announcement, state: 'draining', sequence: 6}, this.now));
+	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
+});
+
+When('the worker is silent for {int} ms and then crashes', function (this: RunsWorld, time: number) {
+	passTime(this, time);
+	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
+	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
+});
+
+When('the worker is silent for {int} ms and then for another {int} ms', function (this: RunsWorld, time: number, more: number) {
+	passTime(this, time);
+	recordEffects(this, applyRenewalFailure(this.state, 'unanswered', this.now, {wait: 0, fencingToken: this.state.fencingToken}));
+	passTime(this, more);
+	recordEffects(this, advanceRuns(this.state, this.now));
+});
+
+Then('{string} has ended as {string}, {string} for it', function (this: RunsWorld, task: string, end: string, blame: string) {
+	const reports = this.effects.flatMap(effect => effect.type === 'report' ? effect.reports : []).filter(report => report.task === `${task}.0.0.0`);
+	const isBlamed = end === 'crashed' ? blame === 'blamed' : undefined;
+	assert.deepEqual(reports.map(report => [report.end, report.crash?.isBlamed]), [[end, isBlamed]]);
+});
+
+When('entry {string} offers tentative tasks {string} of {int} as {word}', function (this: RunsWorld, owner: string, task: string, cpu: number, isolation: Isolation) {
+	recordEffects(this, handleOffers(this.state, owner, [{...createOffer(task, cpu, true), isolation}], this.now));
+});
+
+Then('{string} has survived', function (this: RunsWorld, task: string) {
+	assert.ok(findSurvivor(this.state, findLastStart(this, `${task}.0.0.0`), this.now));
+});
+
+Then('{string} has not survived yet', function (this: RunsWorld, task: string) {
+	assert.equal(findSurvivor(this.state, findLastStart(this, `${task}.0.0.0`), this.now), undefined);
+});
+
+Then('entry {string} is now asked about {string}', function (this: RunsWorld, owner: string, task: string) {
+	assert.ok(this.effects.some(effect => effect.type === 'ask' && effect.owner === owner && effect.task === `${task}.0.0.0`));
+});
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -2,7 +2,9 @@
  * Admission control: refuses jobs that are not expected to end in time, with a retry time.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
+import {getSuspicion} from '../crashes/logic.ts';
 import {isOversized} from '../fleet/logic.ts';
+import {settleMs} from '../runs/isolation.ts';
 import {estimateCriticalPath} from './estimates.ts';
 import type {Placement} from './placing.ts';
 import type {DispatchState} from './state.ts';
@@ -37,6 +39,9 @@
 /** Multiple of the estimated response time that must be left before an entry that shuts down gives up its jobs. */
 const endMarginFactor = 1.5;
 
+/** Retry time, in ms, of a job for which no quarantine worker is free in time. */
+const quarantineRetryMs = 1000;
+
 /** Shortest retry time, in ms. */
 const minRetryMs = 1000;
 
@@ -46,6 +51,11 @@
 	};
 }
 
+/** Returns whether a waiting task of a job is suspected of crashing workers. */
+function hasSuspect({crashes}: DispatchState, {tasks}: Job): boolean {
+	return tasks.some(({name, phase}) => phase === 'waiting' && getSuspicion(crashes, name) !== 'none');
+}
+
 /** Returns whether a task of a step needs more than any worker has, while no agents are expected to connect again. */
 function isStepOversized(state: DispatchState, {route: {target}}: Job, {label, needs}: StepSubmission, now: Milliseconds): boolean {
 	return now >= state.expectAgentsUntil && isOversized(state.fleet, {target, label, needs});
@@ -89,6 +99,12 @@
 		return createRefusal('no-worker', agentReturnMs);
 	}
 
+	if (placement.lacksQuarantine) {
+		const refusal = createRefusal('quarantine', quarantineRetryMs);
+		// A suspect has run before, at another entry or for an earlier request.
+		return hasSuspect(state, job) ? {...refusal, outcome: 'given-up'} : refusal;
+	}
+
 	if (!placement.hasSuitableAgents) {
 		const isExpected = now < state.expectAgentsUntil && state.endsAt === Number.POSITIVE_INFINITY && criticalPath + agentReturnMs <= Math.min(job.objectiveMs * maxUnstartedFactor, timeLeft);
 		return isExpected ? undefined : createRefusal('no-worker', agentReturnMs);
@@ -110,6 +126,23 @@
 		});
 }
 
+/**
+ * Checks a job with a suspect that waits for a quarantine agent: it is given up once its answer could not be useful any
+ * more, instead of being held until its deadline.
+ *
+ * @param state - State of the jobs.
+ * @param job - A job of which some task may have run.
+ * @param now - Current time.
+ * @returns The answer, or undefined while it may still wait.
+ */
+export function checkSuspendedJob(state: DispatchState, job: Job, now: Milliseconds): JobAnswer | undefined {
+	if (!state.jobsToPlace.has(job) || now < job.receivedAt + (job.objectiveMs * maxResponseFactor) - estimateCriticalPath(state, job.route, job.submission)) {
+		return undefined;
+	}
+
+	return hasSuspect(state, job) ? {...createRefusal('quarantine', quarantineRetryMs), outcome: 'given-up'} : undefined;
+}
+
 /**
  * Checks a job of which no task has started: it is refused once it cannot end within the accepted response time.
  *
@@ -120,6 +153,11 @@
  */
 export function checkWaitingJob(state: DispatchState, job: Job, now: Milliseconds): JobAnswer | undefined {
 	const criticalPath = estimateCriticalPath(state, job.route, job.submission);
+	if (job.canary !== undefined) {
+		const latestStart = Math.min(job.receivedAt + job.objectiveMs, job.deadlineAt) - criticalPath - settleMs;
+		return job.canary.phase === 'offered' && now < latestStart ? undefined : createRefusal('quarantine', quarantineRetryMs);
+	}
+
 	const latest = Math.min(job.receivedAt + (job.objectiveMs * maxUnstartedFactor), job.deadlineAt) - criticalPath;
 	return now < latest ? undefined : createRefusal(state.jobsToPlace.has(job) ? 'no-worker' : 'overload', agentReturnMs);
 }
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -3,9 +3,13 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
-import {checkAdmission, checkOversizedJob, checkWaitingJob} from './admission.ts';
+import {isGivenUp, pruneCrashes} from '../crashes/logic.ts';
+import {
+	checkAdmission, checkOversizedJob, checkSuspendedJob, checkWaitingJob,
+} from './admission.ts';
 import {placeLostTasks} from './agents.ts';
 import {cancelIsolatedJobs} from './contact.ts';
+import {updateReservedAgents} from './containment.ts';
 import {computeWork, estimateCriticalPath} from './estimates.ts';
 import {clearPlacement, createOffers, placeTasks} from './placing.ts';
 import {recordLabels} from './reach.ts';
@@ -45,6 +49,7 @@
 		failures: 0,
 		moves: 0,
 		avoidedAgents: new Set(),
+		isUnproven: false,
 		reassignableAt: 0,
 	})));
 }
@@ -74,6 +79,8 @@
 		tasks,
 		openTaskCounts: submission.steps.map(({count}) => count),
 		mayHaveRun: false,
+		canary: undefined,
+		isProven: false,
 		answer: undefined,
 		answeredAt: now,
 	};
@@ -116,6 +123,10 @@
 	}
 
 	const job = createJob(state, request, now);
+	if (job.tasks.some(({name}) => isGivenUp(state.crashes, name))) {
+		return {job, effects: refuseJob(job, createAnswer('failed', 'crashes'))};
+	}
+
 	if (earlier !== undefined) {
 		for (const [index, task] of job.tasks.entries()) {
 			task.nextRun = earlier.tasks[index]?.nextRun ?? 1;
@@ -202,9 +213,11 @@
 	}
 
 	pruneAnswers(state, now);
+	pruneCrashes(state.crashes, now);
+	updateReservedAgents(state, now);
 	effects.push(...placeAllWaitingTasks(state, now));
 	for (const job of state.openJobs) {
-		const refusal = checkOversizedJob(state, job, now) ?? (job.mayHaveRun ? undefined : checkWaitingJob(state, job, now));
+		const refusal = checkOversizedJob(state, job, now) ?? (job.mayHaveRun ? checkSuspendedJob(state, job, now) : checkWaitingJob(state, job, now));
 		if (refusal !== undefined) {
 			effects.push(...endJob(state, job, refusal, now));
 		}
--- a/src/core/dispatch/placing.ts
+++ b/src/core/dispatch/placing.ts
@@ -11,46 +11,15 @@
 import {addToGroup} from '../groups.ts';
 import type {NodeName} from '../identity/types.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
-import {estimateRunTime} from './estimates.ts';
+import {
+	canStartAt, chooseStartMode, selectContained, type StartMode,
+} from './containment.ts';
+import {createIsolatedPlacer, type Placer} from './isolated-placing.ts';
+import {createDemand, createOffer} from './task-offers.ts';
 import {estimateWait} from './waits.ts';
 import type {DispatchState} from './state.ts';
 import type {DispatchEffect, Job, TaskState} from './types.ts';
 
-/** A run is abandoned if its remaining time is more than this multiple of its expected run time. */
-const abandonFactor = 2.5;
-
-/** Delay of moving a task to another agent, in ms; added to the allowed remaining time of a slow run. */
-const moveDelayMs = 150;
-
-/** Growth of the allowed remaining time with each move, so that tasks are not moved repeatedly while every worker is slow. */
-const abandonGrowth = 2.5;
-
-function createDemand(state: DispatchState, job: Job, task: TaskState): TaskDemand {
-	const step = job.submission.steps[task.step];
-	return {
-		target: job.route.target,
-		needs: step.needs,
-		priority: job.route.priority,
-		expectedMs: estimateRunTime(state, job.route, step),
-		label: step.label,
-		dataRack: step.dataRack,
-	};
-}
-
-function createOffer(job: Job, task: TaskState, demand: TaskDemand): Omit<TaskOffer, 'isTentative'> {
-	return {
-		task: task.name,
-		run: task.nextRun,
-		spec: job.submission.spec,
-		needs: demand.needs,
-		priority: demand.priority,
-		expectedMs: Math.round(demand.expectedMs),
-		abandonMs: Math.round(((demand.expectedMs * abandonFactor) + moveDelayMs) * (abandonGrowth ** task.moves)),
-		target: demand.target,
-		label: demand.label,
-	};
-}
-
 /**
  * Lists the agents that have reached the limit of a step's tasks per worker.
  *
@@ -99,6 +68,8 @@
 	hasTentativeOffer: boolean;
 	/** Whether every waiting task has an agent that can run it, now or after other tasks of its step. */
 	hasSuitableAgents: boolean;
+	/** Whether no agent is open for a task that has to start isolated. */
+	lacksQuarantine: boolean;
 };
 
 /** Most tasks of a step that one agent gets in a row: fewer messages, and fewer jobs that a lost or slow worker delays. */
@@ -134,7 +105,8 @@
 	const demand = createDemand(state, job, task);
 	const fullAgents = listFullAgents(job, task);
 	const suitable = listPlacementEstimates(state.fleet, demand, task.avoidedAgents, now);
-	const choices = suitable.filter(({agent}) => !fullAgents.has(agent));
+	const possible = suitable.filter(({agent}) => !fullAgents.has(agent));
+	const choices = selectContained(state, job.route, demand.label, possible);
 	const best = choices.at(0);
 	if (best === undefined) {
 		placement.isComplete = false;
@@ -166,6 +138,20 @@
 	}
 }
 
+const placers: Record<StartMode, Placer> = {
+	free(state, job, task, placement, now) {
+		task.isUnproven = false;
+		if (!placeOnLastAgent(state, job, task, placement)) {
+			placeTask(state, job, task, placement, now);
+		}
+	},
+	canary: createIsolatedPlacer('canary'),
+	suspect: createIsolatedPlacer('suspect'),
+	held(_state, _job, _task, placement) {
+		placement.isComplete = false;
+	},
+};
+
 /**
  * Places every waiting task of a job: on an agent with free resources, or tentatively on several without.
  *
@@ -176,11 +162,11 @@
  */
 export function placeTasks(state: DispatchState, job: Job, now: Milliseconds): Placement {
 	const placement: Placement = {
-		offers: new Map(), wait: estimateWait(state, job.route, now), total: 0, isComplete: true, hasTentativeOffer: false, hasSuitableAgents: true,
+		offers: new Map(), wait: estimateWait(state, job.route, now), total: 0, isComplete: true, hasTentativeOffer: false, hasSuitableAgents: true, lacksQuarantine: false,
 	};
 	for (const task of job.tasks) {
-		if (task.phase === 'waiting' && !placeOnLastAgent(state, job, task, placement)) {
-			placeTask(state, job, task, placement, now);
+		if (task.phase === 'waiting') {
+			placers[chooseStartMode(state, job, task, now)](state, job, task, placement, now);
 		}
 	}
 
@@ -213,9 +199,9 @@
 }
 
 /** Lists the tasks that wait at agents, the most urgent ones first, then the oldest. */
-function listOfferedTasks(state: DispatchState): readonly TaskState[] {
+function listOfferedTasks(state: DispatchState): ReadonlyArray<{readonly job: Job; readonly task: TaskState}> {
 	const jobs = [...state.openJobs].sort((left, right) => left.route.priority - right.route.priority);
-	return jobs.flatMap(({tasks}) => tasks.filter(({phase}) => phase === 'offered'));
+	return jobs.flatMap(job => job.tasks.filter(({phase}) => phase === 'offered').map(task => ({job, task})));
 }
 
 /**
@@ -232,8 +218,9 @@
 	}
 
 	const offers: TaskOffer[] = [];
-	for (const {candidates, avoidedAgents, offer} of listOfferedTasks(state)) {
-		const isCandidate = !candidates.has(agent) && !avoidedAgents.has(agent) && hasCapacityFor(spare, offer!.needs);
+	for (const {job, task} of listOfferedTasks(state)) {
+		const {candidates, avoidedAgents, offer} = task;
+		const isCandidate = canStartAt(state, job, offer!, agent) && !candidates.has(agent) && !avoidedAgents.has(agent) && hasCapacityFor(spare, offer!.needs);
 		if (isCandidate && isSuitable(state.fleet, agent, offer!)) {
 			candidates.add(agent);
 			spare = removeResources(spare, offer!.needs);
--- /dev/null
+++ b/src/core/runs/crashes.ts
@@ -0,0 +1,106 @@
+/**
+ * Tells a crash of the worker process from the other ways in which an agent loses its worker.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {CrashEvidence, TaskCrash, TaskEnd} from '../../ports/dispatch-messages.ts';
+import {isIsolated} from './isolation.ts';
+import {isStartOrdered} from './records.ts';
+import type {RunsState} from './state.ts';
+import type {LossEvidence, RunPhase, RunRecord} from './types.ts';
+
+/** Age of a run, in ms, up to which a crash of its worker is blamed on it. */
+const blameWindowMs = 50;
+
+/**
+ * Why the runs of a worker have ended together.
+ *
+ * - `crashed`: the process has ended unexpectedly.
+ * - `left`: it had announced its shutdown.
+ * - `silent`: it had not answered before, so it is not known when or why it ended.
+ * - `lapsed`: the leases have expired.
+ */
+export type LossCause = 'crashed' | 'left' | 'silent' | 'lapsed';
+
+type CauseFinder = (state: RunsState) => LossCause;
+
+function findCauseOfEnd({worker: {announcement, isReachable}}: RunsState): LossCause {
+	// Without a heartbeat in force, the worker has announced its departure.
+	if (announcement?.state !== 'ready') {
+		return 'left';
+	}
+
+	return isReachable ? 'crashed' : 'silent';
+}
+
+const causeFinders: Record<LossEvidence, CauseFinder> = {
+	refused: findCauseOfEnd,
+	restarted: findCauseOfEnd,
+	lapsed: () => 'lapsed',
+};
+
+/**
+ * Finds why the runs of the worker have ended. To be called before the worker is marked as unreachable.
+ *
+ * @param state - State of the agent.
+ * @param evidence - How the end is known.
+ * @returns The cause.
+ */
+export function findLossCause(state: RunsState, evidence: LossEvidence): LossCause {
+	return causeFinders[evidence](state);
+}
+
+/** Ends of started runs by the cause of their loss. */
+const lossEnds: Record<LossCause, TaskEnd> = {
+	crashed: 'crashed',
+	left: 'lost',
+	silent: 'lost',
+	lapsed: 'lost',
+};
+
+/** Returns how a started run has ended with its worker. */
+export function getLossEnd(cause: LossCause): TaskEnd {
+	return lossEnds[cause];
+}
+
+/** Phases in which a run is about to start, so that its age is not known. */
+const startingPhases: ReadonlySet<RunPhase> = new Set(['starting', 'checking']);
+
+function isYoung({phase, orderedAt}: RunRecord, now: Milliseconds): boolean {
+	return startingPhases.has(phase) || now - orderedAt <= blameWindowMs;
+}
+
+/**
+ * Lists the runs that may have caused a crash of the worker: the one that had started alone and has not settled;
+ * otherwise all whose start has no answer or that are young.
+ *
+ * @param state - State of the agent.
+ * @param now - Time of the crash.
+ * @returns Their records.
+ */
+export function listBlamed({records}: RunsState, now: Milliseconds): ReadonlySet<RunRecord> {
+	const started = [...records.values()].filter(record => isStartOrdered(record));
+	const isolated = started.filter(record => isIsolated(record, now));
+	return new Set(isolated.length > 0 ? isolated : started.filter(record => isYoung(record, now)));
+}
+
+/** Describes a run that ended with a crash of its worker. */
+export function createCrashEvidence(record: RunRecord, blamed: ReadonlySet<RunRecord>, now: Milliseconds): CrashEvidence {
+	const {route, target} = record.offer;
+	return {
+		route: route ?? '', target, isBlamed: blamed.has(record), isIsolated: isIsolated(record, now),
+	};
+}
+
+/** Most crashed runs that are kept for entries that connect later, and the time for which they are, in ms. */
+const maxRecentCrashes = 64;
+const recentCrashMs = 30_000;
+
+/** Keeps a crashed run for entries that connect later. */
+export function recordRecentCrash(state: RunsState, crash: TaskCrash, now: Milliseconds): void {
+	state.recentCrashes = [...state.recentCrashes, {crash, at: now}].slice(-maxRecentCrashes);
+}
+
+/** Lists the crashed runs that an entry that connects has to know, oldest first. */
+export function listRecentCrashes({recentCrashes}: RunsState, now: Milliseconds): readonly TaskCrash[] {
+	return recentCrashes.filter(({at}) => now - at < recentCrashMs).map(({crash}) => crash);
+}
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -261,12 +261,11 @@
 	}
 
 	const wasReachable = worker.isReachable;
+	// Nothing listens on its port: the process has exited and its runs with it. Only one that answered until now has crashed.
+	const ended = kind === 'unreachable' ? endAllRuns(state, 'refused', now) : endUnstartedTasks(state, now);
 	worker.isReachable = false;
 	const effects: RunsEffect[] = wasReachable ? [{type: 'log', event: 'worker-unreachable', details: {kind}}] : [];
-	// Nothing listens on its port: the process has exited and its runs with it.
-	return kind === 'unreachable'
-		? [...effects, ...endAllRuns(state, 'refused', now)]
-		: [...effects, ...endUnstartedTasks(state, now)];
+	return [...effects, ...ended];
 }
 
 /** Ends all runs once their lease must have expired while the worker was unreachable. */
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -5,15 +5,20 @@
  * shows the run, or a stop of it has been acknowledged: from then on the worker refuses the start.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {TaskEnd, TaskOffer, TaskReport} from '../../ports/dispatch-messages.ts';
+import type {
+	CrashEvidence, TaskEnd, TaskOffer, TaskReport,
+} from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
 import {computeLeaseEnd} from './leases.ts';
 import {computeFreeResources, hasReservedCapacity} from './capacity.ts';
+import {recordRecentCrash} from './crashes.ts';
 import {
 	getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
+import {addToQueue} from './queue.ts';
 import {hasOtherStartedRun, isStartOrdered, removeRecord} from './records.ts';
 import {canAcceptTask, isAnnouncementCurrent} from './health.ts';
+import {addSettling, canStartBeside, countSettling} from './isolation.ts';
 import type {RunRecord, RunsEffect, StopReason} from './types.ts';
 
 /** Age, in ms, from which a waiting task that does not fit blocks the smaller ones behind it. */
@@ -26,9 +31,10 @@
  * @param record - The record.
  * @param end - How the task ended.
  * @param now - Current time.
+ * @param crash - Set if it ended with a crash of the worker.
  * @returns The report.
  */
-export function endRecord(state: RunsState, record: RunRecord, end: TaskEnd, now: Milliseconds): RunsEffect {
+export function endRecord(state: RunsState, record: RunRecord, end: TaskEnd, now: Milliseconds, crash?: CrashEvidence): RunsEffect {
 	removeRecord(state, record);
 	recordEnd(state, record.offer.task, record.run, end);
 	const hasRun = isStartOrdered(record) && end !== 'not-started';
@@ -39,7 +45,12 @@
 		expectedMs: record.offer.expectedMs,
 		runMs: hasRun ? Math.round(now - record.orderedAt) : 0,
 		waitMs: Math.round((isStartOrdered(record) ? record.orderedAt : now) - record.queuedAt),
+		...(crash !== undefined && {crash}),
 	};
+	if (crash !== undefined) {
+		recordRecentCrash(state, {task: report.task, run: report.run, ...crash}, now);
+	}
+
 	return {type: 'report', owner: record.owner, reports: [report]};
 }
 
@@ -61,20 +72,6 @@
 		.map(record => endRecord(state, record, 'not-started', now));
 }
 
-function compareRecords(left: RunRecord, right: RunRecord): number {
-	return left.offer.priority - right.offer.priority || left.queuedAt - right.queuedAt;
-}
-
-/** Puts a record into the queue by priority, then by age. */
-export function addToQueue(state: RunsState, record: RunRecord): void {
-	let position = state.queue.length;
-	while (position > 0 && compareRecords(state.queue[position - 1], record) > 0) {
-		position--;
-	}
-
-	state.queue.splice(position, 0, record);
-}
-
 /**
  * Returns whether the entry of a record has been heard within the contact time. Otherwise, for instance after a pause
  * of this process, the entry may count this agent as lost and start the task elsewhere.
@@ -147,7 +144,8 @@
 
 /**
  * Starts waiting tasks that fit, by priority and age, unless their entry is disconnected or another run of the task is
- * left. Smaller tasks may overtake one that does not fit until its age reaches `maxBypassMs`.
+ * left. Smaller tasks may overtake one that does not fit until its age reaches `maxBypassMs`. An isolated task starts
+ * alone: nothing starts beside it until it has settled.
  *
  * @param state - State of the agent.
  * @param now - Current time.
@@ -160,6 +158,7 @@
 		return effects;
 	}
 
+	const settling = countSettling(state, now);
 	let free = computeFreeResources(state);
 	const taken: RunRecord[] = [];
 	for (const record of state.queue) {
@@ -169,7 +168,7 @@
 			continue;
 		}
 
-		if (isBlocking) {
+		if (isBlocking || !canStartBeside(settling, record)) {
 			break;
 		}
 
@@ -179,6 +178,7 @@
 		}
 
 		taken.push(record);
+		addSettling(settling, record);
 		free = removeResources(free, record.offer.needs);
 		effects.push(start);
 	}
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -6,6 +6,9 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {EndedTask, WorkerSnapshot} from '../../ports/worker.ts';
+import {
+	createCrashEvidence, findLossCause, getLossEnd, listBlamed, type LossCause,
+} from './crashes.ts';
 import {
 	endRecord, retryWithNextRun, retryStop, startQueued, stopRecord,
 } from './orders.ts';
@@ -173,6 +176,25 @@
 	return evidence !== 'lapsed' || record.isConfirmed || !isStartOrdered(record);
 }
 
+/** Describes the runs that end with the worker; undefined if no start had been ordered. */
+function describeLoss({worker}: RunsState, evidence: LossEvidence, cause: LossCause, ended: readonly RunRecord[], now: Milliseconds): RunsEffect | undefined {
+	const lost = ended.filter(record => isStartOrdered(record)).sort((left, right) => right.orderedAt - left.orderedAt);
+	const youngest = lost.at(0);
+	return youngest && {
+		type: 'log',
+		event: 'runs-lost',
+		details: {
+			evidence,
+			cause,
+			count: lost.length,
+			youngest: youngest.offer.task,
+			youngestMs: Math.round(now - youngest.orderedAt),
+			answerAgeMs: Math.round(now - worker.lastAnswerAt),
+			renewalAgeMs: Math.round(now - worker.lastRenewalAt),
+		},
+	};
+}
+
 /**
  * Ends the records of which no run can be left at the worker: it has restarted or exited, or the leases have expired.
  *
@@ -182,20 +204,15 @@
  * @returns Reports, and a log entry if a start had been ordered.
  */
 export function endAllRuns(state: RunsState, evidence: LossEvidence, now: Milliseconds): RunsEffect[] {
-	const effects: RunsEffect[] = [];
+	const cause = findLossCause(state, evidence);
+	const blamed = listBlamed(state, now);
 	const ended = [...state.records.values()].filter(record => isRunOver(record, evidence));
-	const lostCount = ended.filter(record => isStartOrdered(record)).length;
-	if (lostCount > 0) {
-		const {lastAnswerAt, lastRenewalAt} = state.worker;
-		effects.push({
-			type: 'log', event: 'runs-lost', details: {
-				evidence, count: lostCount, answerAgeMs: Math.round(now - lastAnswerAt), renewalAgeMs: Math.round(now - lastRenewalAt),
-			},
-		});
-	}
-
+	const loss = describeLoss(state, evidence, cause, ended, now);
+	const effects: RunsEffect[] = loss === undefined ? [] : [loss];
 	for (const record of ended) {
-		effects.push(endRecord(state, record, isStartOrdered(record) ? 'lost' : 'not-started', now));
+		const isStarted = isStartOrdered(record);
+		const crash = isStarted && cause === 'crashed' ? createCrashEvidence(record, blamed, now) : undefined;
+		effects.push(endRecord(state, record, isStarted ? getLossEnd(cause) : 'not-started', now, crash));
 	}
 
 	state.orphans.clear();
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -4,7 +4,7 @@
 import type {PeerDigests} from '../core/links/types.ts';
 import type {Milliseconds} from './clock.ts';
 import type {PeerAddress} from './messages.ts';
-import type {Resources, RunEnd} from './worker.ts';
+import type {Resources, RunEnd, RunRef} from './worker.ts';
 
 /** A task as an entry offers it to an agent. */
 export type TaskOffer = {
@@ -31,17 +31,44 @@
 	readonly isTentative: boolean;
 	/** Number of agents that a tentative task is offered to at first; undefined for one. */
 	readonly copies?: number;
+	/** Name of the route of its job; undefined from processes of an earlier build. */
+	readonly route?: string;
+	/** Why it has to start alone; undefined if it does not. */
+	readonly isolation?: Isolation;
 };
 
+/**
+ * Why a task starts alone on its worker, so that a crash can be blamed on it.
+ *
+ * - `canary`: it is the first of a job whose route has crashed workers recently.
+ * - `suspect`: a worker has crashed under it.
+ */
+export type Isolation = 'canary' | 'suspect';
+
 /**
  * How an offered task ended.
  *
  * - `not-started`: it never ran at this agent, and never will under this offer.
  * - `abandoned`: it was stopped because it made no progress or would have taken too long.
- * - `lost`: the worker is gone.
+ * - `crashed`: the worker process has ended unexpectedly.
+ * - `lost`: the worker is gone for another or an unknown reason.
  * - others: as reported by the worker.
  */
-export type TaskEnd = RunEnd | 'abandoned' | 'lost' | 'not-started';
+export type TaskEnd = RunEnd | 'abandoned' | 'crashed' | 'lost' | 'not-started';
+
+/** What an agent knows of a run that ended with a crash of its worker. */
+export type CrashEvidence = {
+	/** Name of the route of its job; empty if unknown. */
+	readonly route: string;
+	readonly target: string;
+	/** Whether it had started so shortly before the crash that it may have caused it. */
+	readonly isBlamed: boolean;
+	/** Whether it had started alone and nothing had started beside it. */
+	readonly isIsolated: boolean;
+};
+
+/** A run that ended with a crash of its worker, as agents tell it to the entries that do not own it. */
+export type TaskCrash = RunRef & CrashEvidence;
 
 /** Result of one offer. */
 export type TaskReport = {
@@ -55,6 +82,8 @@
 	readonly runMs: Milliseconds;
 	/** Time in the agent's queue. */
 	readonly waitMs: Milliseconds;
+	/** Set for `crashed`. */
+	readonly crash?: CrashEvidence;
 };
 
 /**
@@ -118,6 +147,13 @@
 	| {readonly type: 'claim'; readonly tasks: readonly TaskOffer[]; readonly heard?: HeardCapacity}
 	/** `seen`: number of tasks offered on this stream that `load` accounts for. */
 	| {readonly type: 'ended'; readonly reports: readonly TaskReport[]; readonly load: WorkerLoad; readonly seen: number}
+	/** Isolated tasks whose worker has not crashed in the time after their start. */
+	| {readonly type: 'survived'; readonly tasks: readonly string[]}
+	/**
+	 * Runs of other entries that ended with a crash of the worker: recent ones when a stream opens, then each at once.
+	 * Agents tell their own; an entry passes on those of its own runs, with the agent, to entries without a stream to that.
+	 */
+	| {readonly type: 'crashes'; readonly crashes: readonly TaskCrash[]; readonly agent?: string}
 	| {readonly type: 'load'; readonly load: WorkerLoad; readonly seen: number}
 	/** Version of the configuration that an entry has applied. */
 	| {readonly type: 'version'; readonly version: number}
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -8,8 +8,9 @@
 import {
 	advanceDispatch, cancelJob, placeAllWaitingTasks, submitJob, type JobRequest,
 } from '../../core/dispatch/logic.ts';
-import {applyReports} from '../../core/dispatch/reports.ts';
+import {applyReports, handleCrashes, handleSurvival} from '../../core/dispatch/reports.ts';
 import {extendOffers} from '../../core/dispatch/placing.ts';
+import {listCarefulRoutes} from '../../core/crashes/logic.ts';
 import {countOpenJobs, createDispatchState, type DispatchState} from '../../core/dispatch/state.ts';
 import type {DispatchEffect, Job, JobAnswer} from '../../core/dispatch/types.ts';
 import {chooseExtraAgents} from '../../core/dispatch/reach.ts';
@@ -23,7 +24,7 @@
 import {
 	addAgent, applyLoad, createFleetState, recordContact, removeAgent, setRetiring, takeHeardCapacity,
 } from '../../core/fleet/state.ts';
-import type {DispatchMessage} from '../../ports/dispatch-messages.ts';
+import type {DispatchMessage, TaskReport} from '../../ports/dispatch-messages.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import {waitFor} from '../shared/wait.ts';
@@ -60,11 +61,13 @@
 	readonly #sharing = createSharingState();
 	/** Agents that have reported their load in this turn of the event loop. */
 	readonly #reportedAgents = new Set<NodeName>();
+	#carefulRoutes: ReadonlySet<string> = new Set();
 	#isStopping = false;
 
 	readonly #messageHandlers: MessageHandlers = {
 		ended: (from, {reports, load, seen}) => {
 			applyLoad(this.state.fleet, from.name, load, seen);
+			this.#shareCrashes(from.name, reports);
 			this.#applyEffects(applyReports(this.state, from.name, reports, this.#now()));
 			this.#requestPlacing(from.name);
 		},
@@ -72,6 +75,12 @@
 			applyLoad(this.state.fleet, from.name, load, seen);
 			this.#requestPlacing(from.name);
 		},
+		crashes: (from, {crashes, agent}) => {
+			this.#applyEffects(handleCrashes(this.state, agent ?? from.name, crashes, this.#now()));
+		},
+		survived: (from, {tasks}) => {
+			this.#applyEffects(handleSurvival(this.state, from.name, tasks, this.#now()));
+		},
 		ask: (from, {tasks}) => {
 			this.#applyEffects(handleGrantRequests(this.state, from.name, tasks, this.#now()));
 		},
@@ -219,6 +228,7 @@
 		return {
 			open_jobs: countOpenJobs(this.state),
 			waiting_jobs: this.state.jobsToPlace.size,
+			quarantined_routes: this.#carefulRoutes.size,
 			linked_agents: this.state.fleet.agents.size,
 			subset_agents: this.state.agentCount,
 			configuration_version: this.configuration.version,
@@ -269,6 +279,7 @@
 		}
 
 		this.#applyEffects(advanceDispatch(this.state, now));
+		this.#recordCarefulRoutes(now);
 		this.#links.extendStreams(chooseExtraAgents(this.state, () => this.#links.listUnconnectedAgents(), now));
 		const peer = chooseFetch(this.#sharing, this.configuration.version, now);
 		if (peer !== undefined) {
@@ -276,6 +287,21 @@
 		}
 	}
 
+	/** Logs which routes begin or cease to start their jobs with a canary. */
+	#recordCarefulRoutes(now: Milliseconds): void {
+		const careful = new Set(listCarefulRoutes(this.state.crashes, now));
+		for (const route of [...careful].filter(name => !this.#carefulRoutes.has(name))) {
+			const {target} = this.state.crashes.routes.get(route)!;
+			this.input.log.recordDecision('warn', 'route-quarantined', {route, agents: [...this.state.crashes.reservedAgents.get(target) ?? []]});
+		}
+
+		for (const route of [...this.#carefulRoutes].filter(name => !careful.has(name))) {
+			this.input.log.recordDecision('warn', 'route-released', {route});
+		}
+
+		this.#carefulRoutes = careful;
+	}
+
 	/** Places waiting tasks after the load reports of this turn of the event loop. */
 	#requestPlacing(agent: NodeName): void {
 		this.#reportedAgents.add(agent);
@@ -321,6 +347,16 @@
 		}
 	}
 
+	/** Passes on crashes under runs of this entry: other entries may have no stream to the agent, and this one may be killed. */
+	#shareCrashes(agent: NodeName, reports: readonly TaskReport[]): void {
+		const crashes = reports.flatMap(({task, run, crash}) => crash === undefined ? [] : [{task, run, ...crash}]);
+		for (const peer of crashes.length > 0 ? this.#links.listConnected() : []) {
+			if (peer.role === 'entry') {
+				this.#links.sendMessage(peer.name, {type: 'crashes', crashes, agent});
+			}
+		}
+	}
+
 	#shareVersion(version: number): void {
 		for (const peer of this.#links.listConnected()) {
 			// Send it also to entries that watch the store themselves: the store may be unavailable to some of them.
