A withdrawal replaces any earlier reason of a stop

Seen by callers: a task could run twice after its stalled or slow run was withdrawn: the stop got no answer, and the lease was extended as if the entry still waited for the end. Cause: only 'unanswered' was replaced by a later reason. Change: withdrawn, owner-lost and superseded replace every reason.

--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -112,3 +112,15 @@
     And the stop of "b" is answered "stopped"
     And 10 ms pass and a snapshot shows no runs
     Then entry "e1" is told the end of "b", or the worker is ordered to start it again
+
+  # Guards against a run that outlives its withdrawal: the earlier reason of its stop let renewals extend the lease.
+  Scenario: The lease is not extended for a stalled run that was withdrawn while its stop is not acknowledged
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And 100 ms pass and a snapshot shows "a" at 10 percent
+    And 250 ms pass and a snapshot shows "a" at 10 percent
+    Then the worker is ordered to stop "a"
+    When entry "e1" withdraws "a"
+    And 70 ms go by
+    And the stop of "a" is answered "unanswered"
+    Then a renewal does not extend the lease
--- a/src/core/runs/leases.ts
+++ b/src/core/runs/leases.ts
@@ -8,8 +8,8 @@
 import type {RunsState} from './state.ts';
 import type {RunRecord, StopReason} from './types.ts';
 
-/** Reasons of a stop after which the task may be started elsewhere without a report of its end. */
-const unreportedReasons: ReadonlySet<StopReason | undefined> = new Set(['withdrawn', 'owner-lost', 'superseded']);
+/** Reasons of a stop after which the task may be started elsewhere without a report of its end; they replace other ones. */
+export const unreportedReasons: ReadonlySet<StopReason | undefined> = new Set(['withdrawn', 'owner-lost', 'superseded']);
 
 /** Returns whether the stop of a run has timed out whose end neither its entry nor its caller waits for. */
 function isStopOverdue({owners, options}: RunsState, {owner, phase, stopReason, stopOrderedAt, stoppedAt}: RunRecord, now: Milliseconds): boolean {
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -9,7 +9,7 @@
 	CrashEvidence, TaskEnd, TaskOffer, TaskReport,
 } from '../../ports/dispatch-messages.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
-import {computeLeaseEnd} from './leases.ts';
+import {computeLeaseEnd, unreportedReasons} from './leases.ts';
 import {computeFreeResources, hasReservedCapacity} from './capacity.ts';
 import {recordRecentCrash} from './crashes.ts';
 import {
@@ -201,7 +201,10 @@
  */
 export function stopRecord(state: RunsState, record: RunRecord, reason: StopReason, now: Milliseconds): RunsEffect[] {
 	// A task whose start got no answer is started again after the stop, unless there is another reason to end it.
-	record.stopReason = record.stopReason === undefined || record.stopReason === 'unanswered' ? reason : record.stopReason;
+	if (record.stopReason === undefined || record.stopReason === 'unanswered' || unreportedReasons.has(reason)) {
+		record.stopReason = reason;
+	}
+
 	if (record.stoppedAt !== undefined || now < record.stopRetryAt) {
 		return [];
 	}
