Take only a refused connection for the exit of a worker, not a missing route

Seen by callers: a task could run twice if there was no route to a worker for a moment: its agent reported all runs as ended with a crash, and they were started elsewhere while the worker went on. Cause: both results proved that a call was not sent, and were one. Change: 'refused' and 'no-route' are told apart; only the first ends the runs of a renewal, the other counts as silence. A start or a call to the store is not sent in either case. Evidence: found by the emulator's refused calls and by the review; the example 'no-route' of the new scenario in features/platform/random-bodies.feature could not be expressed before: the renewal counted as unreachable.

--- a/features/platform/random-bodies.feature
+++ b/features/platform/random-bodies.feature
@@ -84,3 +84,15 @@
   Scenario: A directory key with a worker that is not valid still names its process
     When a directory key is decoded whose worker is null
     Then it names the process without a worker
+
+  # Guards against a second run of a task while the worker, to which there is no route for a moment, goes on with the first.
+  Scenario Outline: Only a refused connection tells that the worker has exited
+    When a renewal and a start end as "<result>"
+    Then the renewal counts as "<renewal>"
+    And the start counts as "<start>"
+
+    Examples:
+      | result     | renewal     | start      |
+      | refused    | unreachable | refused    |
+      | no-route   | unanswered  | refused    |
+      | unanswered | unanswered  | unanswered |
--- a/features/platform/random-bodies.steps.ts
+++ b/features/platform/random-bodies.steps.ts
@@ -10,7 +10,7 @@
 import {createHeartbeatHandler} from '../../platform/heartbeats.ts';
 import type {HttpResponse} from '../../platform/http-server.ts';
 import {parseBody} from '../../platform/json-fields.ts';
-import {decodeStartAnswer} from '../../platform/worker.ts';
+import {decodeRenewal, decodeStartAnswer} from '../../platform/worker.ts';
 import {parseRecord, type DirectoryRecord} from '../../src/processes/dispatch/directory-records.ts';
 import type {DispatchAgent} from '../../src/processes/dispatch/agent.ts';
 
@@ -18,6 +18,7 @@
 	decoded: unknown[];
 	response: HttpResponse;
 	answer: string;
+	renewalFailure: string;
 };
 
 const seed = Number(process.env.SEED ?? 1);
@@ -129,6 +130,17 @@
 	this.answer = decodeStartAnswer({type: 'answered', status: 409, body: {ClockMs: 1, Reason: reason}});
 });
 
+When('a renewal and a start end as {string}', function (this: RandomWorld, type: 'refused' | 'no-route' | 'unanswered') {
+	const renewal = decodeRenewal({type, message: ''}, () => undefined);
+	assert.ok(renewal.type === 'failed');
+	this.renewalFailure = renewal.kind;
+	this.answer = decodeStartAnswer({type, message: ''});
+});
+
+Then('the renewal counts as {string}', function (this: RandomWorld, kind: string) {
+	assert.equal(this.renewalFailure, kind);
+});
+
 Then('the start counts as {string}', function (this: RandomWorld, answer: string) {
 	assert.equal(this.answer, answer);
 });
--- a/src/ports/worker.ts
+++ b/src/ports/worker.ts
@@ -121,8 +121,8 @@
 /**
  * Why a renewal failed.
  *
- * - `unreachable`: the connection was refused, or there is no route to the worker.
- * - `unanswered`: no connection or no answer within the time limit, or the connection broke.
+ * - `unreachable`: the connection was refused, so the worker process has exited.
+ * - `unanswered`: no route, no connection or no answer within the time limit, or the connection broke.
  * - `fenced`, `other-worker`: as for a start.
  * - `invalid`: the answer cannot be parsed.
  */
