--- a/features/dispatch/random-run.feature
+++ b/features/dispatch/random-run.feature
@@ -31,7 +31,22 @@
       | agents whose clocks stand still          | 80    |
       | workers that crash                       | 80    |
       | callers that lose their connections      | 80    |
+      | cuts between agents and their workers    | 80    |
+      | late heartbeats of earlier workers       | 80    |
+      | late departures of earlier workers       | 80    |
+      | pauses beside late orders                | 70    |
+      | entries that are cut off                 | 70    |
 
   Scenario: An order without an answer leaves no task behind
     When a fleet runs for 20 s with orders that are carried out late, over 8 seeds
     Then no job was given up at its deadline
+
+  # Guards against taking a refused connection for the end of a worker that goes on with its runs.
+  Scenario: Workers that refuse connections while they live
+    When a fleet runs for 20 s with workers that refuse connections while they live, over 8 seeds
+    Then no task ran twice at the same time and no worker exceeded its capacity
+
+  # Guards against a run for a caller that has turned to another entry, which nobody told the first one.
+  Scenario: Callers whose loss no entry is told of
+    When a fleet with long runs runs for 20 s with callers whose loss no entry is told of, over 8 seeds
+    Then no task ran twice at the same time and no worker exceeded its capacity
--- a/features/dispatch/random-run.steps.ts
+++ b/features/dispatch/random-run.steps.ts
@@ -48,6 +48,13 @@
 	'agents whose clocks stand still': {...none, agentSuspensionMs: 4000},
 	'workers that crash': {...none, workerCrashMs: 3000, darkCrashes: 0.5},
 	'callers that lose their connections': {...none, callerLossMs: 500},
+	'cuts between agents and their workers': {...none, workerCutMs: 4000},
+	'late heartbeats of earlier workers': {...none, workerCrashMs: 3000, lateHeartbeats: 0.3},
+	'late departures of earlier workers': {...none, workerCrashMs: 3000, lateDepartures: 0.5},
+	'pauses beside late orders': {...none, agentPauseMs: 3000, lateOrders: 0.05},
+	'entries that are cut off': {...none, entryCutMs: 3000},
+	'workers that refuse connections while they live': {...none, workerRefusalMs: 4000},
+	'callers whose loss no entry is told of': {...none, callerCutMs: 1000},
 	'streams that close': {...none, streamLossMs: 1000},
 	'agents that are killed': {...none, agentKillMs: 4000},
 	'entries that are killed': {...none, entryKillMs: 5000},
@@ -57,6 +64,9 @@
 	},
 };
 
+/** The same fleet with half of the jobs, whose runs are long. */
+const longRuns: Scenario = {...fleet, kinds: fleet.kinds.map(kind => ({...kind, perSecond: 5, runMs: {mean: 900, sigma: 0.6, max: 3500}}))};
+
 const firstSeed = Number(process.env.SEED ?? 1);
 
 When('a fleet runs for {int} s with {}, over {int} seeds', function (this: RandomWorld, seconds: number, faults: string, seeds: number) {
@@ -66,6 +76,13 @@
 	});
 });
 
+When('a fleet with long runs runs for {int} s with {}, over {int} seeds', function (this: RandomWorld, seconds: number, faults: string, seeds: number) {
+	this.reports = Array.from({length: seeds}, (_, index) => {
+		const seed = firstSeed + index;
+		return {seed, report: new EmulatedFleet(seed, {...longRuns, faults: faultsByName[faults]}).run(seconds * 1000)};
+	});
+});
+
 Then('no task ran twice at the same time and no worker exceeded its capacity', function (this: RandomWorld) {
 	const violations = this.reports.flatMap(({seed, report}) => report.violations.map(text => `seed ${seed}: ${text}`));
 	assert.deepEqual(violations.slice(0, 10), []);
