Blame a crash only on starts that the worker has confirmed

Cause, suspected: a start without an answer when its worker was found crashed counted as blamed, although the crash may have come first; twice ends the job. Change: only confirmed starts are blamed. Others still count toward the four crashes after which a task is given up. Tests: the row of an unanswered start, which expected blame, was wrong for that reason; it is replaced by a scenario that expects the same end without blame.

--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -404,12 +404,19 @@
     Examples:
       | answer     | event                                                | end     |
       | started    | the worker crashes                                   | crashed |
-      | unanswered | the worker crashes                                   | crashed |
       | started    | a snapshot shows a restart of the worker             | crashed |
       | started    | the worker leaves                                    | lost    |
       | started    | the worker announces that it drains and then crashes | lost    |
       | started    | the worker is silent for 300 ms and then crashes     | lost    |
 
+  # Guards against giving up a job whose starts came when their workers had crashed already: its tasks have crashed none.
+  Scenario: A crash is not blamed on a start that the worker has not confirmed
+    When entry "e1" offers direct tasks "a b" of 1000
+    And the start of "a" is answered "unanswered"
+    And the worker crashes
+    Then "a" has ended as "crashed", "not blamed" for it
+    And "b" has ended as "crashed", "not blamed" for it
+
   # Guards against blaming a crash on several runs, so that an innocent one is blamed again and given up.
   Scenario: A suspect starts alone, and a crash then is blamed on it only
     When entry "e1" offers direct tasks "young" of 1000
--- a/src/core/runs/crashes.ts
+++ b/src/core/runs/crashes.ts
@@ -6,7 +6,7 @@
 import {isIsolated} from './isolation.ts';
 import {isStartOrdered} from './records.ts';
 import type {RunsState} from './state.ts';
-import type {LossEvidence, RunPhase, RunRecord} from './types.ts';
+import type {LossEvidence, RunRecord} from './types.ts';
 
 /** Age of a run, in ms, up to which a crash of its worker is blamed on it. */
 const blameWindowMs = 50;
@@ -62,23 +62,20 @@
 	return lossEnds[cause];
 }
 
-/** Phases in which a run is about to start, so that its age is not known. */
-const startingPhases: ReadonlySet<RunPhase> = new Set(['starting', 'checking']);
-
-function isYoung({phase, orderedAt}: RunRecord, now: Milliseconds): boolean {
-	return startingPhases.has(phase) || now - orderedAt <= blameWindowMs;
+function isYoung({orderedAt}: RunRecord, now: Milliseconds): boolean {
+	return now - orderedAt <= blameWindowMs;
 }
 
 /**
  * Lists the runs that may have caused a crash of the worker: the one that had started alone and has not settled;
- * otherwise all whose start has no answer or that are young.
+ * otherwise all that are young. A start without an answer may have come after the crash.
  *
  * @param state - State of the agent.
  * @param now - Time of the crash.
  * @returns Their records.
  */
 export function listBlamed({records}: RunsState, now: Milliseconds): ReadonlySet<RunRecord> {
-	const started = [...records.values()].filter(record => isStartOrdered(record));
+	const started = [...records.values()].filter(record => isStartOrdered(record) && record.isConfirmed);
 	const isolated = started.filter(record => isIsolated(record, now));
 	return new Set(isolated.length > 0 ? isolated : started.filter(record => isYoung(record, now)));
 }
