--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -34,7 +34,7 @@
 runCase(import.meta.dirname, async (installation, hasTrouble) => {
 	const record = installation.record.bind(installation);
 	const store = await startStore();
-	store.writeConfiguration(3, ['probe', 'work']);
+	store.writeConfiguration(3, ['probe', 'tasks']);
 	const entries = [];
 	for (const name of ['edge-kerr-1', 'edge-llano-1']) {
 		entries.push(await installation.startProcess('entry', name, {platform: {Address: store.address}}));
@@ -60,7 +60,7 @@
 	for (let round = 0; round < rounds; round++) {
 		record('round', {round});
 		const answers = entries.flatMap(entry => ['long', 'short', 'long', 'short', 'long'].map(async spec => submitJob(entry, {
-			route: 'work', spec, deadlineMs: 10_000, step: {Count: 3, EstimateMs: spec === 'long' ? longMs : 700}, record,
+			route: 'tasks', spec, deadlineMs: 10_000, step: {Count: 3, EstimateMs: spec === 'long' ? longMs : 700}, record,
 		})));
 		await sleep(300);
 		if (hasTrouble) {
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -15,7 +15,7 @@
 runCase(import.meta.dirname, async (installation, hasTrouble) => {
 	const record = installation.record.bind(installation);
 	const store = await startStore();
-	store.writeConfiguration(3, ['probe', 'work']);
+	store.writeConfiguration(3, ['probe', 'tasks']);
 	const entries = [];
 	for (const name of ['edge-kerr-1', 'edge-llano-1']) {
 		entries.push(await installation.startProcess('entry', name, {platform: {Address: store.address}}));
@@ -41,7 +41,7 @@
 	await sleep(3500);
 	for (let round = 0; round < rounds; round++) {
 		const answers = [...entries, ...entries].map(async entry => submitJob(entry, {
-			route: 'work', spec: 'long', deadlineMs: 10_000, step: {Count: 4, EstimateMs: runMs}, record,
+			route: 'tasks', spec: 'long', deadlineMs: 10_000, step: {Count: 4, EstimateMs: runMs}, record,
 		}));
 		await sleep(700);
 		if (hasTrouble) {
