--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -2,7 +2,7 @@
  * One agent is killed shortly after each of its starts, several times within two seconds, while tasks run at its worker.
  */
 import {
-	isServing, startStore, startWorker, submitJob,
+	describeOverlaps, isServing, listOverlaps, startStore, startWorker, submitJob,
 } from '../rig/platform.mjs';
 import {runCase, sleep, waitUntil} from '../rig/processes.mjs';
 
@@ -16,18 +16,6 @@
 const rounds = 9;
 const longMs = 3500;
 
-/** Lists the pairs of runs of one task that went on at the same time at two workers, both of which are up all the while. */
-function listOverlaps(workers) {
-	const groups = new Map();
-	for (const run of workers.flatMap(({runs}) => runs)) {
-		groups.set(run.task, [...groups.get(run.task) ?? [], run]);
-	}
-
-	return [...groups.values()].flatMap(runs => runs.flatMap((left, index) => runs.slice(index + 1).map(right => ({
-		left, right, overlapMs: Math.min(left.endedAt ?? Date.now(), right.endedAt ?? Date.now()) - Math.max(left.startedAt, right.startedAt),
-	}))).filter(({left, right, overlapMs}) => left.worker !== right.worker && overlapMs > 0));
-}
-
 async function killAgain(agent, worker) {
 	const endsAt = Date.now() + loopMs;
 	agent.kill('SIGKILL');
@@ -83,12 +71,5 @@
 		await sleep(1000);
 	}
 
-	const overlaps = listOverlaps(workers);
-	for (const {left, right, overlapMs} of overlaps) {
-		record('two-runs', {
-			task: left.task, first: [left.worker, left.run], second: [right.worker, right.run], overlapMs,
-		});
-	}
-
-	return overlaps.map(({left, right, overlapMs}) => `${left.task}: run ${left.run} at ${left.worker} and run ${right.run} at ${right.worker} for ${overlapMs} ms`);
+	return describeOverlaps(listOverlaps(workers), record);
 });
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,70 +1,58 @@
 /**
- * The open channels to the platform's store go silent; 3.5 s later a configuration adds a route and drops another.
+ * A worker is cut off from its machine and runs on: open channels to it are reset, and new ones are refused.
  */
 import {
-	isServing, sendRequest, startLink, startStore, startWorker, submitJob,
+	describeOverlaps, isServing, listOverlaps, startLink, startStore, startWorker, submitJob,
 } from '../rig/platform.mjs';
 import {runCase, sleep, waitUntil} from '../rig/processes.mjs';
 
-/** `ConfigApplyMs` of the site. */
-const configApplyMs = 2000;
+/** Length of a cut, in ms; the site's cuts last 5,500 ms. */
+const cutMs = 3000;
 
-/** `ContactMs` of the site: from here on after the silence, the machines are in touch again. */
-const contactMs = 3000;
+const rounds = 3;
+const runMs = 2500;
 
 runCase(import.meta.dirname, async (installation, hasTrouble) => {
 	const record = installation.record.bind(installation);
 	const store = await startStore();
-	const link = await startLink(store.address);
-	store.writeConfiguration(3, ['first', 'dropped']);
+	store.writeConfiguration(3, ['probe', 'work']);
 	const entries = [];
 	for (const name of ['edge-kerr-1', 'edge-llano-1']) {
-		entries.push(await installation.startProcess('entry', name, {platform: {Address: link.address}}));
+		entries.push(await installation.startProcess('entry', name, {platform: {Address: store.address}}));
 	}
 
-	for (const name of ['side-kerr-1', 'side-llano-1']) {
+	const workers = [];
+	const links = [];
+	for (const name of ['side-kerr-1', 'side-kerr-2', 'side-llano-1', 'side-llano-2', 'side-blanco-1', 'side-blanco-2']) {
 		const worker = await startWorker({
-			id: `i-${name}`, cpu: 8000, runMs: 50, record,
+			id: `i-${name}`, cpu: 16_000, runMs: spec => spec === 'long' ? runMs : 50, record,
 		});
-		const agent = await installation.startProcess('agent', name, {platform: {Address: link.address}, app: worker.address});
+		workers.push(worker);
+		const link = await startLink(worker.address);
+		links.push(link);
+		const agent = await installation.startProcess('agent', name, {platform: {Address: store.address}, app: link.address});
 		worker.beat(agent.heartbeats);
 	}
 
 	for (const entry of entries) {
-		await waitUntil(`${entry.name} serves`, async () => isServing(entry, 'dropped', record));
+		await waitUntil(`${entry.name} serves`, async () => isServing(entry, 'probe', record));
 	}
 
-	await sleep(3000);
-	store.writeConfiguration(5, ['first', 'dropped', 'second']);
-	record('configuration-acknowledged', {version: 5});
-	for (const entry of entries) {
-		await waitUntil(`${entry.name} has version 5`, async () => isServing(entry, 'second', record), configApplyMs);
-	}
-
-	await sleep(300);
-	if (hasTrouble) {
-		record('channels-to-the-store-silent', {count: link.silenceOpenChannels()});
-	}
-
-	await sleep(contactMs + 500);
-	const probe = await sendRequest(link.address, 'GET', '/medlardale/kv-key?Key=op/config');
-	record('new-channel-to-the-store', {status: probe.status});
-	store.writeConfiguration(8, ['first', 'second', 'added']);
-	const acknowledgedAt = Date.now();
-	record('configuration-acknowledged', {version: 8});
-	const broken = [];
-	while (Date.now() < acknowledgedAt + 12_000) {
-		await sleep(200);
-		for (const entry of entries) {
-			const [added, dropped] = await Promise.all(['added', 'dropped'].map(async route => submitJob(entry, {route, record})));
-			for (const {answer, isOld} of [{answer: added, isOld: added.status === 404}, {answer: dropped, isOld: dropped.status === 200}]) {
-				const age = answer.sentAt - acknowledgedAt;
-				if (isOld && age > configApplyMs) {
-					broken.push(`${entry.name}: ${answer === added ? 'the added route is refused with 404' : 'a job ran on the dropped route'} ${age} ms after the acknowledgement`);
-				}
-			}
+	await sleep(3500);
+	for (let round = 0; round < rounds; round++) {
+		const answers = [...entries, ...entries].map(async entry => submitJob(entry, {
+			route: 'work', spec: 'long', deadlineMs: 10_000, step: {Count: 4, EstimateMs: runMs}, record,
+		}));
+		await sleep(700);
+		if (hasTrouble) {
+			record('worker-cut-off', {worker: round, cutMs});
+			await links[round].refuseChannels(cutMs);
+			record('worker-back', {worker: round});
 		}
+
+		await Promise.all(answers);
+		await sleep(3000);
 	}
 
-	return broken;
+	return describeOverlaps(listOverlaps(workers), record);
 });
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,63 +1,70 @@
 /**
- * A client submits a job at one entry and cancels it; the cancelling reaches another entry, as a new channel may.
+ * The open channels to the platform's store go silent; 3.5 s later a configuration adds a route and drops another.
  */
 import {
-	createJobId, isServing, sendRequest, startStore, startWorker, submitJob,
+	isServing, sendRequest, startLink, startStore, startWorker, submitJob,
 } from '../rig/platform.mjs';
 import {runCase, sleep, waitUntil} from '../rig/processes.mjs';
 
-/** `cancel_ms` and `StopMs` of the site. */
-const cancelMs = 3000;
-const stopMs = 50;
+/** `ConfigApplyMs` of the site. */
+const configApplyMs = 2000;
 
-const runMs = 6000;
-const jobs = 6;
+/** `ContactMs` of the site: from here on after the silence, the machines are in touch again. */
+const contactMs = 3000;
 
 runCase(import.meta.dirname, async (installation, hasTrouble) => {
 	const record = installation.record.bind(installation);
 	const store = await startStore();
-	store.writeConfiguration(3, ['probe', 'work']);
+	const link = await startLink(store.address);
+	store.writeConfiguration(3, ['first', 'dropped']);
 	const entries = [];
 	for (const name of ['edge-kerr-1', 'edge-llano-1']) {
-		entries.push(await installation.startProcess('entry', name, {platform: {Address: store.address}}));
+		entries.push(await installation.startProcess('entry', name, {platform: {Address: link.address}}));
 	}
 
-	const workers = [];
 	for (const name of ['side-kerr-1', 'side-llano-1']) {
 		const worker = await startWorker({
-			id: `i-${name}`, cpu: 16_000, runMs: spec => spec === 'long' ? runMs : 50, record,
+			id: `i-${name}`, cpu: 8000, runMs: 50, record,
 		});
-		workers.push(worker);
-		const agent = await installation.startProcess('agent', name, {platform: {Address: store.address}, app: worker.address});
+		const agent = await installation.startProcess('agent', name, {platform: {Address: link.address}, app: worker.address});
 		worker.beat(agent.heartbeats);
 	}
 
 	for (const entry of entries) {
-		await waitUntil(`${entry.name} serves`, async () => isServing(entry, 'probe', record));
+		await waitUntil(`${entry.name} serves`, async () => isServing(entry, 'dropped', record));
 	}
 
-	await sleep(3500);
-	const cancelled = [];
-	for (let count = 0; count < jobs; count++) {
-		const id = createJobId();
-		const [first, second] = count % 2 === 0 ? entries : [...entries].reverse();
-		submitJob(first, {
-			id, route: 'work', spec: 'long', deadlineMs: 20_000, step: {Count: 2, EstimateMs: runMs}, record,
-		});
-		const listRuns = () => workers.flatMap(({runs}) => runs).filter(({task}) => task.startsWith(id));
-		await waitUntil(`job ${id} runs`, async () => listRuns().length === 2);
-		await sleep(300);
-		const entry = hasTrouble ? second : first;
-		const answer = await sendRequest(entry.frontend, 'DELETE', `/work/${id}`, {headers: {host: 'jobs.example'}});
-		record('cancel-answered', {id, entry: entry.name, status: answer.status});
-		cancelled.push({
-			id, answer, acknowledgedAt: Date.now(), listRuns,
-		});
+	await sleep(3000);
+	store.writeConfiguration(5, ['first', 'dropped', 'second']);
+	record('configuration-acknowledged', {version: 5});
+	for (const entry of entries) {
+		await waitUntil(`${entry.name} has version 5`, async () => isServing(entry, 'second', record), configApplyMs);
+	}
+
+	await sleep(300);
+	if (hasTrouble) {
+		record('channels-to-the-store-silent', {count: link.silenceOpenChannels()});
+	}
+
+	await sleep(contactMs + 500);
+	const probe = await sendRequest(link.address, 'GET', '/medlardale/kv-key?Key=op/config');
+	record('new-channel-to-the-store', {status: probe.status});
+	store.writeConfiguration(8, ['first', 'second', 'added']);
+	const acknowledgedAt = Date.now();
+	record('configuration-acknowledged', {version: 8});
+	const broken = [];
+	while (Date.now() < acknowledgedAt + 12_000) {
+		await sleep(200);
+		for (const entry of entries) {
+			const [added, dropped] = await Promise.all(['added', 'dropped'].map(async route => submitJob(entry, {route, record})));
+			for (const {answer, isOld} of [{answer: added, isOld: added.status === 404}, {answer: dropped, isOld: dropped.status === 200}]) {
+				const age = answer.sentAt - acknowledgedAt;
+				if (isOld && age > configApplyMs) {
+					broken.push(`${entry.name}: ${answer === added ? 'the added route is refused with 404' : 'a job ran on the dropped route'} ${age} ms after the acknowledgement`);
+				}
+			}
+		}
 	}
 
-	await sleep(runMs + 1000);
-	return cancelled.flatMap(({id, answer, acknowledgedAt, listRuns}) => listRuns()
-		.map(({task, endedAt, how}) => ({task, how, age: (endedAt ?? Date.now()) - acknowledgedAt}))
-		.filter(({age}) => (answer.status === 410 || (answer.status >= 200 && answer.status < 300)) && age > cancelMs + stopMs)
-		.map(({task, how, age}) => `job ${id}: DELETE was answered ${answer.status}, and ${task} ran on for ${age} ms (${how})`));
+	return broken;
 });
