Do not take a refused connection for the end of a worker's runs

Cause: applyRenewalFailure ended all runs on a refused connection. It proves that nothing accepts connections, not that the process has ended.

Change: a refusal closes the agent and gives back what waits; runs end when another worker process answers or the leases have lapsed. That the worker seems to have crashed is told to all entries at once, so that tasks that crash workers are still recognised, and a job of such a task fails without waiting. A refused renewal, of which no byte was sent, does not count as an extension. A worker that answers in time keeps its runs.

Tests that took the refusal itself for the end expect no report before the leases have lapsed and the same one afterwards. Two scenarios on crashes came to the second crash of a task within 0.6 s; now their job is answered before, and its caller submits it again. What they expect is unchanged.

--- a/bench/emulator/agent.ts
+++ b/bench/emulator/agent.ts
@@ -207,6 +207,11 @@
 			report({owner, reports: added}) {
 				addToGroup(reports, owner, ...added);
 			},
+			crashes: ({crashes}) => {
+				for (const name of this.links.connected.keys()) {
+					this.links.sendMessage(name, {type: 'crashes', crashes});
+				}
+			},
 			log: ({event, details}) => {
 				this.context.trace.recordLog(this.process.name, event, details);
 			},
--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -9,7 +9,7 @@
 } from '../../src/core/dispatch/logic.ts';
 import {extendOffers} from '../../src/core/dispatch/placing.ts';
 import {chooseExtraAgents} from '../../src/core/dispatch/reach.ts';
-import {applyReports} from '../../src/core/dispatch/reports.ts';
+import {applyReports, handleCrashes} from '../../src/core/dispatch/reports.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
 import type {DispatchEffect, Job, JobAnswer} from '../../src/core/dispatch/types.ts';
 import {addPendingWithdrawals} from '../../src/core/dispatch/withdrawals.ts';
@@ -63,6 +63,7 @@
 			applyLoad(this.state.fleet, agent, load, seen);
 			return this.#placeTasks(agent);
 		},
+		crashes: (agent, {crashes}) => handleCrashes(this.state, agent, crashes, this.#now()),
 		ask: (agent, {tasks}) => handleGrantRequests(this.state, agent, tasks, this.#now()),
 	};
 
--- a/features/dispatch/crash-fleet.ts
+++ b/features/dispatch/crash-fleet.ts
@@ -415,6 +415,11 @@
 					this.#runDispatch(entry, handleGrantRequests(entry.state, agent.name, [task], this.now));
 				});
 			},
+			crashes: ({crashes}) => {
+				for (const entry of this.entries) {
+					this.#sendCrashes(agent, entry, crashes);
+				}
+			},
 			'fetch-snapshot'() {
 				// Read at each tick.
 			},
--- a/features/dispatch/crashes.feature
+++ b/features/dispatch/crashes.feature
@@ -61,7 +61,8 @@
   Scenario: A route is out of quarantine again some seconds after the last crash
     Given a simulated fleet of 8 workers and 2 entries
     When job "bad" of 8 tasks on route "r" arrives at entry 0, and its task 0 crashes each worker
-    And the simulated fleet runs for 1 s
+    And job "bad" is submitted again at entry 1 after 1300 ms
+    And the simulated fleet runs for 2 s
     Then route "r" is in quarantine at all entries
     When the simulated fleet runs for 10 s
     Then no route is in quarantine
--- a/features/dispatch/crashes.steps.ts
+++ b/features/dispatch/crashes.steps.ts
@@ -168,7 +168,9 @@
 	this.crashFleet.submit({
 		id: 'first', route, tasks: 8, runMs: 60, deadly: 0,
 	}, entry, 0);
-	this.crashFleet.run(600);
+	// The first crash is certain only when the leases have lapsed, too late for the job; its caller submits it again.
+	this.crashFleet.resubmit('first', entry, 1300);
+	this.crashFleet.run(1500);
 	assert.equal(this.crashFleet.answers.get('first')?.at(-1)?.reason, 'crashes');
 });
 
--- a/features/runs/capacity.feature
+++ b/features/runs/capacity.feature
@@ -137,6 +137,7 @@
     When entry "e1" offers direct tasks "a" of 4000
     And the start of "a" is answered "started"
     And a renewal finds the worker unreachable
+    And 700 ms go by
     Then entry "e1" gets the report that "a" ended as "crashed"
     When 10 ms pass and a snapshot shows "a" at 10 percent
     Then the free capacity is 0
--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -53,15 +53,55 @@
     Then the worker is ordered to start "a" as run 2
 
   # Guards against a second run while a worker that has announced its shutdown is still ending its runs.
-  Scenario: A departure ends no run before the worker's port is closed
+  Scenario: A departure ends no run before its lease has lapsed
     When entry "e1" offers direct tasks "a" of 4000
     And the start of "a" is answered "started"
     And the worker announces its departure
     Then entry "e1" gets no report on "a"
     And the agent accepts no tasks
     When a renewal finds the worker unreachable
+    Then entry "e1" gets no report on "a"
+    When 700 ms go by
     Then entry "e1" gets the report that "a" ended as "lost"
 
+  # Guards against a second run while the first one goes on at a worker whose connections are refused.
+  Scenario: A refused connection ends no run before its lease has lapsed
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And a renewal finds the worker unreachable
+    Then the agent accepts no tasks
+    And a renewal does not extend the lease
+    When 400 ms go by
+    Then entry "e1" gets no report on "a"
+    When 300 ms go by
+    Then entry "e1" gets the report that "a" ended as "crashed"
+
+  # Guards against giving up a run whose worker was only out of reach for a moment.
+  Scenario: A run goes on if its worker answers again before the lease has lapsed
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And a renewal finds the worker unreachable
+    And 100 ms pass and a snapshot shows "a" at 10 percent
+    And 700 ms go by
+    Then entry "e1" gets no report on "a"
+
+  # Guards against waiting for leases of a worker process that has been replaced.
+  Scenario: A restart ends the runs of a worker that refused connections at once
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And a renewal finds the worker unreachable
+    And a snapshot shows a restart of the worker
+    Then entry "e1" gets the report that "a" ended as "crashed"
+
+  # Guards against a delay of what is certain by a renewal of which no byte was sent.
+  Scenario: A refused renewal does not extend the time after which the leases have lapsed
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And 300 ms go by
+    And a renewal that would extend the lease is refused
+    And 350 ms go by
+    Then entry "e1" gets the report that "a" ended as "crashed"
+
   # Guards against a task that starts again by itself after its entry has withdrawn it, beside its run elsewhere.
   Scenario Outline: A start without an answer is not repeated after <event>
     When entry "e1" offers direct tasks "a" of 4000
--- a/features/runs/single-run.steps.ts
+++ b/features/runs/single-run.steps.ts
@@ -89,6 +89,12 @@
 	}, requestedAt, this.now));
 });
 
+When('a renewal that would extend the lease is refused', function (this: SingleRunWorld) {
+	const renewal = createRenewal(this.state, 0, this.now);
+	assert.notEqual(renewal.leaseUntil, undefined);
+	recordEffects(this, applyRenewalFailure(this.state, 'unreachable', this.now, renewal));
+});
+
 When('the worker announces its departure', function (this: SingleRunWorld) {
 	recordEffects(this, handleDeparture(this.state, this.state.worker.announcement!.id, this.now));
 });
--- a/src/core/dispatch/reports.ts
+++ b/src/core/dispatch/reports.ts
@@ -163,8 +163,8 @@
 }
 
 /**
- * Records crashes under tasks of other entries. A job of this entry that waits to start such a task, as its caller has
- * submitted it again, fails once workers have crashed under that.
+ * Records crashes under tasks. A job of this entry with such a task fails at once when the task must not be started any
+ * more, though its last run may not have ended for certain: it would not be started again.
  *
  * @param state - State of the jobs.
  * @param agent - The agent of the workers.
@@ -177,8 +177,7 @@
 	for (const crash of crashes) {
 		recordCrash(state.crashes, {...crash, agent}, now);
 		const found = state.tasks.get(crash.task);
-		const isWaiting = found?.task.phase === 'waiting' || found?.task.phase === 'offered';
-		if (isWaiting && found.job.answer === undefined && isGivenUp(state.crashes, crash.task)) {
+		if (found !== undefined && found.job.answer === undefined && isGivenUp(state.crashes, crash.task)) {
 			effects.push(...endJob(state, found.job, createAnswer('failed', 'crashes'), now));
 		}
 	}
--- a/src/core/runs/crashes.ts
+++ b/src/core/runs/crashes.ts
@@ -6,21 +6,13 @@
 import {isIsolated} from './isolation.ts';
 import {isStartOrdered} from './records.ts';
 import type {RunsState} from './state.ts';
-import type {LossEvidence, RunRecord} from './types.ts';
+import type {
+	LossCause, LossEvidence, RunRecord, RunsEffect, WorkerRefusal,
+} from './types.ts';
 
 /** Age of a run, in ms, up to which a crash of its worker is blamed on it. */
 const blameWindowMs = 50;
 
-/**
- * Why the runs of a worker have ended together.
- *
- * - `crashed`: the process has ended unexpectedly.
- * - `left`: it had announced its shutdown.
- * - `silent`: it had not answered before, so it is not known when or why it ended.
- * - `lapsed`: the leases have expired.
- */
-export type LossCause = 'crashed' | 'left' | 'silent' | 'lapsed';
-
 type CauseFinder = (state: RunsState) => LossCause;
 
 function findCauseOfEnd({worker: {announcement, isReachable}}: RunsState): LossCause {
@@ -33,20 +25,43 @@
 }
 
 const causeFinders: Record<LossEvidence, CauseFinder> = {
-	refused: findCauseOfEnd,
 	restarted: findCauseOfEnd,
 	lapsed: () => 'lapsed',
 };
 
 /**
- * Finds why the runs of the worker have ended. To be called before the worker is marked as unreachable.
+ * Records that the port of the worker refuses connections. To be called before the worker is marked as unreachable.
+ *
+ * @param state - State of the agent.
+ * @param now - Current time.
+ * @returns The crashed runs, if it seems to have crashed; their tasks are reported as ended only once no run can be left.
+ */
+export function recordWorkerRefusal(state: RunsState, now: Milliseconds): RunsEffect[] {
+	if (state.worker.refusal !== undefined) {
+		return [];
+	}
+
+	const refusal = {cause: findCauseOfEnd(state), blamed: listBlamed(state, now)};
+	state.worker.refusal = refusal;
+	const runs = refusal.cause === 'crashed' ? [...state.records.values()].filter(record => isStartOrdered(record)) : [];
+	const crashes = runs.map((record): TaskCrash => ({task: record.offer.task, run: record.run, ...createCrashEvidence(record, refusal.blamed, now)}));
+	for (const crash of crashes) {
+		recordRecentCrash(state, crash, now);
+	}
+
+	return crashes.length === 0 ? [] : [{type: 'crashes', crashes}];
+}
+
+/**
+ * Finds why the runs of the worker have ended, and which of them may be the cause.
  *
  * @param state - State of the agent.
  * @param evidence - How the end is known.
- * @returns The cause.
+ * @param now - Current time.
+ * @returns The cause and the runs, as of the first refused connection if there was one.
  */
-export function findLossCause(state: RunsState, evidence: LossEvidence): LossCause {
-	return causeFinders[evidence](state);
+export function findLoss(state: RunsState, evidence: LossEvidence, now: Milliseconds): WorkerRefusal {
+	return state.worker.refusal ?? {cause: causeFinders[evidence](state), blamed: listBlamed(state, now)};
 }
 
 /** Ends of started runs by the cause of their loss. */
--- a/src/core/runs/leases.ts
+++ b/src/core/runs/leases.ts
@@ -6,7 +6,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {LeaseRenewal} from '../../ports/worker.ts';
 import type {RunsState} from './state.ts';
-import type {RunRecord, StopReason} from './types.ts';
+import type {Renewal, RunRecord, StopReason} from './types.ts';
 
 /** Reasons of a stop after which the task may be started elsewhere without a report of its end; they replace other ones. */
 export const unreportedReasons: ReadonlySet<StopReason | undefined> = new Set(['withdrawn', 'owner-lost', 'superseded']);
@@ -60,13 +60,19 @@
  * @param now - Current time.
  * @returns The renewal.
  */
-export function createRenewal(state: RunsState, wait: Milliseconds, now: Milliseconds): LeaseRenewal {
+export function createRenewal(state: RunsState, wait: Milliseconds, now: Milliseconds): LeaseRenewal & Renewal {
+	const {worker} = state;
 	const leaseUntil = computeLeaseEnd(state, now);
-	if (leaseUntil !== undefined) {
-		state.worker.lastRenewalAt = now;
-	}
-
+	const extension = leaseUntil === undefined ? undefined : {at: now, previousAt: worker.lastRenewalAt};
+	worker.lastRenewalAt = extension?.at ?? worker.lastRenewalAt;
 	return {
-		leaseUntil, fencingToken: state.fencingToken, acknowledged: state.acknowledgedPosition, wait,
+		leaseUntil, fencingToken: state.fencingToken, acknowledged: state.acknowledgedPosition, wait, extension,
 	};
 }
+
+/** Forgets a renewal of which no byte was sent, as its connection was refused: the lease ends with the one before. */
+export function revertRenewal({worker}: RunsState, {extension}: Renewal): void {
+	if (extension?.at === worker.lastRenewalAt) {
+		worker.lastRenewalAt = extension.previousAt;
+	}
+}
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -3,17 +3,19 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {HeardCapacity, WorkerLoad} from '../../ports/dispatch-messages.ts';
-import type {LeaseRenewal, LeaseRenewalErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
+import type {LeaseRenewalErrorKind, WorkerAnnouncement} from '../../ports/worker.ts';
 import {computeSmallerResources, isSameResources, noResources} from '../resources/logic.ts';
 import {
 	endOversizedTasks, endUnstartedTasks, retryStop, startQueued,
 } from './orders.ts';
+import {recordWorkerRefusal} from './crashes.ts';
+import {revertRenewal} from './leases.ts';
 import {applyPendingClaims, dropDisconnectedOwners} from './owners.ts';
 import {endAllRuns, resetWorker} from './snapshots.ts';
 import {computeFreeResources, estimateWaits} from './capacity.ts';
 import {refuseLateCalls, updateFencingToken, type RunsState} from './state.ts';
 import {getAgentMode, isAnnouncementCurrent, isRecent} from './health.ts';
-import type {RunsEffect} from './types.ts';
+import type {Renewal, RunsEffect} from './types.ts';
 
 /** Time, in ms, for entries to claim orphan runs before they are stopped. */
 const orphanClaimMs = 600;
@@ -238,10 +240,10 @@
  * @param state - State of the agent.
  * @param kind - Why it failed.
  * @param now - Current time.
- * @param renewal - Its token, and for how long the worker was to wait for an end; a silence of that time says nothing.
+ * @param renewal - The renewal; a silence of the time for which the worker was to wait for an end says nothing.
  * @returns Effects to carry out.
  */
-export function applyRenewalFailure(state: RunsState, kind: LeaseRenewalErrorKind, now: Milliseconds, renewal: Pick<LeaseRenewal, 'fencingToken' | 'wait'>): RunsEffect[] {
+export function applyRenewalFailure(state: RunsState, kind: LeaseRenewalErrorKind, now: Milliseconds, renewal: Renewal): RunsEffect[] {
 	const {fencingToken, wait} = renewal;
 	if (kind === 'fenced') {
 		updateFencingToken(state, fencingToken);
@@ -260,12 +262,19 @@
 		return [];
 	}
 
+	const effects: RunsEffect[] = [];
+	if (kind === 'unreachable') {
+		effects.push(...recordWorkerRefusal(state, now));
+		revertRenewal(state, renewal);
+	}
+
 	const wasReachable = worker.isReachable;
-	// Nothing listens on its port: the process has exited and its runs with it. Only one that answered until now has crashed.
-	const ended = kind === 'unreachable' ? endAllRuns(state, 'refused', now) : endUnstartedTasks(state, now);
 	worker.isReachable = false;
-	const effects: RunsEffect[] = wasReachable ? [{type: 'log', event: 'worker-unreachable', details: {kind}}] : [];
-	return [...effects, ...ended];
+	if (wasReachable) {
+		effects.push({type: 'log', event: 'worker-unreachable', details: {kind, cause: worker.refusal?.cause}});
+	}
+
+	return [...effects, ...endUnstartedTasks(state, now)];
 }
 
 /** Ends all runs once their lease must have expired while the worker was unreachable. */
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -7,7 +7,7 @@
 import type {TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {EndedTask, WorkerSnapshot} from '../../ports/worker.ts';
 import {
-	createCrashEvidence, findLossCause, getLossEnd, listBlamed, type LossCause,
+	createCrashEvidence, findLoss, getLossEnd,
 } from './crashes.ts';
 import {
 	endRecord, retryWithNextRun, retryStop, startQueued, stopRecord,
@@ -23,7 +23,7 @@
 	canAcceptTask, recordFailure, recordSuccess, resetHealth,
 } from './health.ts';
 import type {
-	LossEvidence, RunRecord, RunsEffect, StopReason,
+	LossCause, LossEvidence, RunRecord, RunsEffect, StopReason,
 } from './types.ts';
 
 /** Least time without progress after which a run counts as stalled, in ms; workers report whole percents. */
@@ -171,9 +171,12 @@
 	state.worker.areRunsKnown = true;
 }
 
-/** Returns whether no run of a record can be left: the lapse of a lease does not end a start that may be carried out later. */
-function isRunOver(record: RunRecord, evidence: LossEvidence): boolean {
-	return evidence !== 'lapsed' || record.isConfirmed || !isStartOrdered(record);
+/**
+ * Returns whether no run of a record can be left: the lapse of a lease does not end a start that may be carried out later,
+ * unless its connection was closed by the worker's machine.
+ */
+function isRunOver({worker}: RunsState, record: RunRecord, evidence: LossEvidence): boolean {
+	return evidence !== 'lapsed' || worker.refusal !== undefined || record.isConfirmed || !isStartOrdered(record);
 }
 
 /** Describes the runs that end with the worker; undefined if no start had been ordered. */
@@ -196,7 +199,7 @@
 }
 
 /**
- * Ends the records of which no run can be left at the worker: it has restarted or exited, or the leases have expired.
+ * Ends the records of which no run can be left at the worker: it has restarted, or the leases have expired.
  *
  * @param state - State of the agent.
  * @param evidence - How this is known.
@@ -204,14 +207,14 @@
  * @returns Reports, and a log entry if a start had been ordered.
  */
 export function endAllRuns(state: RunsState, evidence: LossEvidence, now: Milliseconds): RunsEffect[] {
-	const cause = findLossCause(state, evidence);
-	const blamed = listBlamed(state, now);
-	const ended = [...state.records.values()].filter(record => isRunOver(record, evidence));
+	const {cause, blamed} = findLoss(state, evidence, now);
+	const isCrashKnown = state.worker.refusal !== undefined;
+	const ended = [...state.records.values()].filter(record => isRunOver(state, record, evidence));
 	const loss = describeLoss(state, evidence, cause, ended, now);
 	const effects: RunsEffect[] = loss === undefined ? [] : [loss];
 	for (const record of ended) {
 		const isStarted = isStartOrdered(record);
-		const crash = isStarted && cause === 'crashed' ? createCrashEvidence(record, blamed, now) : undefined;
+		const crash = isStarted && cause === 'crashed' && !isCrashKnown ? createCrashEvidence(record, blamed, now) : undefined;
 		effects.push(endRecord(state, record, isStarted ? getLossEnd(cause) : 'not-started', now, crash));
 	}
 
@@ -225,6 +228,7 @@
 export function resetWorker(state: RunsState, bornAt: Milliseconds | undefined, now: Milliseconds): RunsEffect[] {
 	const effects = endAllRuns(state, 'restarted', now);
 	state.worker.bornAt = bornAt;
+	state.worker.refusal = undefined;
 	resetHealth(state);
 	state.slowness = 1;
 	return [...effects, {type: 'log', event: 'worker-restarted', details: {bornAt}}];
@@ -265,6 +269,7 @@
 	worker.bornAt ??= snapshot.bornAt;
 	effects.push(...restoreFormerHeartbeat(state, requestedAt));
 	worker.isReachable = true;
+	worker.refusal = undefined;
 	worker.lastAnswerAt = now;
 	// Answers may overtake each other; an older one lists runs whose end has been handled.
 	const isLatest = state.workerClock === undefined || snapshot.workerTime >= state.workerClock.workerTime;
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -66,6 +66,7 @@
 			isReachable: false,
 			lastAnswerAt: 0,
 			lastRenewalAt: 0,
+			refusal: undefined,
 			lastFailureAt: Number.NEGATIVE_INFINITY,
 			areRunsKnown: false,
 		},
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -5,7 +5,7 @@
 import type {
 	TaskCrash, TaskEnd, TaskOffer, TaskReport,
 } from '../../ports/dispatch-messages.ts';
-import type {RunRef, WorkerAnnouncement} from '../../ports/worker.ts';
+import type {LeaseRenewal, RunRef, WorkerAnnouncement} from '../../ports/worker.ts';
 import type {Timings} from '../bounds/types.ts';
 import type {NodeName} from '../identity/types.ts';
 
@@ -37,11 +37,29 @@
 /**
  * Evidence that no run is left at the worker.
  *
- * - `refused`: its port refuses connections, so the process has exited.
  * - `restarted`: another worker process answers or announces itself.
  * - `lapsed`: it has not answered for longer than a lease.
+ *
+ * A refused connection is none: its process may have exited, or only the path to it is cut while its runs go on.
+ */
+export type LossEvidence = 'restarted' | 'lapsed';
+
+/**
+ * Why the runs of a worker have ended together.
+ *
+ * - `crashed`: the process has ended unexpectedly.
+ * - `left`: it had announced its shutdown.
+ * - `silent`: it had not answered before, so it is not known when or why it ended.
+ * - `lapsed`: the leases have expired.
  */
-export type LossEvidence = 'refused' | 'restarted' | 'lapsed';
+export type LossCause = 'crashed' | 'left' | 'silent' | 'lapsed';
+
+/** What a worker was doing when its port began to refuse connections; told as its end once no run of it can be left. */
+export type WorkerRefusal = {
+	readonly cause: LossCause;
+	/** Runs that may have crashed it. */
+	readonly blamed: ReadonlySet<RunRecord>;
+};
 
 /** A task that an entry offered to this agent. */
 export type RunRecord = {
@@ -128,9 +146,17 @@
 	/** Fetch a snapshot of the worker at once instead of waiting until a run ends. */
 	| {readonly type: 'fetch-snapshot'}
 	| {readonly type: 'report'; readonly owner: NodeName; readonly reports: readonly TaskReport[]}
+	/** Tell all entries of runs whose worker seems to have crashed, before it is certain that they have ended. */
+	| {readonly type: 'crashes'; readonly crashes: readonly TaskCrash[]}
 	/** Write a log entry. */
 	| {readonly type: 'log'; readonly event: string; readonly details: Readonly<Record<string, unknown>>};
 
+/** A lease renewal with what is needed to account for it if it is never sent. */
+export type Renewal = Pick<LeaseRenewal, 'fencingToken' | 'wait'> & {
+	/** When it was created, and when the lease was last extended before; undefined if it does not extend the lease. */
+	readonly extension?: {readonly at: Milliseconds; readonly previousAt: Milliseconds};
+};
+
 /** The agent's knowledge of its worker. */
 export type WorkerRecord = {
 	/** Last worker heartbeat; undefined before the first one. */
@@ -145,12 +171,14 @@
 	ignored: {readonly sequence: number; readonly count: number} | undefined;
 	/** Start time of the worker process that answers. */
 	bornAt: Milliseconds | undefined;
-	/** Whether it answers lease renewals; false after `workerSilenceMs` without an answer, or at once if it has exited. */
+	/** Whether it answers lease renewals; false after `workerSilenceMs` without an answer, or at once if it refuses connections. */
 	isReachable: boolean;
 	/** When it last answered a lease renewal. */
 	lastAnswerAt: Milliseconds;
 	/** When a call was last sent to it that extends the lease. */
 	lastRenewalAt: Milliseconds;
+	/** Set while its port refuses connections. */
+	refusal: WorkerRefusal | undefined;
 	/** When a call to it last failed, or when it announced its shutdown. */
 	lastFailureAt: Milliseconds;
 	/** Whether this agent process has read the list of its runs. */
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -114,6 +114,11 @@
 				addToGroup(this.#crashes, owner, ...crashes);
 			}
 		},
+		crashes: ({crashes}) => {
+			for (const {name} of this.#links.listConnected()) {
+				this.#sendCrashes(name, crashes);
+			}
+		},
 		log: ({event, details}) => {
 			this.input.log.recordDecision('warn', event, details);
 		},
