Extend no lease before all runs of an earlier life are claimed

The bounds were reckoned for one restart; each further one starts the count again.

Change: only a life with the claims of all runs extends the lease, so that everything is counted from a renewal that no restart moves.

--- a/bench/emulator/faults.ts
+++ b/bench/emulator/faults.ts
@@ -40,6 +40,13 @@
 		agentKillMs: () => {
 			this.#endAgent(this.#drawAgent(), drawTime(this.context.random, 100, 3100));
 		},
+		agentCrashLoopMs: () => {
+			const {random, events} = this.context;
+			this.#endAgentAgain(this.#drawAgent(), events.getTime() + drawTime(random, 1000, 2500));
+		},
+		fleetKillMs: () => {
+			this.#endFleet();
+		},
 		entryKillMs: () => {
 			this.#endEntry(this.#drawEntry(), drawTime(this.context.random, 500, 3500));
 		},
@@ -166,7 +173,11 @@
 		}
 	}
 
-	#endAgent(agent: EmulatedAgent, downMs: Milliseconds): void {
+	#endAgent(agent: EmulatedAgent, downMs: Milliseconds, handleStart = (): void => {
+		for (const entry of this.targets.entries) {
+			entry.handleAgentStart(agent.links);
+		}
+	}): void {
 		if (!agent.process.isUp) {
 			return;
 		}
@@ -176,12 +187,45 @@
 		this.context.events.addEvent(downMs, () => {
 			this.context.trace.record(`${agent.process.name} starts again`);
 			agent.startLife();
-			for (const entry of this.targets.entries) {
-				entry.handleAgentStart(agent.links);
-			}
+			handleStart();
 		});
 	}
 
+	/** Kills an agent again shortly after each life has extended the lease, until a point in time. */
+	#endAgentAgain(agent: EmulatedAgent, until: Milliseconds): void {
+		const {random, events} = this.context;
+		if (events.getTime() >= until) {
+			return;
+		}
+
+		if (agent.process.isUp && agent.state.worker.lastRenewalAt > 0) {
+			this.#endUnnoticed(agent, drawTime(random, 100, 200));
+		}
+
+		events.addEvent(drawTime(random, 10, 40), () => {
+			this.#endAgentAgain(agent, until);
+		});
+	}
+
+	/** Kills an agent; the entries find its next life only by their own attempts to reach it. */
+	#endUnnoticed(agent: EmulatedAgent, downMs: Milliseconds): void {
+		this.#endAgent(agent, downMs, () => undefined);
+	}
+
+	/** Kills all entries, and half of the agents within the time in which the others notice that. */
+	#endFleet(): void {
+		const {random, events} = this.context;
+		for (const entry of this.targets.entries) {
+			this.#endEntry(entry, drawTime(random, 100, 400));
+		}
+
+		for (const agent of this.targets.agents.filter(() => isDrawn(random, 0.5))) {
+			events.addEvent(drawTime(random, 0, 300), () => {
+				this.#endUnnoticed(agent, drawTime(random, 100, 400));
+			});
+		}
+	}
+
 	#endEntry(entry: EmulatedEntry, downMs: Milliseconds): void {
 		if (!entry.process.isUp) {
 			return;
--- a/bench/emulator/types.ts
+++ b/bench/emulator/types.ts
@@ -94,6 +94,10 @@
 	/** Mean times between lost streams, killed agents and killed entries, over the whole fleet. */
 	readonly streamLossMs: Milliseconds;
 	readonly agentKillMs: Milliseconds;
+	/** Mean time between crash loops of agents: for 1 to 2.5 s, each life ends some ms after its first renewal that extends the lease. */
+	readonly agentCrashLoopMs: Milliseconds;
+	/** Mean time between losses of all entries and, up to 300 ms later, of half of the agents; all start again 100 to 400 ms after. */
+	readonly fleetKillMs: Milliseconds;
 	readonly entryKillMs: Milliseconds;
 	/**
 	 * Mean times between cuts of the path between an agent and its worker, in one direction or both, and between periods
@@ -193,6 +197,8 @@
 	lateLease: 'absolute',
 	streamLossMs: 0,
 	agentKillMs: 0,
+	agentCrashLoopMs: 0,
+	fleetKillMs: 0,
 	entryKillMs: 0,
 	workerCutMs: 0,
 	workerRefusalMs: 0,
--- a/features/dispatch/random-run.feature
+++ b/features/dispatch/random-run.feature
@@ -41,6 +41,18 @@
     When a fleet runs for 20 s with orders that are carried out late, over 8 seeds
     Then no job was given up at its deadline
 
+  # Guards against a run that each life of an agent keeps alive for some time, longer than its entry or its caller waits.
+  Scenario Outline: Long runs beside short lives of processes
+    When a fleet with few long runs runs for 20 s with <faults>, over 16 seeds
+    Then no task ran twice at the same time and no worker exceeded its capacity
+    And every job was answered
+    And at least <share> percent of the jobs that were not cancelled are complete
+
+    Examples:
+      | faults                                      | share |
+      | agents in crash loops                       | 85    |
+      | entries and agents that are killed together | 85    |
+
   # Guards against acting on a message of an earlier stream after the tasks were claimed on a new one.
   Scenario: Entries that are cut off for less than a second
     When a fleet runs for 20 s with entries that are cut off for less than a second, over 8 seeds
--- a/features/dispatch/random-run.steps.ts
+++ b/features/dispatch/random-run.steps.ts
@@ -58,6 +58,8 @@
 	'callers whose loss no entry is told of': {...none, callerCutMs: 1000},
 	'streams that close': {...none, streamLossMs: 1000},
 	'agents that are killed': {...none, agentKillMs: 4000},
+	'agents in crash loops': {...none, agentCrashLoopMs: 4000},
+	'entries and agents that are killed together': {...none, fleetKillMs: 4000},
 	'entries that are killed': {...none, entryKillMs: 5000},
 	'runs that fail and stand still': {...none, failures: 0.05, stalls: 0.03},
 	'everything at once': {
@@ -68,6 +70,14 @@
 /** The same fleet with half of the jobs, whose runs are long. */
 const longRuns: Scenario = {...fleet, kinds: fleet.kinds.map(kind => ({...kind, perSecond: 5, runMs: {mean: 900, sigma: 0.6, max: 3500}}))};
 
+/** Six workers with room for all of a few jobs, whose runs last longer than it takes to move them. */
+const fewLongRuns: Scenario = {
+	...fleet,
+	deadlineMs: 8000,
+	workers: Array.from({length: 6}, () => ({cpu: 10_000, slowness: 1})),
+	kinds: fleet.kinds.map(kind => ({...kind, perSecond: 1.5, runMs: {mean: 2500, sigma: 0.4, max: 4500}})),
+};
+
 const firstSeed = Number(process.env.SEED ?? 1);
 
 When('a fleet runs for {int} s with {}, over {int} seeds', function (this: RandomWorld, seconds: number, faults: string, seeds: number) {
@@ -84,6 +94,13 @@
 	});
 });
 
+When('a fleet with few long runs runs for {int} s with {}, over {int} seeds', function (this: RandomWorld, seconds: number, faults: string, seeds: number) {
+	this.reports = Array.from({length: seeds}, (_, index) => {
+		const seed = firstSeed + index;
+		return {seed, report: new EmulatedFleet(seed, {...fewLongRuns, faults: faultsByName[faults]}).run(seconds * 1000)};
+	});
+});
+
 Then('no task ran twice at the same time and no worker exceeded its capacity', function (this: RandomWorld) {
 	const violations = this.reports.flatMap(({seed, report}) => report.violations.map(text => `seed ${seed}: ${text}`));
 	assert.deepEqual(violations.slice(0, 10), []);
--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -132,14 +132,28 @@
       | a renewal           |
       | the start of "a"    |
 
-  # Guards against a run of a lost entry that a restarted agent keeps alive until nobody claims it.
-  Scenario: The lease is not extended for long while runs of an earlier life are not claimed
+  # Guards against a run of a lost entry that each of several restarted agents keeps alive for some time.
+  Scenario: The lease is not extended while runs of an earlier life are not claimed
     Given an agent that restarted while its worker runs "a" as run 1
-    Then a renewal extends the lease
-    When 200 ms go by
     Then a renewal does not extend the lease
     When entry "e1" claims "a"
     Then a renewal extends the lease
+
+  # Guards against runs that lapse beside one that no entry claims, as its job has been answered meanwhile.
+  Scenario: A run of an earlier life that is not claimed is stopped while the lease of the others lasts
+    Given an agent that restarted while its worker runs "a" as run 1
+    When 100 ms go by
+    Then the worker is ordered to stop nothing
+    When 100 ms go by
+    Then the worker is ordered to stop "a"
+    When 10 ms pass and a snapshot shows no runs
+    Then a renewal extends the lease
+
+  # Guards against losing the time in which entries can claim runs to a first call that waits for an end.
+  Scenario: The first call of an agent does not wait for an end
+    Given an agent that has not heard of its worker yet
+    Then the next renewal waits at most 0 ms
+
   # Guards against a late start that nothing bars, after the silence of its worker was taken for the end of its runs.
   Scenario: A start without an answer is not reported as lost while its worker is silent
     When entry "e1" offers direct tasks "a b" of 4000
--- a/features/runs/single-run.steps.ts
+++ b/features/runs/single-run.steps.ts
@@ -38,6 +38,10 @@
 	recordEffects(this, advanceRuns(this.state, this.now));
 });
 
+Given('an agent that has not heard of its worker yet', function (this: SingleRunWorld) {
+	resetWorld(this);
+});
+
 Then('a renewal extends the lease', function (this: SingleRunWorld) {
 	assert.notEqual(computeLeaseEnd(this.state, this.now), undefined);
 });
--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -1,6 +1,9 @@
 /**
  * Computes the time limits of the processes from the bounds of the installation.
  *
+ * All of them count from what an entry, an agent with the entry's claim, or a worker has last heard. Only an agent with the
+ * claims of all runs extends their lease, so no number of restarts of agents lengthens any of these times.
+ *
  * A caller may resubmit a job `resubmitMs` after its connection broke. By then no run of the first submission may
  * be left, even if its entry fails and the agent fails just before it detects that: `contactMs` + the lease on a
  * slow worker clock + `stopMs` must fit into `resubmitMs`.
@@ -68,8 +71,8 @@
 		reconnectMs,
 		leaseMs,
 		lapseMs,
-		// An agent that restarts finds runs only if it reads them within a lease after the end of its earlier life.
-		unclaimedMs: Math.max(0, bounds.resubmitMs - (2 * lapseMs) - marginMs),
+		// No lease is extended before: what is not claimed must end early enough for the runs beside it.
+		claimMs: Math.floor(leaseMs / renewalsPerLease),
 		renewMs: Math.floor(leaseMs / renewalsPerLease),
 		goneMs,
 		// The loss is noticed up to `contactMs` after the last contact.
--- a/src/core/bounds/types.ts
+++ b/src/core/bounds/types.ts
@@ -38,8 +38,8 @@
 	readonly leaseMs: Milliseconds;
 	/** Time after its last extension within which a lease has expired, also on a slow worker clock. */
 	readonly lapseMs: Milliseconds;
-	/** Time for which a restarted agent extends the lease of runs that no entry has claimed yet. */
-	readonly unclaimedMs: Milliseconds;
+	/** Time for entries to claim the runs that a restarted agent finds; after it, they are stopped. */
+	readonly claimMs: Milliseconds;
 	/** Longest time between two renewals of the lease. */
 	readonly renewMs: Milliseconds;
 	/** Time after the loss of an agent within which all of its runs have ended, whatever the cause of the loss. */
--- a/src/core/runs/leases.ts
+++ b/src/core/runs/leases.ts
@@ -27,15 +27,12 @@
 	return false;
 }
 
-/** Returns whether a run of an earlier life of this agent has not been claimed in time: its task may be started elsewhere. */
-function hasUnclaimedRun({orphans, options}: RunsState, now: Milliseconds): boolean {
-	for (const {seenAt} of orphans.values()) {
-		if (now - seenAt > options.timings.unclaimedMs) {
-			return true;
-		}
-	}
-
-	return false;
+/**
+ * Returns whether a run of an earlier life of this agent has not been claimed. Its entry may have given it up, and this
+ * life can't tell how long ago: if each life extended the lease for some time, the run would outlive a series of restarts.
+ */
+function hasUnclaimedRun({orphans}: RunsState): boolean {
+	return orphans.size > 0;
 }
 
 /**
@@ -47,7 +44,7 @@
  */
 export function computeLeaseEnd(state: RunsState, now: Milliseconds): Milliseconds | undefined {
 	const {workerClock, worker, options} = state;
-	return workerClock === undefined || !worker.isReachable || hasOverdueStop(state, now) || hasUnclaimedRun(state, now)
+	return workerClock === undefined || !worker.isReachable || hasOverdueStop(state, now) || hasUnclaimedRun(state)
 		? undefined
 		: Math.floor(workerClock.workerTime + (now - workerClock.at) + options.timings.leaseMs);
 }
@@ -71,7 +68,7 @@
 }
 
 /** Forgets a renewal of which no byte was sent, as its connection was refused: the lease ends with the one before. */
-export function revertRenewal({worker}: RunsState, {extension}: Renewal): void {
+export function dropRenewal({worker}: RunsState, {extension}: Renewal): void {
 	if (extension?.at === worker.lastRenewalAt) {
 		worker.lastRenewalAt = extension.previousAt;
 	}
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -9,7 +9,7 @@
 	endOversizedTasks, endUnstartedTasks, retryStop, startQueued,
 } from './orders.ts';
 import {recordWorkerRefusal} from './crashes.ts';
-import {revertRenewal} from './leases.ts';
+import {dropRenewal} from './leases.ts';
 import {applyPendingClaims, dropDisconnectedOwners} from './owners.ts';
 import {endAllRuns, resetWorker} from './snapshots.ts';
 import {computeFreeResources, estimateWaits} from './capacity.ts';
@@ -17,9 +17,6 @@
 import {getAgentMode, isAnnouncementCurrent, isRecent} from './health.ts';
 import type {Renewal, RunsEffect} from './types.ts';
 
-/** Time, in ms, for entries to claim orphan runs before they are stopped. */
-const orphanClaimMs = 600;
-
 /** Number of older heartbeats with rising numbers, and time in ms since the last one applied, after which they hold. */
 const maxIgnored = 3;
 const ignoredMs = 4000;
@@ -265,7 +262,7 @@
 	const effects: RunsEffect[] = [];
 	if (kind === 'unreachable') {
 		effects.push(...recordWorkerRefusal(state, now));
-		revertRenewal(state, renewal);
+		dropRenewal(state, renewal);
 	}
 
 	const wasReachable = worker.isReachable;
@@ -293,7 +290,7 @@
 function stopOrphans(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
 	for (const orphan of state.orphans.values()) {
-		if (now - orphan.seenAt >= orphanClaimMs && now >= orphan.stopRetryAt) {
+		if (now - orphan.seenAt >= state.options.timings.claimMs && now >= orphan.stopRetryAt) {
 			orphan.stopRetryAt = now + (2 * state.options.timings.orderMs);
 			effects.push({type: 'stop', ref: {task: orphan.task, run: orphan.run}, fencingToken: state.fencingToken});
 		}
@@ -353,6 +350,11 @@
  * @returns Wait, in ms.
  */
 export function computeRenewalWait(state: RunsState, now: Milliseconds): Milliseconds {
+	// Runs of an earlier life go on only if their entries learn of them, and claim them, before the lease lapses.
+	if (!state.worker.areRunsKnown) {
+		return 0;
+	}
+
 	if (hasRecentFailure(state, now)) {
 		return failureWaitMs;
 	}
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -12,6 +12,7 @@
 import {
 	endRecord, retryWithNextRun, retryStop, startQueued, stopRecord,
 } from './orders.ts';
+import {applyPendingClaims} from './owners.ts';
 import {findRecord, isStartOrdered} from './records.ts';
 import {
 	abandonedGain, estimateRemainingTime, isWorkerSlow, recordSlowness, updatePace, updateProgress,
@@ -275,6 +276,7 @@
 	const isLatest = state.workerClock === undefined || snapshot.workerTime >= state.workerClock.workerTime;
 	state.workerClock = {workerTime: snapshot.workerTime, at: now};
 	updateOrphans(state, snapshot, isLatest, now);
+	effects.push(...applyPendingClaims(state, now));
 	for (const ended of snapshot.ended) {
 		// One that is far beyond the others would acknowledge ends that were never listed.
 		if (ended.position > state.acknowledgedPosition && ended.position - state.acknowledgedPosition <= maxPositionStep) {
