Bound a watch of the store by the time to apply a configuration

Cause: the connections to the store had gone silent. An entry waited in one watch call for up to 10 s, and 1 s more for the answer, without any other sign that the connection was alive.

Change: a watch and its answer take at most 0.6 of the time within which a configuration must be applied.

--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -12,7 +12,7 @@
  * task if that is longer than `silenceMs`. A quiet stream is closed before `goneMs`, so that both sides know that the
  * other one is gone before a task can start elsewhere.
  */
-import type {Bounds, Timings} from './types.ts';
+import type {Bounds, Timings, WatchTimings} from './types.ts';
 
 /** Largest share by which a worker's clock may run slower than true time, according to the platform's documentation. */
 const maxClockDrift = 0.02;
@@ -42,6 +42,27 @@
 /** Margin for message and timer delays, in ms. */
 const marginMs = 50;
 
+/** Shares of the configuration time for a watch and for its answer; the rest is for reading on another connection. */
+const watchWaitShare = 0.35;
+const watchAnswerShare = 0.25;
+
+/** Shortest time for a watch and for its answer, in ms. */
+const minWatchMs = 100;
+
+/**
+ * Computes the time limits of a watch of the configuration. A connection that has gone silent hides a change until the
+ * watch on it is given up; the change must still be applied in time then.
+ *
+ * @param bounds - Bounds of the installation.
+ * @returns Time limits, in whole ms.
+ */
+export function computeWatchTimings({configurationMs}: Pick<Bounds, 'configurationMs'>): WatchTimings {
+	return {
+		waitMs: Math.max(minWatchMs, Math.floor(configurationMs * watchWaitShare)),
+		answerMs: Math.max(minWatchMs, Math.floor(configurationMs * watchAnswerShare)),
+	};
+}
+
 /**
  * Computes the time limits.
  *
--- a/src/core/bounds/types.ts
+++ b/src/core/bounds/types.ts
@@ -19,6 +19,14 @@
 	readonly remoteFactor: number;
 };
 
+/** Time limits of a call to the store that waits for a change. */
+export type WatchTimings = {
+	/** Time for which the store may wait for a change. */
+	readonly waitMs: Milliseconds;
+	/** Time after it within which the answer must arrive; its connection counts as silent otherwise. */
+	readonly answerMs: Milliseconds;
+};
+
 /** Time limits of the processes. */
 export type Timings = {
 	/** Time without contact after which an entry and an agent consider each other lost. */
--- a/src/ports/store.ts
+++ b/src/ports/store.ts
@@ -35,9 +35,10 @@
 	writeKey(key: string, value: string, expectedRevision: number): Promise<Result<StoreEntry, StoreError>>;
 	/**
 	 * Resolves with the entry once the key's revision exceeds `afterRevision`, or once `timeout` has passed. After a
-	 * timeout, the entry may have the revision `afterRevision` and no value.
+	 * timeout, the entry may have the revision `afterRevision` and no value. Fails if no answer has arrived `answerTimeout`
+	 * after that; without it, after the usual time.
 	 */
-	watchKey(key: string, afterRevision: number, timeout: Milliseconds): Promise<Result<StoreEntry, StoreError>>;
+	watchKey(key: string, afterRevision: number, timeout: Milliseconds, answerTimeout?: Milliseconds): Promise<Result<StoreEntry, StoreError>>;
 };
 
 /** A key with its value. */
--- a/src/processes/dispatch/configuration.ts
+++ b/src/processes/dispatch/configuration.ts
@@ -1,7 +1,8 @@
 /**
  * Keeps the newest configuration: reads and watches it in the store, and receives it from other entries.
  */
-import type {Bounds} from '../../core/bounds/types.ts';
+import {computeWatchTimings} from '../../core/bounds/logic.ts';
+import type {Bounds, WatchTimings} from '../../core/bounds/types.ts';
 import {applyConfiguration} from '../../core/routes/logic.ts';
 import {createRoutesState, type RoutesState} from '../../core/routes/state.ts';
 import type {Configuration} from '../../core/routes/types.ts';
@@ -11,9 +12,6 @@
 import {runLoop} from '../shared/loops.ts';
 import {waitFor} from '../shared/wait.ts';
 
-/** Longest wait of one watch call, in ms; shorter ones mean more calls to the store. */
-const maxWatchMs = 10_000;
-
 /** Time between attempts while the store does not answer, in ms; doubles with each failure, up to the maximum. */
 const minRetryMs = 50;
 const maxRetryMs = 800;
@@ -35,6 +33,7 @@
 /** Source of the configuration of one entry. */
 export class ConfigurationSource implements Disposable {
 	readonly routes: RoutesState = createRoutesState();
+	readonly #timings: WatchTimings;
 	#text = '';
 	#revision = 0;
 	#isClosed = false;
@@ -42,7 +41,9 @@
 	#restart: (() => void) | undefined;
 
 	/** @param input - Dependencies and callbacks. */
-	constructor(private readonly input: ConfigurationInput) {}
+	constructor(private readonly input: ConfigurationInput) {
+		this.#timings = computeWatchTimings(input.bounds);
+	}
 
 	/** Version of the current configuration; 0 for none. */
 	get version(): number {
@@ -120,7 +121,7 @@
 			};
 		});
 		const answer = await Promise.race([
-			this.#revision === 0 ? store.readKey(key) : store.watchKey(key, this.#revision, maxWatchMs),
+			this.#revision === 0 ? store.readKey(key) : store.watchKey(key, this.#revision, this.#timings.waitMs, this.#timings.answerMs),
 			restarted,
 		]);
 		if (answer === 'restarted') {
