--- a/src/core/dispatch/agents.ts
+++ b/src/core/dispatch/agents.ts
@@ -87,8 +87,8 @@
 };
 
 /**
- * Opens a session with an agent after a stream to it has opened or closed, while another one is open. What was sent
- * before may be lost or arrive later than the claim, so the tasks that were offered only tentatively are offered anew.
+ * Opens a session with an agent to which a stream has opened, or one of several has closed. What was sent before may be
+ * lost or arrive later than the claim, so the tasks that were offered only tentatively are offered anew.
  *
  * @param state - State of the jobs.
  * @param agent - The agent.
