--- a/features/platform/silent-store.steps.ts
+++ b/features/platform/silent-store.steps.ts
@@ -21,11 +21,11 @@
 	store: SilentStore;
 	configuration: ConfigurationSource;
 	writtenAt: Milliseconds;
-	server: Server;
+	silentServer: Server | undefined;
 	sockets: Socket[];
 	silentSockets: ReadonlySet<Socket>;
 	answeredSocket: Socket | undefined;
-	client: HttpClient | undefined;
+	silentClient: HttpClient | undefined;
 	result: HttpResult;
 };
 
@@ -114,14 +114,14 @@
 	assert.ok(this.store.calls > 0 && this.store.calls <= calls, `${this.store.calls} calls`);
 });
 
-async function sendCall({client}: SilentWorld): Promise<HttpResult> {
-	return client!.sendRequest({method: 'GET', path: '/', timeout: 100});
+async function sendCall({silentClient}: SilentWorld): Promise<HttpResult> {
+	return silentClient!.sendRequest({method: 'GET', path: '/', timeout: 100});
 }
 
 Given('a client of the store with two open connections', async function (this: SilentWorld) {
 	this.sockets = [];
 	this.silentSockets = new Set();
-	this.server = createServer((request, response) => {
+	const server = createServer((request, response) => {
 		// The answers wait for each other, so that each call needs a connection of its own.
 		setTimeout(() => {
 			if (!this.silentSockets.has(request.socket)) {
@@ -130,13 +130,14 @@
 			}
 		}, 20);
 	});
-	this.server.on('connection', socket => {
+	server.on('connection', socket => {
 		this.sockets.push(socket);
 	});
-	this.server.listen(0, '127.0.0.1');
-	await once(this.server, 'listening');
-	const {port} = this.server.address() as AddressInfo;
-	this.client = createHttpClient(`127.0.0.1:${port}`, {connections: 2, connectTimeout: 1000, renewsConnections: true});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	this.silentServer = server;
+	this.silentClient = createHttpClient(`127.0.0.1:${port}`, {connections: 2, connectTimeout: 1000, renewsConnections: true});
 	await Promise.all([sendCall(this), sendCall(this)]);
 	assert.equal(this.sockets.length, 2);
 });
@@ -157,8 +158,7 @@
 });
 
 After(async function (this: SilentWorld) {
-	await this.client?.[Symbol.asyncDispose]();
-	this.client = undefined;
-	this.server?.closeAllConnections();
-	this.server?.close();
+	await this.silentClient?.[Symbol.asyncDispose]();
+	this.silentServer?.closeAllConnections();
+	this.silentServer?.close();
 });
