Run the fleets of the random runs in one function

Three steps of random-run.steps.ts had the same loop over seeds, the third one added with the scenarios of long runs. They share runFleets now; scenarios, seeds and assertions are the same.

--- a/features/dispatch/random-run.steps.ts
+++ b/features/dispatch/random-run.steps.ts
@@ -80,25 +80,24 @@
 
 const firstSeed = Number(process.env.SEED ?? 1);
 
-When('a fleet runs for {int} s with {}, over {int} seeds', function (this: RandomWorld, seconds: number, faults: string, seeds: number) {
-	this.reports = Array.from({length: seeds}, (_, index) => {
+/** Runs a fleet with faults, by their name, once for each seed. */
+function runFleets(scenario: Scenario, seconds: number, faults: string, seeds: number): RandomWorld['reports'] {
+	return Array.from({length: seeds}, (_, index) => {
 		const seed = firstSeed + index;
-		return {seed, report: new EmulatedFleet(seed, {...fleet, faults: faultsByName[faults]}).run(seconds * 1000)};
+		return {seed, report: new EmulatedFleet(seed, {...scenario, faults: faultsByName[faults]}).run(seconds * 1000)};
 	});
+}
+
+When('a fleet runs for {int} s with {}, over {int} seeds', function (this: RandomWorld, seconds: number, faults: string, seeds: number) {
+	this.reports = runFleets(fleet, seconds, faults, seeds);
 });
 
 When('a fleet with long runs runs for {int} s with {}, over {int} seeds', function (this: RandomWorld, seconds: number, faults: string, seeds: number) {
-	this.reports = Array.from({length: seeds}, (_, index) => {
-		const seed = firstSeed + index;
-		return {seed, report: new EmulatedFleet(seed, {...longRuns, faults: faultsByName[faults]}).run(seconds * 1000)};
-	});
+	this.reports = runFleets(longRuns, seconds, faults, seeds);
 });
 
 When('a fleet with few long runs runs for {int} s with {}, over {int} seeds', function (this: RandomWorld, seconds: number, faults: string, seeds: number) {
-	this.reports = Array.from({length: seeds}, (_, index) => {
-		const seed = firstSeed + index;
-		return {seed, report: new EmulatedFleet(seed, {...fewLongRuns, faults: faultsByName[faults]}).run(seconds * 1000)};
-	});
+	this.reports = runFleets(fewLongRuns, seconds, faults, seeds);
 });
 
 Then('no task ran twice at the same time and no worker exceeded its capacity', function (this: RandomWorld) {
