--- a/bench/emulator/callers.ts
+++ b/bench/emulator/callers.ts
@@ -14,6 +14,10 @@
 /** Greatest age at which a caller cancels a job, in ms. */
 const maxCancelDelayMs = 300;
 
+/** Time after the deadline of a job in which its answer may still arrive, and until the end of a connection is noticed, in ms. */
+const answerMarginMs = 100;
+const closeDelayMs = 2;
+
 /** The callers of a fleet. */
 export class EmulatedCallers {
 	readonly answers: Record<string, number> = {};
@@ -22,6 +26,8 @@
 	readonly #jobs = new Map<string, CallerJob>();
 	/** Jobs without an answer, each with the entry that it was last submitted to; undefined between submissions. */
 	readonly #pendingJobs = new Map<string, EmulatedEntry | undefined>();
+	/** Number of submissions of each job. */
+	readonly #attempts = new Map<string, number>();
 
 	/**
 	 * @param context - What the parts of the fleet share.
@@ -132,12 +138,24 @@
 
 		const entry = this.#drawEntry(running);
 		this.#pendingJobs.set(id, entry);
+		this.#awaitAnswer(id, entry);
 		this.context.trace.recordJob(id, () => `the caller submits to ${entry.process.name}`);
 		entry.process.handleArrival(() => {
 			entry.submitJob({route, submission, timeLimitMs: this.context.scenario.deadlineMs});
 		});
 	}
 
+	/** Lets the caller close its connection and submit the job again if it gets no answer in time. */
+	#awaitAnswer(id: string, entry: EmulatedEntry): void {
+		const attempt = (this.#attempts.get(id) ?? 0) + 1;
+		this.#attempts.set(id, attempt);
+		this.context.events.addEvent(this.context.scenario.deadlineMs + answerMarginMs, () => {
+			if (this.#attempts.get(id) === attempt && this.#pendingJobs.get(id) === entry) {
+				this.endConnection(id, closeDelayMs);
+			}
+		});
+	}
+
 	/** Draws the entry that a caller's job arrives at. */
 	#drawEntry(running: readonly EmulatedEntry[]): EmulatedEntry {
 		const {scenario: {entryWeights}, random} = this.context;
--- a/bench/emulator/faults.ts
+++ b/bench/emulator/faults.ts
@@ -83,6 +83,12 @@
 		agentSuspensionMs: () => {
 			this.#startPause(this.#drawAgent().process, 'suspended');
 		},
+		entrySuspensionMs: () => {
+			this.#startPause(this.#drawEntry().process, 'suspended');
+		},
+		workerRestartMs: () => {
+			this.workers.restartWorker(this.#drawAgent());
+		},
 	};
 
 	/**
--- a/bench/emulator/types.ts
+++ b/bench/emulator/types.ts
@@ -109,9 +109,13 @@
 	readonly agentPauseMs: Milliseconds;
 	readonly entryPauseMs: Milliseconds;
 	readonly agentSuspensionMs: Milliseconds;
+	/** Mean time between suspensions of 0.5 to 4 s of entries, whose clocks stand still meanwhile. */
+	readonly entrySuspensionMs: Milliseconds;
 	/** Mean time between crashes of workers, which come back after 0.5 to 3 s under the same id, and the share with a dark machine. */
 	readonly workerCrashMs: Milliseconds;
 	readonly darkCrashes: number;
+	/** Mean time between crashes of workers that are back under the same id within the silence that their agents allow. */
+	readonly workerRestartMs: Milliseconds;
 	/**
 	 * Mean time between workers that leave: they report that they drain, announce their end a second later and end up to
 	 * 20 ms after its acknowledgement, or 1 to 3 s later for the share whose acknowledgement is lost.
@@ -205,8 +209,10 @@
 	agentPauseMs: 0,
 	entryPauseMs: 0,
 	agentSuspensionMs: 0,
+	entrySuspensionMs: 0,
 	workerCrashMs: 0,
 	darkCrashes: 0,
+	workerRestartMs: 0,
 	workerLeaveMs: 0,
 	lostLeaveAnswers: 0,
 	lateHeartbeats: 0,
--- a/bench/emulator/worker-faults.ts
+++ b/bench/emulator/worker-faults.ts
@@ -11,6 +11,9 @@
 /** Directions of a path that are cut. */
 const directions = ['forward', 'backward', 'both'] as const;
 
+/** Longest time, in ms, for which a worker is away that its agent may not miss. */
+const maxUnnoticedMs = 500;
+
 /** Greatest delay of the departure of a worker that has crashed, in ms. */
 const maxLateDepartureMs = 5000;
 
@@ -45,15 +48,19 @@
 		worker.refusedUntil = this.context.events.getTime() + duration;
 	}
 
+	/** Crashes the worker of an agent for a time that the agent may not notice. */
+	restartWorker(agent: EmulatedAgent): void {
+		this.endWorker(agent, drawTime(this.context.random, 10, maxUnnoticedMs));
+	}
+
 	/** Crashes the worker of an agent, and starts it again later. */
-	endWorker(agent: EmulatedAgent): void {
+	endWorker(agent: EmulatedAgent, downMs = drawTime(this.context.random, 500, 3000)): void {
 		const {worker, process} = agent;
 		const {scenario: {faults}, events, trace} = this.context;
 		if (!worker.isUp) {
 			return;
 		}
 
-		const downMs = drawTime(this.context.random, 500, 3000);
 		const isDark = isDrawn(this.context.random, faults.darkCrashes);
 		trace.record(`${worker.name} crashes for ${downMs.toFixed(0)} ms${isDark ? ', dark' : ''}`);
 		worker.endLife(isDark);
