Log what tells losses apart that were over before anybody noticed them

Change: `runs-lost` says how many of the lost runs the next worker process lists and how many were not settled when that list was requested; an entry logs `contact-regained` with the time for which it heard no agent and its open jobs; an agent logs `time-missed` when the worker's clock is ahead of its own by more than the clocks can differ. No decision changes.

--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -7,6 +7,7 @@
 import {
 	advanceDispatch, cancelJob, placeAllWaitingTasks, submitJob, type JobRequest,
 } from '../../src/core/dispatch/logic.ts';
+import {recordAgentContact} from '../../src/core/dispatch/contact.ts';
 import {extendOffers} from '../../src/core/dispatch/placing.ts';
 import {chooseExtraAgents} from '../../src/core/dispatch/reach.ts';
 import {applyReports, handleCrashes} from '../../src/core/dispatch/reports.ts';
@@ -82,6 +83,7 @@
 				this.#startSession(peer);
 			},
 			onMessage: (peer, message) => {
+				this.#applyEffects(recordAgentContact(this.state, this.#now()));
 				if (!isOfOpenedSession(this.state.sessions, peer, message)) {
 					return;
 				}
@@ -103,6 +105,10 @@
 			this.links.checkContacts();
 		});
 		this.process.startInterval(tickMs, () => {
+			for (const agent of this.links.connected.keys()) {
+				this.#applyEffects(recordAgentContact(this.state, this.links.getLastContact(agent)));
+			}
+
 			this.#applyEffects(advanceDispatch(this.state, this.#now()));
 			this.#updateExtraStreams();
 		});
@@ -176,6 +182,7 @@
 	}
 
 	#handleConnect(agent: string): void {
+		this.#applyEffects(recordAgentContact(this.state, this.#now()));
 		addAgent(this.state.fleet, {name: agent, incarnation: this.links.connected.get(agent)!}, 'dc');
 		this.#startSession(agent);
 	}
@@ -229,6 +236,8 @@
 			if (effect.type === 'answer') {
 				trace.recordJob(effect.job.id, () => `${this.process.name} answers ${effect.answer.outcome}, ${effect.answer.reason}`);
 				this.input.onAnswer(this, effect.job, effect.answer);
+			} else if (effect.type === 'log') {
+				trace.recordLog(this.process.name, effect.event, effect.details);
 			} else {
 				trace.recordTask(effect.tasks, () => `${this.process.name} sends ${effect.type} to ${effect.agent}`);
 				this.links.sendMessage(effect.agent, createAgentMessage(this.state, effect));
--- a/features/dispatch/crash-fleet.ts
+++ b/features/dispatch/crash-fleet.ts
@@ -11,7 +11,7 @@
 import {extendOffers} from '../../src/core/dispatch/placing.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
 import {addPendingWithdrawals} from '../../src/core/dispatch/withdrawals.ts';
-import type {DispatchEffect, JobAnswer} from '../../src/core/dispatch/types.ts';
+import type {AgentEffect, DispatchEffect, JobAnswer} from '../../src/core/dispatch/types.ts';
 import {addAgent, applyLoad, createFleetState} from '../../src/core/fleet/state.ts';
 import {addToGroup} from '../../src/core/groups.ts';
 import type {Route} from '../../src/core/routes/types.ts';
@@ -440,6 +440,10 @@
 				continue;
 			}
 
+			if (effect.type === 'log') {
+				continue;
+			}
+
 			const agent = this.agents.find(({name}) => name === effect.agent)!;
 			this.#schedule(messageMs, () => {
 				this.#runAgent(agent, this.#handleAtAgent(agent, entry, effect));
@@ -447,7 +451,7 @@
 		}
 	}
 
-	#handleAtAgent(agent: Agent, entry: Entry, effect: Exclude<DispatchEffect, {type: 'answer'}>): RunsEffect[] {
+	#handleAtAgent(agent: Agent, entry: Entry, effect: AgentEffect): RunsEffect[] {
 		if (effect.type === 'offer') {
 			agent.seenOffers.set(entry.name, (agent.seenOffers.get(entry.name) ?? 0) + effect.tasks.length);
 			return handleOffers(agent.state, entry.name, effect.tasks, this.now);
--- a/features/dispatch/dispatch.steps.ts
+++ b/features/dispatch/dispatch.steps.ts
@@ -14,7 +14,9 @@
 import {extendOffers} from '../../src/core/dispatch/placing.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
 import {addPendingWithdrawals} from '../../src/core/dispatch/withdrawals.ts';
-import type {DispatchEffect, JobAnswer, StepSubmission} from '../../src/core/dispatch/types.ts';
+import type {
+	AgentEffect, DispatchEffect, JobAnswer, StepSubmission,
+} from '../../src/core/dispatch/types.ts';
 import {
 	addAgent, applyLoad, createFleetState, removeAgent,
 } from '../../src/core/fleet/state.ts';
@@ -28,7 +30,7 @@
 	/** Effects since they were last cleared. */
 	effects: DispatchEffect[];
 	/** Every message, in order. */
-	sent: Array<Exclude<DispatchEffect, {type: 'answer'}>>;
+	sent: AgentEffect[];
 	answers: Map<string, JobAnswer>;
 	admitted: number;
 	lastAgent: string;
@@ -64,7 +66,7 @@
 		world.effects.push(effect);
 		if (effect.type === 'answer') {
 			world.answers.set(effect.job.id, effect.answer);
-		} else {
+		} else if ('agent' in effect) {
 			world.sent.push(effect);
 		}
 	}
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -52,7 +52,7 @@
 			phase: 'running',
 			isGranted: true,
 			run: 1,
-			isConfirmed: true,
+			confirmedAt: this.now,
 			orderedAt: 0,
 			percent: 0,
 			progressAt: 0,
--- a/features/sessions/sessions.steps.ts
+++ b/features/sessions/sessions.steps.ts
@@ -133,7 +133,7 @@
 });
 
 Then('it offers the second one again after the claim', function (this: SessionsWorld) {
-	const messages = this.start.effects.flatMap(effect => effect.type === 'answer' ? [] : [createAgentMessage(this.entry, effect)]);
+	const messages = this.start.effects.flatMap(effect => 'agent' in effect ? [createAgentMessage(this.entry, effect)] : []);
 	const offers = messages.flatMap(message => message.type === 'offer' ? [message] : []);
 	assert.deepEqual(offers.map(({tasks, session}) => [tasks.length, session]), [[1, 2]]);
 	assert.notEqual(offers[0].tasks[0].task, this.start.claim.tasks[0].task);
--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -15,7 +15,7 @@
 import type {Bounds, Timings, WatchTimings} from './types.ts';
 
 /** Largest share by which a worker's clock may run slower than true time, according to the platform's documentation. */
-const maxClockDrift = 0.02;
+export const maxClockDrift = 0.02;
 
 /** Share of the resubmission time after which a peer without heartbeats counts as lost. */
 const contactShare = 0.42;
--- a/src/core/dispatch/agents.ts
+++ b/src/core/dispatch/agents.ts
@@ -11,7 +11,7 @@
 import {listFullAgents} from './placing.ts';
 import type {DispatchState} from './state.ts';
 import {createWithdrawals, placeWaitingTasks, removeCandidate} from './steps.ts';
-import type {DispatchEffect} from './types.ts';
+import type {AgentEffect, DispatchEffect} from './types.ts';
 import {recordWait} from './waits.ts';
 import {clearWithdrawals, addWithdrawal} from './withdrawals.ts';
 
@@ -122,7 +122,7 @@
  * @param effect - The effect.
  * @returns The message, of the present session.
  */
-export function createAgentMessage({sessions}: DispatchState, effect: Exclude<DispatchEffect, {type: 'answer'}>): DispatchMessage {
+export function createAgentMessage({sessions}: DispatchState, effect: AgentEffect): DispatchMessage {
 	const session = sessions.numbers.get(effect.agent);
 	return effect.type === 'offer' ? {type: 'offer', tasks: effect.tasks, session} : {type: effect.type, tasks: effect.tasks, session};
 }
--- a/src/core/dispatch/contact.ts
+++ b/src/core/dispatch/contact.ts
@@ -10,6 +10,21 @@
 /** Retry time, in ms, of a job that was given up or refused for want of contact. */
 const isolationRetryMs = 1000;
 
+/**
+ * Records that an agent was heard.
+ *
+ * @param state - State of the jobs.
+ * @param at - When it was heard.
+ * @returns A log entry if no agent had been heard for the contact time before.
+ */
+export function recordAgentContact(state: DispatchState, at: Milliseconds): DispatchEffect[] {
+	const silence = at - (state.lastContactAt ?? at);
+	state.lastContactAt = Math.max(state.lastContactAt ?? at, at);
+	return silence < state.timings.contactMs
+		? []
+		: [{type: 'log', event: 'contact-regained', details: {silenceMs: Math.round(silence), openJobs: state.openJobs.size}}];
+}
+
 /** Records the loss of a stream to an agent; it counts if it was the last one. */
 export function recordContactLoss(state: DispatchState, now: Milliseconds): void {
 	if (state.fleet.agents.size === 0) {
--- a/src/core/dispatch/state.ts
+++ b/src/core/dispatch/state.ts
@@ -52,6 +52,8 @@
 	readonly runTimeModels: Map<string, RunTimeModel>;
 	/** Until when disconnected agents are expected to connect again. */
 	expectAgentsUntil: Milliseconds;
+	/** When any agent was last heard; undefined before the first. */
+	lastContactAt: Milliseconds | undefined;
 	/** When the last stream to an agent closed; undefined while one is open, and before the first. */
 	contactLostAt: Milliseconds | undefined;
 	/** When this entry gives up its open jobs, as it shuts down; infinite before. */
@@ -83,6 +85,7 @@
 		labelsNeededAt: new Map(),
 		runTimeModels: new Map(),
 		expectAgentsUntil: 0,
+		lastContactAt: undefined,
 		contactLostAt: undefined,
 		endsAt: Number.POSITIVE_INFINITY,
 		prunedAt: 0,
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -135,4 +135,9 @@
 	| {readonly type: 'offer'; readonly agent: NodeName; readonly tasks: readonly TaskOffer[]}
 	| {readonly type: 'withdraw'; readonly agent: NodeName; readonly tasks: readonly string[]}
 	| {readonly type: 'grant'; readonly agent: NodeName; readonly tasks: readonly string[]}
-	| {readonly type: 'answer'; readonly job: Job; readonly answer: JobAnswer};
+	| {readonly type: 'answer'; readonly job: Job; readonly answer: JobAnswer}
+	/** Write a log entry. */
+	| {readonly type: 'log'; readonly event: string; readonly details: Readonly<Record<string, unknown>>};
+
+/** A message to an agent. */
+export type AgentEffect = Extract<DispatchEffect, {readonly agent: NodeName}>;
--- a/src/core/dispatch/withdrawals.ts
+++ b/src/core/dispatch/withdrawals.ts
@@ -40,8 +40,8 @@
 	}
 
 	return effects.flatMap(effect => {
-		const tasks = effect.type === 'answer' ? undefined : pendingWithdrawals.get(effect.agent);
-		if (effect.type === 'answer' || tasks === undefined) {
+		const tasks = 'agent' in effect ? pendingWithdrawals.get(effect.agent) : undefined;
+		if (!('agent' in effect) || tasks === undefined) {
 			return [effect];
 		}
 
--- a/src/core/runs/answers.ts
+++ b/src/core/runs/answers.ts
@@ -68,7 +68,9 @@
 		return [];
 	}
 
-	record.isConfirmed ||= answer === 'started';
+	if (answer === 'started') {
+		record.confirmedAt ??= now;
+	}
 
 	if (record.phase !== 'starting') {
 		// Stopped in the meantime: a start that was refused needs no stop.
--- a/src/core/runs/crashes.ts
+++ b/src/core/runs/crashes.ts
@@ -90,7 +90,7 @@
  * @returns Their records.
  */
 export function listBlamed({records}: RunsState, now: Milliseconds): ReadonlySet<RunRecord> {
-	const started = [...records.values()].filter(record => isStartOrdered(record) && record.isConfirmed);
+	const started = [...records.values()].filter(record => isStartOrdered(record) && record.confirmedAt !== undefined);
 	const isolated = started.filter(record => isIsolated(record, now));
 	return new Set(isolated.length > 0 ? isolated : started.filter(record => isYoung(record, now)));
 }
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -235,7 +235,7 @@
 /** Queues a task again whose start the worker refused, unless the agent no longer starts tasks or the worker can no longer hold it. */
 export function retryStart(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
 	record.phase = 'queued';
-	record.isConfirmed = false;
+	record.confirmedAt = undefined;
 	if (state.isShuttingDown || state.worker.announcement?.state !== 'ready' || !canEverFit(state, record.offer)) {
 		return [endRecord(state, record, 'not-started', now)];
 	}
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -23,7 +23,7 @@
 		phase: 'queued',
 		isGranted: !offer.isTentative,
 		run: offer.run,
-		isConfirmed: false,
+		confirmedAt: undefined,
 		orderedAt: now,
 		percent: 0,
 		progressAt: now,
@@ -177,7 +177,7 @@
 	const record = createRecord(owner, offer, now);
 	record.phase = 'running';
 	record.run = run;
-	record.isConfirmed = true;
+	record.confirmedAt = now;
 	record.isGranted = true;
 	addRecord(state, record);
 	return [{type: 'log', event: 'run-adopted', details: {task, run, owner}}];
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -3,6 +3,7 @@
  *
  * The worker answers each lease renewal with a snapshot.
  */
+import {maxClockDrift} from '../bounds/logic.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskEnd} from '../../ports/dispatch-messages.ts';
 import type {EndedTask, WorkerSnapshot} from '../../ports/worker.ts';
@@ -24,7 +25,7 @@
 	canAcceptTask, recordFailure, recordSuccess, resetHealth,
 } from './health.ts';
 import type {
-	LossCause, LossEvidence, RunRecord, RunsEffect, StopReason,
+	LossCause, LossEvidence, RequestedSnapshot, RunRecord, RunsEffect, StopReason,
 } from './types.ts';
 
 /** Least time without progress after which a run counts as stalled, in ms; workers report whole percents. */
@@ -105,7 +106,7 @@
 function applyRunState(state: RunsState, percents: ReadonlyMap<string, number>, record: RunRecord, requestedAt: Milliseconds, now: Milliseconds): RunsEffect[] {
 	const percent = percents.get(getRunKey(record.offer.task, record.run));
 	if (percent !== undefined) {
-		record.isConfirmed = true;
+		record.confirmedAt ??= now;
 		if (record.phase === 'checking') {
 			record.phase = 'running';
 		}
@@ -177,11 +178,20 @@
  * unless its connection was closed by the worker's machine.
  */
 function isRunOver({worker}: RunsState, record: RunRecord, evidence: LossEvidence): boolean {
-	return evidence !== 'lapsed' || worker.refusal !== undefined || record.isConfirmed || !isStartOrdered(record);
+	return evidence !== 'lapsed' || worker.refusal !== undefined || record.confirmedAt !== undefined || !isStartOrdered(record);
+}
+
+/** Describes which of the lost runs the next worker process lists, and which were confirmed too late for its list. */
+function describeNextProcess(lost: readonly RunRecord[], {snapshot, requestedAt}: RequestedSnapshot): Readonly<Record<string, unknown>> {
+	const listed = new Set([...snapshot.running, ...snapshot.ended].map(({task, run}) => getRunKey(task, run)));
+	return {
+		listed: lost.filter(({offer, run}) => listed.has(getRunKey(offer.task, run))).length,
+		unsettled: lost.filter(({confirmedAt}) => confirmedAt === undefined || confirmedAt > requestedAt).length,
+	};
 }
 
 /** Describes the runs that end with the worker; undefined if no start had been ordered. */
-function describeLoss({worker}: RunsState, evidence: LossEvidence, cause: LossCause, ended: readonly RunRecord[], now: Milliseconds): RunsEffect | undefined {
+function describeLoss({worker}: RunsState, evidence: LossEvidence, cause: LossCause, ended: readonly RunRecord[], now: Milliseconds, next?: RequestedSnapshot): RunsEffect | undefined {
 	const lost = ended.filter(record => isStartOrdered(record)).sort((left, right) => right.orderedAt - left.orderedAt);
 	const youngest = lost.at(0);
 	return youngest && {
@@ -195,6 +205,7 @@
 			youngestMs: Math.round(now - youngest.orderedAt),
 			answerAgeMs: Math.round(now - worker.lastAnswerAt),
 			renewalAgeMs: Math.round(now - worker.lastRenewalAt),
+			...(next !== undefined && describeNextProcess(lost, next)),
 		},
 	};
 }
@@ -205,13 +216,14 @@
  * @param state - State of the agent.
  * @param evidence - How this is known.
  * @param now - Current time.
+ * @param next - List of the next worker process, if the worker has restarted.
  * @returns Reports, and a log entry if a start had been ordered.
  */
-export function endAllRuns(state: RunsState, evidence: LossEvidence, now: Milliseconds): RunsEffect[] {
+export function endAllRuns(state: RunsState, evidence: LossEvidence, now: Milliseconds, next?: RequestedSnapshot): RunsEffect[] {
 	const {cause, blamed} = findLoss(state, evidence, now);
 	const isCrashKnown = state.worker.refusal !== undefined;
 	const ended = [...state.records.values()].filter(record => isRunOver(state, record, evidence));
-	const loss = describeLoss(state, evidence, cause, ended, now);
+	const loss = describeLoss(state, evidence, cause, ended, now, next);
 	const effects: RunsEffect[] = loss === undefined ? [] : [loss];
 	for (const record of ended) {
 		const isStarted = isStartOrdered(record);
@@ -226,8 +238,8 @@
 }
 
 /** Resets the state after a restart of the worker: the new process has no runs and no fencing token. */
-export function resetWorker(state: RunsState, bornAt: Milliseconds | undefined, now: Milliseconds): RunsEffect[] {
-	const effects = endAllRuns(state, 'restarted', now);
+export function resetWorker(state: RunsState, bornAt: Milliseconds | undefined, now: Milliseconds, next?: RequestedSnapshot): RunsEffect[] {
+	const effects = endAllRuns(state, 'restarted', now, next);
 	state.worker.bornAt = bornAt;
 	state.worker.refusal = undefined;
 	resetHealth(state);
@@ -251,6 +263,15 @@
 	return [{type: 'log', event: 'heartbeat-withdrawn', details: {worker: announcement.id, bornAt: announcement.bornAt, answeredBornAt: bornAt}}];
 }
 
+/** Least time, in ms, by which the worker's clock must be ahead of this process for a log entry. */
+const minMissedMs = 100;
+
+/** Logs that the clock of this process has not counted some time since the last reading of the worker's clock, as after a suspension. */
+function describeMissedTime({workerClock}: RunsState, {workerTime}: WorkerSnapshot, now: Milliseconds): RunsEffect[] {
+	const missedMs = workerClock === undefined ? 0 : Math.round(workerTime - workerClock.workerTime - ((now - workerClock.requestedAt) * (1 + maxClockDrift)));
+	return missedMs < minMissedMs ? [] : [{type: 'log', event: 'time-missed', details: {missedMs}}];
+}
+
 /**
  * Applies a snapshot of the worker.
  *
@@ -264,7 +285,7 @@
 	const effects: RunsEffect[] = [];
 	const {worker} = state;
 	if (worker.bornAt !== undefined && snapshot.bornAt !== undefined && snapshot.bornAt !== worker.bornAt) {
-		effects.push(...resetWorker(state, snapshot.bornAt, now));
+		effects.push(...resetWorker(state, snapshot.bornAt, now, {snapshot, requestedAt}));
 	}
 
 	worker.bornAt ??= snapshot.bornAt;
@@ -274,7 +295,8 @@
 	worker.lastAnswerAt = now;
 	// Answers may overtake each other; an older one lists runs whose end has been handled.
 	const isLatest = state.workerClock === undefined || snapshot.workerTime >= state.workerClock.workerTime;
-	state.workerClock = {workerTime: snapshot.workerTime, at: now};
+	effects.push(...describeMissedTime(state, snapshot, now));
+	state.workerClock = {workerTime: snapshot.workerTime, requestedAt, at: now};
 	updateOrphans(state, snapshot, isLatest, now);
 	effects.push(...applyPendingClaims(state, now));
 	for (const ended of snapshot.ended) {
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -5,7 +5,9 @@
 import type {
 	TaskCrash, TaskEnd, TaskOffer, TaskReport,
 } from '../../ports/dispatch-messages.ts';
-import type {LeaseRenewal, RunRef, WorkerAnnouncement} from '../../ports/worker.ts';
+import type {
+	LeaseRenewal, RunRef, WorkerAnnouncement, WorkerSnapshot,
+} from '../../ports/worker.ts';
 import type {Timings} from '../bounds/types.ts';
 import type {NodeName} from '../identity/types.ts';
 
@@ -54,6 +56,12 @@
  */
 export type LossCause = 'crashed' | 'left' | 'silent' | 'lapsed';
 
+/** A list of runs that a worker process has given. */
+export type RequestedSnapshot = {
+	readonly snapshot: WorkerSnapshot;
+	readonly requestedAt: Milliseconds;
+};
+
 /** What a worker was doing when its port began to refuse connections; told as its end once no run of it can be left. */
 export type WorkerRefusal = {
 	readonly cause: LossCause;
@@ -72,8 +80,8 @@
 	isGranted: boolean;
 	/** Number of the run at the worker. */
 	run: number;
-	/** Whether the worker has confirmed that it has the run; an unconfirmed start may still be carried out later. */
-	isConfirmed: boolean;
+	/** When the worker first confirmed that it has the run; an unconfirmed start may still be carried out later. */
+	confirmedAt: Milliseconds | undefined;
 	/** When the start was sent; while `asking`, when the entry was asked. */
 	orderedAt: Milliseconds;
 	/** Last reported progress, 0 to 100. */
@@ -126,6 +134,8 @@
 /** Reading of the worker's clock. */
 export type WorkerClock = {
 	readonly workerTime: Milliseconds;
+	/** When the reading was requested. */
+	readonly requestedAt: Milliseconds;
 	/** When the reading arrived. */
 	readonly at: Milliseconds;
 };
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -8,6 +8,7 @@
 import {
 	advanceDispatch, cancelJob, placeAllWaitingTasks, submitJob, type JobRequest,
 } from '../../core/dispatch/logic.ts';
+import {recordAgentContact} from '../../core/dispatch/contact.ts';
 import {applyReports, handleCrashes, handleSurvival} from '../../core/dispatch/reports.ts';
 import {extendOffers} from '../../core/dispatch/placing.ts';
 import {listCarefulRoutes} from '../../core/crashes/logic.ts';
@@ -110,6 +111,9 @@
 		grant: effect => {
 			this.#links.sendMessage(effect.agent, createAgentMessage(this.state, effect));
 		},
+		log: ({event, details}) => {
+			this.input.log.recordDecision('warn', event, details);
+		},
 		answer: ({job, answer}) => {
 			this.#recordAnswer(job, answer);
 			const waiters = this.#waiters.get(job) ?? [];
@@ -163,6 +167,10 @@
 				}
 			},
 			onMessage: (from, message) => {
+				if (from.role === 'agent') {
+					this.#applyEffects(recordAgentContact(this.state, this.#now()));
+				}
+
 				if (!isOfOpenedSession(this.state.sessions, from.name, message)) {
 					this.input.log.recordDecision('info', 'message-outdated', {from: from.name, type: message.type});
 					return;
@@ -286,7 +294,11 @@
 		this.#updatePeerCounts();
 		for (const {agent} of this.state.fleet.agents.values()) {
 			setRetiring(this.state.fleet, agent.name, this.#links.isRetiring(agent.name));
-			recordContact(this.state.fleet, agent.name, this.#links.getLastContact(agent.name) ?? 0);
+			const heardAt = this.#links.getLastContact(agent.name);
+			recordContact(this.state.fleet, agent.name, heardAt ?? 0);
+			if (heardAt !== undefined) {
+				this.#applyEffects(recordAgentContact(this.state, heardAt));
+			}
 		}
 
 		this.#applyEffects(advanceDispatch(this.state, now));
@@ -335,6 +347,7 @@
 	#handleConnect(peer: ConnectedPeer): void {
 		this.#updatePeerCounts();
 		if (peer.role === 'agent') {
+			this.#applyEffects(recordAgentContact(this.state, this.#now()));
 			addAgent(this.state.fleet, peer, peer.dataCentre);
 			this.#startSession(peer);
 			return;
