Name the worker that a start is meant for

One that was carried out seconds late, at another worker that had taken the address, ran there until the first call of the agent. Remains: a worker that is back under its id accepts a late order of its earlier process until the first call with the present token.

--- a/src/core/runs/answers.ts
+++ b/src/core/runs/answers.ts
@@ -42,7 +42,9 @@
 	'no-room': handleRefusedStart,
 	refused: handleRefusedStart,
 	invalid: handleRefusedStart,
-	'other-worker': handleRefusedStart,
+	'other-worker'(state, record, now) {
+		return [...handleRefusedStart(state, record, now), {type: 'fetch-snapshot'}];
+	},
 	unanswered(state, record, now) {
 		record.phase = 'checking';
 		state.worker.lastFailureAt = now;
--- a/src/ports/worker.ts
+++ b/src/ports/worker.ts
@@ -83,6 +83,8 @@
 
 /** Request to start a run. */
 export type StartOrder = RunRef & {
+	/** Id of the worker that the order is meant for; another one at the same address refuses it. Undefined if it is not known. */
+	readonly worker: string | undefined;
 	readonly spec: string;
 	/** End of the lease on the worker's clock, an integer in ms; the worker refuses a start that arrives later. */
 	readonly leaseUntil: Milliseconds;
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -355,7 +355,7 @@
 			fencingToken = this.state.fencingToken;
 			return recordStartSent(this.state, record, now)
 				? {
-					...ref, spec: record.offer.spec, leaseUntil: computeLeaseEnd(this.state, now) ?? leaseUntil, fencingToken,
+					...ref, worker: this.state.worker.announcement?.id, spec: record.offer.spec, leaseUntil: computeLeaseEnd(this.state, now) ?? leaseUntil, fencingToken,
 				}
 				: undefined;
 		});
