Stop a run again at the worker process that lists it, and believe only the latest list

What callers saw: nothing yet; found by the review of the trace (the class of docs/incidents/unnoticed-losses.md). Cause: the acknowledgement of a stop was believed to be of the process that has the run. A withdrawn start that the next process carries out was listed by it, counted as stopped, and went on until its end under an extended lease, 0 stops in 3 s in the review's script. And a list that was overtaken removed the earlier run on which "no run is reported as lost beside an earlier one" rests. Change: after a restart each kept run is to be stopped anew; a run that is still listed `stopMs` after its stop was acknowledged is stopped again; only the latest list ends what is known of runs without a record.

--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -229,6 +229,34 @@
     When a later list of that process shows no runs
     Then entry "e1" gets the report that "a" ended as "crashed"
 
+  # Guards against a withdrawn run that goes on, as its stop was acknowledged by the process before the one that has it.
+  Scenario: A stop that the earlier process acknowledged is sent again to the next one that lists the run
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "unanswered"
+    And entry "e1" withdraws "a"
+    And the stop of "a" is answered "stopped"
+    And the first list of the next worker process shows "a"
+    And 200 ms go by
+    Then the worker is ordered to stop "a" 2 times at least
+
+  # Guards against the same where the acknowledgement of the earlier process comes after the list of the next one.
+  Scenario: A stop is sent again if the run is still listed after the time for it
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And entry "e1" withdraws "a"
+    And the stop of "a" is answered "stopped"
+    And 200 ms pass and a snapshot shows "a" at 10 percent
+    And 200 ms go by
+    Then the worker is ordered to stop "a" 2 times at least
+
+  # Guards against a second run beside an earlier one that a list which was overtaken does not show.
+  Scenario: An older list of the same process does not end what is known of an earlier run
+    When entry "e1" offers direct tasks "a" of 4000 as run 2
+    And the start of "a" is answered "started"
+    And the first list of the next worker process shows "a"
+    And an older list of that process shows no runs
+    Then entry "e1" gets no report on "a"
+
   # Guards against blaming a crash on a run that the next worker process has started.
   Scenario: A run that the next worker process lists is not blamed for the end of the earlier one
     When entry "e1" offers direct tasks "a b" of 4000
--- a/features/runs/single-run.steps.ts
+++ b/features/runs/single-run.steps.ts
@@ -27,15 +27,18 @@
 	requestedAt: Milliseconds;
 };
 
+/** Clock of the next worker process at the start of a scenario, in ms. */
+const nextClockMs = 100;
+
 /** Difference between the start times of two worker processes, in ms. */
 const nextBirthMs = 10_000;
 
 /** Applies a list of the worker process that has taken the place of the usual one. */
-function applyNextProcess(world: RunsWorld, tasks: string, requestedAt = world.now): void {
+function applyNextProcess(world: RunsWorld, tasks: string, requestedAt = world.now, age = 0): void {
 	world.now += 1;
 	recordEffects(world, applySnapshot(world.state, {
 		running: tasks === 'no runs' ? [] : [{task: `${tasks.slice(1, -1)}.0.0.0`, run: 1, percent: 0}],
-		ended: [], workerTime: world.now - startTime, bornAt: bornAt + nextBirthMs,
+		ended: [], workerTime: world.now - startTime + nextClockMs - age, bornAt: bornAt + nextBirthMs,
 	}, requestedAt, world.now));
 }
 
@@ -152,6 +155,15 @@
 	applyNextProcess(this, runs);
 });
 
+When('an older list of that process shows no runs', function (this: SingleRunWorld) {
+	applyNextProcess(this, 'no runs', this.now, 20);
+});
+
+Then('the worker is ordered to stop {string} {int} times at least', function (this: SingleRunWorld, task: string, count: number) {
+	const stops = this.effects.filter(effect => effect.type === 'stop' && effect.ref.task === `${task}.0.0.0`);
+	assert.ok(stops.length >= count, `${stops.length} stops`);
+});
+
 When('a list is requested {int} ms before the start of {string} is answered "started"', function (this: SingleRunWorld, time: number, task: string) {
 	this.requestedAt = this.now;
 	this.now += time;
--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -96,6 +96,7 @@
 		claimMs: Math.floor(leaseMs / renewalsPerLease),
 		renewMs: Math.floor(leaseMs / renewalsPerLease),
 		goneMs,
+		stopMs: bounds.stopMs,
 		orderMs: Math.floor(leaseMs / ordersPerLease),
 		workerSilenceMs: Math.floor(leaseMs / 2),
 	};
--- a/src/core/bounds/types.ts
+++ b/src/core/bounds/types.ts
@@ -52,6 +52,8 @@
 	readonly renewMs: Milliseconds;
 	/** Time after the loss of an agent within which all of its runs have ended, whatever the cause of the loss. */
 	readonly goneMs: Milliseconds;
+	/** Longest time from the acknowledgement of a stop to the end of the run. */
+	readonly stopMs: Milliseconds;
 	/** Timeout of an order to a worker, in addition to the time for which a renewal waits for an end. */
 	readonly orderMs: Milliseconds;
 	/** Time without an answer after which a worker gets no more tasks. */
--- a/src/core/runs/losses.ts
+++ b/src/core/runs/losses.ts
@@ -139,6 +139,9 @@
 	const effects = endRecords(state, 'restarted', loss, [...state.records.values()].filter(record => !kept.has(record)), now);
 	for (const record of unsettled) {
 		recordPresumedLoss(state, record, loss, now);
+	}
+
+	for (const record of kept) {
 		// The earlier process may have acknowledged the stop.
 		record.stoppedAt = undefined;
 		record.stopRetryAt = 0;
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -104,6 +104,11 @@
 function applyRunState(state: RunsState, percents: ReadonlyMap<string, number>, record: RunRecord, requestedAt: Milliseconds, now: Milliseconds): RunsEffect[] {
 	const percent = percents.get(getRunKey(record.offer.task, record.run));
 	if (percent !== undefined) {
+		// Its stop was acknowledged by a process that did not have it.
+		if (record.stoppedAt !== undefined && requestedAt > record.stoppedAt + state.options.timings.stopMs) {
+			record.stoppedAt = undefined;
+		}
+
 		record.confirmedAt ??= now;
 		record.presumedLoss = undefined;
 		if (record.phase === 'checking') {
@@ -150,7 +155,7 @@
 function updateKnownOrphans(state: RunsState, {running}: WorkerSnapshot, isLatest: boolean): void {
 	const present = new Set(running.map(({task, run}) => getRunKey(task, run)));
 	for (const key of state.orphans.keys()) {
-		if (!present.has(key)) {
+		if (isLatest && !present.has(key)) {
 			state.orphans.delete(key);
 		}
 	}
