Give up earlier jobs of an entry without agents though it hears callers

An entry that is cut off from its agents and from one caller kept the job of that one as long as others submitted, and started its tasks again when the agents were back. Change: for jobs from before the last contact with an agent only agents count; for those that came later, callers count too.

--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -83,7 +83,7 @@
 				this.#startSession(peer);
 			},
 			onMessage: (peer, message) => {
-				this.#applyEffects(observeContact(this.state, this.#now(), this.#now()));
+				this.#applyEffects(observeContact(this.state, 'agents', this.#now(), this.#now()));
 				if (!isOfOpenedSession(this.state.sessions, peer, message)) {
 					return;
 				}
@@ -106,7 +106,7 @@
 		});
 		this.process.startInterval(tickMs, () => {
 			for (const agent of this.links.connected.keys()) {
-				this.#applyEffects(observeContact(this.state, this.links.getLastContact(agent), this.#now()));
+				this.#applyEffects(observeContact(this.state, 'agents', this.links.getLastContact(agent), this.#now()));
 			}
 
 			this.#applyEffects(advanceDispatch(this.state, this.#now()));
@@ -144,7 +144,7 @@
 
 	/** Submits a job. */
 	submitJob(request: JobRequest): void {
-		this.#applyEffects(observeContact(this.state, this.#now(), this.#now()));
+		this.#applyEffects(observeContact(this.state, 'callers', this.#now(), this.#now()));
 		const {effects} = submitJob(this.state, request, this.#now());
 		this.#applyEffects(effects);
 	}
@@ -183,7 +183,7 @@
 	}
 
 	#handleConnect(agent: string): void {
-		this.#applyEffects(observeContact(this.state, this.#now(), this.#now()));
+		this.#applyEffects(observeContact(this.state, 'agents', this.#now(), this.#now()));
 		addAgent(this.state.fleet, {name: agent, incarnation: this.links.connected.get(agent)!}, 'dc');
 		this.#startSession(agent);
 	}
--- a/features/dispatch/dispatch.feature
+++ b/features/dispatch/dispatch.feature
@@ -245,12 +245,20 @@
     Then "j1" is answered "given-up"
     And task 0 of "j1" is not offered again within 3000 ms
 
-  # Guards against giving up the jobs of an entry that its callers still reach.
-  Scenario: An entry that hears its callers keeps its jobs while it has no agent
+  # Guards against giving up jobs that wait for agents while callers reach the entry.
+  Scenario: An entry that hears its callers keeps the jobs that came after it lost its agents
+    When both streams close
+    And 10 ms go by at the entry
+    And job "j1" of 1 tasks of 3000 and 2000 ms arrives
+    And callers are heard every 100 ms for 600 ms
+    Then "j1" has no answer
+
+  # Guards against a second run for one caller that was cut off with the agents, as others were still heard.
+  Scenario: An entry without agents gives up its earlier jobs though it hears callers
     When job "j1" of 1 tasks of 3000 arrives
     And both streams close
-    And callers are heard every 200 ms for 2000 ms
-    Then "j1" has no answer
+    And callers are heard every 200 ms for 600 ms
+    Then "j1" is answered "given-up"
 
   # Guards against counting a cut from the loss of the last stream, which is noticed late.
   Scenario: An entry without contact to any agent counts from when it last heard one
--- a/features/dispatch/dispatch.steps.ts
+++ b/features/dispatch/dispatch.steps.ts
@@ -158,12 +158,12 @@
 });
 
 Given('both streams close', function (this: DispatchWorld) {
-	recordEffects(this, observeContact(this.state, this.now, this.now));
+	recordEffects(this, observeContact(this.state, 'agents', this.now, this.now));
 	closeStreams(this);
 });
 
 Given('both streams close {int} ms after the last contact', function (this: DispatchWorld, silence: number) {
-	recordEffects(this, observeContact(this.state, this.now, this.now));
+	recordEffects(this, observeContact(this.state, 'agents', this.now, this.now));
 	this.now += silence;
 	closeStreams(this);
 });
@@ -250,14 +250,14 @@
 });
 
 When('agent {string} returns', function (this: DispatchWorld, name: string) {
-	recordEffects(this, observeContact(this.state, this.now, this.now));
+	recordEffects(this, observeContact(this.state, 'agents', this.now, this.now));
 	openStream(this, name);
 	recordEffects(this, placeAllWaitingTasks(this.state, this.now));
 });
 
 When('agent {string} returns after {int} ms', function (this: DispatchWorld, name: string, time: number) {
 	this.now += time;
-	recordEffects(this, observeContact(this.state, this.now, this.now));
+	recordEffects(this, observeContact(this.state, 'agents', this.now, this.now));
 	openStream(this, name);
 	recordEffects(this, placeAllWaitingTasks(this.state, this.now));
 });
@@ -265,7 +265,7 @@
 When('callers are heard every {int} ms for {int} ms', function (this: DispatchWorld, interval: number, time: number) {
 	for (const endAt = this.now + time; this.now < endAt;) {
 		this.now += interval;
-		recordEffects(this, [...observeContact(this.state, this.now, this.now), ...advanceDispatch(this.state, this.now)]);
+		recordEffects(this, [...observeContact(this.state, 'callers', this.now, this.now), ...advanceDispatch(this.state, this.now)]);
 	}
 });
 
@@ -379,3 +379,13 @@
 	const expected = estimateRunTime(this.state, route, createStep(1, 1000, {estimateMs: estimate}));
 	assert.ok(expected >= low && expected <= high, `expected ${expected} ms`);
 });
+
+When('agent {string} reports the end of run {int} of task {int} of {string}', function (this: DispatchWorld, agent: string, run: number, index: number, id: string) {
+	recordEffects(this, applyReports(this.state, agent, [{
+		task: `${id}.0.0.${index}`, run, end: 'done', expectedMs: 0, runMs: 0, waitMs: 0,
+	}], this.now));
+});
+
+Then('task {int} of {string} still has its offer at {string}', function (this: DispatchWorld, index: number, id: string, agent: string) {
+	assert.ok(this.state.tasks.get(`${id}.0.0.${index}`)!.task.candidates.has(agent));
+});
--- a/src/core/dispatch/contact.ts
+++ b/src/core/dispatch/contact.ts
@@ -1,23 +1,26 @@
 /**
- * Gives up the jobs of an entry that has heard neither an agent nor a caller for the contact time: it may have been cut off
- * from the callers of its jobs, who submit them again at another entry. That it hears somebody later says nothing of them.
+ * Gives up the jobs of an entry that may have been cut off from their callers, who submit them again at another entry: it
+ * has heard nobody for the contact time, or no agent since the job came. That it hears somebody later says nothing of them.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {DispatchState} from './state.ts';
 import {createAnswer, endJob} from './steps.ts';
-import type {DispatchEffect} from './types.ts';
+import type {Contact, DispatchEffect} from './types.ts';
 
 /** Retry time, in ms, of a job that was given up or refused for want of contact. */
 const isolationRetryMs = 1000;
 
-/** Ends the jobs that have been open for the contact time. */
-function endIsolatedJobs(state: DispatchState, silence: Milliseconds, now: Milliseconds): DispatchEffect[] {
+/** Ends the jobs that have been open for the contact time and were received before the silence, as far as callers go on to be heard. */
+function endIsolatedJobs(state: DispatchState, {agents, callers}: Contact, now: Milliseconds): DispatchEffect[] {
 	const {openJobs, timings} = state;
-	const isolated = [...openJobs].filter(({receivedAt}) => now - receivedAt >= timings.contactMs);
+	const isSilent = now - Math.max(agents, callers) >= timings.contactMs;
+	const isolated = [...openJobs].filter(({receivedAt}) => now - receivedAt >= timings.contactMs && (isSilent || receivedAt <= agents));
 	return isolated.length === 0
 		? []
 		: [
-			{type: 'log', event: 'jobs-isolated', details: {silenceMs: Math.round(silence), count: isolated.length}},
+			{
+				type: 'log', event: 'jobs-isolated', details: {agentsMs: Math.round(now - agents), callersMs: Math.round(now - callers), count: isolated.length},
+			},
 			...isolated.flatMap(job => endJob(state, job, createAnswer(job.mayHaveRun ? 'given-up' : 'not-run', 'isolated', isolationRetryMs), now)),
 		];
 }
@@ -26,26 +29,33 @@
  * Records that an agent or a caller was heard. To be called before anything is decided on what it has sent.
  *
  * @param state - State of the jobs.
- * @param at - When it was heard.
+ * @param source - Who was heard.
+ * @param at - When.
  * @param now - Current time.
- * @returns If nobody had been heard for the contact time before: the answers of the jobs that were open then.
+ * @returns The answers of the jobs whose callers may have left in the silence that ends with this.
  */
-export function observeContact(state: DispatchState, at: Milliseconds, now: Milliseconds): DispatchEffect[] {
-	const silence = at - (state.lastContactAt ?? at);
-	state.lastContactAt = Math.max(state.lastContactAt ?? at, at);
-	return silence < state.timings.contactMs
+export function observeContact(state: DispatchState, source: keyof Contact, at: Milliseconds, now: Milliseconds): DispatchEffect[] {
+	const before = state.lastContact;
+	if (before === undefined) {
+		state.lastContact = source === 'agents' ? {agents: at, callers: at} : undefined;
+		return [];
+	}
+
+	state.lastContact = {...before, [source]: Math.max(before[source], at)};
+	const silenceMs = Math.round(at - (source === 'agents' ? before.agents : Math.max(before.agents, before.callers)));
+	return silenceMs < state.timings.contactMs
 		? []
-		: [{type: 'log', event: 'contact-regained', details: {silenceMs: Math.round(silence), openJobs: state.openJobs.size}}, ...endIsolatedJobs(state, silence, now)];
+		: [{type: 'log', event: 'contact-regained', details: {source, silenceMs, openJobs: state.openJobs.size}}, ...endIsolatedJobs(state, before, now)];
 }
 
 /**
- * Gives up the jobs that have been open without any contact for the contact time.
+ * Gives up the jobs whose callers may have left in a silence that lasts.
  *
  * @param state - State of the jobs.
  * @param now - Current time.
  * @returns The answers of the jobs.
  */
 export function cancelIsolatedJobs(state: DispatchState, now: Milliseconds): DispatchEffect[] {
-	const silence = now - (state.lastContactAt ?? now);
-	return silence < state.timings.contactMs ? [] : endIsolatedJobs(state, silence, now);
+	const {lastContact, timings} = state;
+	return lastContact === undefined || now - lastContact.agents < timings.contactMs ? [] : endIsolatedJobs(state, lastContact, now);
 }
--- a/src/core/dispatch/state.ts
+++ b/src/core/dispatch/state.ts
@@ -7,7 +7,7 @@
 import type {FleetState} from '../fleet/state.ts';
 import type {NodeName} from '../identity/types.ts';
 import {createOpenedSessions, type OpenedSessions} from '../sessions/state.ts';
-import type {Job, TaskState} from './types.ts';
+import type {Contact, Job, TaskState} from './types.ts';
 
 /** Regression of a route's measured run times on the callers' estimates, over natural logarithms of ms. */
 export type RunTimeModel = {
@@ -52,8 +52,8 @@
 	readonly runTimeModels: Map<string, RunTimeModel>;
 	/** Until when disconnected agents are expected to connect again. */
 	expectAgentsUntil: Milliseconds;
-	/** When an agent or a caller was last heard; undefined before the first. */
-	lastContactAt: Milliseconds | undefined;
+	/** Undefined before the first agent was heard. */
+	lastContact: Contact | undefined;
 	/** When this entry gives up its open jobs, as it shuts down; infinite before. */
 	endsAt: Milliseconds;
 	/** When answers were last dropped that are not kept any longer. */
@@ -83,7 +83,7 @@
 		labelsNeededAt: new Map(),
 		runTimeModels: new Map(),
 		expectAgentsUntil: 0,
-		lastContactAt: undefined,
+		lastContact: undefined,
 		endsAt: Number.POSITIVE_INFINITY,
 		prunedAt: 0,
 	};
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -130,6 +130,12 @@
 	answeredAt: Milliseconds;
 };
 
+/** When agents and callers were last heard. */
+export type Contact = {
+	readonly agents: Milliseconds;
+	readonly callers: Milliseconds;
+};
+
 /** An action that the entry's process has to carry out. */
 export type DispatchEffect =
 	| {readonly type: 'offer'; readonly agent: NodeName; readonly tasks: readonly TaskOffer[]}
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -168,7 +168,7 @@
 			},
 			onMessage: (from, message) => {
 				if (from.role === 'agent') {
-					this.#applyEffects(observeContact(this.state, this.#now(), this.#now()));
+					this.#applyEffects(observeContact(this.state, 'agents', this.#now(), this.#now()));
 				}
 
 				if (!isOfOpenedSession(this.state.sessions, from.name, message)) {
@@ -218,7 +218,7 @@
 	 */
 	async submitJob(request: JobRequest, signal: AbortSignal): Promise<JobAnswer> {
 		const now = this.#now();
-		this.#applyEffects(observeContact(this.state, now, now));
+		this.#applyEffects(observeContact(this.state, 'callers', now, now));
 		const {job, effects} = submitJob(this.state, request, now);
 		return new Promise(resolve => {
 			addToGroup(this.#waiters, job, resolve);
@@ -298,7 +298,7 @@
 			const heardAt = this.#links.getLastContact(agent.name);
 			recordContact(this.state.fleet, agent.name, heardAt ?? 0);
 			if (heardAt !== undefined) {
-				this.#applyEffects(observeContact(this.state, heardAt, now));
+				this.#applyEffects(observeContact(this.state, 'agents', heardAt, now));
 			}
 		}
 
@@ -348,7 +348,7 @@
 	#handleConnect(peer: ConnectedPeer): void {
 		this.#updatePeerCounts();
 		if (peer.role === 'agent') {
-			this.#applyEffects(observeContact(this.state, this.#now(), this.#now()));
+			this.#applyEffects(observeContact(this.state, 'agents', this.#now(), this.#now()));
 			addAgent(this.state.fleet, peer, peer.dataCentre);
 			this.#startSession(peer);
 			return;
