Emulator tells untrue answers and which jobs have none

Cause: the report said only how many jobs had no answer, and nothing compared answers with the runs of the workers. Change: answer-checks.ts records submissions, starts and ends of runs; `not-run` is untrue if a run of the job started since its last submission or starts afterwards, `completed` if a task is not done. The report gains `untrueAnswers` and `unansweredJobs`; existing fields and features are as before. No decision changes.

--- a/bench/emulator/callers.ts
+++ b/bench/emulator/callers.ts
@@ -4,6 +4,7 @@
 import type {JobAnswer} from '../../src/core/dispatch/types.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
 import type {Random} from '../../src/ports/random.ts';
+import {AnswerChecks} from './answer-checks.ts';
 import {bounds, chooseItem, type FleetContext} from './context.ts';
 import type {EmulatedEntry} from './entry.ts';
 import {
@@ -23,6 +24,7 @@
 	readonly answers: Record<string, number> = {};
 	readonly kinds: Record<string, KindReport> = {};
 	submittedCount = 0;
+	readonly checks: AnswerChecks;
 	readonly #jobs = new Map<string, CallerJob>();
 	/** Jobs without an answer, each with the entry that it was last submitted to; undefined between submissions. */
 	readonly #pendingJobs = new Map<string, EmulatedEntry | undefined>();
@@ -35,14 +37,15 @@
 	 * @param loadRandom - Random source of the load alone, so that it stays the same when the dispatch logic changes.
 	 */
 	constructor(private readonly context: FleetContext, private readonly entries: readonly EmulatedEntry[], private readonly loadRandom: Random) {
+		this.checks = new AnswerChecks(context.events);
 		for (const {name} of context.scenario.kinds) {
 			this.kinds[name] = createKindReport();
 		}
 	}
 
-	/** Counts the jobs without an answer. */
-	countPending(): number {
-		return this.#pendingJobs.size;
+	/** Lists the jobs without an answer, also those between two submissions. */
+	listUnanswered(): readonly string[] {
+		return [...this.#pendingJobs.keys()];
 	}
 
 	/** Returns the job of a task. */
@@ -118,6 +121,7 @@
 
 		this.#pendingJobs.delete(id);
 		const job = this.#jobs.get(id)!;
+		this.checks.checkAnswer(id, answer, job.nominalRunMs.length);
 		countAnswer(this.kinds[job.kind.name], job, answer, this.context.events.getTime());
 	}
 
@@ -138,6 +142,7 @@
 
 		const entry = this.#drawEntry(running);
 		this.#pendingJobs.set(id, entry);
+		this.checks.recordSubmission(id);
 		this.#awaitAnswer(id, entry);
 		this.context.trace.recordJob(id, () => `the caller submits to ${entry.process.name}`);
 		entry.process.handleArrival(() => {
--- a/bench/emulator/fleet.ts
+++ b/bench/emulator/fleet.ts
@@ -24,7 +24,7 @@
 const loadSeedOffset = 1_000_003;
 
 /** Time before the traffic in which the processes connect, in ms. */
-const warmUpMs = 3000;
+export const warmUpMs = 3000;
 
 /** Time after the traffic in which the remaining jobs end, in ms. */
 const settleMs = 30_000;
@@ -105,7 +105,9 @@
 			submitted: this.#callers.submittedCount,
 			violations: this.#violations,
 			trace: this.#context.trace.lines,
-			unanswered: this.#callers.countPending(),
+			untrueAnswers: this.#callers.checks.violations,
+			unanswered: this.#callers.listUnanswered().length,
+			unansweredJobs: this.#callers.listUnanswered(),
 			utilization: processorTime / capacity,
 			messages: this.#messages,
 			mostStreams: Math.max(...this.#entries.map(({state}) => state.fleet.agents.size)),
@@ -171,9 +173,14 @@
 			events: this.#events,
 			onStart: run => {
 				this.#checkSingleRun(run);
+				this.#callers.checks.recordStart(run.task, run.run, `w${name.slice(1)}`);
 				this.#crashLater(name, run);
 			},
 			onEnd: ({task, run}, end) => {
+				if (end === 'done') {
+					this.#callers.checks.recordDone(task);
+				}
+
 				this.#context.trace.recordTask([task], () => `run ${run} at w${name.slice(1)} ends: ${end}`);
 			},
 			onViolation: text => {
--- a/bench/emulator/types.ts
+++ b/bench/emulator/types.ts
@@ -185,8 +185,11 @@
 	readonly violations: readonly string[];
 	/** Events of the traced task, one line each. */
 	readonly trace: readonly string[];
-	/** Jobs without an answer at the end. */
+	/** Answers that are not true, one message each: `not-run` for a job that ran, `completed` for one with open tasks. */
+	readonly untrueAnswers: readonly string[];
+	/** Number and ids of the jobs without an answer at the end. */
 	readonly unanswered: number;
+	readonly unansweredJobs: readonly string[];
 	/** Messages from entries to agents and back, by type. */
 	readonly messages: Readonly<Record<string, number>>;
 	/** Number of streams of the entry with the most, at the end. */
