--- a/bench/explore/drawing.ts
+++ b/bench/explore/drawing.ts
@@ -53,9 +53,9 @@
 	}));
 }
 
-function drawSubsets(random: Random): SubsetOptions | undefined {
+function drawSubsets(random: Random): {readonly subsets?: SubsetOptions} {
 	const subsets = {agentsPerEntry: drawInteger(random, bounds.agentsPerEntry), minOwners: 1 + random.getInteger(2), neighbours: 1 + random.getInteger(2)};
-	return random.getFloat() < 0.5 ? subsets : undefined;
+	return random.getFloat() < 0.5 ? {subsets} : {};
 }
 
 /** Draws a kind of job that takes a share of the capacity, which is in thousandths of a core. */
@@ -102,7 +102,7 @@
 		scenario: {
 			deadlineMs: drawInteger(random, bounds.deadlineMs),
 			entries: drawInteger(random, bounds.entries),
-			subsets: drawSubsets(random),
+			...drawSubsets(random),
 			workers,
 			kinds: drawKinds(random, speed * drawFloat(random, bounds.utilization)),
 			bursts: [],
--- /dev/null
+++ b/features/explore/options.steps.ts
@@ -0,0 +1,47 @@
+/**
+ * Steps for the options of the exploration.
+ */
+import assert from 'node:assert/strict';
+import {spawnSync, type SpawnSyncReturns} from 'node:child_process';
+import process from 'node:process';
+import {Then, When} from '@cucumber/cucumber';
+import type {Result} from 'ts-results-es';
+import {parseOptions, type ExploreOptions, type OptionsError} from '../../bench/explore/options.ts';
+import type {FaultName} from '../../bench/explore/types.ts';
+
+type OptionsWorld = {
+	options: Result<ExploreOptions, OptionsError>;
+	ended: SpawnSyncReturns<string>;
+};
+
+When('the options {string} are parsed', function (this: OptionsWorld, options: string) {
+	this.options = parseOptions(options.split(' ').filter(word => word !== ''));
+});
+
+When('the command is run with {string}', {timeout: 60_000}, function (this: OptionsWorld, options: string) {
+	this.ended = spawnSync(process.execPath, ['--import', 'tsx', 'bench/explore.ts', ...options.split(' ')], {encoding: 'utf8'});
+});
+
+Then('the options are {float} minutes, seed {int}, faults {string} and {int} jobs', function (this: OptionsWorld, minutes: number, seed: number, faults: string, jobs: number) {
+	assert.deepEqual(this.options.unwrap(), {
+		minutes, seed, faults: faults.split(','), jobs, replay: undefined,
+	});
+});
+
+Then('the fault {string} is not among the options', function (this: OptionsWorld, name: FaultName) {
+	assert.ok(!this.options.unwrap().faults.includes(name));
+});
+
+Then('the fault {string} is among the options', function (this: OptionsWorld, name: FaultName) {
+	assert.ok(this.options.unwrap().faults.includes(name));
+});
+
+Then('they are refused with a message that contains {string} and {string}', function (this: OptionsWorld, option: string, value: string) {
+	const {message} = this.options.unwrapErr();
+	assert.ok(message.includes(`--${option}`) && message.includes(value), message);
+});
+
+Then('it ends with exit code {int} and the message {string}', function (this: OptionsWorld, code: number, message: string) {
+	assert.equal(this.ended.status, code);
+	assert.ok(this.ended.stderr.includes(message), this.ended.stderr);
+});
