Go on with plays while failures are shrunk

Change: failures wait for their turn; two that share a kind and a fault are shrunk one after the other, and dropped if the first one shows their cause.

--- a/bench/explore/search.ts
+++ b/bench/explore/search.ts
@@ -38,6 +38,12 @@
 /** Result of a search. */
 export type SearchResult = SearchTotals & {readonly pairs: PairCounts};
 
+/** Returns whether two failures may have the same cause. */
+function isSimilar(left: Failure, right: Failure): boolean {
+	const faults = listEnabledFaults(right.play.scenario.faults);
+	return left.breach.kind === right.breach.kind && listEnabledFaults(left.play.scenario.faults).some(name => faults.includes(name));
+}
+
 /** A search in progress. */
 class FaultSearch {
 	readonly pairs: PairCounts;
@@ -46,6 +52,8 @@
 	#nextSeed: number;
 	/** Shrunk failures, one per kind and set of faults. */
 	readonly #causes: Failure[] = [];
+	readonly #waiting: Failure[] = [];
+	readonly #shrinking = new Map<Failure, Promise<void>>();
 
 	constructor(private readonly pool: PlayPool, private readonly input: SearchInput, private readonly observer: SearchObserver) {
 		this.#nextSeed = input.seed;
@@ -66,11 +74,20 @@
 			this.pairs.recordPlay(listEnabledFaults(play.scenario.faults), failure !== undefined);
 			this.observer.onPlay(this.totals);
 			if (failure !== undefined) {
-				await this.#handleFailure(failure);
+				this.observer.onFailure(failure);
+				this.#waiting.push(failure);
+				this.#startShrinking();
 			}
 		}
 	}
 
+	/** Waits until all failures are shrunk. */
+	async waitForShrinking(): Promise<void> {
+		while (this.#shrinking.size > 0) {
+			await Promise.all(this.#shrinking.values());
+		}
+	}
+
 	async #runPlay(play: Play): Promise<Failure | undefined> {
 		try {
 			const {failure} = await this.pool.submitRequest({type: 'play', play});
@@ -85,18 +102,30 @@
 		}
 	}
 
-	/** Shrinks a failure, unless the faults of a known cause of the same kind are among its own. */
-	async #handleFailure(failure: Failure): Promise<void> {
-		this.observer.onFailure(failure);
-		if (this.#hasCause(failure)) {
-			return;
+	/** Shrinks the failures that wait, but not two at once that may have the same cause, nor those with a known cause. */
+	#startShrinking(): void {
+		for (const failure of this.#waiting.splice(0)) {
+			if (this.#hasCause(failure)) {
+				continue;
+			}
+
+			if ([...this.#shrinking.keys()].some(other => isSimilar(other, failure))) {
+				this.#waiting.push(failure);
+			} else {
+				this.#shrinking.set(failure, this.#addCause(failure));
+			}
 		}
+	}
 
+	async #addCause(failure: Failure): Promise<void> {
 		const {failure: smallest, trace} = await this.#shrink(failure);
 		if (!this.#hasCause(smallest)) {
 			this.#causes.push(smallest);
 			this.observer.onCause(smallest, trace);
 		}
+
+		this.#shrinking.delete(failure);
+		this.#startShrinking();
 	}
 
 	async #shrink(failure: Failure): Promise<{failure: Failure; trace: readonly string[]}> {
@@ -125,5 +154,6 @@
 export async function runSearch(pool: PlayPool, input: SearchInput, observer: SearchObserver): Promise<SearchResult> {
 	const search = new FaultSearch(pool, input, observer);
 	await Promise.all(Array.from({length: input.jobs}, async () => search.runPlays()));
+	await search.waitForShrinking();
 	return {...search.totals, pairs: search.pairs};
 }
