--- a/bench/emulator/answer-checks.ts
+++ b/bench/emulator/answer-checks.ts
@@ -4,6 +4,7 @@
 import type {JobAnswer} from '../../src/core/dispatch/types.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
 import type {EventQueue} from '../event-queue.ts';
+import type {TaskTrace} from './trace.ts';
 
 /** What the workers did for one job. */
 type JobRecord = {
@@ -22,8 +23,11 @@
 	readonly violations: string[] = [];
 	readonly #records = new Map<string, JobRecord>();
 
-	/** @param events - Simulated time. */
-	constructor(private readonly events: EventQueue) {}
+	/**
+	 * @param events - Simulated time.
+	 * @param trace - Trace that each untrue answer is recorded in.
+	 */
+	constructor(private readonly events: EventQueue, private readonly trace: TaskTrace) {}
 
 	/** Records a submission of a job, the first or a later one. */
 	recordSubmission(id: string): void {
@@ -74,5 +78,6 @@
 
 	#recordViolation(text: string): void {
 		this.violations.push(`${this.events.getTime().toFixed(0)}: ${text}`);
+		this.trace.record(`violation: ${text}`);
 	}
 }
--- a/bench/emulator/callers.ts
+++ b/bench/emulator/callers.ts
@@ -37,7 +37,7 @@
 	 * @param loadRandom - Random source of the load alone, so that it stays the same when the dispatch logic changes.
 	 */
 	constructor(private readonly context: FleetContext, private readonly entries: readonly EmulatedEntry[], private readonly loadRandom: Random) {
-		this.checks = new AnswerChecks(context.events);
+		this.checks = new AnswerChecks(context.events, context.trace);
 		for (const {name} of context.scenario.kinds) {
 			this.kinds[name] = createKindReport();
 		}
--- a/bench/explore/replays.ts
+++ b/bench/explore/replays.ts
@@ -79,10 +79,10 @@
 	return Object.fromEntries(Object.entries(all).filter(([name, value]) => value !== noFaults[name as keyof RandomFaults]));
 }
 
-/** Cuts a trace after the violation, and its beginning if it is long. */
+/** Selects the lines of a trace up to the first violation. */
 function selectTrace(trace: readonly string[]): readonly string[] {
 	const end = trace.findIndex(line => line.includes(': violation: '));
-	return (end === -1 ? trace : trace.slice(0, end + 1)).slice(-maxTraceLines);
+	return end === -1 ? trace : trace.slice(0, end + 1);
 }
 
 /**
@@ -94,7 +94,7 @@
  */
 export function encodeReplay({play: {seed, milliseconds, scenario: played}, breach: {text, task}}: Failure, trace: readonly string[]): string {
 	const content = {
-		cause: '', violation: text, task, seed, milliseconds, scenario: {...played, faults: selectFaults(played.faults)}, trace: selectTrace(trace),
+		cause: '', violation: text, task, seed, milliseconds, scenario: {...played, faults: selectFaults(played.faults)}, trace: selectTrace(trace).slice(-maxTraceLines),
 	};
 	return `${JSON.stringify(content, undefined, '\t')}\n`;
 }
@@ -157,9 +157,10 @@
  * Plays a replay file again.
  *
  * @param replay - The play and its task.
- * @returns The violation, if any, and the trace of its task, or else of the task of the file.
+ * @returns The violation, if any, and the trace of its task up to there, or else of the task of the file.
  */
 export function runReplay({play, task}: Replay): {readonly breach: Breach | undefined; readonly trace: readonly string[]} {
 	const {breach} = runPlay(play);
-	return {breach, trace: runPlay(play, breach?.task ?? task ?? '').trace};
+	const {trace} = runPlay(play, breach?.task ?? task ?? '');
+	return {breach, trace: selectTrace(trace)};
 }
--- a/features/explore/options.feature
+++ b/features/explore/options.feature
@@ -29,6 +29,18 @@
       | --replay=          | replay  |        |
       | --lives 9          | lives   |        |
 
+  Scenario: The command plays in other processes and prints lines
+    When the command is run with "--minutes 0.01 --jobs 2 --seed 23 --faults stalls,cancels"
+    Then it ends with exit code 0
+    And it prints a line of type "result" with at least 1 plays and 0 failures
+    And it prints 3 lines of type "pair"
+
+  Scenario: The command plays a replay file
+    When the command is run with "--replay features/regressions/cases/messages-of-ended-sessions.json"
+    Then it ends with exit code 0
+    And it prints "no violation"
+
   Scenario: The command refuses an option with exit code 2
     When the command is run with "--jobs 0"
-    Then it ends with exit code 2 and the message 'explore: option --jobs: "0" is not'
+    Then it ends with exit code 2
+    And it complains with 'explore: option --jobs: "0" is not'
--- a/features/explore/options.steps.ts
+++ b/features/explore/options.steps.ts
@@ -41,7 +41,30 @@
 	assert.ok(message.includes(`--${option}`) && message.includes(value), message);
 });
 
-Then('it ends with exit code {int} and the message {string}', function (this: OptionsWorld, code: number, message: string) {
-	assert.equal(this.ended.status, code);
+Then('it ends with exit code {int}', function (this: OptionsWorld, code: number) {
+	assert.equal(this.ended.status, code, `${this.ended.stdout}${this.ended.stderr}`);
+});
+
+Then('it complains with {string}', function (this: OptionsWorld, message: string) {
 	assert.ok(this.ended.stderr.includes(message), this.ended.stderr);
 });
+
+Then('it prints {string}', function (this: OptionsWorld, text: string) {
+	assert.ok(this.ended.stdout.includes(text), this.ended.stdout);
+});
+
+/** Selects the printed lines of a type. */
+function selectLines({ended: {stdout}}: OptionsWorld, type: string): ReadonlyArray<Readonly<Record<string, unknown>>> {
+	const lines = stdout.trimEnd().split('\n').map(line => JSON.parse(line) as Readonly<Record<string, unknown>>);
+	return lines.filter(line => line.type === type);
+}
+
+Then('it prints a line of type {string} with at least {int} plays and {int} failures', function (this: OptionsWorld, type: string, plays: number, failures: number) {
+	const [line] = selectLines(this, type);
+	assert.ok(Number(line.plays) >= plays, JSON.stringify(line));
+	assert.equal(line.failures, failures);
+});
+
+Then('it prints {int} lines of type {string}', function (this: OptionsWorld, count: number, type: string) {
+	assert.equal(selectLines(this, type).length, count);
+});
