Wait for the end of the processes that run plays

Cause: what owns a process implements Symbol.asyncDispose; the pool killed its processes without waiting for them. Change: the pool is disposed of by `await using`.

--- a/bench/explore.ts
+++ b/bench/explore.ts
@@ -41,7 +41,7 @@
 	}, process.stdout.isTTY);
 	const startedAt = performance.now();
 	const getElapsed = (): number => performance.now() - startedAt;
-	using pool = new PlayPool(jobs);
+	await using pool = new PlayPool(jobs);
 	const canContinue = (): boolean => getElapsed() < minutes * msPerMinute;
 	const result = await runSearch(pool, {
 		seed, faults, jobs, canContinue,
--- a/bench/explore/pool.ts
+++ b/bench/explore/pool.ts
@@ -38,7 +38,7 @@
 }
 
 /** A pool of processes; disposing of it ends them. */
-export class PlayPool implements Disposable {
+export class PlayPool implements AsyncDisposable {
 	readonly #queue: PQueue;
 	readonly #players = new Set<ChildProcess>();
 	readonly #idlePlayers: ChildProcess[] = [];
@@ -62,17 +62,15 @@
 				this.#idlePlayers.push(player);
 				return response;
 			} catch (error) {
-				this.#endPlayer(player);
+				await this.#endPlayer(player);
 				throw error;
 			}
 		});
 	}
 
-	/** Ends the processes. */
-	[Symbol.dispose](): void {
-		for (const player of this.#players) {
-			this.#endPlayer(player);
-		}
+	/** Ends the processes, and waits for that. */
+	async [Symbol.asyncDispose](): Promise<void> {
+		await Promise.all(Array.from(this.#players, async player => this.#endPlayer(player)));
 	}
 
 	#startPlayer(): ChildProcess {
@@ -81,8 +79,12 @@
 		return player;
 	}
 
-	#endPlayer(player: ChildProcess): void {
+	async #endPlayer(player: ChildProcess): Promise<void> {
 		this.#players.delete(player);
-		player.kill('SIGKILL');
+		if (player.exitCode === null && player.signalCode === null) {
+			const exit = once(player, 'exit');
+			player.kill('SIGKILL');
+			await exit;
+		}
 	}
 }
