--- a/features/dispatch/random-run.steps.ts
+++ b/features/dispatch/random-run.steps.ts
@@ -60,7 +60,9 @@
 	'late departures of earlier workers': {...none, workerCrashMs: 3000, lateDepartures: 0.5},
 	'pauses beside late orders': {...none, agentPauseMs: 3000, lateOrders: 0.05},
 	'entries that are cut off': {...none, entryCutMs: 3000},
-	'suspended agents beside restarts of workers': {...none, agentSuspensionMs: 2000, workerRestartMs: 1500, darkCrashes: 0.6},
+	'suspended agents beside restarts of workers': {
+		...none, agentSuspensionMs: 2000, workerRestartMs: 1500, darkCrashes: 0.6,
+	},
 	'suspended agents beside cut entries': {...none, agentSuspensionMs: 2500, entryCutMs: 3000},
 	'entries that are cut off for less than a second': {...none, shortEntryCutMs: 1000},
 	'workers that refuse connections while they live': {...none, workerRefusalMs: 4000},
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -101,27 +101,39 @@
 	return [];
 }
 
-function applyRunState(state: RunsState, percents: ReadonlyMap<string, number>, record: RunRecord, requestedAt: Milliseconds, now: Milliseconds): RunsEffect[] {
-	const percent = percents.get(getRunKey(record.offer.task, record.run));
-	if (percent !== undefined) {
-		// Its stop was acknowledged by a process that did not have it.
-		if (record.stoppedAt !== undefined && requestedAt > record.stoppedAt + state.options.timings.stopMs) {
-			record.stoppedAt = undefined;
-		}
+/** Applies that the worker has a run. */
+function applyListedRun(state: RunsState, record: RunRecord, requestedAt: Milliseconds, now: Milliseconds): RunsEffect[] {
+	// Its stop was acknowledged by a process that did not have it.
+	if (record.stoppedAt !== undefined && requestedAt > record.stoppedAt + state.options.timings.stopMs) {
+		record.stoppedAt = undefined;
+	}
 
-		record.confirmedAt ??= now;
-		record.presumedLoss = undefined;
-		if (record.phase === 'checking') {
-			record.phase = 'running';
-		}
+	record.confirmedAt ??= now;
+	record.presumedLoss = undefined;
+	if (record.phase === 'checking') {
+		record.phase = 'running';
+	}
 
-		if (record.phase === 'running') {
-			return checkProgress(state, record, now);
-		}
+	if (record.phase === 'running') {
+		return checkProgress(state, record, now);
+	}
 
-		return record.phase === 'stopping' ? retryStop(state, record, now) : [];
+	return record.phase === 'stopping' ? retryStop(state, record, now) : [];
+}
+
+/** Ends a run that the worker does not have after the acknowledgement of its stop, or starts its task again. */
+function settleStoppedRun(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
+	if (record.presumedLoss !== undefined) {
+		return [endLostRun(state, record, now)];
 	}
 
+	return record.stopReason === 'unanswered' && canAcceptTask(state, now)
+		? retryWithNextRun(state, record, now)
+		: [endRecord(state, record, 'not-started', now)];
+}
+
+/** Applies that the worker lists a run neither as running nor as ended. */
+function applyMissingRun(state: RunsState, record: RunRecord, requestedAt: Milliseconds, now: Milliseconds): RunsEffect[] {
 	// A late start of an earlier run may have reached a worker process that did not know of the present one.
 	if (hasOrphanOf(state, record.offer.task)) {
 		return [];
@@ -131,22 +143,17 @@
 		return [endLostRun(state, record, now)];
 	}
 
-	if (record.phase === 'checking' && requestedAt > record.orderedAt + state.options.timings.orderMs) {
+	const {orderMs, leaseMs} = state.options.timings;
+	if (record.phase === 'checking' && requestedAt > record.orderedAt + orderMs) {
 		return stopRecord(state, record, 'unanswered', now);
 	}
 
 	if (record.phase === 'stopping' && record.stoppedAt !== undefined && requestedAt > record.stoppedAt) {
-		if (record.presumedLoss !== undefined) {
-			return [endLostRun(state, record, now)];
-		}
-
-		return record.stopReason === 'unanswered' && canAcceptTask(state, now)
-			? retryWithNextRun(state, record, now)
-			: [endRecord(state, record, 'not-started', now)];
+		return settleStoppedRun(state, record, now);
 	}
 
-	// Neither running nor listed as ended, although its start was acknowledged before this snapshot.
-	return record.phase === 'running' && requestedAt > record.progressAt && requestedAt > record.orderedAt + state.options.timings.leaseMs
+	// Its start was acknowledged before this snapshot.
+	return record.phase === 'running' && requestedAt > record.progressAt && requestedAt > record.orderedAt + leaseMs
 		? [endRecord(state, record, 'lost', now)]
 		: [];
 }
@@ -259,7 +266,8 @@
 		}
 
 		for (const record of ordered) {
-			effects.push(...applyRunState(state, percents, record, requestedAt, now));
+			const apply = percents.has(getRunKey(record.offer.task, record.run)) ? applyListedRun : applyMissingRun;
+			effects.push(...apply(state, record, requestedAt, now));
 		}
 	}
 
