Notice a suspension before every input of an agent

Cause: an agent compared its clock with the time of day at messages of entries and at ticks only. After a suspension the answers of the worker in its buffer were handled first, and started waiting tasks without a question; a worker that had restarted meanwhile accepts such a start. And a start that waits in the order queue was sent although it had to be confirmed since. Change: the clocks are compared before each answer of the worker, heartbeat, departure and order too.

--- a/bench/emulator/agent.ts
+++ b/bench/emulator/agent.ts
@@ -105,7 +105,6 @@
 			this.links.checkContacts();
 		});
 		this.process.startInterval(tickMs, () => {
-			this.#checkTime();
 			this.#recordContacts();
 			this.#applyEffects(advanceRuns(this.state, this.#now()));
 			if (isExtraRenewalDue(this.state, this.#now())) {
@@ -138,6 +137,7 @@
 
 	/** Applies a heartbeat of the worker. */
 	handleAnnouncement(announcement: WorkerAnnouncement): void {
+		this.#checkTime();
 		const previous = this.state.worker.announcement;
 		this.#applyEffects(handleAnnouncement(this.state, announcement, this.#now()));
 		this.#storedWorker = findWorkerToStore(previous, this.state) ?? this.#storedWorker;
@@ -177,8 +177,9 @@
 		this.#applyEffects(observeTimeOfDay(this.state, this.context.events.getTime(), this.#now()));
 	}
 
-	/** Updates when each entry was last heard, before decisions that depend on it. */
+	/** Notices a suspension and updates when each entry was last heard, before decisions that depend on it. */
 	#recordContacts(): void {
+		this.#checkTime();
 		for (const name of this.links.connected.keys()) {
 			recordOwnerContact(this.state, name, this.links.getLastContact(name));
 		}
--- a/bench/emulator/control.ts
+++ b/bench/emulator/control.ts
@@ -90,6 +90,7 @@
 			const applyAnswer = (answer: StartAnswer, workerTime?: Milliseconds): void => {
 				this.#trace(ref, `start of run ${ref.run} at the worker of ${this.input.process.name} is answered: ${answer}`);
 				onSettled();
+				this.input.recordContacts();
 				this.input.applyEffects(observeWorkerTime(state, workerTime, now, this.#now()));
 				this.input.applyEffects(applyStartAnswer(state, {...ref, fencingToken}, answer, this.#now()));
 				this.#watchUnreliableWorker();
@@ -129,6 +130,7 @@
 			const applyAnswer = (answer: StopAnswer): void => {
 				this.#trace(ref, `stop of run ${ref.run} at the worker of ${this.input.process.name} is answered: ${answer}`);
 				onSettled();
+				this.input.recordContacts();
 				this.input.applyEffects(applyStopAnswer(state, {...ref, fencingToken}, answer, this.#now()));
 			};
 
--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -327,6 +327,13 @@
     Then the worker is ordered to start "a" 0 times
     And entry "e1" is now asked about "a"
 
+  # Guards against a start that waits for its turn behind others while the agent is suspended.
+  Scenario: A start that waits for its turn is not sent if the agent was suspended meanwhile
+    When entry "e1" offers direct tasks "a" of 4000
+    And the time of day has counted 900 ms that the agent has not
+    And 10 ms pass and a snapshot shows no runs
+    Then the waiting start of "a" is not sent
+
   # Guards against giving work back when the time of day is set back.
   Scenario: A time of day that is set back changes nothing
     When the time of day has counted -2000 ms that the agent has not
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -177,7 +177,6 @@
 		});
 		this.#timers = [
 			clock.startInterval(tickMs, () => {
-				this.#checkTime();
 				this.#recordContacts();
 				this.#applyEffects(advanceRuns(this.state, this.#now()));
 				if (isExtraRenewalDue(this.state, this.#now())) {
@@ -198,6 +197,7 @@
 
 	/** Applies a heartbeat of the worker. */
 	handleAnnouncement(announcement: WorkerAnnouncement): void {
+		this.#checkTime();
 		const previous = this.state.worker.announcement;
 		this.#applyEffects(handleAnnouncement(this.state, announcement, this.#now()));
 		this.#storeWorker(previous);
@@ -205,6 +205,7 @@
 
 	/** Applies the announcement that the worker shuts down. */
 	handleDeparture(id: string): void {
+		this.#checkTime();
 		this.#applyEffects(handleDeparture(this.state, id, this.#now()));
 	}
 
@@ -266,13 +267,14 @@
 		return this.input.clock.getTime();
 	}
 
-	/** Notices a suspension of the machine before decisions that depend on how old a message is. */
+	/** Notices a suspension of the machine before decisions that depend on how old an input is. */
 	#checkTime(): void {
 		this.#applyEffects(observeTimeOfDay(this.state, this.input.readTimeOfDay(), this.#now()));
 	}
 
-	/** Updates when each entry was last heard, before decisions that depend on it. */
+	/** Notices a suspension and updates when each entry was last heard, before decisions that depend on it. */
 	#recordContacts(): void {
+		this.#checkTime();
 		for (const {name} of this.#links.listConnected()) {
 			recordOwnerContact(this.state, name, this.#links.getLastContact(name) ?? 0);
 		}
@@ -370,6 +372,7 @@
 				}
 				: undefined;
 		});
+		this.#checkTime();
 		this.#applyEffects(observeWorkerTime(this.state, workerTime, sentAt, this.#now()));
 		this.#applyEffects(applyStartAnswer(this.state, {...ref, fencingToken}, answer, this.#now()));
 		void this.#watchUnreliableWorker();
@@ -393,6 +396,7 @@
 	async #stopTask({ref, fencingToken}: Extract<RunsEffect, {type: 'stop'}>): Promise<void> {
 		const order = {...ref, fencingToken};
 		const answer = await this.#orders.stopTask(order);
+		this.#checkTime();
 		this.#applyEffects(applyStopAnswer(this.state, order, answer, this.#now()));
 	}
 
