--- a/src/core/dispatch/contact.ts
+++ b/src/core/dispatch/contact.ts
@@ -10,7 +10,7 @@
 /** Retry time, in ms, of a job that was given up or refused for want of contact. */
 const isolationRetryMs = 1000;
 
-/** Ends the jobs that have been open for the contact time and were received before the silence, as far as callers go on to be heard. */
+/** Ends the jobs that have been open for the contact time; while callers are heard, only those from before the last agent was. */
 function endIsolatedJobs(state: DispatchState, {agents, callers}: Contact, now: Milliseconds): DispatchEffect[] {
 	const {openJobs, timings} = state;
 	const isSilent = now - Math.max(agents, callers) >= timings.contactMs;
--- a/src/core/runs/losses.ts
+++ b/src/core/runs/losses.ts
@@ -24,7 +24,10 @@
 	return bornAt !== undefined && snapshot.bornAt !== undefined && snapshot.bornAt !== bornAt && requestedAt < identifiedAt;
 }
 
-/** Returns whether the lapse of the leases shows that no run of a record can be left: it does not end a start that may be carried out later, unless its connection was closed by the worker's machine. */
+/**
+ * Returns whether the lapse of the leases shows that no run of a record can be left: it does not end a start that may be
+ * carried out later, unless its connection was closed by the worker's machine.
+ */
 function isLapsed({worker}: RunsState, record: RunRecord): boolean {
 	return worker.refusal !== undefined || record.confirmedAt !== undefined || !isStartOrdered(record);
 }
--- a/src/core/runs/missed-time.ts
+++ b/src/core/runs/missed-time.ts
@@ -14,8 +14,8 @@
 
 /**
  * Records that this process has missed some time, as it was suspended: what its entries have sent may be old, though their
- * silence does not show it. Nothing that waits starts before its entry has confirmed it.
- * Tasks whose entry was asked are given back: its answer may be old too.
+ * silence does not show it. Nothing that waits starts before its entry has confirmed it, and tasks whose entry was asked
+ * are given back, as its answer may be old too.
  */
 function recordMissedTime(state: RunsState, now: Milliseconds): RunsEffect[] {
 	for (const owner of state.owners.values()) {
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -102,9 +102,8 @@
  * @param state - State of the agent.
  * @param record - The record.
  * @param now - Current time.
- * @returns Whether it may be sent; false if it was stopped in the meantime, removed with its worker, its entry is silent or
- * has to confirm it, or
- * the capacity has shrunk below what is reserved or is not known any more, or the lease must not be extended.
+ * @returns Whether it may be sent; false if it was stopped in the meantime or removed with its worker, its entry is silent or
+ * has to confirm it, the capacity has shrunk below what is reserved or is not known any more, or the lease must not be extended.
  */
 export function recordStartSent(state: RunsState, record: RunRecord, now: Milliseconds): boolean {
 	const isKnown = state.records.get(getRecordKey(record.owner, record.offer.task)) === record;
