Log both entries when an agent drops a task of one for the other

The lines of an agent could not distinguish two entries that serve one job from an entry that gave its job up: a run was stopped as superseded without either name. `task-superseded` names both, `run-stopped` the owner. No change of logic.

--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -220,7 +220,7 @@
 			type: 'log',
 			event: 'run-stopped',
 			details: {
-				task: record.offer.task, run: record.run, reason, runMs: Math.round(now - record.orderedAt), percent: record.percent,
+				task: record.offer.task, run: record.run, owner: record.owner, reason, runMs: Math.round(now - record.orderedAt), percent: record.percent,
 			},
 		});
 	}
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -49,7 +49,11 @@
 	const effects: RunsEffect[] = [];
 	for (const record of listRecordsOfTask(state, task)) {
 		if (record.owner !== owner) {
-			effects.push(...dropRecord(state, record, 'superseded', now));
+			effects.push({
+				type: 'log', event: 'task-superseded', details: {
+					task, owner: record.owner, by: owner, phase: record.phase, ageMs: Math.round(now - record.queuedAt),
+				},
+			}, ...dropRecord(state, record, 'superseded', now));
 		}
 	}
 
