--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -1,37 +1,58 @@
 /**
  * Runs a soak test: callers submit jobs to separate processes under random faults; prints a JSON report.
  *
- * Run by `npm run soak -- --seed 1 --minutes 5 [--faults kill-agent,freeze-agent] [--binary]`.
+ * Run by `npm run soak -- --seed 1 --minutes 5 [--faults kill-agent,freeze-agent] [--binary]`; with `--platform` on the
+ * processes that run on the platform, `[--entries 4 --agents 16 --rate 25]`, of which the bundles are built if they are out of date.
  */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {buildIfStale} from '../scripts/build-if-stale.mjs';
 import {faults} from './soak/faults.ts';
+import {faults as platformFaults} from './soak/platform/faults.ts';
+import {runPlatformSoak} from './soak/platform/soak.ts';
 import {runSoak} from './soak/soak.ts';
 
 const {values} = parseArgs({
 	options: {
 		seed: {type: 'string', default: '1'},
 		minutes: {type: 'string', default: '1'},
-		entries: {type: 'string', default: '3'},
-		agents: {type: 'string', default: '11'},
+		platform: {type: 'boolean', default: false},
+		entries: {type: 'string'},
+		agents: {type: 'string'},
+		rate: {type: 'string', default: '25'},
 		callers: {type: 'string', default: '16'},
-		faults: {type: 'string', default: Object.keys(faults).join(',')},
-		'fault-interval-ms': {type: 'string', default: '1500'},
+		faults: {type: 'string'},
+		'fault-interval-ms': {type: 'string'},
 		binary: {type: 'boolean', default: false},
 	},
 });
 
 const msPerMinute = 60_000;
 
-const report = await runSoak({
-	seed: Number(values.seed),
-	durationMs: Number(values.minutes) * msPerMinute,
-	entries: Number(values.entries),
-	agents: Number(values.agents),
-	callers: Number(values.callers),
-	faults: values.faults === '' ? [] : values.faults.split(','),
-	faultIntervalMs: Number(values['fault-interval-ms']),
-	useBinary: values.binary,
-});
-process.stdout.write(`${JSON.stringify({seed: values.seed, minutes: values.minutes, ...report}, undefined, '\t')}\n`);
-process.exitCode = report.violations.length === 0 ? 0 : 1;
+/** Options that both kinds of soak tests take, with their defaults. */
+function readShared(entries: number, agents: number, faultIntervalMs: number, names: readonly string[]) {
+	return {
+		seed: Number(values.seed),
+		durationMs: Number(values.minutes) * msPerMinute,
+		entries: Number(values.entries ?? entries),
+		agents: Number(values.agents ?? agents),
+		faults: (values.faults ?? names.join(',')).split(',').filter(name => name !== ''),
+		faultIntervalMs: Number(values['fault-interval-ms'] ?? faultIntervalMs),
+	};
+}
+
+async function runPlatform(): Promise<number> {
+	buildIfStale();
+	const report = await runPlatformSoak({...readShared(4, 16, 500, Object.keys(platformFaults)), rate: Number(values.rate)});
+	process.stdout.write(`${JSON.stringify({seed: values.seed, minutes: values.minutes, ...report}, undefined, '\t')}\n`);
+	return report.findings.length;
+}
+
+async function runProduct(): Promise<number> {
+	const report = await runSoak({...readShared(3, 11, 1500, Object.keys(faults)), callers: Number(values.callers), useBinary: values.binary});
+	process.stdout.write(`${JSON.stringify({seed: values.seed, minutes: values.minutes, ...report}, undefined, '\t')}\n`);
+	return report.violations.length;
+}
+
+const failures = await (values.platform ? runPlatform() : runProduct());
+process.exitCode = failures === 0 ? 0 : 1;
