--- a/bench/emulator/callers.ts
+++ b/bench/emulator/callers.ts
@@ -100,7 +100,7 @@
 			// The caller may have come back to the same entry and joined the job, which then goes on.
 			if (holder.process.incarnation === incarnation && this.#pendingJobs.get(id) !== holder) {
 				holder.process.handleArrival(() => {
-					holder.cancelJob(id);
+					holder.handleCallerLeave(id);
 				});
 			}
 		});
--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -5,27 +5,36 @@
 	createAgentMessage, handleAgentDisconnect, handleGrantRequests, hasTasksAt, startSession,
 } from '../../src/core/dispatch/agents.ts';
 import {
-	advanceDispatch, cancelJob, placeAllWaitingTasks, submitJob, type JobRequest,
+	admitJob, advanceDispatch, cancelJob, handleCallerLeave, placeAllWaitingTasks, submitJob, type JobRequest,
 } from '../../src/core/dispatch/logic.ts';
 import {observeContact} from '../../src/core/dispatch/contact.ts';
+import {
+	chooseEntryRoute, handleEntryMessage, handleOwnedJobs, listJobsForEntry, takeOwnershipNews,
+} from '../../src/core/dispatch/joining.ts';
 import {extendOffers} from '../../src/core/dispatch/placing.ts';
 import {chooseExtraAgents} from '../../src/core/dispatch/reach.ts';
 import {applyReports, handleCrashes} from '../../src/core/dispatch/reports.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
-import type {DispatchEffect, Job, JobAnswer} from '../../src/core/dispatch/types.ts';
+import type {
+	AgentEffect, DispatchEffect, Job, JobAnswer,
+} from '../../src/core/dispatch/types.ts';
 import {addPendingWithdrawals} from '../../src/core/dispatch/withdrawals.ts';
 import {
 	addAgent, applyLoad, createFleetState, removeAgent,
 } from '../../src/core/fleet/state.ts';
+import {observeEntryContact, recordOwnerConnect, recordOwnerLoss} from '../../src/core/ownership/logic.ts';
 import {isOfOpenedSession} from '../../src/core/sessions/logic.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
-import type {DispatchMessage} from '../../src/ports/dispatch-messages.ts';
+import type {DispatchMessage, EntryMessage} from '../../src/ports/dispatch-messages.ts';
 import {
 	bounds, dialIntervalMs, tickMs, timings, type FleetContext,
 } from './context.ts';
 import {EmulatedLinks} from './streams.ts';
 import type {EmulatedProcess} from './process.ts';
 
+/** Time, in ms, that the entry which usually does not open a stream waits for the other one. */
+const secondaryDelayMs = 300;
+
 /** Time for which a stream outside the subset is kept after the last request for it, in ms. */
 const extraStreamMs = 5000;
 
@@ -42,8 +51,12 @@
 	readonly context: FleetContext;
 	/** Agents that it keeps streams to. */
 	readonly subset: ReadonlySet<string>;
+	/** Entries that it keeps streams to. */
+	readonly neighbours: ReadonlySet<string>;
 	/** Lists the streams of every agent. */
 	readonly listAgents: () => readonly EmulatedLinks[];
+	/** Lists the streams of every entry. */
+	readonly listEntries: () => readonly EmulatedLinks[];
 	readonly onAnswer: (entry: EmulatedEntry, job: Job, answer: JobAnswer) => void;
 };
 
@@ -54,6 +67,8 @@
 	#cutUntil = 0;
 	/** Agents outside the subset, with the time until which a stream is kept. */
 	readonly #extraUntil = new Map<string, Milliseconds>();
+	/** Entries with an open stream, with their incarnations. */
+	readonly #entries = new Map<string, number>();
 
 	readonly #messageHandlers: MessageHandlers = {
 		ended: (agent, {reports, load, seen}) => {
@@ -66,6 +81,36 @@
 		},
 		crashes: (agent, {crashes}) => handleCrashes(this.state, agent, crashes, this.#now()),
 		ask: (agent, {tasks}) => handleGrantRequests(this.state, agent, tasks, this.#now()),
+		'jobs-owned': (entry, {lists}) => handleOwnedJobs(this.state, entry, lists, this.#now()),
+		'join-job': (entry, message) => this.#handleEntryMessage(entry, message),
+		'leave-job': (entry, message) => this.#handleEntryMessage(entry, message),
+		'job-state': (entry, message) => this.#handleEntryMessage(entry, message),
+	};
+
+	readonly #effectHandlers: {readonly [Type in DispatchEffect['type']]: (effect: Extract<DispatchEffect, {type: Type}>) => void} = {
+		offer: effect => {
+			this.#sendToAgent(effect);
+		},
+		withdraw: effect => {
+			this.#sendToAgent(effect);
+		},
+		grant: effect => {
+			this.#sendToAgent(effect);
+		},
+		answer: ({job, answer}) => {
+			this.input.context.trace.recordJob(job.id, () => `${this.process.name} answers ${answer.outcome}, ${answer.reason}`);
+			this.input.onAnswer(this, job, answer);
+		},
+		dismiss: ({job, answer}) => {
+			this.input.onAnswer(this, job, answer);
+		},
+		'tell-entry': ({entry, message}) => {
+			this.input.context.trace.recordJob(message.job, () => `${this.process.name} sends ${message.type} to ${entry}`);
+			this.#sendToEntry(message);
+		},
+		log: ({event, details}) => {
+			this.input.context.trace.recordLog(this.process.name, event, details);
+		},
 	};
 
 	/** @param input - Process and surroundings. */
@@ -76,14 +121,25 @@
 				this.#handleConnect(peer);
 			},
 			onDisconnect: peer => {
+				if (this.#isEntry(peer)) {
+					recordOwnerLoss(this.state.ownership, {name: peer, incarnation: this.#entries.get(peer) ?? 0}, this.#now());
+					this.#entries.delete(peer);
+					return;
+				}
+
 				removeAgent(this.state.fleet, peer);
 				this.#applyEffects(handleAgentDisconnect(this.state, peer, this.#now()));
 			},
 			onStreamsChange: peer => {
-				this.#startSession(peer);
+				if (!this.#isEntry(peer)) {
+					this.#startSession(peer);
+				}
 			},
 			onMessage: (peer, message) => {
-				this.#applyEffects(observeContact(this.state, 'agents', this.#now(), this.#now()));
+				if (!this.#isEntry(peer)) {
+					this.#observeAgents();
+				}
+
 				if (!isOfOpenedSession(this.state.sessions, peer, message)) {
 					return;
 				}
@@ -91,7 +147,7 @@
 				const handler = this.#messageHandlers[message.type] as ((agent: string, message: DispatchMessage) => readonly DispatchEffect[]) | undefined;
 				this.#applyEffects(handler?.(peer, message) ?? []);
 			},
-			isQuiet: peer => !hasTasksAt(this.state, peer),
+			isQuiet: peer => this.#isEntry(peer) || !hasTasksAt(this.state, peer),
 		});
 	}
 
@@ -105,11 +161,13 @@
 			this.links.checkContacts();
 		});
 		this.process.startInterval(tickMs, () => {
-			for (const agent of this.links.connected.keys()) {
+			for (const agent of this.#listConnectedAgents()) {
 				this.#applyEffects(observeContact(this.state, 'agents', this.links.getLastContact(agent), this.#now()));
 			}
 
+			observeEntryContact(this.state.ownership, {connected: this.#entries.size, silent: this.input.neighbours.size - this.#entries.size}, this.#now());
 			this.#applyEffects(advanceDispatch(this.state, this.#now()));
+			this.#sendOwnershipNews();
 			this.#updateExtraStreams();
 		});
 		this.process.startInterval(dialIntervalMs, () => {
@@ -128,6 +186,7 @@
 	startLife(): void {
 		this.process.startLife();
 		this.#extraUntil.clear();
+		this.#entries.clear();
 		this.state = this.#createState();
 		this.start();
 	}
@@ -149,6 +208,11 @@
 		this.#applyEffects(effects);
 	}
 
+	/** Handles that the caller of a job has left. */
+	handleCallerLeave(id: string): void {
+		this.#applyEffects(handleCallerLeave(this.state, id, this.#now()));
+	}
+
 	/** Cancels a job. */
 	cancelJob(id: string): void {
 		this.#applyEffects(cancelJob(this.state, id, 'cancelled', this.#now()));
@@ -176,13 +240,58 @@
 	}
 
 	#createState(): DispatchState {
-		const state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: bounds.remoteFactor}), timings);
+		const state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: bounds.remoteFactor}), timings, {name: this.process.name, incarnation: this.process.incarnation});
 		state.agentCount = this.input.subset.size;
 		state.expectAgentsUntil = this.#now() + expectAgentsMs;
 		return state;
 	}
 
+	#isEntry(peer: string): boolean {
+		return this.input.neighbours.has(peer);
+	}
+
+	#listConnectedAgents(): readonly string[] {
+		return [...this.links.connected.keys()].filter(name => !this.#isEntry(name));
+	}
+
+	#observeAgents(): void {
+		this.#applyEffects(observeContact(this.state, 'agents', this.#now(), this.#now()));
+	}
+
+	#handleEntryMessage(sender: string, message: EntryMessage): readonly DispatchEffect[] {
+		if (message.to === this.process.name) {
+			return handleEntryMessage(this.state, message, this.#now(), admitJob);
+		}
+
+		this.#sendToEntry(message, sender);
+		return [];
+	}
+
+	#sendToEntry(message: EntryMessage, sender?: string): void {
+		for (const name of chooseEntryRoute(message, [...this.#entries.keys()], sender)) {
+			this.links.sendMessage(name, message);
+		}
+	}
+
+	#sendOwnershipNews(): void {
+		for (const [entry, message] of takeOwnershipNews(this.state, [...this.#entries.keys()], this.#now())) {
+			this.links.sendMessage(entry, message);
+		}
+	}
+
+	#connectEntry(name: string): void {
+		const incarnation = this.links.connected.get(name)!;
+		this.#entries.set(name, incarnation);
+		recordOwnerConnect(this.state.ownership, {name, incarnation}, this.#now());
+		this.links.sendMessage(name, {type: 'jobs-owned', lists: listJobsForEntry(this.state, this.#now())});
+	}
+
 	#handleConnect(agent: string): void {
+		if (this.#isEntry(agent)) {
+			this.#connectEntry(agent);
+			return;
+		}
+
 		this.#applyEffects(observeContact(this.state, 'agents', this.#now(), this.#now()));
 		addAgent(this.state.fleet, {name: agent, incarnation: this.links.connected.get(agent)!}, 'dc');
 		this.#startSession(agent);
@@ -200,6 +309,13 @@
 	}
 
 	#openStreams(): void {
+		for (const entry of this.input.listEntries()) {
+			if (this.#isEntry(entry.process.name)) {
+				// The later one of a pair waits, so that one stream is opened.
+				this.links.openStream(entry, this.process.name < entry.process.name ? 0 : secondaryDelayMs);
+			}
+		}
+
 		for (const agent of this.input.listAgents()) {
 			if (this.#isWanted(agent.process.name)) {
 				this.links.openStream(agent);
@@ -232,17 +348,13 @@
 	}
 
 	#applyEffects(effects: readonly DispatchEffect[]): void {
-		const {trace} = this.input.context;
 		for (const effect of addPendingWithdrawals(this.state, effects)) {
-			if (effect.type === 'answer') {
-				trace.recordJob(effect.job.id, () => `${this.process.name} answers ${effect.answer.outcome}, ${effect.answer.reason}`);
-				this.input.onAnswer(this, effect.job, effect.answer);
-			} else if (effect.type === 'log') {
-				trace.recordLog(this.process.name, effect.event, effect.details);
-			} else {
-				trace.recordTask(effect.tasks, () => `${this.process.name} sends ${effect.type} to ${effect.agent}`);
-				this.links.sendMessage(effect.agent, createAgentMessage(this.state, effect));
-			}
+			(this.#effectHandlers[effect.type] as (effect: DispatchEffect) => void)(effect);
 		}
 	}
+
+	#sendToAgent(effect: AgentEffect): void {
+		this.input.context.trace.recordTask(effect.tasks, () => `${this.process.name} sends ${effect.type} to ${effect.agent}`);
+		this.links.sendMessage(effect.agent, createAgentMessage(this.state, effect));
+	}
 }
--- a/bench/emulator/fleet.ts
+++ b/bench/emulator/fleet.ts
@@ -3,7 +3,8 @@
  *
  * Runs the same logic as the real processes. Messages and orders take a fixed time; computation takes none.
  */
-import {selectAgents} from '../../src/core/subsets/logic.ts';
+import {selectAgents, selectNeighbours} from '../../src/core/subsets/logic.ts';
+import {defaultSubsetOptions} from '../../src/core/subsets/options.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
 import {createSeededRandom, type Random} from '../../src/ports/random.ts';
 import {createEventQueue, type EventQueue} from '../event-queue.ts';
@@ -23,6 +24,9 @@
 /** Added to the seed of the load, so that load and faults are drawn from different random sequences. */
 const loadSeedOffset = 1_000_003;
 
+/** The same for cut paths between entries. */
+const entryPathSeedOffset = 2_000_003;
+
 /** Time before the traffic in which the processes connect, in ms. */
 export const warmUpMs = 3000;
 
@@ -55,7 +59,7 @@
 			scenario,
 			events: this.#events,
 			random: this.#random,
-			paths: new Paths(this.#events, this.#random),
+			paths: new Paths(this.#events, this.#random, createSeededRandom(seed + entryPathSeedOffset)),
 			trace: new TaskTrace(this.#events, tracedTask),
 			countMessage: type => {
 				this.#messages[type] = (this.#messages[type] ?? 0) + 1;
@@ -157,7 +161,9 @@
 			process: this.#createProcess(name),
 			context: this.#context,
 			subset: subsets === undefined ? new Set(agents) : selectAgents(name, {entries, agents}, subsets),
+			neighbours: selectNeighbours(name, entries, new Set(), defaultSubsetOptions),
 			listAgents: () => links,
+			listEntries: () => this.#entries.map(entry => entry.links).filter(({process}) => process.name !== name),
 			onAnswer: (entry, job, answer) => {
 				this.#callers.handleAnswer(entry, job.id, answer);
 			},
--- a/bench/emulator/paths.ts
+++ b/bench/emulator/paths.ts
@@ -11,6 +11,10 @@
 /** Longest time after a cut until the sender's transport sends again, in ms. */
 const maxResendMs = 400;
 
+function isEntry(name: string): boolean {
+	return name.startsWith('e');
+}
+
 /** Paths between processes. */
 export class Paths {
 	readonly #cutUntil = new Map<string, Milliseconds>();
@@ -18,8 +22,9 @@
 	/**
 	 * @param events - Simulated time.
 	 * @param random - Random source.
+	 * @param entryRandom - Random source of the paths between entries alone, so that these don't change the rest of a play.
 	 */
-	constructor(private readonly events: EventQueue, private readonly random: Random) {}
+	constructor(private readonly events: EventQueue, private readonly random: Random, private readonly entryRandom: Random) {}
 
 	/** Cuts a path for a time. */
 	startCut(from: string, to: string, duration: Milliseconds): void {
@@ -36,7 +41,8 @@
 	/** Computes when something that is sent now arrives, not before `earliest`. */
 	computeArrival(from: string, to: string, earliest: Milliseconds = 0, delay: Milliseconds = messageDelayMs): Milliseconds {
 		const cutEnd = this.getCutEnd(from, to);
-		const arrival = cutEnd === 0 ? this.events.getTime() + delay : cutEnd + (this.random.getFloat() * maxResendMs);
+		const random = isEntry(from) && isEntry(to) ? this.entryRandom : this.random;
+		const arrival = cutEnd === 0 ? this.events.getTime() + delay : cutEnd + (random.getFloat() * maxResendMs);
 		return Math.max(arrival, earliest);
 	}
 }
--- a/bench/emulator/streams.ts
+++ b/bench/emulator/streams.ts
@@ -5,6 +5,7 @@
 	chooseHeartbeatAction, isContactExpired, recordContact, recordHeartbeatSent, recordMessagesSent,
 } from '../../src/adapters/peer/heartbeat.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
+import {isAwaitedMessage} from '../../src/core/links/awaited.ts';
 import type {DispatchMessage} from '../../src/ports/dispatch-messages.ts';
 import type {FleetContext} from './context.ts';
 import type {EmulatedProcess} from './process.ts';
@@ -78,7 +79,7 @@
 		}
 
 		this.context.countMessage(message.type);
-		const isAwaited = (message.type === 'offer' || message.type === 'claim') && message.tasks.length > 0;
+		const isAwaited = isAwaitedMessage(message);
 		recordMessagesSent(end.contact, isAwaited, this.process.getTime());
 		this.#sendFrame(end, {type: 'message', message});
 	}
--- a/features/dispatch/crash-fleet.ts
+++ b/features/dispatch/crash-fleet.ts
@@ -197,7 +197,7 @@
 	}
 
 	#createEntryState(): DispatchState {
-		const state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1}), timings);
+		const state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1}), timings, {name: 'e1', incarnation: 1});
 		state.agentCount = this.agents?.length ?? 0;
 		return state;
 	}
@@ -440,7 +440,7 @@
 				continue;
 			}
 
-			if (effect.type === 'log') {
+			if (!('agent' in effect)) {
 				continue;
 			}
 
--- a/features/dispatch/dispatch.steps.ts
+++ b/features/dispatch/dispatch.steps.ts
@@ -113,7 +113,7 @@
 }
 
 Given('agents {string} with {int} thousandths of a core each', function (this: DispatchWorld, names: string, _cpu: number) {
-	this.state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1.5}), timings);
+	this.state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1.5}), timings, {name: 'e1', incarnation: 1});
 	this.now = 1000;
 	this.effects = [];
 	this.sent = [];
--- a/features/dispatch/random-run.feature
+++ b/features/dispatch/random-run.feature
@@ -100,3 +100,19 @@
   Scenario: Callers whose loss no entry is told of
     When a fleet with long runs runs for 20 s with callers whose loss no entry is told of, over 8 seeds
     Then no task ran twice at the same time and no worker exceeded its capacity
+
+  # Guards against a second run at an entry to which a caller turns while its first entry goes on unaware, whatever else fails.
+  Scenario Outline: Callers that turn to another entry unnoticed
+    When a fleet with long runs runs for 20 s with <faults>, over <seeds> seeds from <seed>
+    Then no task ran twice at the same time and no worker exceeded its capacity
+    And every job was answered
+
+    Examples:
+      | faults                                                                  | seeds | seed |
+      | callers whose loss no entry is told of                                  | 3     | 9    |
+      | callers whose loss no entry is told of                                  | 1     | 23   |
+      | callers whose loss no entry is told of                                  | 1     | 28   |
+      | callers whose loss no entry is told of                                  | 1     | 36   |
+      | callers whose loss no entry is told of beside cut entries               | 4     | 70   |
+      | callers whose loss no entry is told of beside killed agents and entries | 4     | 1    |
+      | callers whose loss no entry is told of beside lost streams              | 4     | 1    |
--- a/features/dispatch/random-run.steps.ts
+++ b/features/dispatch/random-run.steps.ts
@@ -67,6 +67,14 @@
 	'entries that are cut off for less than a second': {...none, shortEntryCutMs: 1000},
 	'workers that refuse connections while they live': {...none, workerRefusalMs: 4000},
 	'callers whose loss no entry is told of': {...none, callerCutMs: 1000},
+	'callers whose loss no entry is told of beside pauses': {
+		...none, callerCutMs: 1000, agentPauseMs: 4000, entryPauseMs: 4000,
+	},
+	'callers whose loss no entry is told of beside cut entries': {...none, callerCutMs: 600, entryCutMs: 3000},
+	'callers whose loss no entry is told of beside killed agents and entries': {
+		...none, callerCutMs: 600, agentKillMs: 4000, entryKillMs: 5000,
+	},
+	'callers whose loss no entry is told of beside lost streams': {...none, callerCutMs: 600, streamLossMs: 1000},
 	'streams that close': {...none, streamLossMs: 1000},
 	'agents that are killed': {...none, agentKillMs: 4000},
 	'agents in crash loops': {...none, agentCrashLoopMs: 4000},
@@ -115,6 +123,10 @@
 	this.reports = runFleets(longRuns, seconds, faults, seeds);
 });
 
+When('a fleet with long runs runs for {int} s with {}, over {int} seeds from {int}', function (this: RandomWorld, seconds: number, faults: string, seeds: number, startSeed: number) {
+	this.reports = runFleets(longRuns, seconds, faults, seeds, firstSeed === 1 ? startSeed : firstSeed);
+});
+
 When('a fleet with few long runs runs for {int} s with {}, over {int} seeds', function (this: RandomWorld, seconds: number, faults: string, seeds: number) {
 	this.reports = runFleets(fewLongRuns, seconds, faults, seeds);
 });
--- a/features/dispatch/reach.steps.ts
+++ b/features/dispatch/reach.steps.ts
@@ -40,7 +40,7 @@
 	const timings = computeTimings({
 		maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: 6, configurationMs: 2000, remoteFactor: 1.5,
 	});
-	this.state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1}), timings);
+	this.state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1}), timings, {name: 'e1', incarnation: 1});
 	this.state.agentCount = 16;
 	for (let index = 0; index < connected; index++) {
 		const name = `a${index}`;
--- a/features/explain/explain.feature
+++ b/features/explain/explain.feature
@@ -19,6 +19,9 @@
       {"time":12100,"level":"warn","process":"side-6","event":"task-ended","task":"f6.0.0.0","run":2,"end":"crashed","expectedMs":200,"runMs":10,"waitMs":1}
       {"time":12101,"level":"warn","process":"edge-3","event":"job-answered","job":"f6","outcome":"failed","reason":"crashes","ms":130,"objectiveMs":160}
       {"time":12300,"level":"warn","process":"edge-3","event":"job-answered","job":"g7","outcome":"not-run","reason":"quarantine","ms":0,"objectiveMs":160}
+      {"time":20000,"level":"warn","process":"edge-2","event":"job-joined","job":"h8","owner":"edge-1","leftMs":1500}
+      {"time":21000,"level":"warn","process":"edge-2","event":"job-taken-over","job":"h8","owner":"edge-1","evidence":"owner-lost","waitedMs":1000}
+      {"time":21100,"level":"warn","process":"edge-2","event":"job-answered","job":"h8","outcome":"completed","reason":"none","ms":1100,"objectiveMs":2000}
       not a decision
       {"time":"soon","process":"side-4","event":"task-ended"}
       {"time":4000,"level":
@@ -49,6 +52,11 @@
     When request "g7" is explained
     Then the conclusions name "its route had crashed workers shortly before"
 
+  Scenario: A request that a caller submitted to two entries names both
+    When request "h8" is explained
+    Then the conclusions name "submitted it to edge-2 while edge-1 served it"
+    And the conclusions name "edge-2 took it over from edge-1 after 1000 ms (owner-lost)"
+
   Scenario: A request that no line names
     When request "e5" is explained
     Then there is no explanation
--- /dev/null
+++ b/features/ownership/ownership.feature
@@ -0,0 +1,167 @@
+Feature: One owner of a job
+  A caller that loses its connection submits the job again to another entry. Only one entry serves it at a time.
+
+  Background:
+    Given entries "e1 e2 e3" with streams to each other and to agent "a1"
+
+  # Guards against a second run at an entry that nobody told of the first one.
+  Scenario: A caller that turns to another entry gets the answer of the first one
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    Then "e2" has offered no task of "j1"
+    When task 0 of "j1" ends at "e1" as done
+    Then "e2" answers "j1" with completed, none
+
+  Scenario: A job that is over before its caller can be back is not announced
+    Given job "j1" is submitted to "e1"
+    When 500 ms elapse between entries
+    And task 0 of "j1" ends at "e1" as done
+    And 400 ms elapse between entries
+    Then no entry but "e1" knows of "j1"
+
+  # Guards against a job that its owner ends at the deadline of the first caller, while a later one waits for it.
+  Scenario: The owner serves a job until the deadline of the later caller
+    Given job "j1" is submitted to "e1" with 2000 ms to its deadline
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2" with 3000 ms to its deadline
+    And 1000 ms elapse between entries
+    Then "e1" has not answered "j1"
+    When task 0 of "j1" ends at "e1" as done
+    Then "e2" answers "j1" with completed, none
+
+  Scenario: The connection of the first caller is released once a later one waits
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    Then "e1" dismisses its callers of "j1"
+    When the caller of "j1" leaves "e1"
+    Then "e1" has not answered "j1"
+
+  Scenario: A later caller that leaves ends the job at its owner
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    And the caller of "j1" leaves "e2"
+    Then "e2" answers "j1" with given-up, cancelled
+    And "e1" answers "j1" with given-up, cancelled
+
+  Scenario: A joined job ends at its deadline
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2" with 600 ms to its deadline
+    And 600 ms elapse between entries
+    Then "e2" answers "j1" with given-up, deadline
+
+  Scenario: A job that its owner has released is served by the next entry
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And "e1" gives up "j1" and its runs end
+    And job "j1" is submitted to "e2"
+    Then "e2" has offered a task of "j1"
+
+  # Guards against a start while runs of an earlier submission are still being stopped.
+  Scenario: A job whose runs are still ending at its owner waits for their end
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And "e1" gives up "j1"
+    And job "j1" is submitted to "e2"
+    And 200 ms elapse between entries
+    Then "e2" has offered no task of "j1"
+    When task 0 of "j1" ends at "e1" as stopped
+    And 200 ms elapse between entries
+    Then "e2" has offered a task of "j1"
+
+  # Guards against taking over a job too early or never when its owner has ended.
+  Scenario: The job of an entry that has restarted is taken over once no run of it can be left
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And "e1" restarts
+    And job "j1" is submitted to "e2"
+    And 1200 ms elapse between entries
+    Then "e2" has offered no task of "j1"
+    When 150 ms elapse between entries
+    Then "e2" has offered a task of "j1"
+
+  # Guards against taking the loss of one stream for the end of an entry that others reach.
+  Scenario: An owner without a stream is asked through another entry
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And the streams between "e1" and "e2" close
+    And 2000 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    And 1500 ms elapse between entries
+    Then "e2" has offered no task of "j1"
+    When task 0 of "j1" ends at "e1" as done
+    Then "e2" answers "j1" with completed, none
+
+  Scenario: The job of an entry that does not answer is taken over once no run of it can be left
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And "e1" falls silent
+    And job "j1" is submitted to "e2"
+    And 1700 ms elapse between entries
+    Then "e2" has offered no task of "j1"
+    When 250 ms elapse between entries
+    Then "e2" has offered a task of "j1"
+
+  # Guards against holding a caller that can't be served within its deadline.
+  Scenario: A caller that would wait in vain for the end of a silent owner is told at once
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And "e1" falls silent
+    And the streams between "e1" and "e2" close
+    And 600 ms elapse between entries
+    And job "j1" is submitted to "e2" with 600 ms to its deadline
+    Then "e2" answers "j1" with given-up, owned-elsewhere
+
+  # Guards against two entries that take the tasks of one job from each other for as long as it lasts.
+  Scenario: Of two entries that serve one job, the one that got it first gives it up
+    Given the streams between all entries close
+    And job "j1" is submitted to "e1"
+    When 900 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    And 100 ms elapse between entries
+    And the streams between all entries open
+    Then "e1" answers "j1" with given-up, superseded
+    And "e2" has not answered "j1"
+
+  # Guards against starting a task again that an agent has dropped for another entry.
+  Scenario: An entry whose task was dropped for another entry gives the job up
+    Given job "j1" is submitted to "e1"
+    When the agent reports task 0 of "j1" to "e1" as superseded
+    Then "e1" answers "j1" with given-up, superseded
+
+  # Guards against a run that goes on at an entry whose callers turn to entries that can't hear of it.
+  Scenario: An entry that is cut off from all others gives up jobs that it can't announce
+    Given job "j1" is submitted to "e1"
+    When the streams between all entries close
+    And 1000 ms elapse between entries
+    Then "e1" has not answered "j1"
+    When 150 ms elapse between entries
+    Then "e1" answers "j1" with given-up, isolated
+
+  Scenario: The only entry of an installation keeps its jobs
+    Given an entry "e1" alone with agent "a1"
+    And job "j1" is submitted to "e1"
+    When 5000 ms elapse between entries
+    Then "e1" has not answered "j1"
+
+  # Guards against announcements that go round in a ring of entries for ever.
+  Scenario: An announcement is passed on once
+    Given job "j1" is submitted to "e1"
+    When 5000 ms elapse between entries
+    Then at most 6 messages have told of "j1"
+
+  Scenario: What is known of the jobs of other entries is forgotten
+    Given job "j1" is submitted to "e1" with 2000 ms to its deadline
+    When 5000 ms elapse between entries
+    Then no entry knows of jobs of others
+
+  Scenario: An entry that starts hears of the jobs of the others
+    Given job "j1" is submitted to "e1"
+    When 600 ms elapse between entries
+    And "e3" restarts
+    And 700 ms elapse between entries
+    And job "j1" is submitted to "e3"
+    Then "e3" has offered no task of "j1"
--- /dev/null
+++ b/features/ownership/ownership.steps.ts
@@ -0,0 +1,117 @@
+/**
+ * Steps for the ownership of jobs.
+ */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import type {TaskEnd} from '../../src/ports/dispatch-messages.ts';
+import {EntryFleet} from './world.ts';
+
+type OwnershipWorld = {entryFleet: EntryFleet};
+
+const usualLimitMs = 60_000;
+
+Given('entries {string} with streams to each other and to agent {string}', function (this: OwnershipWorld, names: string, agent: string) {
+	this.entryFleet = new EntryFleet(names.split(' '), agent);
+	this.entryFleet.openStreams();
+	this.entryFleet.advance(100);
+});
+
+Given('an entry {string} alone with agent {string}', function (this: OwnershipWorld, name: string, agent: string) {
+	this.entryFleet = new EntryFleet([name], agent);
+});
+
+Given('job {string} is submitted to {string}', function (this: OwnershipWorld, id: string, name: string) {
+	this.entryFleet.submitJob(name, id, usualLimitMs);
+});
+
+Given('job {string} is submitted to {string} with {int} ms to its deadline', function (this: OwnershipWorld, id: string, name: string, limit: number) {
+	this.entryFleet.submitJob(name, id, limit);
+});
+
+When('{int} ms elapse between entries', function (this: OwnershipWorld, duration: number) {
+	this.entryFleet.advance(duration);
+});
+
+When('{string} stands still for {int} ms', function (this: OwnershipWorld, name: string, duration: number) {
+	this.entryFleet.advance(duration, name);
+});
+
+When('{string} falls silent', function (this: OwnershipWorld, name: string) {
+	this.entryFleet.get(name).isSilent = true;
+});
+
+When('{string} restarts', function (this: OwnershipWorld, name: string) {
+	this.entryFleet.restartEntry(name);
+});
+
+When('{string} gives up {string}', function (this: OwnershipWorld, name: string, id: string) {
+	this.entryFleet.cancelJob(name, id);
+});
+
+When('{string} gives up {string} and its runs end', function (this: OwnershipWorld, name: string, id: string) {
+	this.entryFleet.cancelJob(name, id);
+	this.entryFleet.endTask(name, `${id}.0.0.0`, 'stopped');
+});
+
+When('the caller of {string} leaves {string}', function (this: OwnershipWorld, id: string, name: string) {
+	this.entryFleet.removeCaller(name, id);
+});
+
+When('task {int} of {string} ends at {string} as {word}', function (this: OwnershipWorld, index: number, id: string, name: string, end: string) {
+	this.entryFleet.endTask(name, `${id}.0.0.${index}`, end as TaskEnd);
+});
+
+When('the agent reports task {int} of {string} to {string} as superseded', function (this: OwnershipWorld, index: number, id: string, name: string) {
+	this.entryFleet.endTask(name, `${id}.0.0.${index}`, 'stopped', true);
+});
+
+When('the streams between {string} and {string} close', function (this: OwnershipWorld, left: string, right: string) {
+	this.entryFleet.closeStreams([[left, right]]);
+});
+
+When('the streams between all entries close', function (this: OwnershipWorld) {
+	this.entryFleet.closeStreams();
+});
+
+When('the streams between all entries open', function (this: OwnershipWorld) {
+	this.entryFleet.openStreams();
+	this.entryFleet.advance(200);
+});
+
+Then('{string} has offered no task of {string}', function (this: OwnershipWorld, name: string, id: string) {
+	assert.deepEqual(this.entryFleet.get(name).offers.filter(task => task.startsWith(`${id}.`)), []);
+});
+
+Then('{string} has offered a task of {string}', function (this: OwnershipWorld, name: string, id: string) {
+	assert.ok(this.entryFleet.get(name).offers.some(task => task.startsWith(`${id}.`)));
+});
+
+Then('{string} answers {string} with {word}, {word}', function (this: OwnershipWorld, name: string, id: string, outcome: string, reason: string) {
+	const answer = this.entryFleet.get(name).answers.get(id);
+	assert.deepEqual([answer?.outcome, answer?.reason], [outcome, reason]);
+});
+
+Then('{string} has not answered {string}', function (this: OwnershipWorld, name: string, id: string) {
+	assert.equal(this.entryFleet.get(name).answers.get(id), undefined);
+});
+
+Then('{string} dismisses its callers of {string}', function (this: OwnershipWorld, name: string, id: string) {
+	assert.ok(this.entryFleet.get(name).dismissed.includes(id));
+});
+
+Then('no entry but {string} knows of {string}', function (this: OwnershipWorld, name: string, id: string) {
+	for (const world of this.entryFleet.entries.values()) {
+		assert.ok(world.name === name || !world.state.ownership.foreign.has(id), `${world.name} knows of ${id}`);
+	}
+});
+
+Then('no entry knows of jobs of others', function (this: OwnershipWorld) {
+	for (const {name, state: {ownership}} of this.entryFleet.entries.values()) {
+		assert.equal(ownership.foreign.size + ownership.announced.size + ownership.followers.size, 0, name);
+	}
+});
+
+Then('at most {int} messages have told of {string}', function (this: OwnershipWorld, most: number, id: string) {
+	const count = this.entryFleet.told.filter(told => told === id).length;
+	assert.ok(count > 0 && count <= most, `${count} messages`);
+});
--- /dev/null
+++ b/features/ownership/world.ts
@@ -0,0 +1,221 @@
+/**
+ * A few entries with their streams, whose messages arrive at once; time advances in ticks.
+ */
+import {computeTimings} from '../../src/core/bounds/logic.ts';
+import {observeContact} from '../../src/core/dispatch/contact.ts';
+import {
+	chooseEntryRoute, handleEntryMessage, handleOwnedJobs, listJobsForEntry, takeOwnershipNews,
+} from '../../src/core/dispatch/joining.ts';
+import {
+	admitJob, advanceDispatch, cancelJob, handleCallerLeave, submitJob,
+} from '../../src/core/dispatch/logic.ts';
+import {applyReports} from '../../src/core/dispatch/reports.ts';
+import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
+import type {DispatchEffect, JobAnswer} from '../../src/core/dispatch/types.ts';
+import {addAgent, applyLoad, createFleetState} from '../../src/core/fleet/state.ts';
+import {observeEntryContact, recordOwnerConnect, recordOwnerLoss} from '../../src/core/ownership/logic.ts';
+import type {Route} from '../../src/core/routes/types.ts';
+import type {Milliseconds} from '../../src/ports/clock.ts';
+import type {DispatchMessage, TaskEnd, WorkerLoad} from '../../src/ports/dispatch-messages.ts';
+
+const timings = computeTimings({
+	maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: 6, configurationMs: 2000, remoteFactor: 1.5,
+});
+
+const tickMs = 50;
+
+const route: Route = {
+	name: 'r', host: 'h', prefix: '/', target: 'desk', priority: 1, maxAttempts: 3, slackFactor: 40, targetMs: 60, timeoutMs: 0, needsApproval: false,
+};
+
+const capacity = {cpu: 10_000, memory: 10_000, accelerators: 0};
+
+const load: WorkerLoad = {
+	mode: 'open', target: 'desk', labels: [], capacity, free: capacity, waits: [0, 0, 0, 0], slowness: 1,
+};
+
+/** An entry, and what it has done. */
+export type World = {
+	readonly name: string;
+	state: DispatchState;
+	isSilent: boolean;
+	readonly offers: string[];
+	readonly answers: Map<string, JobAnswer>;
+	readonly dismissed: string[];
+};
+
+/** The entries of a scenario. */
+export class EntryFleet {
+	now: Milliseconds = 10_000;
+	readonly entries = new Map<string, World>();
+	/** Jobs in `jobs-owned` messages. */
+	readonly told: string[] = [];
+	readonly #closed = new Set<string>();
+
+	readonly #effectHandlers: {readonly [Type in DispatchEffect['type']]?: (world: World, effect: Extract<DispatchEffect, {type: Type}>) => void} = {
+		offer({offers}, {tasks}) {
+			offers.push(...tasks.map(({task}) => task));
+		},
+		answer({answers}, {job, answer}) {
+			answers.set(job.id, answer);
+		},
+		dismiss({dismissed}, {job}) {
+			dismissed.push(job.id);
+		},
+		'tell-entry': ({name}, {message}) => {
+			for (const next of chooseEntryRoute(message, this.#listConnected(name))) {
+				this.#deliver(name, next, message);
+			}
+		},
+	};
+
+	/**
+	 * @param names - Names of the entries.
+	 * @param agent - The agent that all of them have a stream to.
+	 */
+	constructor(names: readonly string[], private readonly agent: string) {
+		for (const name of names) {
+			this.entries.set(name, {
+				name, state: this.#createState(name, 1), isSilent: false, offers: [], answers: new Map(), dismissed: [],
+			});
+		}
+	}
+
+	get(name: string): World {
+		return this.entries.get(name)!;
+	}
+
+	submitJob(name: string, id: string, timeLimitMs: Milliseconds): void {
+		const world = this.get(name);
+		this.#apply(world, observeContact(world.state, 'callers', this.now, this.now));
+		const {effects} = submitJob(world.state, {
+			route, timeLimitMs, submission: {
+				id, spec: '', unsupported: '', steps: [{
+					count: 1, needs: {cpu: 3000, memory: 1, accelerators: 0}, estimateMs: 1000, after: [], label: '', dataRack: '', maxPerWorker: 0,
+				}],
+			},
+		}, this.now);
+		this.#apply(world, effects);
+	}
+
+	cancelJob(name: string, id: string): void {
+		this.#apply(this.get(name), cancelJob(this.get(name).state, id, 'cancelled', this.now));
+	}
+
+	removeCaller(name: string, id: string): void {
+		this.#apply(this.get(name), handleCallerLeave(this.get(name).state, id, this.now));
+	}
+
+	endTask(name: string, task: string, end: TaskEnd, isSuperseded = false): void {
+		const world = this.get(name);
+		const run = world.state.tasks.get(task)?.task.offer?.run ?? 1;
+		this.#apply(world, applyReports(world.state, this.agent, [{
+			task, run, end, expectedMs: 1000, runMs: 1000, waitMs: 0, ...(isSuperseded && {isSuperseded}),
+		}], this.now));
+	}
+
+	/** Closes the streams between two entries, or between all. */
+	closeStreams(pairs: ReadonlyArray<readonly [string, string]> = this.#listPairs()): void {
+		for (const [left, right] of pairs.filter(pair => !this.#closed.has(pair.join(' ')))) {
+			this.#closed.add(`${left} ${right}`).add(`${right} ${left}`);
+			recordOwnerLoss(this.get(left).state.ownership, this.get(right).state.ownership.self, this.now);
+			recordOwnerLoss(this.get(right).state.ownership, this.get(left).state.ownership.self, this.now);
+		}
+	}
+
+	openStreams(): void {
+		this.#closed.clear();
+		for (const [left, right] of this.#listPairs()) {
+			this.#connect(left, right);
+			this.#connect(right, left);
+		}
+	}
+
+	/** Ends an entry and starts it with nothing; the others notice both. */
+	restartEntry(name: string): void {
+		const world = this.get(name);
+		const others = [...this.entries.keys()].filter(other => other !== name);
+		this.closeStreams(others.map(other => [name, other]));
+		world.state = this.#createState(name, world.state.ownership.self.incarnation + 1);
+		for (const other of others) {
+			this.#closed.delete(`${name} ${other}`);
+			this.#closed.delete(`${other} ${name}`);
+			this.#connect(other, name);
+			this.#connect(name, other);
+		}
+	}
+
+	/** Lets time pass; an entry that stands still does nothing meanwhile. */
+	advance(duration: Milliseconds, still?: string): void {
+		const end = this.now + duration;
+		while (this.now < end) {
+			this.now = Math.min(end, this.now + tickMs);
+			for (const world of this.entries.values()) {
+				if (!world.isSilent && world.name !== still) {
+					this.#advanceEntry(world);
+				}
+			}
+		}
+	}
+
+	#advanceEntry(world: World): void {
+		const {state} = world;
+		const connected = this.#listConnected(world.name);
+		this.#apply(world, observeContact(state, 'agents', this.now, this.now));
+		observeEntryContact(state.ownership, {connected: connected.length, silent: this.entries.size - 1 - connected.length}, this.now);
+		this.#apply(world, advanceDispatch(state, this.now));
+		for (const [name, message] of takeOwnershipNews(state, connected, this.now)) {
+			this.#deliver(world.name, name, message);
+		}
+	}
+
+	#createState(name: string, incarnation: number): DispatchState {
+		const state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1.5}), timings, {name, incarnation});
+		addAgent(state.fleet, {name: this.agent, incarnation: 1}, 'dc');
+		applyLoad(state.fleet, this.agent, load, 0);
+		return state;
+	}
+
+	#listPairs(): ReadonlyArray<readonly [string, string]> {
+		const names = [...this.entries.keys()];
+		return names.flatMap((left, index) => names.slice(index + 1).map(right => [left, right] as const));
+	}
+
+	#listConnected(name: string): readonly string[] {
+		return [...this.entries.keys()].filter(other => other !== name && !this.#closed.has(`${name} ${other}`));
+	}
+
+	/** Tells one entry that a stream to another one has opened. */
+	#connect(name: string, other: string): void {
+		const {state} = this.get(name);
+		recordOwnerConnect(state.ownership, this.get(other).state.ownership.self, this.now);
+		this.#deliver(name, other, {type: 'jobs-owned', lists: listJobsForEntry(state, this.now)});
+	}
+
+	#deliver(from: string, to: string, message: DispatchMessage): void {
+		const world = this.get(to);
+		if (world.isSilent || this.get(from).isSilent) {
+			return;
+		}
+
+		if (message.type === 'jobs-owned') {
+			this.told.push(...message.lists.flatMap(({jobs}) => jobs.map(([id]) => id)));
+			this.#apply(world, handleOwnedJobs(world.state, from, message.lists, this.now));
+		} else if (message.type === 'join-job' || message.type === 'leave-job' || message.type === 'job-state') {
+			if (message.to === to) {
+				this.#apply(world, handleEntryMessage(world.state, message, this.now, admitJob));
+				return;
+			}
+
+			for (const next of chooseEntryRoute(message, this.#listConnected(to), from)) {
+				this.#deliver(to, next, message);
+			}
+		}
+	}
+
+	#apply(world: World, effects: readonly DispatchEffect[]): void {
+		for (const effect of effects) {
+			(this.#effectHandlers[effect.type] as ((world: World, effect: DispatchEffect) => void) | undefined)?.(world, effect);
+		}
+	}
+}
--- a/features/sessions/sessions.steps.ts
+++ b/features/sessions/sessions.steps.ts
@@ -100,7 +100,7 @@
 Given('an entry with a task placed on agent {string} and another one offered to it', function (this: SessionsWorld, agent: string) {
 	this.entry = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1.5}), computeTimings({
 		maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: 6, configurationMs: 2000, remoteFactor: 1.5,
-	}));
+	}), {name: 'e1', incarnation: 1});
 	addAgent(this.entry.fleet, {name: agent, incarnation: 1}, 'dc');
 	startSession(this.entry, agent, 0);
 	const capacity = {cpu: 5000, memory: 1000, accelerators: 0};
--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -39,6 +39,15 @@
 /** Number of order timeouts within a lease, so that an unanswered order is detected and repeated well before it expires. */
 const ordersPerLease = 8;
 
+/** Share of the resubmission time after which a job is announced to the other entries; the rest is for passing it on, and for a lost stream. */
+const announceShare = 0.4;
+
+/** Share of the resubmission time between two messages with such jobs: a job is passed on at most three times before its caller can be back. */
+const newsShare = 0.12;
+
+/** Questions to the owner of a joined job within the contact time. */
+const asksPerContact = 4;
+
 /** Margin for message and timer delays, in ms. */
 const marginMs = 50;
 
@@ -80,6 +89,8 @@
 	const leaseMs = Math.max(marginMs, Math.floor(Math.min(bounds.maxLeaseMs, timeForLease / (1 + maxClockDrift))));
 	const lapseMs = Math.ceil(leaseMs * (1 + maxClockDrift));
 	const goneMs = detectionMs + bounds.stopMs + lapseMs + marginMs;
+	const orderMs = Math.floor(leaseMs / ordersPerLease);
+	const announceMs = Math.floor(bounds.resubmitMs * announceShare);
 	const quietSilenceMs = Math.max(silenceMs, goneMs - reconnectMs - bounds.stopMs - marginMs);
 	return {
 		contactMs,
@@ -98,7 +109,12 @@
 		renewMs: Math.floor(leaseMs / renewalsPerLease),
 		goneMs,
 		stopMs: bounds.stopMs,
-		orderMs: Math.floor(leaseMs / ordersPerLease),
+		orderMs,
 		workerSilenceMs: Math.floor(leaseMs / 2),
+		announceMs,
+		newsMs: Math.floor(bounds.resubmitMs * newsShare),
+		askMs: Math.floor(contactMs / asksPerContact),
+		// A stop is sent a second time if it has no answer.
+		isolatedAgeMs: Math.max(announceMs, bounds.resubmitMs - bounds.stopMs - (2 * orderMs) - marginMs),
 	};
 }
--- a/src/core/bounds/types.ts
+++ b/src/core/bounds/types.ts
@@ -60,4 +60,12 @@
 	readonly orderMs: Milliseconds;
 	/** Time without an answer after which a worker gets no more tasks. */
 	readonly workerSilenceMs: Milliseconds;
+	/** Age from which an entry tells the others of an open job. */
+	readonly announceMs: Milliseconds;
+	/** Time between two messages with such jobs to the same entry. */
+	readonly newsMs: Milliseconds;
+	/** Time between two questions to the entry that owns a joined job. */
+	readonly askMs: Milliseconds;
+	/** Age from which an entry that reaches no other one gives up its jobs: their runs end before the caller submits again. */
+	readonly isolatedAgeMs: Milliseconds;
 };
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -4,18 +4,22 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
 import {isGivenUp, pruneCrashes} from '../crashes/logic.ts';
+import {listFollowers} from '../ownership/logic.ts';
 import {
 	checkAdmission, checkOversizedJob, checkSuspendedJob, checkWaitingJob,
 } from './admission.ts';
 import {placeLostTasks} from './agents.ts';
 import {cancelIsolatedJobs} from './contact.ts';
 import {updateReservedAgents} from './containment.ts';
+import {
+	advanceOwnership, cancelJoinedJob, findOwner, startJoining,
+} from './joining.ts';
 import {computeWork, estimateCriticalPath} from './estimates.ts';
 import {clearPlacement, createOffers, placeTasks} from './placing.ts';
 import {recordLabels} from './reach.ts';
 import type {DispatchState} from './state.ts';
 import {
-	createAnswer, endJob, hasDirectOffer, placeWaitingTasks,
+	createAnswer, endJob, hasDirectOffer, hasOpenRuns, placeWaitingTasks,
 } from './steps.ts';
 import type {
 	DispatchEffect, Job, JobAnswer, JobSubmission, TaskState,
@@ -100,7 +104,8 @@
 
 /**
  * Handles a submission. A duplicate joins the earlier job of the same id. If that was given up, a new job starts with
- * the next run numbers, or is refused as `still-ending` while runs of the earlier one are open.
+ * the next run numbers, or is refused as `still-ending` while runs of the earlier one are open. A job that another entry serves
+ * waits for its answer.
  *
  * @param state - State of the jobs.
  * @param request - The submission.
@@ -133,12 +138,26 @@
 		}
 	}
 
-	recordLabels(state, request.submission, now);
+	const owner = findOwner(state, job.id, now);
+	return {job, effects: owner === undefined ? admitJob(state, job, now) : startJoining(state, job, owner, now)};
+}
+
+/**
+ * Admits a job that no other entry serves, or refuses it.
+ *
+ * @param state - State of the jobs.
+ * @param job - The job.
+ * @param now - Current time.
+ * @returns Offers, or the refusal.
+ */
+export function admitJob(state: DispatchState, job: Job, now: Milliseconds): DispatchEffect[] {
+	recordLabels(state, job.submission, now);
 	const placement = placeTasks(state, job, now);
 	const overloadRefusal = checkAdmission(state, job, placement, now);
 	if (overloadRefusal !== undefined) {
 		clearPlacement(state, job, placement);
-		return {job, effects: refuseJob(job, overloadRefusal)};
+		// Tasks of a job that was taken over may have run before.
+		return refuseJob(job, job.mayHaveRun ? {...overloadRefusal, outcome: 'given-up'} : overloadRefusal);
 	}
 
 	state.jobs.set(job.id, job);
@@ -147,17 +166,13 @@
 		state.tasks.set(task.name, {job, task});
 	}
 
-	job.mayHaveRun = hasDirectOffer(placement);
+	job.mayHaveRun ||= hasDirectOffer(placement);
 	recordWork(state, job.route, computeWork(state, job), now);
 	if (!placement.isComplete) {
 		state.jobsToPlace.add(job);
 	}
 
-	return {job, effects: createOffers(placement)};
-}
-
-function hasOpenRuns(job: Job): boolean {
-	return job.tasks.some(({phase}) => phase === 'placed' || phase === 'detached');
+	return createOffers(placement);
 }
 
 /**
@@ -175,7 +190,20 @@
 		return [];
 	}
 
-	return endJob(state, job, createAnswer(job.mayHaveRun ? 'given-up' : 'not-run', reason, defaultRetryMs), now);
+	const effects = cancelJoinedJob(state, job, reason, now);
+	return effects.length > 0 ? effects : endJob(state, job, createAnswer(job.mayHaveRun ? 'given-up' : 'not-run', reason, defaultRetryMs), now);
+}
+
+/**
+ * Handles that the last local caller of a job has left. The job goes on for callers of other entries that wait for it.
+ *
+ * @param state - State of the jobs.
+ * @param id - The job.
+ * @param now - Current time.
+ * @returns Effects to carry out.
+ */
+export function handleCallerLeave(state: DispatchState, id: string, now: Milliseconds): DispatchEffect[] {
+	return listFollowers(state.ownership, id).length > 0 ? [] : cancelJob(state, id, 'cancelled', now);
 }
 
 /** Places the tasks for which no agent was found before. */
@@ -205,7 +233,7 @@
  * @returns Effects to carry out.
  */
 export function advanceDispatch(state: DispatchState, now: Milliseconds): DispatchEffect[] {
-	const effects = [...cancelIsolatedJobs(state, now), ...placeLostTasks(state, now)];
+	const effects = [...cancelIsolatedJobs(state, now), ...placeLostTasks(state, now), ...advanceOwnership(state, now, admitJob)];
 	for (const job of state.openJobs) {
 		if (now >= job.deadlineAt) {
 			effects.push(...cancelJob(state, job.id, 'deadline', now));
--- a/src/core/dispatch/reports.ts
+++ b/src/core/dispatch/reports.ts
@@ -9,6 +9,7 @@
 import type {NodeName} from '../identity/types.ts';
 import {updateReservedAgents} from './containment.ts';
 import {recordRunTime} from './estimates.ts';
+import {yieldJob} from './joining.ts';
 import type {DispatchState} from './state.ts';
 import {
 	createAnswer, endJob, moveTask, placeWaitingTasks, removeCandidate,
@@ -126,6 +127,10 @@
 		return [];
 	}
 
+	if (report.isSuperseded) {
+		return yieldJob(state, job, {evidence: 'agent', to: agent}, now);
+	}
+
 	return endHandlers[report.end](state, job, task, report, now);
 }
 
--- a/src/core/dispatch/state.ts
+++ b/src/core/dispatch/state.ts
@@ -5,7 +5,8 @@
 import type {Timings} from '../bounds/types.ts';
 import {createCrashState, type CrashState} from '../crashes/state.ts';
 import type {FleetState} from '../fleet/state.ts';
-import type {NodeName} from '../identity/types.ts';
+import type {NodeName, NodeRef} from '../identity/types.ts';
+import {createOwnershipState, type OwnershipState} from '../ownership/state.ts';
 import {createOpenedSessions, type OpenedSessions} from '../sessions/state.ts';
 import type {Contact, Job, TaskState} from './types.ts';
 
@@ -32,6 +33,7 @@
 	readonly fleet: FleetState;
 	readonly crashes: CrashState;
 	readonly sessions: OpenedSessions;
+	readonly ownership: OwnershipState;
 	/** Open and recently answered jobs, by id. */
 	readonly jobs: Map<string, Job>;
 	/** Jobs without an answer; looked through often, while `jobs` also keeps the answered ones for seconds. */
@@ -65,14 +67,16 @@
  *
  * @param fleet - The entry's view of the agents.
  * @param timings - Time limits.
+ * @param self - The entry.
  * @returns The state.
  */
-export function createDispatchState(fleet: FleetState, timings: Timings): DispatchState {
+export function createDispatchState(fleet: FleetState, timings: Timings, self: NodeRef): DispatchState {
 	return {
 		timings,
 		fleet,
 		crashes: createCrashState(),
 		sessions: createOpenedSessions(),
+		ownership: createOwnershipState(self),
 		jobs: new Map(),
 		openJobs: new Set(),
 		tasks: new Map(),
@@ -89,7 +93,7 @@
 	};
 }
 
-/** Counts the jobs that have not been answered. */
-export function countOpenJobs({openJobs}: DispatchState): number {
-	return openJobs.size;
+/** Counts the jobs that have not been answered, also those that wait for the answer of another entry. */
+export function countOpenJobs({openJobs, ownership}: DispatchState): number {
+	return openJobs.size + ownership.joined.size;
 }
--- a/src/core/dispatch/steps.ts
+++ b/src/core/dispatch/steps.ts
@@ -4,6 +4,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import {addToGroup} from '../groups.ts';
 import type {NodeName} from '../identity/types.ts';
+import {listFollowers, removeOwnJob} from '../ownership/logic.ts';
 import {createOffers, placeTasks, type Placement} from './placing.ts';
 import type {DispatchState} from './state.ts';
 import type {
@@ -21,6 +22,24 @@
 	return [...tasks].map(([agent, names]) => ({type: 'withdraw', agent, tasks: names}));
 }
 
+/** Returns whether an agent may have runs of a job. */
+export function hasOpenRuns(job: Job): boolean {
+	return job.tasks.some(({phase}) => phase === 'placed' || phase === 'detached');
+}
+
+/** Tells the entries that wait for the answer of a job that it has ended. */
+function sendResult({ownership}: DispatchState, job: Job): DispatchEffect[] {
+	const {outcome, reason} = job.answer!;
+	const hasResult = outcome === 'completed' || outcome === 'failed';
+	const followers = hasResult ? listFollowers(ownership, job.id) : [];
+	removeOwnJob(ownership, job.id);
+	return followers.map(entry => ({
+		type: 'tell-entry', entry, message: {
+			type: 'job-state', from: ownership.self, to: entry, job: job.id, state: 'ended', answer: {outcome, reason},
+		},
+	}));
+}
+
 /** Ends a job: withdraws its tasks from the agents and answers the caller. */
 export function endJob(state: DispatchState, job: Job, answer: JobAnswer, now: Milliseconds): DispatchEffect[] {
 	job.answer = answer;
@@ -45,7 +64,7 @@
 		}
 	}
 
-	return [...createWithdrawals(withdrawn), {type: 'answer', job, answer}];
+	return [...createWithdrawals(withdrawn), {type: 'answer', job, answer}, ...sendResult(state, job)];
 }
 
 /** Returns whether a placement contains an offer that starts without a grant. */
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -2,7 +2,7 @@
  * Types of an entry's jobs: submission, placement of the tasks, and result.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {TaskOffer} from '../../ports/dispatch-messages.ts';
+import type {EntryMessage, TaskOffer} from '../../ports/dispatch-messages.ts';
 import type {Resources} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
 import type {Route} from '../routes/types.ts';
@@ -46,8 +46,11 @@
 /**
  * Why a job was refused, given up or has failed. `crashes`: workers have crashed under one of its tasks. `quarantine`:
  * its route has crashed workers recently, and none of those that are kept for such a job can start it in time.
+ * `superseded`: its caller has submitted it to another entry. `owned-elsewhere`: another entry may have runs of it that can't
+ * be shown to end in time.
  */
-export type JobReason = 'overload' | 'no-worker' | 'unsupported' | 'too-large' | 'leaving' | 'deadline' | 'isolated' | 'still-ending' | 'cancelled' | 'attempts' | 'crashes' | 'quarantine' | 'none';
+export type JobReason = 'overload' | 'no-worker' | 'unsupported' | 'too-large' | 'leaving' | 'deadline' | 'isolated' | 'still-ending'
+	| 'superseded' | 'owned-elsewhere' | 'cancelled' | 'attempts' | 'crashes' | 'quarantine' | 'none';
 
 /** Answer to a submission. */
 export type JobAnswer = {
@@ -113,7 +116,7 @@
 	readonly route: Route;
 	readonly submission: JobSubmission;
 	readonly receivedAt: Milliseconds;
-	readonly deadlineAt: Milliseconds;
+	deadlineAt: Milliseconds;
 	/** Response-time objective. */
 	readonly objectiveMs: Milliseconds;
 	readonly tasks: readonly TaskState[];
@@ -142,6 +145,10 @@
 	| {readonly type: 'withdraw'; readonly agent: NodeName; readonly tasks: readonly string[]}
 	| {readonly type: 'grant'; readonly agent: NodeName; readonly tasks: readonly string[]}
 	| {readonly type: 'answer'; readonly job: Job; readonly answer: JobAnswer}
+	/** Send a message to another entry. */
+	| {readonly type: 'tell-entry'; readonly entry: NodeName; readonly message: EntryMessage}
+	/** Answer the local callers of a job that goes on for another entry. */
+	| {readonly type: 'dismiss'; readonly job: Job; readonly answer: JobAnswer}
 	/** Write a log entry. */
 	| {readonly type: 'log'; readonly event: string; readonly details: Readonly<Record<string, unknown>>};
 
--- a/src/core/explain/logic.ts
+++ b/src/core/explain/logic.ts
@@ -26,6 +26,7 @@
 	'worker-distrusted',
 	'worker-trusted',
 	'open-jobs-given-up',
+	'entry-isolated',
 ]);
 
 /**
@@ -81,6 +82,8 @@
 	'too-large': () => 'It was refused: it exceeds the maximum number of tasks per job.',
 	deadline: answer => `It was cancelled at its caller's deadline, after ${getNumber(answer, 'ms')} ms.`,
 	'still-ending': () => 'It was refused: runs of an earlier submission of the same job were still ending.',
+	superseded: answer => `Its caller had submitted it to another entry, so ${answer.process} gave it up after ${getNumber(answer, 'ms')} ms.`,
+	'owned-elsewhere': answer => `Another entry that ${answer.process} could not reach may have had runs of it until after its caller's deadline.`,
 	cancelled: answer => `Its caller disconnected or cancelled it after ${getNumber(answer, 'ms')} ms.`,
 	crashes(_answer, decisions) {
 		const crashed = decisions.filter(({event, fields}) => event === 'task-ended' && fields.end === 'crashed');
@@ -93,6 +96,17 @@
 	},
 };
 
+/** Sentences on decisions about which entry serves a request, by event. */
+const ownerSentences: Readonly<Record<string, (decision: LogEntry) => string>> = {
+	'job-joined': ({process, fields}) => `Its caller submitted it to ${process} while ${String(fields.owner)} served it; ${process} waited for that answer.`,
+	'job-taken-over': decision => `${decision.process} took it over from ${String(decision.fields.owner)} after ${getNumber(decision, 'waitedMs')} ms (${String(decision.fields.evidence)}).`,
+	'job-yielded': ({process, fields}) => `${process} left it to another entry (${String(fields.evidence)} of ${String(fields.to)}).`,
+};
+
+function describeOwners(decisions: readonly LogEntry[]): string[] {
+	return decisions.flatMap(decision => ownerSentences[decision.event]?.(decision) ?? []);
+}
+
 function describeAnswer(answer: LogEntry, decisions: readonly LogEntry[]): string[] {
 	const {outcome, reason} = answer.fields;
 	const cause = causes[String(reason)]?.(answer, decisions);
@@ -151,7 +165,7 @@
 		decisions,
 		conclusions: answers.length === 0
 			? ['No entry logged an answer: the entry was lost before it answered, or its log lines are missing.']
-			: answers.flatMap(answer => describeAnswer(answer, related)),
+			: [...describeOwners(related), ...answers.flatMap(answer => describeAnswer(answer, related))],
 		leftOut: leftOut.reduce((sum, decision) => sum + getNumber(decision, 'count'), 0),
 	};
 }
--- /dev/null
+++ b/src/core/ownership/logic.ts
@@ -0,0 +1,374 @@
+/**
+ * Decides which entry owns a job, so that a caller that turns to another entry does not get a second run of its tasks.
+ *
+ * A caller submits again no sooner than the resubmission time. An entry announces a job to the others once it has been open
+ * for a part of that, so that each of them knows of it by then. An entry that gets a job that another one has announced joins it:
+ * it asks for the answer instead of starting the tasks. It takes the job over once its owner has released it, or has been lost
+ * for so long that no run of it can be left.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {Timings} from '../bounds/types.ts';
+import type {DispatchMessage} from '../../ports/dispatch-messages.ts';
+import type {NodeName, NodeRef} from '../identity/types.ts';
+import type {OwnershipState} from './state.ts';
+import type {
+	EntryContact, ForeignJob, JoinAction, JoinedJob, LostOwner, OwnedJob, OwnedJobs,
+} from './types.ts';
+
+/** Time between two passes over the jobs of other entries, in ms. */
+const pruneIntervalMs = 1000;
+
+/** Most jobs of other entries that are kept; the oldest ones are dropped. */
+const maxForeignJobs = 50_000;
+
+/** Most jobs in one list. */
+const maxJobsPerList = 500;
+
+/** A message about the jobs that entries serve. */
+export type OwnershipMessage = Extract<DispatchMessage, {type: 'jobs-owned' | 'jobs-seen'}>;
+
+function isSameNode(left: NodeRef, right: NodeRef): boolean {
+	return left.name === right.name && left.incarnation === right.incarnation;
+}
+
+/**
+ * Announces an own job, unless it was announced before.
+ *
+ * @param state - State of the ownership.
+ * @param id - The job.
+ * @param times - When it was received, and its deadline.
+ */
+export function announceJob(state: OwnershipState, id: string, {receivedAt, deadlineAt}: {readonly receivedAt: Milliseconds; readonly deadlineAt: Milliseconds}): void {
+	if (!state.announced.has(id)) {
+		state.announced.add(id);
+		state.news.set(id, {
+			owner: state.self, receivedAt, deadlineAt, from: undefined,
+		});
+	}
+}
+
+/** Lets an own job be announced again, as its deadline has changed. */
+export function resetAnnouncement({announced}: OwnershipState, id: string): void {
+	announced.delete(id);
+}
+
+/** Forgets what was told of an own job that has ended. */
+export function removeOwnJob({announced, followers, news, self}: OwnershipState, id: string): void {
+	announced.delete(id);
+	if (news.get(id)?.owner === self) {
+		news.delete(id);
+	}
+
+	followers.delete(id);
+}
+
+/**
+ * Adds the jobs that other entries serve, and passes on those that are new.
+ *
+ * @param state - State of the ownership.
+ * @param from - The entry that told them.
+ * @param list - The jobs of one entry.
+ * @param options - Time limits, and the current time.
+ */
+export function addOwnedJobs(state: OwnershipState, from: NodeName, {owner, jobs}: OwnedJobs, {timings, now}: {timings: Timings; now: Milliseconds}): void {
+	if (owner.name === from) {
+		state.awaiting.add(from);
+	}
+
+	if (owner.name === state.self.name) {
+		return;
+	}
+
+	for (const [id, age, left] of jobs) {
+		const known = state.foreign.get(id);
+		const receivedAt = now - age;
+		const deadlineAt = now + left;
+		const expiresAt = deadlineAt + timings.goneMs;
+		const isNew = known === undefined || !isSameNode(known.owner, owner) || expiresAt > known.expiresAt + timings.contactMs;
+		if (isNew) {
+			// Set anew, so that the map stays in the order of the announcements.
+			state.foreign.delete(id);
+			state.foreign.set(id, {owner, receivedAt, expiresAt});
+			state.news.set(id, {
+				owner, receivedAt, deadlineAt, from,
+			});
+		}
+	}
+
+	for (const id of state.foreign.keys()) {
+		if (state.foreign.size <= maxForeignJobs) {
+			break;
+		}
+
+		state.foreign.delete(id);
+	}
+}
+
+/** Describes a job to another entry. */
+export function describeOwnedJob(id: string, {receivedAt, deadlineAt}: {readonly receivedAt: Milliseconds; readonly deadlineAt: Milliseconds}, now: Milliseconds): OwnedJob {
+	return [id, Math.round(now - receivedAt), Math.max(0, Math.round(deadlineAt - now))];
+}
+
+/** Groups jobs by their owners, in lists that fit into a message each. */
+function createLists(jobs: Iterable<readonly [owner: NodeRef, job: OwnedJob]>): OwnedJobs[] {
+	const lists: Array<{owner: NodeRef; jobs: OwnedJob[]}> = [];
+	const open = new Map<string, {owner: NodeRef; jobs: OwnedJob[]}>();
+	for (const [owner, job] of jobs) {
+		const key = `${owner.name} ${owner.incarnation}`;
+		const list = open.get(key);
+		if (list !== undefined && list.jobs.length < maxJobsPerList) {
+			list.jobs.push(job);
+			continue;
+		}
+
+		const next = {owner, jobs: [job]};
+		open.set(key, next);
+		lists.push(next);
+	}
+
+	return lists;
+}
+
+/** Lists the jobs that an entry has to hear of; it knows its own, and those that it has told itself. */
+function listNewsFor({news}: OwnershipState, entry: NodeName, now: Milliseconds): readonly OwnedJobs[] {
+	return createLists([...news]
+		.filter(([, {owner, from}]) => owner.name !== entry && from !== entry)
+		.map(([id, job]) => [job.owner, describeOwnedJob(id, job, now)] as const));
+}
+
+/**
+ * Takes the messages to other entries about the jobs that entries serve, if they are due.
+ *
+ * @param state - State of the ownership.
+ * @param entries - The connected entries.
+ * @param options - Time limits, and the current time.
+ * @returns At most one message for each entry.
+ */
+export function takeNews(state: OwnershipState, entries: readonly NodeName[], {timings, now}: {timings: Timings; now: Milliseconds}): ReadonlyMap<NodeName, OwnershipMessage> {
+	const messages = new Map<NodeName, OwnershipMessage>();
+	if (now - state.newsSentAt < timings.newsMs || (state.news.size === 0 && state.awaiting.size === 0)) {
+		return messages;
+	}
+
+	for (const entry of entries) {
+		const lists = listNewsFor(state, entry, now);
+		if (lists.length > 0) {
+			messages.set(entry, {type: 'jobs-owned', lists});
+		} else if (state.awaiting.has(entry)) {
+			messages.set(entry, {type: 'jobs-seen'});
+		}
+	}
+
+	state.newsSentAt = now;
+	state.news = new Map();
+	state.awaiting.clear();
+	return messages;
+}
+
+/**
+ * Lists all jobs that an entry with a new stream has to hear of.
+ *
+ * @param state - State of the ownership.
+ * @param own - The announced own jobs.
+ * @param now - Current time.
+ * @param timings - Time limits.
+ * @returns Lists by owner.
+ */
+export function listAllOwnedJobs(state: OwnershipState, own: readonly OwnedJob[], now: Milliseconds, {goneMs}: Timings): readonly OwnedJobs[] {
+	const foreign = [...state.foreign].map(([id, {owner, receivedAt, expiresAt}]) => [owner, describeOwnedJob(id, {receivedAt, deadlineAt: expiresAt - goneMs}, now)] as const);
+	return createLists([...own.map(job => [state.self, job] as const), ...foreign]);
+}
+
+/** Returns what is known of the loss of an owner; undefined if it was not lost, or is connected again. */
+function getLoss({lostOwners}: OwnershipState, {name, incarnation}: NodeRef): LostOwner | undefined {
+	const lost = lostOwners.get(name);
+	return lost !== undefined && incarnation <= lost.incarnation ? lost : undefined;
+}
+
+/**
+ * Finds the entry that may have runs of a job.
+ *
+ * @param state - State of the ownership.
+ * @param id - The job.
+ * @param timings - Time limits.
+ * @param now - Current time.
+ * @returns What is known of the job; undefined if no other entry can have a run of it.
+ */
+export function findForeignJob(state: OwnershipState, id: string, {goneMs}: Timings, now: Milliseconds): ForeignJob | undefined {
+	const job = state.foreign.get(id);
+	const lost = job === undefined ? undefined : getLoss(state, job.owner);
+	const isGone = lost?.isEnded === true && now >= lost.lostAt + goneMs;
+	if (job !== undefined && now < job.expiresAt && !isGone) {
+		return job;
+	}
+
+	state.foreign.delete(id);
+	return undefined;
+}
+
+/** Forgets that another entry serves a job. */
+export function removeForeignJob({foreign}: OwnershipState, id: string): void {
+	foreign.delete(id);
+}
+
+/**
+ * Records that a stream to an entry has opened. An earlier life of it has ended at the latest now.
+ *
+ * @param state - State of the ownership.
+ * @param entry - The entry.
+ * @param now - Current time.
+ */
+export function recordOwnerConnect({lostOwners, foreign}: OwnershipState, {name, incarnation}: NodeRef, now: Milliseconds): void {
+	const lost = lostOwners.get(name);
+	lostOwners.delete(name);
+	const earlier = Math.max(...[...foreign.values()].flatMap(({owner}) => owner.name === name && owner.incarnation < incarnation ? [owner.incarnation] : []));
+	if (Number.isFinite(earlier)) {
+		lostOwners.set(name, {incarnation: earlier, lostAt: lost?.incarnation === earlier ? lost.lostAt : now, isEnded: true});
+	}
+}
+
+/** Records that the streams to an entry have closed, or that it does not answer. */
+export function recordOwnerLoss({lostOwners}: OwnershipState, {name, incarnation}: NodeRef, now: Milliseconds): void {
+	const lost = lostOwners.get(name);
+	if (lost === undefined || lost.incarnation < incarnation) {
+		lostOwners.set(name, {incarnation, lostAt: now, isEnded: false});
+	}
+}
+
+/** Begins to wait for the answer of a job's owner. */
+export function joinJob(state: OwnershipState, id: string, owner: NodeRef, now: Milliseconds): JoinedJob {
+	const joined: JoinedJob = {
+		owner, joinedAt: now, askedAt: Number.NEGATIVE_INFINITY, heardAt: now,
+	};
+	state.joined.set(id, joined);
+	return joined;
+}
+
+/**
+ * Records that the owner of a joined job has answered.
+ *
+ * @param state - State of the ownership.
+ * @param id - The job.
+ * @param owner - The process that answered; one that is not the owner says nothing of its runs.
+ * @param now - Current time.
+ * @returns Whether the answer is of the owner.
+ */
+export function recordOwnerAnswer(state: OwnershipState, id: string, owner: NodeRef, now: Milliseconds): boolean {
+	const joined = state.joined.get(id);
+	if (joined === undefined || !isSameNode(joined.owner, owner)) {
+		return false;
+	}
+
+	joined.heardAt = now;
+	if (state.lostOwners.get(owner.name)?.incarnation === owner.incarnation) {
+		// It lives, and is reached through another entry.
+		state.lostOwners.delete(owner.name);
+	}
+
+	return true;
+}
+
+/**
+ * Chooses what to do for a joined job.
+ *
+ * @param state - State of the ownership.
+ * @param id - The job.
+ * @param deadlineAt - When its caller stops waiting.
+ * @param options - Time limits, and the current time.
+ * @returns The action.
+ */
+export function chooseJoinAction(state: OwnershipState, id: string, deadlineAt: Milliseconds, {timings, now}: {timings: Timings; now: Milliseconds}): JoinAction {
+	const joined = state.joined.get(id)!;
+	const answerBy = joined.heardAt + timings.contactMs;
+	if (now >= answerBy) {
+		recordOwnerLoss(state, joined.owner, now);
+	}
+
+	if (findForeignJob(state, id, timings, now) === undefined) {
+		return {type: 'take-over', evidence: 'owner-ended'};
+	}
+
+	const lost = getLoss(state, joined.owner);
+	if (lost !== undefined) {
+		const releasedAt = Math.min(state.foreign.get(id)!.expiresAt, Math.max(lost.lostAt + timings.goneMs, lost.isEnded ? 0 : answerBy));
+		if (now >= releasedAt) {
+			return {type: 'take-over', evidence: 'owner-lost'};
+		}
+
+		if (releasedAt >= deadlineAt) {
+			return {type: 'give-up', releaseInMs: releasedAt - now};
+		}
+	}
+
+	if (now - joined.askedAt < timings.askMs) {
+		return {type: 'none'};
+	}
+
+	joined.askedAt = now;
+	return {type: 'ask'};
+}
+
+/** Adds an entry that waits for the answer of an own job. */
+export function addFollower({followers}: OwnershipState, id: string, entry: NodeName, now: Milliseconds): boolean {
+	const entries = followers.get(id) ?? new Map<NodeName, Milliseconds>();
+	const isNew = !entries.has(entry);
+	followers.set(id, entries.set(entry, now));
+	return isNew;
+}
+
+/** Removes an entry that does not wait any more; returns whether it was the last one. */
+export function removeFollower({followers}: OwnershipState, id: string, entry: NodeName): boolean {
+	const entries = followers.get(id);
+	if (entries?.delete(entry) !== true) {
+		return false;
+	}
+
+	if (entries.size === 0) {
+		followers.delete(id);
+	}
+
+	return entries.size === 0;
+}
+
+/** Lists the entries that wait for the answer of an own job. */
+export function listFollowers({followers}: OwnershipState, id: string): readonly NodeName[] {
+	return [...followers.get(id)?.keys() ?? []];
+}
+
+/** Records which other entries are connected. */
+export function observeEntryContact(state: OwnershipState, contact: EntryContact, now: Milliseconds): void {
+	state.contact = contact;
+	const isIsolated = contact.connected === 0 && contact.silent > 0;
+	state.isolatedSince = isIsolated ? state.isolatedSince ?? now : undefined;
+}
+
+/**
+ * Returns whether this entry can't tell the others of its jobs: it is cut off from all entries that may live. Their callers
+ * may submit them there, and nobody knows better.
+ */
+export function isIsolated({isolatedSince}: OwnershipState, {reconnectMs}: Timings, now: Milliseconds): boolean {
+	return isolatedSince !== undefined && now - isolatedSince >= reconnectMs;
+}
+
+/** Drops the jobs of other entries that have expired, and losses that no such job depends on. */
+export function pruneForeignJobs(state: OwnershipState, now: Milliseconds): void {
+	if (now - state.prunedAt < pruneIntervalMs) {
+		return;
+	}
+
+	state.prunedAt = now;
+	const owners = new Set<NodeName>();
+	for (const [id, {owner, expiresAt}] of state.foreign) {
+		if (now >= expiresAt) {
+			state.foreign.delete(id);
+		} else {
+			owners.add(owner.name);
+		}
+	}
+
+	for (const name of state.lostOwners.keys()) {
+		if (!owners.has(name)) {
+			state.lostOwners.delete(name);
+		}
+	}
+}
--- /dev/null
+++ b/src/core/ownership/state.ts
@@ -0,0 +1,64 @@
+/**
+ * State of the ownership of jobs at an entry.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {NodeName, NodeRef} from '../identity/types.ts';
+import type {
+	EntryContact, ForeignJob, JoinedJob, LostOwner,
+} from './types.ts';
+
+/** A job to tell other entries. */
+export type OwnershipNews = {
+	readonly owner: NodeRef;
+	readonly receivedAt: Milliseconds;
+	readonly deadlineAt: Milliseconds;
+	/** The entry that told it, which need not hear of it again; undefined for an own job. */
+	readonly from: NodeName | undefined;
+};
+
+/** State of the ownership; only functions of this folder change it. */
+export type OwnershipState = {
+	readonly self: NodeRef;
+	/** Jobs that other entries serve, by id. */
+	readonly foreign: Map<string, ForeignJob>;
+	/** Own jobs that the other entries have been told. */
+	readonly announced: Set<string>;
+	/** Jobs to tell other entries, by id. */
+	news: Map<string, OwnershipNews>;
+	newsSentAt: Milliseconds;
+	/** Entries that wait for a sign that their own jobs have arrived here. */
+	readonly awaiting: Set<NodeName>;
+	/** Jobs of local callers that wait for the answers of their owners, by id. */
+	readonly joined: Map<string, JoinedJob>;
+	/** Entries that wait for the answer of an own job, by id and name, with the time at which they last asked. */
+	readonly followers: Map<string, Map<NodeName, Milliseconds>>;
+	/** Entries whose streams were lost, by name. */
+	readonly lostOwners: Map<NodeName, LostOwner>;
+	contact: EntryContact;
+	/** Since when no entry is connected although some may live; undefined otherwise. */
+	isolatedSince: Milliseconds | undefined;
+	prunedAt: Milliseconds;
+};
+
+/**
+ * Creates the state of an entry that knows of no job.
+ *
+ * @param self - The entry.
+ * @returns The state.
+ */
+export function createOwnershipState(self: NodeRef): OwnershipState {
+	return {
+		self,
+		foreign: new Map(),
+		announced: new Set(),
+		news: new Map(),
+		newsSentAt: Number.NEGATIVE_INFINITY,
+		awaiting: new Set(),
+		joined: new Map(),
+		followers: new Map(),
+		lostOwners: new Map(),
+		contact: {connected: 0, silent: 0},
+		isolatedSince: undefined,
+		prunedAt: 0,
+	};
+}
--- /dev/null
+++ b/src/core/ownership/types.ts
@@ -0,0 +1,69 @@
+/**
+ * Types of the ownership of jobs: which entry serves a job, as entries tell each other.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {NodeRef} from '../identity/types.ts';
+
+/** A job that an entry has had open for `announceMs`: its id, its age, and the time left until its deadline. */
+export type OwnedJob = readonly [id: string, age: Milliseconds, left: Milliseconds];
+
+/** Jobs of one entry. */
+export type OwnedJobs = {readonly owner: NodeRef; readonly jobs: readonly OwnedJob[]};
+
+/** What an entry knows of a job that another one serves. */
+export type ForeignJob = {
+	readonly owner: NodeRef;
+	/** When its owner received it, by the clock of this process. */
+	readonly receivedAt: Milliseconds;
+	/** From when on the owner can't have a run of it any more, however it ends. */
+	readonly expiresAt: Milliseconds;
+};
+
+/**
+ * State of a job at its owner, as the answer to an entry that asks for it.
+ *
+ * - `open`: the owner serves it; its answer follows.
+ * - `ending`: given up, and runs of it are still being stopped.
+ * - `ended`: answered; the answer is attached.
+ * - `released`: the owner has no run of it, and starts none.
+ */
+export type OwnedJobState = 'open' | 'ending' | 'ended' | 'released';
+
+/**
+ * Why an entry takes over a job that another one has announced.
+ *
+ * - `released`: the owner has said that it has no run of it.
+ * - `owner-ended`: a later life of it is known, and the runs of the earlier one have ended.
+ * - `owner-lost`: it has not answered, also not through other entries, for so long that no run of it can be left.
+ */
+export type ReleaseEvidence = 'released' | 'owner-ended' | 'owner-lost';
+
+/** A job of a local caller that waits for the answer of its owner. */
+export type JoinedJob = {
+	readonly owner: NodeRef;
+	readonly joinedAt: Milliseconds;
+	/** When the owner was last asked, and when it last answered. */
+	askedAt: Milliseconds;
+	heardAt: Milliseconds;
+};
+
+/** What to do for a joined job. */
+export type JoinAction =
+	| {readonly type: 'none'}
+	/** Ask the owner for the answer. */
+	| {readonly type: 'ask'}
+	/** Serve the job here: no run of the owner can be left. */
+	| {readonly type: 'take-over'; readonly evidence: ReleaseEvidence}
+	/** The owner can't be shown to have ended the job before the deadline of the caller. */
+	| {readonly type: 'give-up'; readonly releaseInMs: Milliseconds};
+
+/** A life of an entry whose streams were lost, and whether it has ended for certain: a later life of it is known. */
+export type LostOwner = {readonly incarnation: number; readonly lostAt: Milliseconds; readonly isEnded: boolean};
+
+/** Other entries, as far as streams show. */
+export type EntryContact = {
+	/** Entries with an open stream. */
+	readonly connected: number;
+	/** Known entries without one that are not known to have ended. */
+	readonly silent: number;
+};
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -45,6 +45,7 @@
 		expectedMs: record.offer.expectedMs,
 		runMs: hasRun ? Math.round(now - record.orderedAt) : 0,
 		waitMs: Math.round((isStartOrdered(record) ? record.orderedAt : now) - record.queuedAt),
+		...(record.stopReason === 'superseded' && {isSuperseded: true}),
 		...(crash !== undefined && {crash}),
 	};
 	if (crash !== undefined) {
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -71,6 +71,7 @@
 		return [];
 	}
 
+	record.stopReason = reason;
 	return [endRecord(state, record, 'not-started', now)];
 }
 
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -1,7 +1,10 @@
 /**
  * Messages between entries that dispatch jobs and the agents beside the workers.
  */
+import type {JobAnswer} from '../core/dispatch/types.ts';
+import type {NodeName, NodeRef} from '../core/identity/types.ts';
 import type {PeerDigests} from '../core/links/types.ts';
+import type {OwnedJobs, OwnedJobState} from '../core/ownership/types.ts';
 import type {Milliseconds} from './clock.ts';
 import type {PeerAddress} from './messages.ts';
 import type {Resources, RunEnd, RunRef} from './worker.ts';
@@ -82,6 +85,8 @@
 	readonly runMs: Milliseconds;
 	/** Time in the agent's queue. */
 	readonly waitMs: Milliseconds;
+	/** Whether it was dropped because another entry had offered the task too. */
+	readonly isSuperseded?: boolean;
 	/** Set for `crashed`. */
 	readonly crash?: CrashEvidence;
 };
@@ -132,6 +137,21 @@
 /** Session that a message belongs to; undefined from processes of an earlier build. */
 type SessionMember = {readonly session?: number};
 
+/** A message between two entries; an entry with streams to both passes it on if they have none to each other. */
+type EntryEnvelope = {readonly from: NodeRef; readonly to: NodeName};
+
+/** Messages about a job that one entry serves and a caller of another one waits for. */
+export type EntryMessageBody =
+	/** Asks the owner of a job for its answer. `left`: time until the deadline of the caller. */
+	| {readonly type: 'join-job'; readonly job: string; readonly left: Milliseconds}
+	/** The caller does not wait any more. */
+	| {readonly type: 'leave-job'; readonly job: string}
+	/** Answer to `join-job`, and sent again when the job ends. */
+	| {readonly type: 'job-state'; readonly job: string; readonly state: OwnedJobState; readonly answer?: Pick<JobAnswer, 'outcome' | 'reason'>};
+
+/** The same with sender and receiver. */
+export type EntryMessage = EntryEnvelope & EntryMessageBody;
+
 /** Every message between entries and agents; `type` is the discriminant. */
 export type DispatchMessage =
 	/**
@@ -161,6 +181,11 @@
 	 */
 	| {readonly type: 'crashes'; readonly crashes: readonly TaskCrash[]; readonly agent?: string}
 	| (SessionMember & {readonly type: 'load'; readonly load: WorkerLoad; readonly seen: number})
+	/** Jobs that entries have had open for long, the sender or others. The receiver passes on those that are new to it. */
+	| {readonly type: 'jobs-owned'; readonly lists: readonly OwnedJobs[]}
+	/** Answer to `jobs-owned`, which shows at once that the receiver is in reach. */
+	| {readonly type: 'jobs-seen'}
+	| EntryMessage
 	/** Version of the configuration that an entry has applied. */
 	| {readonly type: 'version'; readonly version: number}
 	/** Asks another entry for its configuration. */
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -6,7 +6,7 @@
 	createAgentMessage, handleAgentDisconnect, handleGrantRequests, hasTasksAt, startSession,
 } from '../../core/dispatch/agents.ts';
 import {
-	advanceDispatch, cancelJob, placeAllWaitingTasks, submitJob, type JobRequest,
+	advanceDispatch, cancelJob, handleCallerLeave, placeAllWaitingTasks, submitJob, type JobRequest,
 } from '../../core/dispatch/logic.ts';
 import {observeContact} from '../../core/dispatch/contact.ts';
 import {applyReports, handleCrashes, handleSurvival} from '../../core/dispatch/reports.ts';
@@ -34,6 +34,7 @@
 import {Directory} from './directory.ts';
 import {PeerLinks} from './links.ts';
 import {createOwnAddress, type DispatchInput} from './input.ts';
+import {OwnershipExchange} from './ownership.ts';
 
 /** Interval of checking deadlines and waiting tasks, in ms. */
 const tickMs = 50;
@@ -58,6 +59,7 @@
 	readonly state: DispatchState;
 	readonly configuration: ConfigurationSource;
 	readonly #links: PeerLinks;
+	readonly #ownership: OwnershipExchange;
 	readonly #timer: Disposable;
 	readonly #waiters = new Map<Job, Waiter[]>();
 	readonly #sharing = createSharingState();
@@ -86,6 +88,18 @@
 		ask: (from, {tasks}) => {
 			this.#applyEffects(handleGrantRequests(this.state, from.name, tasks, this.#now()));
 		},
+		'jobs-owned': (from, {lists}) => {
+			this.#ownership.handleOwnedJobs(from.name, lists);
+		},
+		'join-job': (from, message) => {
+			this.#ownership.handleMessage(from.name, message);
+		},
+		'leave-job': (from, message) => {
+			this.#ownership.handleMessage(from.name, message);
+		},
+		'job-state': (from, message) => {
+			this.#ownership.handleMessage(from.name, message);
+		},
 		version: (from, {version}) => {
 			recordPeerVersion(this.#sharing, from.name, version);
 		},
@@ -116,11 +130,13 @@
 		},
 		answer: ({job, answer}) => {
 			this.#recordAnswer(job, answer);
-			const waiters = this.#waiters.get(job) ?? [];
-			this.#waiters.delete(job);
-			for (const reply of waiters) {
-				reply(answer);
-			}
+			this.#replyToCallers(job, answer);
+		},
+		dismiss: ({job, answer}) => {
+			this.#replyToCallers(job, answer);
+		},
+		'tell-entry': ({message}) => {
+			this.#ownership.sendMessage(message);
 		},
 	};
 
@@ -133,7 +149,7 @@
 		const self = createOwnAddress(input, 'entry');
 		this.state = createDispatchState(createFleetState({
 			dataCentre: settings.dataCentre, remoteFactor: settings.bounds.remoteFactor,
-		}), timings);
+		}), timings, self);
 		this.state.expectAgentsUntil = clock.getTime() + expectAgentsMs;
 		this.configuration = new ConfigurationSource({
 			store: input.store,
@@ -180,6 +196,14 @@
 			},
 			isQuiet: peer => peer.role === 'entry' || !hasTasksAt(this.state, peer.name),
 		});
+		this.#ownership = new OwnershipExchange({
+			state: this.state,
+			links: this.#links,
+			getTime: () => this.#now(),
+			applyEffects: effects => {
+				this.#applyEffects(effects);
+			},
+		});
 		this.#timer = clock.startInterval(tickMs, () => {
 			this.#advance();
 		});
@@ -223,9 +247,7 @@
 		return new Promise(resolve => {
 			addToGroup(this.#waiters, job, resolve);
 			signal.addEventListener('abort', () => {
-				if (this.#waiters.get(job)?.length === 1) {
-					this.#applyEffects(cancelJob(this.state, job.id, 'cancelled', this.#now()));
-				}
+				this.#removeWaiter(job, resolve);
 			});
 			this.#applyEffects(effects);
 		});
@@ -271,9 +293,9 @@
 			await waitFor(this.input.clock, tickMs);
 		}
 
-		const openJobs = [...this.state.openJobs];
+		const openJobs = [...[...this.state.openJobs].map(({id}) => id), ...this.state.ownership.joined.keys()];
 		log.recordDecision('warn', 'open-jobs-given-up', {count: openJobs.length});
-		for (const {id} of openJobs) {
+		for (const id of openJobs) {
 			this.#applyEffects(cancelJob(this.state, id, 'leaving', this.#now()));
 		}
 
@@ -302,7 +324,9 @@
 			}
 		}
 
+		this.#ownership.observeContact();
 		this.#applyEffects(advanceDispatch(this.state, now));
+		this.#ownership.sendNews();
 		this.#recordCarefulRoutes(now);
 		this.#links.extendStreams(chooseExtraAgents(this.state, () => this.#links.listUnconnectedAgents(), now));
 		const peer = chooseFetch(this.#sharing, this.configuration.version, now);
@@ -354,6 +378,7 @@
 			return;
 		}
 
+		this.#ownership.handleConnect(peer);
 		recordPeerVersion(this.#sharing, peer.name, peer.configurationVersion);
 	}
 
@@ -374,6 +399,8 @@
 		if (peer.role === 'agent') {
 			removeAgent(this.state.fleet, peer.name);
 			this.#applyEffects(handleAgentDisconnect(this.state, peer.name, this.#now()));
+		} else {
+			this.#ownership.handleDisconnect(peer);
 		}
 	}
 
@@ -396,6 +423,30 @@
 		}
 	}
 
+	/** Removes a caller that has left; the job ends with its last one. */
+	#removeWaiter(job: Job, resolve: Waiter): void {
+		const waiters = this.#waiters.get(job);
+		if (waiters?.includes(resolve) !== true) {
+			return;
+		}
+
+		if (waiters.length > 1) {
+			this.#waiters.set(job, waiters.filter(other => other !== resolve));
+			return;
+		}
+
+		this.#waiters.delete(job);
+		this.#applyEffects(handleCallerLeave(this.state, job.id, this.#now()));
+	}
+
+	#replyToCallers(job: Job, answer: JobAnswer): void {
+		const waiters = this.#waiters.get(job) ?? [];
+		this.#waiters.delete(job);
+		for (const reply of waiters) {
+			reply(answer);
+		}
+	}
+
 	#recordAnswer(job: Job, answer: JobAnswer): void {
 		const isCompleted = answer.outcome === 'completed';
 		this.input.log.recordDecision(isCompleted ? 'info' : 'warn', 'job-answered', {
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -13,6 +13,7 @@
 import {
 	addPeers, applyPeerAnnouncement, computeDigests, getSubset, handlePeerDisconnect, isWanted, listMissingAddresses, recordOpenFailure, extendStreams, takeDuePeers, takeNews,
 } from '../../core/links/logic.ts';
+import {isAwaitedMessage} from '../../core/links/awaited.ts';
 import {createLinksState, type LinksState} from '../../core/links/state.ts';
 import type {ConnectedPeer} from '../../core/links/types.ts';
 import {defaultSubsetOptions} from '../../core/subsets/options.ts';
@@ -114,7 +115,7 @@
 				return peer?.acceptsQuiet === true && this.handlers.isQuiet(peer);
 			},
 			// The agent of an offered task sends the usual heartbeats.
-			isAwaited: message => (message.type === 'offer' || message.type === 'claim') && message.tasks.length > 0,
+			isAwaited: isAwaitedMessage,
 			onConfirm() {
 				// Not used: entries claim their tasks again on each new stream.
 			},
@@ -163,6 +164,11 @@
 		return [...this.state.known.values()].map(({address}) => address).filter(({role, name}) => role === 'agent' && !this.state.connected.has(name));
 	}
 
+	/** Counts the known entries without an open stream. */
+	countUnconnectedEntries(): number {
+		return [...this.state.known.values()].filter(({address: {role, name}}) => role === 'entry' && !this.state.connected.has(name)).length;
+	}
+
 	/** Opens streams to processes outside the subset, for some seconds. */
 	extendStreams(names: readonly NodeName[]): void {
 		extendStreams(this.state, names, this.#now());
--- /dev/null
+++ b/src/processes/dispatch/ownership.ts
@@ -0,0 +1,90 @@
+/**
+ * Exchange between entries about the jobs that they serve.
+ */
+import {
+	chooseEntryRoute, handleEntryMessage, handleOwnedJobs, listJobsForEntry, takeOwnershipNews,
+} from '../../core/dispatch/joining.ts';
+import {admitJob} from '../../core/dispatch/logic.ts';
+import type {DispatchState} from '../../core/dispatch/state.ts';
+import type {DispatchEffect} from '../../core/dispatch/types.ts';
+import type {NodeName, NodeRef} from '../../core/identity/types.ts';
+import {observeEntryContact, recordOwnerConnect, recordOwnerLoss} from '../../core/ownership/logic.ts';
+import type {OwnedJobs} from '../../core/ownership/types.ts';
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {EntryMessage} from '../../ports/dispatch-messages.ts';
+import type {PeerLinks} from './links.ts';
+
+/** What the exchange needs of its entry. */
+export type OwnershipInput = {
+	readonly state: DispatchState;
+	readonly links: PeerLinks;
+	readonly getTime: () => Milliseconds;
+	readonly applyEffects: (effects: readonly DispatchEffect[]) => void;
+};
+
+/** Tells other entries of the jobs of this one, and applies what they tell. */
+export class OwnershipExchange {
+	/** @param input - The entry and its streams. */
+	constructor(private readonly input: OwnershipInput) {}
+
+	/** Handles a new stream to an entry: it hears of all jobs that it may have to know. */
+	handleConnect(entry: NodeRef): void {
+		const {state, links, getTime} = this.input;
+		recordOwnerConnect(state.ownership, entry, getTime());
+		links.sendMessage(entry.name, {type: 'jobs-owned', lists: listJobsForEntry(state, getTime())});
+	}
+
+	/** Handles that the last stream to an entry has closed. */
+	handleDisconnect(entry: NodeRef): void {
+		recordOwnerLoss(this.input.state.ownership, entry, this.input.getTime());
+	}
+
+	/** Applies the jobs that an entry tells. */
+	handleOwnedJobs(from: NodeName, lists: readonly OwnedJobs[]): void {
+		const {state, getTime, applyEffects} = this.input;
+		applyEffects(handleOwnedJobs(state, from, lists, getTime()));
+	}
+
+	/** Applies a message about a job, or passes it on to the entry that it is for. */
+	handleMessage(sender: NodeName, message: EntryMessage): void {
+		const {state, getTime, applyEffects} = this.input;
+		if (message.to === state.ownership.self.name) {
+			applyEffects(handleEntryMessage(state, message, getTime(), admitJob));
+		} else {
+			this.#sendMessage(message, sender);
+		}
+	}
+
+	/** Sends a message to an entry; through the others, and on a new stream, if there is none yet. */
+	sendMessage(message: EntryMessage): void {
+		if (!this.#listEntries().includes(message.to)) {
+			this.input.links.extendStreams([message.to]);
+		}
+
+		this.#sendMessage(message);
+	}
+
+	/** Records which entries are connected; to be called before the jobs are advanced. */
+	observeContact(): void {
+		const {state, links, getTime} = this.input;
+		observeEntryContact(state.ownership, {connected: this.#listEntries().length, silent: links.countUnconnectedEntries()}, getTime());
+	}
+
+	/** Sends the jobs that the other entries don't know yet, if that is due. */
+	sendNews(): void {
+		const {state, links, getTime} = this.input;
+		for (const [entry, message] of takeOwnershipNews(state, this.#listEntries(), getTime())) {
+			links.sendMessage(entry, message);
+		}
+	}
+
+	#listEntries(): readonly NodeName[] {
+		return this.input.links.listConnected().filter(({role}) => role === 'entry').map(({name}) => name);
+	}
+
+	#sendMessage(message: EntryMessage, sender?: NodeName): void {
+		for (const name of chooseEntryRoute(message, this.#listEntries(), sender)) {
+			this.input.links.sendMessage(name, message);
+		}
+	}
+}
