--- a/features/dispatch/random-run.feature
+++ b/features/dispatch/random-run.feature
@@ -113,6 +113,7 @@
       | callers whose loss no entry is told of                                  | 1     | 23   |
       | callers whose loss no entry is told of                                  | 1     | 28   |
       | callers whose loss no entry is told of                                  | 1     | 36   |
+      | callers whose loss no entry is told of beside pauses                    | 4     | 5    |
       | callers whose loss no entry is told of beside cut entries               | 4     | 70   |
       | callers whose loss no entry is told of beside killed agents and entries | 4     | 1    |
       | callers whose loss no entry is told of beside lost streams              | 4     | 1    |
--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -147,6 +147,15 @@
     When 5000 ms elapse between entries
     Then "e1" has not answered "j1"
 
+  # Guards against serving a submission that lay in a buffer while its caller turned to another entry.
+  Scenario: A submission that is read right after a standstill is not served
+    When "e1" stands still for 2000 ms
+    And job "j1" is submitted to "e1"
+    Then "e1" answers "j1" with given-up, isolated
+    When 200 ms elapse between entries
+    And job "j2" is submitted to "e1"
+    Then "e1" has offered a task of "j2"
+
   # Guards against announcements that go round in a ring of entries for ever.
   Scenario: An announcement is passed on once
     Given job "j1" is submitted to "e1"
--- a/src/core/dispatch/contact.ts
+++ b/src/core/dispatch/contact.ts
@@ -43,9 +43,20 @@
 
 	state.lastContact = {...before, [source]: Math.max(before[source], at)};
 	const silenceMs = Math.round(at - (source === 'agents' ? before.agents : Math.max(before.agents, before.callers)));
-	return silenceMs < state.timings.contactMs
-		? []
-		: [{type: 'log', event: 'contact-regained', details: {source, silenceMs, openJobs: state.openJobs.size}}, ...endIsolatedJobs(state, before, now)];
+	if (silenceMs < state.timings.contactMs) {
+		return [];
+	}
+
+	state.lateUntil = now + state.timings.reconnectMs;
+	return [{type: 'log', event: 'contact-regained', details: {source, silenceMs, openJobs: state.openJobs.size}}, ...endIsolatedJobs(state, before, now)];
+}
+
+/**
+ * Returns whether a submission may have waited in a buffer while this process stood still, for so long that its caller may have
+ * submitted it to another entry meanwhile.
+ */
+export function isSubmissionLate({lateUntil}: DispatchState, now: Milliseconds): boolean {
+	return now < lateUntil;
 }
 
 /**
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -9,7 +9,7 @@
 	checkAdmission, checkOversizedJob, checkSuspendedJob, checkWaitingJob,
 } from './admission.ts';
 import {placeLostTasks} from './agents.ts';
-import {cancelIsolatedJobs} from './contact.ts';
+import {cancelIsolatedJobs, isSubmissionLate} from './contact.ts';
 import {updateReservedAgents} from './containment.ts';
 import {
 	advanceOwnership, cancelJoinedJob, findOwner, startJoining,
@@ -90,7 +90,11 @@
 	};
 }
 
-function checkSubmission({submission}: JobRequest): JobAnswer | undefined {
+function checkSubmission(state: DispatchState, {submission}: JobRequest, now: Milliseconds): JobAnswer | undefined {
+	if (isSubmissionLate(state, now)) {
+		return createAnswer('given-up', 'isolated', defaultRetryMs);
+	}
+
 	if (submission.unsupported !== '') {
 		return createAnswer('not-run', 'unsupported', defaultRetryMs);
 	}
@@ -120,7 +124,7 @@
 
 	const refusal = earlier !== undefined && hasOpenRuns(earlier)
 		? createAnswer('given-up', 'still-ending', defaultRetryMs)
-		: checkSubmission(request);
+		: checkSubmission(state, request, now);
 	if (refusal !== undefined) {
 		// Without its tasks, which may be more than the memory holds.
 		const refused = createJob(state, {...request, submission: {...request.submission, steps: []}}, now);
--- a/src/core/dispatch/state.ts
+++ b/src/core/dispatch/state.ts
@@ -56,6 +56,8 @@
 	expectAgentsUntil: Milliseconds;
 	/** Undefined before the first agent was heard. */
 	lastContact: Contact | undefined;
+	/** Until when a submission may have been sent long before it was read. */
+	lateUntil: Milliseconds;
 	/** When this entry gives up its open jobs, as it shuts down; infinite before. */
 	endsAt: Milliseconds;
 	/** When answers were last dropped that are not kept any longer. */
@@ -88,6 +90,7 @@
 		runTimeModels: new Map(),
 		expectAgentsUntil: 0,
 		lastContact: undefined,
+		lateUntil: 0,
 		endsAt: Number.POSITIVE_INFINITY,
 		prunedAt: 0,
 	};
