Report a granted task when it is withdrawn before the agent has asked

Its caller got 503 still-ending to each submission for 30 s.

The false sentence was "no entry waits for a report on a tentative offer that was not granted" (dropRecord): the grant had come. Now a grant of a waiting record is kept: its withdrawal is reported. The record does not start by it, as it does not tell which question it answers; the agent asks once more, which the entry confirms ("granted before").

Tests: features/runs/crossing-messages.feature, first scenario, failed before (no report); the second one held before and after.

--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -130,7 +130,8 @@
 }
 
 /**
- * Starts tentative tasks that their entry has granted.
+ * Starts tentative tasks that their entry has granted. A task about which this agent has not asked yet was granted for a
+ * question about an earlier offer: its entry waits for a report now, and is asked once more before the start.
  *
  * @param state - State of the agent.
  * @param owner - The entry.
@@ -144,6 +145,9 @@
 		const record = state.records.get(getRecordKey(owner, task));
 		if (record?.phase === 'asking') {
 			effects.push(startGranted(state, record, now));
+		} else if (record?.phase === 'queued' && !record.isGranted) {
+			record.isGranted = true;
+			record.mustAsk = true;
 		}
 	}
 
