Take no claim from before a question for its answer

Sequence, in simulated ms. 7,633: e2 grants the task to a6; the start of run 1 is answered outdated, so a6 raises the number to 17 and lets the task wait. 7,811: a6 is suspended for 1,688 ms. 8,057: e2 is cut off for 1,643 ms; the caller's connection breaks. 8,200: a stream of e2 to a6 closes, and e2 claims the task on the other one; the claim is held up by the cut. 8,600: e2 gives its jobs up as isolated. 9,357: the caller submits to e1, which starts run 2 at a3 at 9,713, rightly. 9,499: a6 goes on and notices the time that it has missed: it asks e2 before the start (9,501). 9,768: the claim of 8,200 arrives. a6 takes it for the lost grant, forgets that it has to ask and starts run 17. The number was raised once in this play, not again and again; that was not the cause.

The false sentence was "a claim that arrives while a question is open was sent after it; only the grant was lost". A claim confirms the start now only if nothing had to be confirmed and the messages of the entry are not delayed; else the task waits again and the entry is asked in the new session, which it answers with a grant or a withdrawal. A delayed claim of a task behind an earlier run of it is confirmed as well.

Tests: three of the four added scenarios of features/runs/crossing-messages.feature failed before (2 starts instead of 1, 1 instead of 0 twice); the one on recent claims held before and after.

--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -204,6 +204,7 @@
 	state.orphans.set(getRunKey(orphan.task, orphan.run), {...orphan, seenAt: Number.NEGATIVE_INFINITY});
 	const record = createRecord(owner, offer, now);
 	record.isGranted = true;
+	record.mustAsk = hasDelayedMessages(state, owner, now);
 	addRecord(state, record);
 	addToQueue(state, record);
 	return [];
@@ -224,6 +225,22 @@
 	return [{type: 'report', owner, reports: [report]}];
 }
 
+/**
+ * Starts a claimed task whose entry was asked: the grant was lost with the stream. A claim that may have been sent before the
+ * question does not confirm the start, so the entry is asked again.
+ */
+function applyClaimAsGrant(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
+	if (!record.mustAsk && !hasDelayedMessages(state, record.owner, now)) {
+		return [startGranted(state, record, now)];
+	}
+
+	record.phase = 'queued';
+	record.isGranted = true;
+	record.mustAsk = true;
+	addToQueue(state, record);
+	return [];
+}
+
 function applyClaims(state: RunsState, owner: NodeName, offers: readonly TaskOffer[], now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
 	const claimed = new Set(offers.map(({task}) => task));
@@ -238,8 +255,7 @@
 		if (record === undefined) {
 			effects.push(...restoreClaimedTask(state, owner, offer, now));
 		} else if (record.phase === 'asking') {
-			// The grant was lost with the stream.
-			effects.push(startGranted(state, record, now));
+			effects.push(...applyClaimAsGrant(state, record, now));
 		} else {
 			record.isGranted = true;
 		}
