--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -32,19 +32,44 @@
 /** One process of the fleet. */
 export type FleetProcess = {
 	readonly role: 'entry' | 'agent';
+	readonly name: string;
+	readonly file: string;
 	child: ChildProcess;
 };
 
+/** Addresses of an entry. */
+export type EntryAddresses = {
+	readonly name: string;
+	readonly callers: string;
+	readonly readiness: string;
+	readonly metrics: string;
+};
+
+/** Grace period of the processes, in seconds, unless a fleet has its own. */
+const defaultGraceSeconds = 3;
+
 /** A running fleet. */
 export class PlatformFleet implements AsyncDisposable {
 	readonly workers: WorkerStandIn[] = [];
 	readonly processes: FleetProcess[] = [];
-	callers = '';
-	readiness = '';
-	metrics = '';
+	readonly entries: EntryAddresses[] = [];
+	graceSeconds = defaultGraceSeconds;
 	#store: StoreStandIn | undefined;
 	#folder = '';
 	#probes = 0;
+	#isDisposed = false;
+
+	get callers(): string {
+		return this.entries[0].callers;
+	}
+
+	get readiness(): string {
+		return this.entries[0].readiness;
+	}
+
+	get metrics(): string {
+		return this.entries[0].metrics;
+	}
 
 	/**
 	 * Starts an entry, agents and their workers, and waits until the entry is ready and sends tasks to every agent.
@@ -62,11 +87,7 @@
 		}
 
 		this.#store.writeKey('op/config', createConfiguration(7, true));
-		const ports = await takePorts((agents + 1) * portsPerProcess);
-		const entryPorts = ports.splice(0, portsPerProcess);
-		this.callers = `127.0.0.1:${entryPorts[1]}`;
-		this.readiness = `127.0.0.1:${entryPorts[2]}`;
-		this.metrics = `127.0.0.1:${entryPorts[3]}`;
+		const ports = await takePorts(agents * portsPerProcess);
 		for (let index = 0; index < agents; index++) {
 			const worker = await startWorkerStandIn({
 				id: `w${index}`, service: 'desk', cpu: 12_000, runMs,
@@ -77,15 +98,53 @@
 			await this.#startProcess('agent', `agent-${index}`, {agentPort, heartbeats: `127.0.0.1:${heartbeatPort}`, worker: worker.address});
 		}
 
-		await this.#startProcess('entry', 'entry-0', {
-			entryPort: entryPorts[0], callers: this.callers, readiness: this.readiness, metrics: this.metrics,
-		});
+		await this.addEntry();
 		await this.waitUntil(async () => {
 			const status = await this.readReadiness();
 			return status === 200 && this.#submitProbeJob();
 		}, limitMs);
 	}
 
+	/** Starts one more entry, and returns its addresses. */
+	async addEntry(): Promise<EntryAddresses> {
+		const [entryPort, callers, readiness, metrics] = await takePorts(portsPerProcess);
+		const name = `entry-${this.entries.length}`;
+		const entry = {
+			name, callers: `127.0.0.1:${callers}`, readiness: `127.0.0.1:${readiness}`, metrics: `127.0.0.1:${metrics}`,
+		};
+		this.entries.push(entry);
+		await this.#startProcess('entry', name, {entryPort, ...entry});
+		return entry;
+	}
+
+	/**
+	 * Sends SIGTERM to a process, kills it after the grace period if it goes on, and starts it again `delay` ms after its end.
+	 * Does nothing while it is down.
+	 */
+	async restartProcess(name: string, delay: number): Promise<void> {
+		const process_ = this.processes.find(other => other.name === name)!;
+		const {child} = process_;
+		if (child.exitCode !== null || child.signalCode !== null) {
+			return;
+		}
+
+		const ended = new Promise<void>(resolve => {
+			child.once('exit', () => {
+				resolve();
+			});
+		});
+		const timer = setTimeout(() => {
+			child.kill('SIGKILL');
+		}, this.graceSeconds * 1000);
+		child.kill('SIGTERM');
+		await ended;
+		clearTimeout(timer);
+		await this.wait(delay);
+		if (!this.#isDisposed && process_.child === child) {
+			process_.child = this.#spawnProcess(process_.role, process_.file);
+		}
+	}
+
 	/** Writes a configuration without the route while the store refuses all calls, for `downMs`. */
 	async dropRoute(version: number, downMs: number): Promise<void> {
 		this.#store!.setDown(true);
@@ -148,6 +207,7 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isDisposed = true;
 		for (const {child} of this.processes) {
 			child.kill('SIGKILL');
 		}
@@ -169,7 +229,7 @@
 		this.#probes++;
 		await this.submitJob(`ff${String(this.#probes).padStart(14, '0')}`, {
 			BestEffort: true, Steps: [{
-				Count: 6, Cpu: 3000, MemMb: 64, EstimateMs: 150,
+				Count: (this.workers.length * 4) - 2, Cpu: 3000, MemMb: 64, EstimateMs: 150,
 			}],
 		});
 		return this.workers.every(({starts}, index) => starts.length > started[index]);
@@ -179,13 +239,18 @@
 		const file = path.join(this.#folder, `${name}.json`);
 		await writeFile(file, JSON.stringify({
 			name, host: '127.0.0.1', dataCentre: 'dc', entryPort: 1, agentPort: 1, store: this.#store!.address, ...fields, bounds: {
-				maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: 3, configurationMs: 2000, remoteFactor: 1.5,
+				maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: this.graceSeconds, configurationMs: 2000, remoteFactor: 1.5,
 			},
 		}));
-		const child = spawn(process.execPath, [...platformNodeOptions[role], 'target/medlardale.cjs', role, '--settings', file], {
+		this.processes.push({
+			role, name, file, child: this.#spawnProcess(role, file),
+		});
+	}
+
+	#spawnProcess(role: FleetProcess['role'], file: string): ChildProcess {
+		return spawn(process.execPath, [...platformNodeOptions[role], 'target/medlardale.cjs', role, '--settings', file], {
 			stdio: ['ignore', 'ignore', 'inherit'], env: {...process.env, MEDLARDALE_SECRET: 'features'},
 		});
-		this.processes.push({role, child});
 	}
 
 	async #send(method: string, url: string, body?: string): Promise<{status: number; body: unknown}> {
