Answer 502 for a job that a stopping entry can't finish

Callers take 503 as final (PROTOCOL.md: the job was not accepted and never runs) and come back after 502, at any node. A stopping entry that refused a job as 'leaving' answered 503, so the job was lost although other entries could serve it.

The examples of features/dispatch/dispatch.feature expected not-run for such a job; they expect given-up now, which is as strict: the same reason, and still no offer.

--- a/features/dispatch/dispatch.feature
+++ b/features/dispatch/dispatch.feature
@@ -91,6 +91,7 @@
     Then some are answered "not-run" with a retry time of at least 1000 ms
     And no job that was admitted waits for more than 2000 ms of work
 
+  # Guards against a caller that never comes back: 503 is final for it, while another entry would serve its job.
   Scenario Outline: An entry that shuts down serves the jobs that end before it does
     Given the entry shuts down in <left> ms
     When job "j1" of 1 tasks of 3000 and 200 ms arrives
@@ -100,8 +101,8 @@
       | left | result                                  |
       | 5000 | has no answer                           |
       | 400  | has no answer                           |
-      | 250  | is refused as "not-run" for "leaving"   |
-      | 0    | is refused as "not-run" for "leaving"   |
+      | 250  | is refused as "given-up" for "leaving"  |
+      | 0    | is refused as "given-up" for "leaving"  |
 
   Scenario: More urgent work is admitted while less urgent is refused
     Given agent "a1" is full with a wait of 40 ms
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -51,6 +51,9 @@
 	};
 }
 
+/** Refusal of an entry that shuts down. No task has run, but another entry may serve the job, and `not-run` would be final for its caller. */
+const leavingRefusal: JobAnswer = {...createRefusal('leaving', minRetryMs), outcome: 'given-up'};
+
 /** Returns whether a waiting task of a job is suspected of crashing workers. */
 function hasSuspect({crashes}: DispatchState, {tasks}: Job): boolean {
 	return tasks.some(({name, phase}) => phase === 'waiting' && getSuspicion(crashes, name) !== 'none');
@@ -114,7 +117,7 @@
 	const wait = placement.hasTentativeOffer ? placement.wait : 0;
 	const total = Math.max(placement.total, criticalPath);
 	if (now + (total * endMarginFactor) > state.endsAt) {
-		return createRefusal('leaving', minRetryMs);
+		return leavingRefusal;
 	}
 
 	const isLightLoad = estimateUtilization(state, job.route, now) < lightLoadLimit;
