Answer 502 for jobs that arrive at a stopping entry without agents

An entry that is stopped right after its start, or that has lost its agents, refused jobs as 'no-worker' with 503, which is final for the caller. It says nothing of the other entries, which may have agents; this one doesn't wait for its own any more.

The new scenario failed before with not-run, no-worker.

--- a/features/dispatch/dispatch.feature
+++ b/features/dispatch/dispatch.feature
@@ -104,6 +104,13 @@
       | 250  | is refused as "given-up" for "leaving"  |
       | 0    | is refused as "given-up" for "leaving"  |
 
+  # Guards against a caller that never comes back: a stopping entry without agents refused jobs that others had room for.
+  Scenario: An entry that shuts down without agents lets callers try another one
+    Given both streams close
+    And the entry shuts down in 5000 ms
+    When job "j1" of 1 tasks of 3000 and 200 ms arrives
+    Then "j1" is refused as "given-up" for "leaving"
+
   Scenario: More urgent work is admitted while less urgent is refused
     Given agent "a1" is full with a wait of 40 ms
     And agent "a2" is full with a wait of 50 ms
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -98,6 +98,10 @@
 export function checkAdmission(state: DispatchState, job: Job, placement: Placement, now: Milliseconds): JobAnswer | undefined {
 	const criticalPath = estimateCriticalPath(state, job.route, job.submission);
 	const timeLeft = job.deadlineAt - now;
+	if (!placement.hasSuitableAgents && state.endsAt !== Number.POSITIVE_INFINITY) {
+		return leavingRefusal;
+	}
+
 	if (job.submission.steps.some(step => isStepOversized(state, job, step, now))) {
 		return createRefusal('no-worker', agentReturnMs);
 	}
@@ -109,7 +113,7 @@
 	}
 
 	if (!placement.hasSuitableAgents) {
-		const isExpected = now < state.expectAgentsUntil && state.endsAt === Number.POSITIVE_INFINITY && criticalPath + agentReturnMs <= Math.min(job.objectiveMs * maxUnstartedFactor, timeLeft);
+		const isExpected = now < state.expectAgentsUntil && criticalPath + agentReturnMs <= Math.min(job.objectiveMs * maxUnstartedFactor, timeLeft);
 		return isExpected ? undefined : createRefusal('no-worker', agentReturnMs);
 	}
 
