Answer 502 for a job that still waits when its entry ends

A job none of whose tasks had started was answered 503 at the end of its entry's grace period, final for its caller, and 502 if one had started. Both can be served by another entry.

The new scenario failed before with not-run, leaving.

--- a/features/dispatch/dispatch.feature
+++ b/features/dispatch/dispatch.feature
@@ -111,6 +111,14 @@
     When job "j1" of 1 tasks of 3000 and 200 ms arrives
     Then "j1" is refused as "given-up" for "leaving"
 
+  # Guards against a caller that never comes back: its job waited for resources until the end of the entry.
+  Scenario: A job that waits at the end of its entry is left to another one
+    Given agent "a1" is full with a wait of 40 ms
+    And agent "a2" is full with a wait of 50 ms
+    When job "j1" of 1 tasks of 3000 arrives
+    And the entry gives up "j1" at its end
+    Then "j1" is refused as "given-up" for "leaving"
+
   Scenario: More urgent work is admitted while less urgent is refused
     Given agent "a1" is full with a wait of 40 ms
     And agent "a2" is full with a wait of 50 ms
--- a/features/dispatch/dispatch.steps.ts
+++ b/features/dispatch/dispatch.steps.ts
@@ -230,6 +230,11 @@
 	recordEffects(this, cancelJob(this.state, id, 'cancelled', this.now));
 });
 
+When('the entry gives up {string} at its end', function (this: DispatchWorld, id: string) {
+	this.effects = [];
+	recordEffects(this, cancelJob(this.state, id, 'leaving', this.now));
+});
+
 When('the stream to the agent of {string} closes', function (this: DispatchWorld, id: string) {
 	this.lastAgent = findOffers(this, getTaskName(id, 0)).at(-1)!.agent;
 	removeAgent(this.state.fleet, this.lastAgent);
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -161,7 +161,8 @@
 }
 
 /**
- * Cancels a job: its caller disconnected or asked for it, its deadline has passed, or the entry shuts down.
+ * Cancels a job: its caller disconnected or asked for it, its deadline has passed, or the entry shuts down. In the last case
+ * the answer lets the caller try another entry, also if no task has run.
  *
  * @param state - State of the jobs.
  * @param id - The job.
@@ -175,7 +176,7 @@
 		return [];
 	}
 
-	return endJob(state, job, createAnswer(job.mayHaveRun ? 'given-up' : 'not-run', reason, defaultRetryMs), now);
+	return endJob(state, job, createAnswer(job.mayHaveRun || reason === 'leaving' ? 'given-up' : 'not-run', reason, defaultRetryMs), now);
 }
 
 /** Places the tasks for which no agent was found before. */
