--- a/bench/stops/callers.ts
+++ b/bench/stops/callers.ts
@@ -81,7 +81,7 @@
 
 async function sendJob({callers}: EntryAddresses, id: string, {tasks, runMs, deadlineMs}: JobKind): Promise<{answer: string; isFinal: boolean}> {
 	try {
-		const {statusCode, body} = await request(`http://${callers}/q/${id}`, {
+		const {statusCode, headers, body} = await request(`http://${callers}/q/${id}`, {
 			method: 'POST',
 			headers: {host: 'jobs.example', 'deadline-ms': String(deadlineMs)},
 			body: JSON.stringify({
@@ -93,7 +93,8 @@
 		});
 		const text = await body.text();
 		const {Error: reason = '', State: state = ''} = text === '' ? {} : JSON.parse(text) as {Error?: string; State?: string};
-		return {answer: [statusCode, reason, state].filter(part => part !== '').join(' '), isFinal: statusCode !== 502 && statusCode !== 504};
+		const process = headers.connection === 'close' && state === '' ? 'from a stopping entry' : '';
+		return {answer: [statusCode, reason, state, process].filter(part => part !== '').join(' '), isFinal: statusCode !== 502 && statusCode !== 504};
 	} catch (error) {
 		return {answer: (error as Error).name === 'TimeoutError' ? 'no answer in time' : 'no connection', isFinal: false};
 	}
--- /dev/null
+++ b/features/platform/shutdown.feature
@@ -0,0 +1,11 @@
+Feature: Planned stop of an entry
+  A stopping entry serves what it can within its grace period.
+
+  Scenario Outline: How long an entry goes on
+    When an entry with a grace period of <grace> ms is stopped
+    Then it stays for <stay> ms and gives up open jobs after <give up> ms
+
+    Examples:
+      | grace | stay | give up |
+      | 10000 | 5000 | 9100    |
+      | 6000  | 3000 | 5100    |
--- /dev/null
+++ b/src/core/bounds/shutdown.ts
@@ -0,0 +1,28 @@
+/**
+ * Computes how long an entry that shuts down goes on serving.
+ */
+import type {Milliseconds} from '../../ports/clock.ts';
+
+/** Share of the grace period for which a stopping entry stays at least: until the load balancer has stopped sending requests. */
+const minStayShare = 0.5;
+
+/** Time before the end of the grace period at which open jobs are given up, in ms. */
+const giveUpMarginMs = 900;
+
+/** Times after the signal at which a stopping entry acts. */
+export type ShutdownTimes = {
+	/** From this time on, it ends as soon as no job is open. */
+	readonly stayMs: Milliseconds;
+	/** At this time, it gives up the jobs that are open, and ends. */
+	readonly giveUpMs: Milliseconds;
+};
+
+/**
+ * Computes the times of a shutdown.
+ *
+ * @param graceMs - Time between SIGTERM and SIGKILL.
+ * @returns The times, counted from SIGTERM.
+ */
+export function computeShutdown(graceMs: Milliseconds): ShutdownTimes {
+	return {stayMs: graceMs * minStayShare, giveUpMs: graceMs - giveUpMarginMs};
+}
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -1,6 +1,7 @@
 /**
  * An entry: accepts jobs, places their tasks on agents and answers the callers.
  */
+import {computeShutdown} from '../../core/bounds/shutdown.ts';
 import type {Timings} from '../../core/bounds/types.ts';
 import {
 	createAgentMessage, handleAgentDisconnect, handleGrantRequests, hasTasksAt, startSession,
@@ -41,12 +42,6 @@
 /** Time after the start of the process in which agents are expected to connect, in ms. */
 const expectAgentsMs = 3000;
 
-/** Share of the grace period for which a stopping entry stays at least: until the load balancer has stopped sending requests. */
-const minStayShare = 0.5;
-
-/** Time before the end of the grace period at which open jobs are cancelled, in ms. */
-const giveUpMarginMs = 900;
-
 type Waiter = (answer: JobAnswer) => void;
 
 type MessageHandlers = {
@@ -258,13 +253,13 @@
 	/** Serves jobs that are expected to end within the grace period; cancels those that are left before its end. */
 	async drain(): Promise<void> {
 		const {clock, settings, log} = this.input;
-		const graceMs = settings.bounds.graceSeconds * 1000;
+		const {stayMs, giveUpMs} = computeShutdown(settings.bounds.graceSeconds * 1000);
 		const startedAt = clock.getTime();
-		const endsAt = startedAt + graceMs - giveUpMarginMs;
+		const endsAt = startedAt + giveUpMs;
 		this.#isStopping = true;
 		this.state.endsAt = endsAt;
 		while (clock.getTime() < endsAt) {
-			if (clock.getTime() >= startedAt + (graceMs * minStayShare) && countOpenJobs(this.state) === 0) {
+			if (clock.getTime() >= startedAt + stayMs && countOpenJobs(this.state) === 0) {
 				return;
 			}
 
