Serve to the end of a short grace period

The margin is for answering callers and ending; 15% of the period does, 900 ms at 6 s as before.

The two new examples failed before (1100 and 100 ms).

--- a/features/platform/shutdown.feature
+++ b/features/platform/shutdown.feature
@@ -9,3 +9,9 @@
       | grace | stay | give up |
       | 10000 | 5000 | 9100    |
       | 6000  | 3000 | 5100    |
+
+    # Guards against an entry that gives up its jobs halfway through a short grace period.
+    Examples: Short grace periods
+      | grace | stay | give up |
+      | 2000  | 1000 | 1700    |
+      | 1000  | 500  | 850     |
--- a/src/core/bounds/shutdown.ts
+++ b/src/core/bounds/shutdown.ts
@@ -6,8 +6,9 @@
 /** Share of the grace period for which a stopping entry stays at least: until the load balancer has stopped sending requests. */
 const minStayShare = 0.5;
 
-/** Time before the end of the grace period at which open jobs are given up, in ms. */
-const giveUpMarginMs = 900;
+/** Share of the grace period that is left for answering the callers of open jobs, and its upper limit in ms. */
+const giveUpShare = 0.15;
+const maxGiveUpMs = 900;
 
 /** Times after the signal at which a stopping entry acts. */
 export type ShutdownTimes = {
@@ -24,5 +25,5 @@
  * @returns The times, counted from SIGTERM.
  */
 export function computeShutdown(graceMs: Milliseconds): ShutdownTimes {
-	return {stayMs: graceMs * minStayShare, giveUpMs: graceMs - giveUpMarginMs};
+	return {stayMs: graceMs * minStayShare, giveUpMs: graceMs - Math.min(maxGiveUpMs, graceMs * giveUpShare)};
 }
