--- a/bench/stops.ts
+++ b/bench/stops.ts
@@ -25,6 +25,7 @@
 
 const restartMs = 300;
 const settleMs = 2000;
+const probeRunMs = 150;
 const startLimitMs = 60_000;
 const random = createSeededRandom(Number(values.seed));
 const endsAt = (): number => startedAt + (Number(values.seconds) * 1000);
@@ -54,7 +55,7 @@
 
 await using fleet = new PlatformFleet();
 fleet.graceSeconds = Number(values['grace-seconds']);
-await fleet.start(Number(values.agents), 150, {}, startLimitMs);
+await fleet.start(Number(values.agents), spec => Number(spec) || probeRunMs, {}, startLimitMs);
 for (let index = 1; index < Number(values.entries); index++) {
 	await fleet.addEntry();
 }
--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -7,7 +7,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {startStoreStandIn, type StoreStandIn} from '../../platform/stand-ins/store.ts';
-import {startWorkerStandIn, type WorkerStandIn} from '../../platform/stand-ins/worker.ts';
+import {startWorkerStandIn, type WorkerStandIn, type WorkerStandInOptions} from '../../platform/stand-ins/worker.ts';
 import {takePorts} from '../../bench/rig/ports.ts';
 import {platformNodeOptions} from '../../scripts/bundle-options.mjs';
 
@@ -75,11 +75,11 @@
 	 * Starts an entry, agents and their workers, and waits until the entry is ready and sends tasks to every agent.
 	 *
 	 * @param agents - Number of agents.
-	 * @param runMs - Run time of each task, in ms.
+	 * @param runMs - Run time of each task, in ms, or a function of its `Spec`.
 	 * @param entries - Texts of keys that the store holds before, by key.
 	 * @param limitMs - Time in which the entry has to be ready, in ms.
 	 */
-	async start(agents: number, runMs: number, entries: Readonly<Record<string, string>> = {}, limitMs = startLimitMs): Promise<void> {
+	async start(agents: number, runMs: WorkerStandInOptions['runMs'], entries: Readonly<Record<string, string>> = {}, limitMs = startLimitMs): Promise<void> {
 		this.#folder = await mkdtemp(path.join(tmpdir(), 'medlardale-platform-'));
 		this.#store = await startStoreStandIn();
 		for (const [key, text] of Object.entries(entries)) {
