Let a stopping entry stay until the balancer sends it nothing new

An idle entry ended after half of the grace period: 1.5 s of 3 s, though the balancer takes it out of rotation after two missed checks, up to 2 s after SIGTERM. Connections in between were refused, and their callers came back 1,300 ms later. It stays for 2.2 s now if the grace period has them; at 6 s nothing changes.

The examples for 1 to 3 s failed before.

--- a/features/platform/shutdown.feature
+++ b/features/platform/shutdown.feature
@@ -10,8 +10,9 @@
       | 10000 | 5000 | 9100    |
       | 6000  | 3000 | 5100    |
 
-    # Guards against an entry that gives up its jobs halfway through a short grace period.
+    # Guards against an entry that gives up its jobs halfway through a short grace period, or ends while the balancer still sends it new ones.
     Examples: Short grace periods
       | grace | stay | give up |
-      | 2000  | 1000 | 1700    |
-      | 1000  | 500  | 850     |
+      | 3000  | 2200 | 2550    |
+      | 2000  | 1700 | 1700    |
+      | 1000  | 850  | 850     |
--- a/src/core/bounds/shutdown.ts
+++ b/src/core/bounds/shutdown.ts
@@ -3,9 +3,12 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 
-/** Share of the grace period for which a stopping entry stays at least: until the load balancer has stopped sending requests. */
+/** Share of the grace period for which a stopping entry stays at least. */
 const minStayShare = 0.5;
 
+/** Longest time, in ms, until the load balancer sends no new connections: two checks, one a second, and a margin. */
+const rotationMs = 2200;
+
 /** Share of the grace period that is left for answering the callers of open jobs, and its upper limit in ms. */
 const giveUpShare = 0.15;
 const maxGiveUpMs = 900;
@@ -25,5 +28,6 @@
  * @returns The times, counted from SIGTERM.
  */
 export function computeShutdown(graceMs: Milliseconds): ShutdownTimes {
-	return {stayMs: graceMs * minStayShare, giveUpMs: graceMs - Math.min(maxGiveUpMs, graceMs * giveUpShare)};
+	const giveUpMs = graceMs - Math.min(maxGiveUpMs, graceMs * giveUpShare);
+	return {stayMs: Math.max(graceMs * minStayShare, Math.min(rotationMs, giveUpMs)), giveUpMs};
 }
