--- a/features/platform/caller-deadlines.feature
+++ b/features/platform/caller-deadlines.feature
@@ -17,9 +17,16 @@
   # Guards against a job that starts although its caller has gone.
   Scenario: A body that takes longer than the caller waits
     When a caller that waits for 200 ms submits a job whose body takes 300 ms
-    Then the caller is answered 504
+    Then the caller was answered 504 within 200 ms
     And the entry has got no job
 
+  # Guards against an answer up to 50 ms after the deadline: the entry checks its jobs at intervals.
+  Scenario: A job that takes longer than the caller waits
+    When a caller that waits for 400 ms submits a job
+    And the caller waits for 501 ms
+    Then the caller was answered 504 within 400 ms
+    And the caller has left its job
+
   Scenario: A caller that leaves
     When a caller that waits for 1000 ms submits a job
     And its connection closes
