--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -180,7 +180,8 @@
 }
 
 /**
- * Cancels a job: its caller disconnected or asked for it, its deadline has passed, or the entry shuts down.
+ * Cancels a job: its caller disconnected or asked for it, its deadline has passed, or the entry shuts down. In the last case
+ * the answer lets the caller try another entry, also if no task has run.
  *
  * @param state - State of the jobs.
  * @param id - The job.
@@ -195,7 +196,7 @@
 	}
 
 	const effects = cancelJoinedJob(state, job, reason, now);
-	return effects.length > 0 ? effects : endJob(state, job, createAnswer(job.mayHaveRun ? 'given-up' : 'not-run', reason, defaultRetryMs), now);
+	return effects.length > 0 ? effects : endJob(state, job, createAnswer(job.mayHaveRun || reason === 'leaving' ? 'given-up' : 'not-run', reason, defaultRetryMs), now);
 }
 
 /**
