Join a job that another entry serves although it was refused here before

Cause: a kept refusal was taken for the state of the job everywhere. It is repeated only while no other entry is known to serve it. The scenario failed before with not-run, cancelled.

--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -156,6 +156,19 @@
     And job "j2" is submitted to "e1"
     Then "e1" has offered a task of "j2"
 
+  # Guards against repeating "not run" of a job that another entry has started since.
+  Scenario: A kept refusal is not repeated once another entry serves the job
+    Given the agent is full for "e1"
+    And job "j1" is submitted to "e1"
+    When the caller of "j1" leaves "e1"
+    Then "e1" answers "j1" with not-run, cancelled
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    And 1300 ms elapse between entries
+    And job "j1" is submitted to "e1"
+    And task 0 of "j1" ends at "e2" as done
+    Then "e1" answers "j1" with completed, none
+
   # Guards against announcements that go round in a ring of entries for ever.
   Scenario: An announcement is passed on once
     Given job "j1" is submitted to "e1"
--- a/features/ownership/ownership.steps.ts
+++ b/features/ownership/ownership.steps.ts
@@ -28,6 +28,10 @@
 	this.entryFleet.submitJob(name, id, limit);
 });
 
+Given('the agent is full for {string}', function (this: OwnershipWorld, name: string) {
+	this.entryFleet.setFull(name);
+});
+
 When('{int} ms elapse between entries', function (this: OwnershipWorld, duration: number) {
 	this.entryFleet.advance(duration);
 });
--- a/features/ownership/world.ts
+++ b/features/ownership/world.ts
@@ -85,6 +85,11 @@
 		return this.entries.get(name)!;
 	}
 
+	/** Tells an entry that its agent has no free resources. */
+	setFull(name: string): void {
+		applyLoad(this.get(name).state.fleet, this.agent, {...load, free: {cpu: 0, memory: 0, accelerators: 0}}, 0);
+	}
+
 	submitJob(name: string, id: string, timeLimitMs: Milliseconds): void {
 		const world = this.get(name);
 		this.#apply(world, observeContact(world.state, 'callers', this.now, this.now));
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -117,8 +117,10 @@
  * @returns The job whose answer the caller gets, and effects to carry out.
  */
 export function submitJob(state: DispatchState, request: JobRequest, now: Milliseconds): {job: Job; effects: DispatchEffect[]} {
-	const earlier = state.jobs.get(request.submission.id);
-	if (earlier !== undefined && earlier.answer?.outcome !== 'given-up') {
+	const {id} = request.submission;
+	const earlier = state.jobs.get(id);
+	const isServedElsewhere = earlier?.answer?.outcome === 'not-run' && findOwner(state, id, now) !== undefined;
+	if (earlier !== undefined && earlier.answer?.outcome !== 'given-up' && !isServedElsewhere) {
 		return {job: earlier, effects: earlier.answer === undefined ? [] : [{type: 'answer', job: earlier, answer: earlier.answer}]};
 	}
 
