Hold a lost task while a start of it may reach the next worker process

The false sentence was "a refused connection shows that a start without an answer is over": true of one whose connection broke, not of one that timed out; and a stop bars a start only at the process that acknowledged it. Now a record knows until when a start of its task that timed out may be on its way, 12 s, under whatever number. Until then the lapse of the leases does not end it. A list of the next process does, as the call for it has brought that process a higher token. After 12 s it ends as before, so a machine that does not come back holds a task no longer.

--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -54,6 +54,7 @@
 			mustAsk: false,
 			run: 1,
 			confirmedAt: this.now,
+			lateStartUntil: Number.NEGATIVE_INFINITY,
 			presumedLoss: undefined,
 			orderedAt: 0,
 			percent: 0,
--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -366,3 +366,49 @@
     When the first list of the next worker process shows "a"
     Then entry "e1" gets no report on "a"
     And a renewal extends the lease
+
+  # Guards against the same where the start was repeated under the next number, which the next process does not know of.
+  Scenario: A run is not reported as lost while an earlier start of its task may reach the next worker process
+    When entry "e1" offers direct tasks "a" of 4000
+    And 70 ms go by
+    And the start of "a" is answered "unanswered"
+    And 70 ms pass and a snapshot shows no runs
+    And the stop of "a" is answered "stopped"
+    And 10 ms pass and a snapshot shows no runs
+    Then the worker is ordered to start "a" as run 2
+    When the start of "a" is answered "started"
+    And a renewal finds the worker unreachable
+    And 1500 ms go by
+    Then entry "e1" gets no report on "a"
+    When the first list of the next worker process shows no runs
+    Then entry "e1" gets the report that "a" ended as "crashed"
+
+  # Guards against a task that is never started elsewhere as its worker does not come back.
+  Scenario: A run is reported as lost once no earlier start of its task can be on its way
+    When entry "e1" offers direct tasks "a" of 4000
+    And 70 ms go by
+    And the start of "a" is answered "unanswered"
+    And a renewal finds the worker unreachable
+    And 11000 ms go by
+    Then entry "e1" gets no report on "a"
+    When 1100 ms go by
+    Then entry "e1" gets the report that "a" ended as "crashed"
+
+  # Guards against a second run beside a start without an answer that the next process of a worker under the same id carries out.
+  Scenario: A start without an answer is not reported as lost while its worker refuses connections
+    When entry "e1" offers direct tasks "a b" of 4000
+    And the start of "a" is answered "started"
+    And 70 ms go by
+    And the start of "b" is answered "unanswered"
+    And a renewal finds the worker unreachable
+    And 1500 ms go by
+    Then entry "e1" gets the report that "a" ended as "crashed"
+    And entry "e1" gets no report on "b"
+    When the first list of the next worker process shows no runs
+    Then entry "e1" gets no report on "b"
+    When 100 ms go by
+    And a later list of that process shows no runs
+    And the stop of "b" is answered "stopped"
+    And 10 ms go by
+    And a later list of that process shows no runs
+    Then entry "e1" gets the report that "b" ended as "crashed"
--- a/src/core/runs/answers.ts
+++ b/src/core/runs/answers.ts
@@ -15,6 +15,12 @@
 /** Increment of a run's number when the worker has seen an equal or higher one of the task. */
 const runNumberStep = 16;
 
+/** Time, in ms, for which an order that timed out may be on its way. */
+const maxOrderDelayMs = 12_000;
+
+/** Time, in ms, by which a timeout may be early; a connection that breaks before it was closed by the worker's machine. */
+const timerToleranceMs = 2;
+
 type StartHandler = (state: RunsState, record: RunRecord, now: Milliseconds, fencingToken: number) => RunsEffect[];
 
 function handleRefusedStart(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
@@ -47,6 +53,10 @@
 	},
 	unanswered(state, record, now) {
 		record.phase = 'checking';
+		if (now - record.orderedAt >= state.options.timings.orderMs - timerToleranceMs) {
+			record.lateStartUntil = now + maxOrderDelayMs;
+		}
+
 		state.worker.lastFailureAt = now;
 		return [{type: 'fetch-snapshot'}];
 	},
--- a/src/core/runs/losses.ts
+++ b/src/core/runs/losses.ts
@@ -26,10 +26,12 @@
 
 /**
  * Returns whether the lapse of the leases shows that no run of a record can be left: it does not end a start that may be
- * carried out later, unless its connection was closed by the worker's machine.
+ * carried out later. One whose connection the worker's machine has closed ends with the process; one that timed out may
+ * still reach the next process under the same id, which has seen neither its stop nor a token.
  */
-function isLapsed({worker}: RunsState, record: RunRecord): boolean {
-	return worker.refusal !== undefined || record.confirmedAt !== undefined || !isStartOrdered(record);
+function isLapsed({worker}: RunsState, record: RunRecord, now: Milliseconds): boolean {
+	const hasEnded = record.confirmedAt !== undefined || worker.refusal !== undefined;
+	return !isStartOrdered(record) || (hasEnded && now >= record.lateStartUntil);
 }
 
 /** Describes the runs that end with the worker; undefined if no start had been ordered. */
@@ -103,7 +105,7 @@
  * @returns Reports, and a log entry if a start had been ordered.
  */
 export function endLapsedRuns(state: RunsState, now: Milliseconds): RunsEffect[] {
-	const ended = [...state.records.values()].filter(record => isLapsed(state, record));
+	const ended = [...state.records.values()].filter(record => isLapsed(state, record, now));
 	const effects = endRecords(state, 'lapsed', findLoss(state, 'lapsed', now), ended, now);
 	clearProcess(state);
 	return effects;
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -25,6 +25,7 @@
 		mustAsk: false,
 		run: offer.run,
 		confirmedAt: undefined,
+		lateStartUntil: Number.NEGATIVE_INFINITY,
 		presumedLoss: undefined,
 		orderedAt: now,
 		percent: 0,
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -90,6 +90,8 @@
 	run: number;
 	/** When the worker first confirmed that it has the run; an unconfirmed start may still be carried out later. */
 	confirmedAt: Milliseconds | undefined;
+	/** Until when a start of the task that timed out, under this or an earlier number, may reach a process of the worker. */
+	lateStartUntil: Milliseconds;
 	/** How it has ended if the present worker process turns out not to have it; undefined unless the worker has restarted around its start. */
 	presumedLoss: PresumedLoss | undefined;
 	/** When the start was sent; while `asking`, when the entry was asked. */
