--- a/features/dispatch/dispatch.steps.ts
+++ b/features/dispatch/dispatch.steps.ts
@@ -113,7 +113,7 @@
 }
 
 Given('agents {string} with {int} thousandths of a core each', function (this: DispatchWorld, names: string, _cpu: number) {
-	this.state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1.5}), timings);
+	this.state = createDispatchState(createFleetState({dataCentre: 'dc', remoteFactor: 1.5}), timings, {name: 'e1', incarnation: 1});
 	this.now = 1000;
 	this.effects = [];
 	this.sent = [];
@@ -230,6 +230,11 @@
 	recordEffects(this, cancelJob(this.state, id, 'cancelled', this.now));
 });
 
+When('the entry gives up {string} at its end', function (this: DispatchWorld, id: string) {
+	this.effects = [];
+	recordEffects(this, cancelJob(this.state, id, 'leaving', this.now));
+});
+
 When('the stream to the agent of {string} closes', function (this: DispatchWorld, id: string) {
 	this.lastAgent = findOffers(this, getTaskName(id, 0)).at(-1)!.agent;
 	removeAgent(this.state.fleet, this.lastAgent);
