--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -160,9 +160,9 @@
 		this.#store!.writeKey('op/config', createConfiguration(version, false));
 	}
 
-	/** Submits a job and waits for the response. */
-	async submitJob(id: string, body: unknown, prefix = '/q/'): Promise<{status: number; body: unknown}> {
-		const response = await this.#send('POST', `${prefix}${id}`, JSON.stringify(body));
+	/** Submits a job and waits for the response; the connection closes when `signal` is aborted. */
+	async submitJob(id: string, body: unknown, prefix = '/q/', signal?: AbortSignal): Promise<{status: number; body: unknown}> {
+		const response = await this.#send('POST', `${prefix}${id}`, JSON.stringify(body), signal);
 		return response;
 	}
 
@@ -252,10 +252,10 @@
 		});
 	}
 
-	async #send(method: string, url: string, body?: string): Promise<{status: number; body: unknown}> {
+	async #send(method: string, url: string, body?: string, signal?: AbortSignal): Promise<{status: number; body: unknown}> {
 		const {request} = await import('undici');
 		const answer = await request(`http://${this.callers}${url}`, {
-			method, body, headers: {host: 'jobs.example', 'deadline-ms': '8000'},
+			method, body, signal, headers: {host: 'jobs.example', 'deadline-ms': '8000'},
 		});
 		const text = await answer.body.text();
 		return {status: answer.statusCode, body: text === '' ? undefined : JSON.parse(text) as unknown};
--- a/features/platform/processes.feature
+++ b/features/platform/processes.feature
@@ -36,6 +36,13 @@
     Then it is answered 200 "completed"
     And the entry is not ready
 
+  # Guards against a job that runs on for nobody: it was freed only if one caller waited for it.
+  Scenario: Two callers of one job leave
+    When a job of 6 tasks that run for 350 ms is submitted
+    And it is submitted once more
+    And both callers leave after 100 ms
+    Then its runs are stopped within 1000 ms
+
   Scenario: Starts that are carried out late
     Given each worker carries out its next 2 starts 400 ms late without an answer
     When a job of 6 tasks is submitted
--- a/features/platform/processes.steps.ts
+++ b/features/platform/processes.steps.ts
@@ -10,21 +10,23 @@
 type PlatformWorld = {
 	fleet: PlatformFleet | undefined;
 	answer: Promise<{status: number; body: unknown}>;
+	/** Aborts the submissions of the job. */
+	callers: AbortController;
 	tasks: number;
 };
 
 const jobId = '00000000000000a1';
 const timeLimit = {timeout: 30_000};
 
-function createJob(count: number, cpu = 3000): unknown {
+function createJob(count: number, cpu = 3000, spec = 'x'): unknown {
 	return {
-		BestEffort: true, Spec: 'x', Steps: [{
+		BestEffort: true, Spec: spec, Steps: [{
 			Count: count, Cpu: cpu, MemMb: 64, EstimateMs: 150,
 		}],
 	};
 }
 
-function listStarts(world: PlatformWorld): Array<{task: string; startedAt: number; endedAt?: number}> {
+function listStarts(world: PlatformWorld): Array<{task: string; startedAt: number; endedAt?: number; end?: string}> {
 	return world.fleet!.workers.flatMap(({starts}) => starts.filter(({task}) => task.startsWith(jobId)));
 }
 
@@ -34,7 +36,7 @@
 
 Given('an entry, {int} agents and their workers, whose tasks run for {int} ms', timeLimit, async function (this: PlatformWorld, agents: number, runMs: number) {
 	this.fleet = new PlatformFleet();
-	await this.fleet.start(agents, runMs);
+	await this.fleet.start(agents, spec => Number(spec) || runMs);
 });
 
 const depth = 100_000;
@@ -123,6 +125,28 @@
 	this.answer = this.fleet!.submitJob(jobId, createJob(count));
 });
 
+When('a job of {int} tasks that run for {int} ms is submitted', function (this: PlatformWorld, count: number, runMs: number) {
+	this.tasks = count;
+	this.callers = new AbortController();
+	this.answer = this.fleet!.submitJob(jobId, createJob(count, 3000, String(runMs)), '/q/', this.callers.signal);
+});
+
+When('it is submitted once more', function (this: PlatformWorld) {
+	const second = this.fleet!.submitJob(jobId, createJob(this.tasks), '/q/', this.callers.signal);
+	this.answer = Promise.race([this.answer, second]);
+});
+
+When('both callers leave after {int} ms', async function (this: PlatformWorld, time: number) {
+	await this.fleet!.wait(time);
+	this.callers.abort();
+	await assert.rejects(this.answer);
+});
+
+Then('its runs are stopped within {int} ms', timeLimit, async function (this: PlatformWorld, limit: number) {
+	await this.fleet!.waitUntil(async () => listStarts(this).every(({end}) => end !== undefined), limit);
+	assert.deepEqual(listStarts(this).map(({end}) => end), Array.from({length: this.tasks}, () => 'stopped'));
+});
+
 When('an agent is killed after {int} ms', async function (this: PlatformWorld, time: number) {
 	await this.fleet!.wait(time);
 	this.fleet!.processes.find(({role}) => role === 'agent')!.child.kill('SIGKILL');
