--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -53,6 +53,8 @@
 	readonly workers: WorkerStandIn[] = [];
 	readonly processes: FleetProcess[] = [];
 	readonly entries: EntryAddresses[] = [];
+	/** Addresses of the metrics of the agents. */
+	readonly agentMetrics: string[] = [];
 	graceSeconds = defaultGraceSeconds;
 	#store: StoreStandIn | undefined;
 	#folder = '';
@@ -92,10 +94,13 @@
 			const worker = await startWorkerStandIn({
 				id: `w${index}`, service: 'desk', cpu: 12_000, runMs,
 			});
-			const [agentPort, heartbeatPort] = ports.splice(0, portsPerProcess);
+			const [agentPort, heartbeatPort, metricsPort] = ports.splice(0, portsPerProcess);
+			this.agentMetrics.push(`127.0.0.1:${metricsPort}`);
 			this.workers.push(worker);
 			worker.startHeartbeats(`127.0.0.1:${heartbeatPort}`);
-			await this.#startProcess('agent', `agent-${index}`, {agentPort, heartbeats: `127.0.0.1:${heartbeatPort}`, worker: worker.address});
+			await this.#startProcess('agent', `agent-${index}`, {
+				agentPort, heartbeats: `127.0.0.1:${heartbeatPort}`, metrics: `127.0.0.1:${metricsPort}`, worker: worker.address,
+			});
 		}
 
 		await this.addEntry();
--- a/src/adapters/log/decision-metrics.ts
+++ b/src/adapters/log/decision-metrics.ts
@@ -30,6 +30,8 @@
 
 /** A decision log with metrics. */
 export type CountedDecisionLog = DecisionLog & {
+	/** Adds to the count of an event with a result, without a line. */
+	addCount(event: string, result: string, count: number): void;
 	/** Sets the reader of the gauges. */
 	setGauges(read: GaugeReader): void;
 	/** Renders all metrics in the text format of Prometheus. */
@@ -85,6 +87,9 @@
 
 			log.recordDecision(level, event, fields);
 		},
+		addCount(event, result, count) {
+			decisions.inc({event, result, reason: ''}, count);
+		},
 		setGauges(read) {
 			readGauges = read;
 		},
