Count a run that was dropped for another entry as ended

Callers saw: a job whose run an agent dropped for another entry was answered 502 `superseded`, and every later submission at the same entry 503 `still-ending`, for as long as the entry had its stream to that agent. Entries that asked it were told `ending`. Job and tasks were never forgotten.

Cause: the report that the run has ended made the entry yield the job, which withdraws tasks that are still placed. The reported task stayed `placed`, and its agent, which has no record of it any more, never reports it again.

Change: the task takes the phase that its end gives it, as for any other report of a job that has been answered.

Evidence: found by reading. The new scenario failed before (the second submission offered nothing) and passes now; the other 20 of `features/ownership` passed before and after.

--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -132,6 +132,13 @@
     When the agent reports task 0 of "j1" to "e1" as superseded
     Then "e1" answers "j1" with given-up, superseded
 
+  # Guards against a job that stays `still-ending` for as long as its entry has a stream to the agent that dropped its run.
+  Scenario: A job that was given up for another entry can be submitted again once its run has ended
+    Given job "j1" is submitted to "e1"
+    When the agent reports task 0 of "j1" to "e1" as superseded
+    And job "j1" is submitted to "e1"
+    Then "e1" has offered "j1" 2 times
+
   # Guards against a run that goes on at an entry whose callers turn to entries that can't hear of it.
   Scenario: An entry that is cut off from all others gives up jobs that it can't announce
     Given job "j1" is submitted to "e1"
--- a/features/ownership/ownership.steps.ts
+++ b/features/ownership/ownership.steps.ts
@@ -86,6 +86,10 @@
 	assert.ok(this.entryFleet.get(name).offers.some(task => task.startsWith(`${id}.`)));
 });
 
+Then('{string} has offered {string} {int} time(s)', function (this: OwnershipWorld, name: string, id: string, count: number) {
+	assert.equal(this.entryFleet.get(name).offers.filter(task => task.startsWith(`${id}.`)).length, count);
+});
+
 Then('{string} answers {string} with {word}, {word}', function (this: OwnershipWorld, name: string, id: string, outcome: string, reason: string) {
 	const answer = this.entryFleet.get(name).answers.get(id);
 	assert.deepEqual([answer?.outcome, answer?.reason], [outcome, reason]);
--- a/src/core/dispatch/reports.ts
+++ b/src/core/dispatch/reports.ts
@@ -128,6 +128,7 @@
 	}
 
 	if (report.isSuperseded) {
+		task.phase = report.end === 'done' ? 'done' : 'waiting';
 		return yieldJob(state, job, {evidence: 'agent', to: agent}, now);
 	}
 
