Let only the entry with the latest caller wait for a job

Callers saw: a task that runs once ran twice. The caller had lost two connections whose entries were not told, and the owner of the job ended: both entries that waited for the job took it over.

An owner kept all entries that had ever asked, and told each of them that it had released the job. With a lost owner, each waiting entry counted the same time and took over in the same tick. Neither knew of the other, and news of the take-over came 200 ms after the first start. Besides, the last entry of the set could end a job whose caller had come back to the owner.

Change: a question tells how long ago the caller has submitted. The owner keeps only the latest caller, wherever that is, and tells the entry of the earlier one that it is superseded. A question for a lost owner goes to all connected entries: of two that wait, the one with the earlier caller ceases; one that has taken over says that it serves the job, and becomes the owner for the one that asks. So nobody takes over before its first question had time to be answered (`askMs`), also not at once on submission.

--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -8,9 +8,8 @@
 	admitJob, advanceDispatch, cancelJob, handleCallerLeave, placeAllWaitingTasks, submitJob, type JobRequest,
 } from '../../src/core/dispatch/logic.ts';
 import {observeContact} from '../../src/core/dispatch/contact.ts';
-import {
-	chooseEntryRoute, handleEntryMessage, handleOwnedJobs, listJobsForEntry, takeOwnershipNews,
-} from '../../src/core/dispatch/joining.ts';
+import {chooseEntryRoute, handleEntryMessage} from '../../src/core/dispatch/entry-messages.ts';
+import {handleOwnedJobs, listJobsForEntry, takeOwnershipNews} from '../../src/core/dispatch/joining.ts';
 import {extendOffers} from '../../src/core/dispatch/placing.ts';
 import {chooseExtraAgents} from '../../src/core/dispatch/reach.ts';
 import {applyReports, handleCrashes} from '../../src/core/dispatch/reports.ts';
@@ -259,12 +258,11 @@
 	}
 
 	#handleEntryMessage(sender: string, message: EntryMessage): readonly DispatchEffect[] {
-		if (message.to === this.process.name) {
-			return handleEntryMessage(this.state, message, this.#now(), admitJob);
+		if (message.to !== this.process.name) {
+			this.#sendToEntry(message, sender);
 		}
 
-		this.#sendToEntry(message, sender);
-		return [];
+		return handleEntryMessage(this.state, message, this.#now(), admitJob);
 	}
 
 	#sendToEntry(message: EntryMessage, sender?: string): void {
--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -132,6 +132,55 @@
     When the agent reports task 0 of "j1" to "e1" as superseded
     Then "e1" answers "j1" with given-up, superseded
 
+  # Guards against two entries that take over a job at once, as both wait for it.
+  Scenario: Of two entries that wait for a job, only the one with the later caller takes it over
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    And 1300 ms elapse between entries
+    And job "j1" is submitted to "e3"
+    Then "e2" answers "j1" with given-up, superseded
+    When "e1" gives up "j1" and its runs end
+    And 200 ms elapse between entries
+    Then "e3" has offered a task of "j1"
+    And "e2" has offered no task of "j1"
+
+  # Guards against the same when the owner can't tell either of the other.
+  Scenario: Of two entries that wait for a job whose owner has ended, only the one with the later caller takes it over
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    And 700 ms elapse between entries
+    And "e1" restarts
+    And 600 ms elapse between entries
+    And job "j1" is submitted to "e3"
+    And 1500 ms elapse between entries
+    Then "e3" has offered a task of "j1"
+    And "e2" has offered no task of "j1"
+
+  Scenario: An entry that asks for a job whose owner has ended hears of the entry that has taken it over
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    And "e1" restarts
+    And 1350 ms elapse between entries
+    Then "e2" has offered a task of "j1"
+    When job "j1" is submitted to "e3"
+    And 1000 ms elapse between entries
+    Then "e3" has offered no task of "j1"
+    When task 0 of "j1" ends at "e2" as done
+    Then "e3" answers "j1" with completed, none
+
+  # Guards against a job that is ended as a caller leaves that has come back to its first entry long ago.
+  Scenario: An earlier caller at another entry does not end a job that was submitted to its owner again
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    And 1300 ms elapse between entries
+    And job "j1" is submitted to "e1"
+    And the caller of "j1" leaves "e2"
+    Then "e1" has not answered "j1"
+
   # Guards against a job that stays `still-ending` for as long as its entry has a stream to the agent that dropped its run.
   Scenario: A job that was given up for another entry can be submitted again once its run has ended
     Given job "j1" is submitted to "e1"
--- a/features/ownership/ownership.steps.ts
+++ b/features/ownership/ownership.steps.ts
@@ -111,7 +111,7 @@
 
 Then('no entry knows of jobs of others', function (this: OwnershipWorld) {
 	for (const {name, state: {ownership}} of this.entryFleet.entries.values()) {
-		assert.equal(ownership.foreign.size + ownership.announced.size + ownership.followers.size, 0, name);
+		assert.equal(ownership.foreign.size + ownership.announced.size + ownership.latestCallers.size + ownership.joined.size, 0, name);
 	}
 });
 
--- a/features/ownership/world.ts
+++ b/features/ownership/world.ts
@@ -3,9 +3,8 @@
  */
 import {computeTimings} from '../../src/core/bounds/logic.ts';
 import {observeContact} from '../../src/core/dispatch/contact.ts';
-import {
-	chooseEntryRoute, handleEntryMessage, handleOwnedJobs, listJobsForEntry, takeOwnershipNews,
-} from '../../src/core/dispatch/joining.ts';
+import {chooseEntryRoute, handleEntryMessage} from '../../src/core/dispatch/entry-messages.ts';
+import {handleOwnedJobs, listJobsForEntry, takeOwnershipNews} from '../../src/core/dispatch/joining.ts';
 import {
 	admitJob, advanceDispatch, cancelJob, handleCallerLeave, submitJob,
 } from '../../src/core/dispatch/logic.ts';
@@ -202,12 +201,8 @@
 			this.told.push(...message.lists.flatMap(({jobs}) => jobs.map(([id]) => id)));
 			this.#apply(world, handleOwnedJobs(world.state, from, message.lists, this.now));
 		} else if (message.type === 'join-job' || message.type === 'leave-job' || message.type === 'job-state') {
-			if (message.to === to) {
-				this.#apply(world, handleEntryMessage(world.state, message, this.now, admitJob));
-				return;
-			}
-
-			for (const next of chooseEntryRoute(message, this.#listConnected(to), from)) {
+			this.#apply(world, handleEntryMessage(world.state, message, this.now, admitJob));
+			for (const next of message.to === to ? [] : chooseEntryRoute(message, this.#listConnected(to), from)) {
 				this.#deliver(to, next, message);
 			}
 		}
--- a/src/core/dispatch/joining.ts
+++ b/src/core/dispatch/joining.ts
@@ -2,30 +2,32 @@
  * Jobs that a caller has submitted to several entries: the owner serves it, the others pass its answer on.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {EntryMessage, EntryMessageBody} from '../../ports/dispatch-messages.ts';
-import type {NodeName, NodeRef} from '../identity/types.ts';
+import type {EntryMessageBody} from '../../ports/dispatch-messages.ts';
+import type {NodeName} from '../identity/types.ts';
 import {
-	addFollower, addOwnedJobs, announceJob, chooseJoinAction, describeOwnedJob, findForeignJob, isIsolated, joinJob, listAllOwnedJobs, pruneForeignJobs, recordOwnerAnswer,
-	removeFollower, removeForeignJob, resetAnnouncement, takeNews, type OwnershipMessage,
+	addOwnedJobs, announceJob, chooseJoinAction, describeOwnedJob, findLastOwner, isIsolated, joinJob, listAllOwnedJobs, pruneForeignJobs,
+	removeForeignJob, takeNews, type OwnershipMessage,
 } from '../ownership/logic.ts';
 import type {
-	ForeignJob, JoinAction, OwnedJob, OwnedJobs, OwnedJobState,
+	ForeignJob, JoinAction, OwnedJob, OwnedJobs,
 } from '../ownership/types.ts';
 import type {DispatchState} from './state.ts';
-import {createAnswer, endJob, hasOpenRuns} from './steps.ts';
+import {createAnswer, endJob} from './steps.ts';
 import type {DispatchEffect, Job, JobAnswer} from './types.ts';
 
 /** Retry time, in ms, of a job that another entry serves or served. */
-const ownedRetryMs = 1000;
+export const ownedRetryMs = 1000;
 
 /** Admits a job that no other entry serves any more. */
 export type Admit = (state: DispatchState, job: Job, now: Milliseconds) => DispatchEffect[];
 
-function createLog(event: string, details: Readonly<Record<string, unknown>>): DispatchEffect {
+/** Creates a log entry. */
+export function createLog(event: string, details: Readonly<Record<string, unknown>>): DispatchEffect {
 	return {type: 'log', event, details};
 }
 
-function createMessage({ownership}: DispatchState, to: NodeName, body: EntryMessageBody): DispatchEffect {
+/** Creates a message to another entry. */
+export function createMessage({ownership}: DispatchState, to: NodeName, body: EntryMessageBody): DispatchEffect {
 	return {type: 'tell-entry', entry: to, message: {...body, from: ownership.self, to}};
 }
 
@@ -58,7 +60,7 @@
 }
 
 /** Ends a joined job with an answer to its caller. */
-function endJoinedJob({ownership}: DispatchState, job: Job, answer: JobAnswer, now: Milliseconds): DispatchEffect[] {
+export function endJoinedJob({ownership}: DispatchState, job: Job, answer: JobAnswer, now: Milliseconds): DispatchEffect[] {
 	ownership.joined.delete(job.id);
 	job.answer = answer;
 	job.answeredAt = now;
@@ -85,7 +87,7 @@
 }
 
 /** Serves a job here whose earlier owner has no run of it any more. */
-function takeOverJob(state: DispatchState, job: Job, evidence: string, now: Milliseconds, admit: Admit): DispatchEffect[] {
+export function takeOverJob(state: DispatchState, job: Job, evidence: string, now: Milliseconds, admit: Admit): DispatchEffect[] {
 	const joined = state.ownership.joined.get(job.id)!;
 	state.ownership.joined.delete(job.id);
 	removeForeignJob(state.ownership, job.id);
@@ -104,9 +106,12 @@
 
 const actionHandlers: Omit<ActionHandlers, 'take-over'> = {
 	none: () => [],
-	ask: (state, job, _action, now) => [createMessage(state, state.ownership.joined.get(job.id)!.owner.name, {
-		type: 'join-job', job: job.id, left: Math.max(0, Math.round(job.deadlineAt - now)),
-	})],
+	ask(state, job, {isOwnerLost}, now) {
+		const {owner, submittedAt} = state.ownership.joined.get(job.id)!;
+		return [createMessage(state, owner.name, {
+			type: 'join-job', job: job.id, left: Math.max(0, Math.round(job.deadlineAt - now)), age: Math.round(now - submittedAt), isOwnerLost,
+		})];
+	},
 	'give-up': (state, job, {releaseInMs}, now) => endJoinedJob(state, job, createAnswer('given-up', 'owned-elsewhere', Math.max(ownedRetryMs, releaseInMs)), now),
 };
 
@@ -164,90 +169,11 @@
 	return effects;
 }
 
-function getJobState(job: Job | undefined): {state: OwnedJobState; answer?: Pick<JobAnswer, 'outcome' | 'reason'>} {
-	if (job === undefined) {
-		return {state: 'released'};
-	}
-
-	const {answer} = job;
-	if (answer === undefined) {
-		return {state: 'open'};
-	}
-
-	if (answer.outcome === 'completed' || answer.outcome === 'failed') {
-		return {state: 'ended', answer: {outcome: answer.outcome, reason: answer.reason}};
-	}
-
-	return {state: hasOpenRuns(job) ? 'ending' : 'released'};
-}
-
-type EntryMessageHandlers = {readonly [Type in EntryMessage['type']]: (state: DispatchState, message: Extract<EntryMessage, {type: Type}>, now: Milliseconds, admit: Admit) => DispatchEffect[]};
-
-function addWaitingEntry(state: DispatchState, job: Job, from: NodeRef, left: Milliseconds, now: Milliseconds): DispatchEffect[] {
-	if (!addFollower(state.ownership, job.id, from.name, now)) {
-		return [];
-	}
-
-	if (now + left > job.deadlineAt) {
-		job.deadlineAt = now + left;
-		resetAnnouncement(state.ownership, job.id);
-	}
-
-	return [
-		createLog('job-followed', {job: job.id, by: from.name, ageMs: Math.round(now - job.receivedAt)}),
-		// The caller has turned to the other entry; nobody reads this answer, but its connection is released.
-		{type: 'dismiss', job, answer: createAnswer('given-up', 'superseded', ownedRetryMs)},
-	];
-}
-
-const messageHandlers: EntryMessageHandlers = {
-	'join-job'(state, {job: id, from, left}, now) {
-		const job = state.jobs.get(id);
-		// A job that this entry itself waits for is not its own.
-		const own = state.ownership.joined.has(id) ? undefined : job;
-		const answered = getJobState(own);
-		return [
-			...(own !== undefined && answered.state === 'open' ? addWaitingEntry(state, own, from, left, now) : []),
-			createMessage(state, from.name, {type: 'job-state', job: id, ...answered}),
-		];
-	},
-	'leave-job'(state, {job: id, from}, now) {
-		const job = state.jobs.get(id);
-		const isLast = removeFollower(state.ownership, id, from.name);
-		return isLast && job !== undefined && state.openJobs.has(job) ? endJob(state, job, createAnswer('given-up', 'cancelled', ownedRetryMs), now) : [];
-	},
-	'job-state'(state, {job: id, from, state: jobState, answer}, now, admit) {
-		const job = state.jobs.get(id);
-		if (!recordOwnerAnswer(state.ownership, id, from, now) || job === undefined) {
-			return [];
-		}
-
-		if (jobState === 'ended' && answer !== undefined) {
-			return endJoinedJob(state, job, createAnswer(answer.outcome, answer.reason), now);
-		}
-
-		return jobState === 'released' ? takeOverJob(state, job, 'released', now, admit) : [];
-	},
-};
-
 /** Takes the messages to connected entries about the jobs that entries serve, if they are due. */
 export function takeOwnershipNews({ownership, timings}: DispatchState, entries: readonly NodeName[], now: Milliseconds): ReadonlyMap<NodeName, OwnershipMessage> {
 	return takeNews(ownership, entries, {timings, now});
 }
 
-/**
- * Handles a message of another entry about a job.
- *
- * @param state - State of the jobs.
- * @param message - A message to this entry.
- * @param now - Current time.
- * @param admit - Admits a job that is taken over.
- * @returns Effects to carry out.
- */
-export function handleEntryMessage(state: DispatchState, message: EntryMessage, now: Milliseconds, admit: Admit): DispatchEffect[] {
-	return (messageHandlers[message.type] as (state: DispatchState, message: EntryMessage, now: Milliseconds, admit: Admit) => DispatchEffect[])(state, message, now, admit);
-}
-
 /** Gives up the jobs that no other entry can be told of, before their callers can submit them there. */
 function endUnannouncedJobs(state: DispatchState, now: Milliseconds): DispatchEffect[] {
 	const {ownership, openJobs, timings} = state;
@@ -290,23 +216,7 @@
 	return effects;
 }
 
-/** Finds the entry that serves a job; undefined if no other one can have a run of it. */
+/** Finds the entry that serves or served a job, as far as is known. */
 export function findOwner(state: DispatchState, id: string, now: Milliseconds): ForeignJob | undefined {
-	return findForeignJob(state.ownership, id, state.timings, now);
-}
-
-/**
- * Chooses where to send a message to another entry.
- *
- * @param message - The message.
- * @param connected - Entries with an open stream.
- * @param sender - The entry that has sent it here; undefined if it was created here.
- * @returns The entry itself if it is connected. Otherwise those that may pass it on, once.
- */
-export function chooseEntryRoute(message: EntryMessage, connected: readonly NodeName[], sender?: NodeName): readonly NodeName[] {
-	if (connected.includes(message.to)) {
-		return [message.to];
-	}
-
-	return sender === undefined ? connected : [];
+	return findLastOwner(state.ownership, id, now);
 }
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -4,13 +4,14 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
 import {isGivenUp, pruneCrashes} from '../crashes/logic.ts';
-import {listFollowers} from '../ownership/logic.ts';
+import {findFollower} from '../ownership/logic.ts';
 import {
 	checkAdmission, checkOversizedJob, checkSuspendedJob, checkWaitingJob,
 } from './admission.ts';
 import {placeLostTasks} from './agents.ts';
 import {cancelIsolatedJobs, isSubmissionLate} from './contact.ts';
 import {updateReservedAgents} from './containment.ts';
+import {recordResubmission} from './entry-messages.ts';
 import {
 	advanceOwnership, cancelJoinedJob, findOwner, startJoining,
 } from './joining.ts';
@@ -119,7 +120,7 @@
 export function submitJob(state: DispatchState, request: JobRequest, now: Milliseconds): {job: Job; effects: DispatchEffect[]} {
 	const earlier = state.jobs.get(request.submission.id);
 	if (earlier !== undefined && earlier.answer?.outcome !== 'given-up') {
-		return {job: earlier, effects: earlier.answer === undefined ? [] : [{type: 'answer', job: earlier, answer: earlier.answer}]};
+		return {job: earlier, effects: earlier.answer === undefined ? recordResubmission(state, earlier, now) : [{type: 'answer', job: earlier, answer: earlier.answer}]};
 	}
 
 	const refusal = earlier !== undefined && hasOpenRuns(earlier)
@@ -207,7 +208,7 @@
  * @returns Effects to carry out.
  */
 export function handleCallerLeave(state: DispatchState, id: string, now: Milliseconds): DispatchEffect[] {
-	return listFollowers(state.ownership, id).length > 0 ? [] : cancelJob(state, id, 'cancelled', now);
+	return findFollower(state.ownership, id) === undefined ? cancelJob(state, id, 'cancelled', now) : [];
 }
 
 /** Places the tasks for which no agent was found before. */
--- a/src/core/dispatch/steps.ts
+++ b/src/core/dispatch/steps.ts
@@ -4,7 +4,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import {addToGroup} from '../groups.ts';
 import type {NodeName} from '../identity/types.ts';
-import {listFollowers, removeOwnJob} from '../ownership/logic.ts';
+import {findFollower, removeOwnJob} from '../ownership/logic.ts';
 import {createOffers, placeTasks, type Placement} from './placing.ts';
 import type {DispatchState} from './state.ts';
 import type {
@@ -27,17 +27,19 @@
 	return job.tasks.some(({phase}) => phase === 'placed' || phase === 'detached');
 }
 
-/** Tells the entries that wait for the answer of a job that it has ended. */
+/** Tells the entry that waits for the answer of a job that it has ended. */
 function sendResult({ownership}: DispatchState, job: Job): DispatchEffect[] {
 	const {outcome, reason} = job.answer!;
 	const hasResult = outcome === 'completed' || outcome === 'failed';
-	const followers = hasResult ? listFollowers(ownership, job.id) : [];
+	const entry = hasResult ? findFollower(ownership, job.id) : undefined;
 	removeOwnJob(ownership, job.id);
-	return followers.map(entry => ({
-		type: 'tell-entry', entry, message: {
-			type: 'job-state', from: ownership.self, to: entry, job: job.id, state: 'ended', answer: {outcome, reason},
-		},
-	}));
+	return entry === undefined
+		? []
+		: [{
+			type: 'tell-entry', entry, message: {
+				type: 'job-state', from: ownership.self, to: entry, job: job.id, state: 'ended', answer: {outcome, reason},
+			},
+		}];
 }
 
 /** Ends a job: withdraws its tasks from the agents and answers the caller. */
--- a/src/core/ownership/logic.ts
+++ b/src/core/ownership/logic.ts
@@ -12,7 +12,7 @@
 import type {NodeName, NodeRef} from '../identity/types.ts';
 import type {OwnershipState} from './state.ts';
 import type {
-	EntryContact, ForeignJob, JoinAction, JoinedJob, LostOwner, OwnedJob, OwnedJobs,
+	EntryContact, ForeignJob, JoinAction, JoinedJob, LatestCaller, LostOwner, OwnedJob, OwnedJobs,
 } from './types.ts';
 
 /** Time between two passes over the jobs of other entries, in ms. */
@@ -53,13 +53,13 @@
 }
 
 /** Forgets what was told of an own job that has ended. */
-export function removeOwnJob({announced, followers, news, self}: OwnershipState, id: string): void {
+export function removeOwnJob({announced, latestCallers, news, self}: OwnershipState, id: string): void {
 	announced.delete(id);
 	if (news.get(id)?.owner === self) {
 		news.delete(id);
 	}
 
-	followers.delete(id);
+	latestCallers.delete(id);
 }
 
 /**
@@ -206,6 +206,12 @@
 	return undefined;
 }
 
+/** Finds the entry that served a job last, as far as is known; its runs may have ended. */
+export function findLastOwner({foreign}: OwnershipState, id: string, now: Milliseconds): ForeignJob | undefined {
+	const job = foreign.get(id);
+	return job !== undefined && now < job.expiresAt ? job : undefined;
+}
+
 /** Forgets that another entry serves a job. */
 export function removeForeignJob({foreign}: OwnershipState, id: string): void {
 	foreign.delete(id);
@@ -238,7 +244,7 @@
 /** Begins to wait for the answer of a job's owner. */
 export function joinJob(state: OwnershipState, id: string, owner: NodeRef, now: Milliseconds): JoinedJob {
 	const joined: JoinedJob = {
-		owner, joinedAt: now, askedAt: Number.NEGATIVE_INFINITY, heardAt: now,
+		owner, joinedAt: now, submittedAt: now, askedAt: Number.NEGATIVE_INFINITY, heardAt: now,
 	};
 	state.joined.set(id, joined);
 	return joined;
@@ -268,6 +274,25 @@
 	return true;
 }
 
+/**
+ * Records that another entry serves a joined job: it has taken the job over from the owner that was known here.
+ *
+ * @param state - State of the ownership.
+ * @param id - The job.
+ * @param owner - The entry.
+ * @param now - Current time.
+ */
+export function setJobOwner(state: OwnershipState, id: string, owner: NodeRef, now: Milliseconds): void {
+	const joined = state.joined.get(id);
+	const known = state.foreign.get(id);
+	if (joined !== undefined && known !== undefined) {
+		joined.owner = owner;
+		joined.heardAt = now;
+		joined.askedAt = Number.NEGATIVE_INFINITY;
+		state.foreign.set(id, {...known, owner});
+	}
+}
+
 /**
  * Chooses what to do for a joined job.
  *
@@ -284,14 +309,16 @@
 		recordOwnerLoss(state, joined.owner, now);
 	}
 
-	if (findForeignJob(state, id, timings, now) === undefined) {
+	// Another entry that has taken the job over answers the first question.
+	const hasAsked = now >= joined.joinedAt + timings.askMs;
+	if (hasAsked && findForeignJob(state, id, timings, now) === undefined) {
 		return {type: 'take-over', evidence: 'owner-ended'};
 	}
 
 	const lost = getLoss(state, joined.owner);
 	if (lost !== undefined) {
-		const releasedAt = Math.min(state.foreign.get(id)!.expiresAt, Math.max(lost.lostAt + timings.goneMs, lost.isEnded ? 0 : answerBy));
-		if (now >= releasedAt) {
+		const releasedAt = Math.min(state.foreign.get(id)?.expiresAt ?? now, Math.max(lost.lostAt + timings.goneMs, lost.isEnded ? 0 : answerBy));
+		if (hasAsked && now >= releasedAt) {
 			return {type: 'take-over', evidence: 'owner-lost'};
 		}
 
@@ -305,34 +332,23 @@
 	}
 
 	joined.askedAt = now;
-	return {type: 'ask'};
+	return {type: 'ask', isOwnerLost: lost !== undefined};
 }
 
-/** Adds an entry that waits for the answer of an own job. */
-export function addFollower({followers}: OwnershipState, id: string, entry: NodeName, now: Milliseconds): boolean {
-	const entries = followers.get(id) ?? new Map<NodeName, Milliseconds>();
-	const isNew = !entries.has(entry);
-	followers.set(id, entries.set(entry, now));
-	return isNew;
+/** Records where the latest caller of an own job waits. */
+export function setLatestCaller({latestCallers}: OwnershipState, id: string, caller: LatestCaller): void {
+	latestCallers.set(id, caller);
 }
 
-/** Removes an entry that does not wait any more; returns whether it was the last one. */
-export function removeFollower({followers}: OwnershipState, id: string, entry: NodeName): boolean {
-	const entries = followers.get(id);
-	if (entries?.delete(entry) !== true) {
-		return false;
-	}
-
-	if (entries.size === 0) {
-		followers.delete(id);
-	}
-
-	return entries.size === 0;
+/** Removes an entry whose caller does not wait any more; returns whether the latest one waited there. */
+export function removeLatestCaller({latestCallers}: OwnershipState, id: string, entry: NodeName): boolean {
+	return latestCallers.get(id)?.entry === entry && latestCallers.delete(id);
 }
 
-/** Lists the entries that wait for the answer of an own job. */
-export function listFollowers({followers}: OwnershipState, id: string): readonly NodeName[] {
-	return [...followers.get(id)?.keys() ?? []];
+/** Finds the other entry that waits for the answer of an own job. */
+export function findFollower({latestCallers, self}: OwnershipState, id: string): NodeName | undefined {
+	const entry = latestCallers.get(id)?.entry;
+	return entry === self.name ? undefined : entry;
 }
 
 /** Records which other entries are connected. */
--- a/src/core/ownership/state.ts
+++ b/src/core/ownership/state.ts
@@ -4,7 +4,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {NodeName, NodeRef} from '../identity/types.ts';
 import type {
-	EntryContact, ForeignJob, JoinedJob, LostOwner,
+	EntryContact, ForeignJob, JoinedJob, LatestCaller, LostOwner,
 } from './types.ts';
 
 /** A job to tell other entries. */
@@ -30,8 +30,8 @@
 	readonly awaiting: Set<NodeName>;
 	/** Jobs of local callers that wait for the answers of their owners, by id. */
 	readonly joined: Map<string, JoinedJob>;
-	/** Entries that wait for the answer of an own job, by id and name, with the time at which they last asked. */
-	readonly followers: Map<string, Map<NodeName, Milliseconds>>;
+	/** Latest callers of own jobs that were submitted more than once, by id. */
+	readonly latestCallers: Map<string, LatestCaller>;
 	/** Entries whose streams were lost, by name. */
 	readonly lostOwners: Map<NodeName, LostOwner>;
 	contact: EntryContact;
@@ -55,7 +55,7 @@
 		newsSentAt: Number.NEGATIVE_INFINITY,
 		awaiting: new Set(),
 		joined: new Map(),
-		followers: new Map(),
+		latestCallers: new Map(),
 		lostOwners: new Map(),
 		contact: {connected: 0, silent: 0},
 		isolatedSince: undefined,
--- a/src/core/ownership/types.ts
+++ b/src/core/ownership/types.ts
@@ -2,7 +2,7 @@
  * Types of the ownership of jobs: which entry serves a job, as entries tell each other.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {NodeRef} from '../identity/types.ts';
+import type {NodeName, NodeRef} from '../identity/types.ts';
 
 /** A job that an entry has had open for `announceMs`: its id, its age, and the time left until its deadline. */
 export type OwnedJob = readonly [id: string, age: Milliseconds, left: Milliseconds];
@@ -40,18 +40,23 @@
 
 /** A job of a local caller that waits for the answer of its owner. */
 export type JoinedJob = {
-	readonly owner: NodeRef;
+	owner: NodeRef;
 	readonly joinedAt: Milliseconds;
+	/** When its caller has last submitted it here. */
+	submittedAt: Milliseconds;
 	/** When the owner was last asked, and when it last answered. */
 	askedAt: Milliseconds;
 	heardAt: Milliseconds;
 };
 
+/** The entry where the latest caller of an own job waits, which may be this one, and when that submitted the job. */
+export type LatestCaller = {readonly entry: NodeName; readonly submittedAt: Milliseconds};
+
 /** What to do for a joined job. */
 export type JoinAction =
 	| {readonly type: 'none'}
-	/** Ask the owner for the answer. */
-	| {readonly type: 'ask'}
+	/** Ask the owner for the answer. If it is lost, others that wait for it have to hear the question. */
+	| {readonly type: 'ask'; readonly isOwnerLost: boolean}
 	/** Serve the job here: no run of the owner can be left. */
 	| {readonly type: 'take-over'; readonly evidence: ReleaseEvidence}
 	/** The owner can't be shown to have ended the job before the deadline of the caller. */
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -142,8 +142,8 @@
 
 /** Messages about a job that one entry serves and a caller of another one waits for. */
 export type EntryMessageBody =
-	/** Asks the owner of a job for its answer. `left`: time until the deadline of the caller. */
-	| {readonly type: 'join-job'; readonly job: string; readonly left: Milliseconds}
+	/** Asks the owner of a job for its answer. `left`: time until the deadline of the caller; `age`: time since it has submitted the job. */
+	| {readonly type: 'join-job'; readonly job: string; readonly left: Milliseconds; readonly age: Milliseconds; readonly isOwnerLost: boolean}
 	/** The caller does not wait any more. */
 	| {readonly type: 'leave-job'; readonly job: string}
 	/** Answer to `join-job`, and sent again when the job ends. */
--- a/src/processes/dispatch/ownership.ts
+++ b/src/processes/dispatch/ownership.ts
@@ -1,9 +1,8 @@
 /**
  * Exchange between entries about the jobs that they serve.
  */
-import {
-	chooseEntryRoute, handleEntryMessage, handleOwnedJobs, listJobsForEntry, takeOwnershipNews,
-} from '../../core/dispatch/joining.ts';
+import {chooseEntryRoute, handleEntryMessage} from '../../core/dispatch/entry-messages.ts';
+import {handleOwnedJobs, listJobsForEntry, takeOwnershipNews} from '../../core/dispatch/joining.ts';
 import {admitJob} from '../../core/dispatch/logic.ts';
 import type {DispatchState} from '../../core/dispatch/state.ts';
 import type {DispatchEffect} from '../../core/dispatch/types.ts';
@@ -48,9 +47,8 @@
 	/** Applies a message about a job, or passes it on to the entry that it is for. */
 	handleMessage(sender: NodeName, message: EntryMessage): void {
 		const {state, getTime, applyEffects} = this.input;
-		if (message.to === state.ownership.self.name) {
-			applyEffects(handleEntryMessage(state, message, getTime(), admitJob));
-		} else {
+		applyEffects(handleEntryMessage(state, message, getTime(), admitJob));
+		if (message.to !== state.ownership.self.name) {
 			this.#sendMessage(message, sender);
 		}
 	}
