Emulate streams of entries that are not each other's neighbours

Cause: an emulated entry took a stream from an entry that it had not chosen as a neighbour for one of an agent. With more than 7 entries the choice is not mutual, so such a stream carried announcements and answers in one direction only, and the other entry was added to the fleet of agents.

--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -164,7 +164,7 @@
 				this.#applyEffects(observeContact(this.state, 'agents', this.links.getLastContact(agent), this.#now()));
 			}
 
-			observeEntryContact(this.state.ownership, {connected: this.#entries.size, silent: this.input.neighbours.size - this.#entries.size}, this.#now());
+			observeEntryContact(this.state.ownership, {connected: this.#entries.size, silent: [...this.input.neighbours].filter(name => !this.#entries.has(name)).length}, this.#now());
 			this.#applyEffects(advanceDispatch(this.state, this.#now()));
 			this.#sendOwnershipNews();
 			this.#updateExtraStreams();
@@ -245,8 +245,9 @@
 		return state;
 	}
 
+	/** Returns whether a peer is an entry; one that is no neighbour of this one may have this one as a neighbour. */
 	#isEntry(peer: string): boolean {
-		return this.input.neighbours.has(peer);
+		return this.input.listEntries().some(({process}) => process.name === peer);
 	}
 
 	#listConnectedAgents(): readonly string[] {
@@ -308,7 +309,7 @@
 
 	#openStreams(): void {
 		for (const entry of this.input.listEntries()) {
-			if (this.#isEntry(entry.process.name)) {
+			if (this.input.neighbours.has(entry.process.name)) {
 				// The later one of a pair waits, so that one stream is opened.
 				this.links.openStream(entry, this.process.name < entry.process.name ? 0 : secondaryDelayMs);
 			}
