--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -131,7 +131,8 @@
 }
 
 /**
- * Starts tentative tasks that their entry has granted.
+ * Starts tentative tasks that their entry has granted. A task about which this agent has not asked yet was granted for a
+ * question about an earlier offer: its entry waits for a report now, and is asked once more before the start.
  *
  * @param state - State of the agent.
  * @param owner - The entry.
@@ -145,6 +146,9 @@
 		const record = state.records.get(getRecordKey(owner, task));
 		if (record?.phase === 'asking') {
 			effects.push(startGranted(state, record, now));
+		} else if (record?.phase === 'queued' && !record.isGranted) {
+			record.isGranted = true;
+			record.mustAsk = true;
 		}
 	}
 
@@ -201,6 +205,7 @@
 	state.orphans.set(getRunKey(orphan.task, orphan.run), {...orphan, seenAt: Number.NEGATIVE_INFINITY});
 	const record = createRecord(owner, offer, now);
 	record.isGranted = true;
+	record.mustAsk = hasDelayedMessages(state, owner, now);
 	addRecord(state, record);
 	addToQueue(state, record);
 	return [];
@@ -221,6 +226,22 @@
 	return [{type: 'report', owner, reports: [report]}];
 }
 
+/**
+ * Starts a claimed task whose entry was asked: the grant was lost with the stream. A claim that may have been sent before the
+ * question does not confirm the start, so the entry is asked again.
+ */
+function applyClaimAsGrant(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
+	if (!record.mustAsk && !hasDelayedMessages(state, record.owner, now)) {
+		return [startGranted(state, record, now)];
+	}
+
+	record.phase = 'queued';
+	record.isGranted = true;
+	record.mustAsk = true;
+	addToQueue(state, record);
+	return [];
+}
+
 function applyClaims(state: RunsState, owner: NodeName, offers: readonly TaskOffer[], now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
 	const claimed = new Set(offers.map(({task}) => task));
@@ -235,8 +256,7 @@
 		if (record === undefined) {
 			effects.push(...restoreClaimedTask(state, owner, offer, now));
 		} else if (record.phase === 'asking') {
-			// The grant was lost with the stream.
-			effects.push(startGranted(state, record, now));
+			effects.push(...applyClaimAsGrant(state, record, now));
 		} else {
 			record.isGranted = true;
 		}
