Let a process listen for streams at another address than it announces

A process listened where it announced itself, so that nothing could stand between two processes: no test impaired a stream of real processes without stopping one of them. `listenHost` names the IP address to listen on if it is not `host`, as behind a proxy. It is optional and absent from the template of the platform; nothing changes without it.

--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -137,6 +137,7 @@
 		this.state = createRunsState({timings, fencingToken: input.startedAt});
 		this.#links = new PeerLinks({
 			self: createOwnAddress(input, 'agent'),
+			listenHost: input.settings.listenHost,
 			secret: input.secret,
 			timings,
 			clock,
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -148,6 +148,7 @@
 		});
 		this.#links = new PeerLinks({
 			self,
+			listenHost: input.settings.listenHost,
 			secret: input.secret,
 			timings,
 			clock,
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -47,6 +47,8 @@
 /** Dependencies and options of the links. */
 export type LinksInput = {
 	readonly self: PeerAddress;
+	/** IP address to listen on; that of `self` if absent. */
+	readonly listenHost?: string;
 	readonly secret: string;
 	readonly timings: Timings;
 	readonly clock: Clock;
@@ -128,8 +130,8 @@
 
 	/** Starts listening for streams from other processes. */
 	async listen(): Promise<void> {
-		const {host, port} = this.input.self;
-		await listenServer(this.#server, host, port);
+		const {listenHost, self} = this.input;
+		await listenServer(this.#server, listenHost ?? self.host, self.port);
 	}
 
 	/**
--- a/src/settings/dispatch.ts
+++ b/src/settings/dispatch.ts
@@ -20,14 +20,17 @@
 const address = z.string().check(z.refine(isAddress, 'must be an IP address and a port, such as 10.1.0.13:8161'));
 const optionalAddress = z._default(z.union([z.literal(''), address]), '');
 const port = z.int().check(z.minimum(1), z.maximum(maxPort));
+const host = z.string().check(z.refine(text => isIP(text) !== 0, 'must be an IP address'));
 const nonNegative = z.number().check(z.minimum(0));
 
 /** Schema of the settings; keys that are not listed are ignored, since the platform may add some. */
 export const dispatchSettingsSchema = z.object({
 	/** Name of the process, unique in the installation. */
 	name: z.string().check(z.minLength(1)),
-	/** IP address of the machine. */
-	host: z.string().check(z.refine(text => isIP(text) !== 0, 'must be an IP address')),
+	/** IP address of the machine, which other processes open streams to. */
+	host,
+	/** IP address to listen on for streams, if it is not `host`, as behind a proxy. */
+	listenHost: z.optional(host),
 	/** Data centre of the machine. */
 	dataCentre: z.string().check(z.minLength(1)),
 	/** Ports for streams between processes, at entries and at agents. */
