Draw faults of processes, workers, store and paths in the platform's soak test

The soak of the platform's processes knew one fault. It now draws from its seed what is killed, stopped by SIGTERM or suspended for up to 4 s (one process, half of a role, all), crash loops, a loss of power of everything, entries replaced in turn, SIGHUP with changed settings; workers that crash for 10 ms to 2 s under the same or a new id, and carry out orders late or answer late; a store that refuses, is slow or silent, or forgets its history; configurations meanwhile; and on the paths of callers, workers, store and streams silence both ways or one way, resets, refusals, half-open channels of either side, delay and narrow bandwidth. Up to three faults overlap; each has a seed of its own in the plan, so that `--replay FOLDER` plays the plan of an earlier run again.

Judged besides TWICE: starts beyond a worker's capacity (LIMIT), for jobs that nobody submitted (UNASKED) or that were refused throughout (REFUSED), untrue answers, answers after the deadline with no fault near (LATE), too little service after the last fault (RECOVER), processes that end by themselves, fleets that do not come up. Each finding states the delay of the soak's own event loop before it. The folder of a run keeps options, plan, faults, report, logs and the merged timeline of the findings.

--- a/bench/rig/process.ts
+++ b/bench/rig/process.ts
@@ -5,6 +5,7 @@
 import {once} from 'node:events';
 import {createWriteStream} from 'node:fs';
 import process from 'node:process';
+import type {Milliseconds} from '../../src/ports/clock.ts';
 
 /** Command line, environment and log file of a process. */
 export type RigCommand = {
@@ -16,6 +17,8 @@
 
 /** A child process that can be killed, frozen and started again. */
 export class RigProcess implements AsyncDisposable {
+	/** How it ended each time that nothing had stopped it. */
+	readonly unexpectedEnds: string[] = [];
 	#child: ChildProcess | undefined;
 
 	/**
@@ -37,6 +40,17 @@
 		child.stdout.pipe(log, {end: false});
 		child.stderr.pipe(log, {end: false});
 		this.#child = child;
+		child.once('exit', (code, signal) => {
+			if (this.#child === child) {
+				this.#child = undefined;
+				this.unexpectedEnds.push(`${new Date().toISOString()} code ${code}, signal ${signal}`);
+			}
+		});
+	}
+
+	/** Returns whether the process was started and has not ended. */
+	isRunning(): boolean {
+		return this.#child !== undefined;
 	}
 
 	/** Sends a signal if the process is running. */
@@ -44,8 +58,11 @@
 		this.#child?.kill(signal);
 	}
 
-	/** Sends a signal and waits for the process to exit; resolves to the exit code, or null if a signal ended the process. */
-	async stop(signal: NodeJS.Signals): Promise<number | null> {
+	/**
+	 * Sends a signal and waits for the process to exit; resolves to the exit code, or null if a signal ended the process.
+	 * A process that has not ended after `graceMs` is killed.
+	 */
+	async stop(signal: NodeJS.Signals, graceMs?: Milliseconds): Promise<number | null> {
 		const child = this.#child;
 		if (child === undefined) {
 			return null;
@@ -58,7 +75,9 @@
 
 		const exited = once(child, 'exit');
 		child.kill(signal);
+		const timer = graceMs === undefined ? undefined : setTimeout(() => child.kill('SIGKILL'), graceMs);
 		const [code] = await exited as [number | null];
+		clearTimeout(timer);
 		return code;
 	}
 
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -2,13 +2,15 @@
  * Runs a soak test: callers submit jobs to separate processes under random faults; prints a JSON report.
  *
  * Run by `npm run soak -- --seed 1 --minutes 5 [--faults kill-agent,freeze-agent] [--binary]`; with `--platform` on the
- * processes that run on the platform, `[--entries 4 --agents 16 --rate 25]`, of which the bundles are built if they are out of date.
+ * processes that run on the platform, `[--entries 4 --agents 16 --rate 25]`, or the faults of an
+ * earlier run again, `--replay FOLDER`; of which the bundles are built if they are out of date.
  */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {buildIfStale} from '../scripts/build-if-stale.mjs';
 import {faults} from './soak/faults.ts';
-import {faults as platformFaults} from './soak/platform/faults.ts';
+import {faults as platformFaults} from './soak/platform/faults/faults.ts';
+import {readRecord} from './soak/platform/records.ts';
 import {runPlatformSoak} from './soak/platform/soak.ts';
 import {runSoak} from './soak/soak.ts';
 
@@ -23,6 +25,8 @@
 		callers: {type: 'string', default: '16'},
 		faults: {type: 'string'},
 		'fault-interval-ms': {type: 'string'},
+		'recovery-ms': {type: 'string', default: '12000'},
+		replay: {type: 'string'},
 		binary: {type: 'boolean', default: false},
 	},
 });
@@ -43,7 +47,9 @@
 
 async function runPlatform(): Promise<number> {
 	buildIfStale();
-	const report = await runPlatformSoak({...readShared(4, 16, 500, Object.keys(platformFaults)), rate: Number(values.rate)});
+	const options = {...readShared(4, 16, 1000, Object.keys(platformFaults)), rate: Number(values.rate), recoveryMs: Number(values['recovery-ms'])};
+	const record = values.replay === undefined ? undefined : await readRecord(values.replay);
+	const report = await runPlatformSoak(record?.options ?? options, record?.plan);
 	process.stdout.write(`${JSON.stringify({seed: values.seed, minutes: values.minutes, ...report}, undefined, '\t')}\n`);
 	return report.findings.length;
 }
--- a/bench/soak/platform/callers.ts
+++ b/bench/soak/platform/callers.ts
@@ -37,17 +37,19 @@
 	readonly #balancer: LoadBalancer;
 	readonly #pools: ReadonlyMap<string, Pool>;
 
+	#isStopped = false;
+
 	/** @param options - Entries and load. */
 	constructor(private readonly options: CallersOptions) {
 		this.#balancer = new LoadBalancer(options.entries);
 		this.#pools = new Map(options.entries.map(({name, callers}) => [name, new Pool(`http://${callers}`, {connections: maxConnections, pipelining: 1})]));
 	}
 
-	/** Submits new jobs until a time, and waits until all have ended. */
-	async run(endsAt: Milliseconds): Promise<void> {
+	/** Submits new jobs until `stop` is called, and waits until all have ended. */
+	async run(): Promise<void> {
 		const intervalMs = 1000 / this.options.rate;
 		const runs: Array<Promise<void>> = [];
-		for (let next = Date.now(); next < endsAt; next += intervalMs) {
+		for (let next = Date.now(); !this.#isStopped; next += intervalMs) {
 			await delay(Math.max(0, next - Date.now()));
 			runs.push(this.#runJob());
 		}
@@ -55,6 +57,11 @@
 		await Promise.all(runs);
 	}
 
+	/** Ends the load. */
+	stop(): void {
+		this.#isStopped = true;
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#balancer[Symbol.dispose]();
 		await Promise.all([...this.#pools.values()].map(async pool => pool.destroy()));
--- a/bench/soak/platform/proxy.ts
+++ b/bench/soak/platform/proxy.ts
@@ -1,10 +1,11 @@
 /**
- * TCP proxy on loopback whose channels can break for one side only.
+ * TCP proxy on loopback whose channels can break, fall silent or slow down, also for one side only.
  */
 import {once} from 'node:events';
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {createGate, PathDirection} from './gate.ts';
 
 /** IP address and port, such as 127.0.0.1:80. */
 export type Address = string;
@@ -25,7 +26,10 @@
 
 /** Proxy of one server. */
 export class Proxy implements AsyncDisposable {
+	/** State of the path towards each side. */
+	readonly directions: Readonly<Record<ChannelSide, PathDirection>> = {client: new PathDirection(), server: new PathDirection()};
 	readonly #server: Server;
+	#refusals = 0;
 	readonly #channels = new Set<Channel>();
 	/** Channels of which one side is closed. */
 	readonly #halfOpen = new Set<Channel>();
@@ -40,10 +44,32 @@
 		});
 	}
 
-	/** Starts listening. */
+	/** Starts listening; after `refuse` once it was called as often. */
 	async listen(): Promise<void> {
-		this.#server.listen(parseAddress(this.address));
-		await once(this.#server, 'listening');
+		this.#refusals = Math.max(0, this.#refusals - 1);
+		if (this.#refusals === 0 && !this.#server.listening) {
+			this.#server.listen(parseAddress(this.address));
+			await once(this.#server, 'listening');
+		}
+	}
+
+	/** Refuses new channels; open ones stay. */
+	refuse(): void {
+		this.#refusals++;
+		if (this.#server.listening) {
+			this.#server.close();
+		}
+	}
+
+	/** Resets channels for both sides. */
+	reset(selects: (index: number) => boolean): number {
+		const channels = this.#selectChannels(selects);
+		for (const {client, server} of channels) {
+			client.resetAndDestroy();
+			server.resetAndDestroy();
+		}
+
+		return channels.length;
 	}
 
 	/**
@@ -54,12 +80,11 @@
 	 * @returns Number of channels.
 	 */
 	breakSide(side: ChannelSide, selects: (index: number) => boolean): number {
-		const channels = [...this.#channels].filter((_, index) => selects(index));
+		const channels = this.#selectChannels(selects);
 		for (const channel of channels) {
 			this.#channels.delete(channel);
 			this.#halfOpen.add(channel);
 			const open = channel[otherSides[side]];
-			channel[side].unpipe();
 			open.unpipe();
 			open.resume();
 			channel[side].destroy();
@@ -74,37 +99,39 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
+		this.refuse();
 		for (const {client, server} of [...this.#channels, ...this.#halfOpen]) {
 			client.destroy();
 			server.destroy();
 		}
+	}
 
-		if (this.#server.listening) {
-			this.#server.close();
-			await once(this.#server, 'close');
-		}
+	#selectChannels(selects: (index: number) => boolean): Channel[] {
+		return [...this.#channels].filter((_, index) => selects(index));
 	}
 
 	#openChannel(client: Socket): void {
 		const server = connect({...parseAddress(this.target), noDelay: true});
 		const channel: Channel = {client, server};
 		this.#channels.add(channel);
-		client.pipe(server);
-		server.pipe(client);
+		client.pipe(createGate(this.directions.server)).pipe(server);
+		server.pipe(createGate(this.directions.client)).pipe(client);
 		for (const side of ['client', 'server'] as const) {
 			channel[side].on('error', () => {
 				// The side closes next.
 			});
 			channel[side].on('close', () => {
-				this.#handleClose(channel, side);
+				void this.#handleClose(channel, side);
 			});
 		}
 	}
 
 	/** Closes the other side too, unless it is kept open. */
-	#handleClose(channel: Channel, side: ChannelSide): void {
+	async #handleClose(channel: Channel, side: ChannelSide): Promise<void> {
+		const other = otherSides[side];
 		if (this.#channels.delete(channel)) {
-			channel[otherSides[side]].destroy();
+			await this.directions[other].waitToPass(0);
+			channel[other].destroySoon();
 		}
 
 		if (channel.client.destroyed && channel.server.destroyed) {
--- a/bench/soak/platform/types.ts
+++ b/bench/soak/platform/types.ts
@@ -15,6 +15,25 @@
 	readonly faults: readonly string[];
 	/** Mean time between the starts of two faults. */
 	readonly faultIntervalMs: Milliseconds;
+	/** Time after the last fault in which load goes on, and after which jobs have to be served again. */
+	readonly recoveryMs: Milliseconds;
+};
+
+/** A fault of a plan. */
+export type PlannedFault = {
+	/** Time since the start of the load. */
+	readonly at: Milliseconds;
+	readonly name: string;
+	/** Seed of all that it draws. */
+	readonly seed: number;
+};
+
+/** A fault that was injected; Unix times, in ms. */
+export type InjectedFault = {
+	readonly name: string;
+	readonly at: Milliseconds;
+	readonly endedAt: Milliseconds;
+	readonly text: string;
 };
 
 /** One submission of a job by its caller. */
@@ -53,4 +72,6 @@
 	readonly text: string;
 	/** Jobs that it concerns. */
 	readonly jobs: readonly string[];
+	/** Greatest delay of the soak test's own event loop in the 2 s before, in ms. */
+	readonly lagMs?: Milliseconds;
 };
--- a/features/soak/platform-soak.steps.ts
+++ b/features/soak/platform-soak.steps.ts
@@ -17,7 +17,7 @@
 	const seed = Number(process.env.SEED ?? defaultSeed);
 	console.log(`SEED=${seed}`);
 	this.report = await runPlatformSoak({
-		seed, durationMs: seconds * 1000, entries, agents, rate, faults: [fault], faultIntervalMs,
+		seed, durationMs: seconds * 1000, entries, agents, rate, faults: [fault], faultIntervalMs, recoveryMs: 0,
 	});
 });
 
