--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -51,6 +51,9 @@
 	};
 }
 
+/** Refusal of an entry that shuts down. No task has run, but another entry may serve the job, and `not-run` would be final for its caller. */
+const leavingRefusal: JobAnswer = {...createRefusal('leaving', minRetryMs), outcome: 'given-up'};
+
 /** Returns whether a waiting task of a job is suspected of crashing workers. */
 function hasSuspect({crashes}: DispatchState, {tasks}: Job): boolean {
 	return tasks.some(({name, phase}) => phase === 'waiting' && getSuspicion(crashes, name) !== 'none');
@@ -95,6 +98,10 @@
 export function checkAdmission(state: DispatchState, job: Job, placement: Placement, now: Milliseconds): JobAnswer | undefined {
 	const criticalPath = estimateCriticalPath(state, job.route, job.submission);
 	const timeLeft = job.deadlineAt - now;
+	if (!placement.hasSuitableAgents && state.endsAt !== Number.POSITIVE_INFINITY) {
+		return leavingRefusal;
+	}
+
 	if (job.submission.steps.some(step => isStepOversized(state, job, step, now))) {
 		return createRefusal('no-worker', agentReturnMs);
 	}
@@ -106,7 +113,7 @@
 	}
 
 	if (!placement.hasSuitableAgents) {
-		const isExpected = now < state.expectAgentsUntil && state.endsAt === Number.POSITIVE_INFINITY && criticalPath + agentReturnMs <= Math.min(job.objectiveMs * maxUnstartedFactor, timeLeft);
+		const isExpected = now < state.expectAgentsUntil && criticalPath + agentReturnMs <= Math.min(job.objectiveMs * maxUnstartedFactor, timeLeft);
 		return isExpected ? undefined : createRefusal('no-worker', agentReturnMs);
 	}
 
@@ -114,7 +121,7 @@
 	const wait = placement.hasTentativeOffer ? placement.wait : 0;
 	const total = Math.max(placement.total, criticalPath);
 	if (now + (total * endMarginFactor) > state.endsAt) {
-		return createRefusal('leaving', minRetryMs);
+		return leavingRefusal;
 	}
 
 	const isLightLoad = estimateUtilization(state, job.route, now) < lightLoadLimit;
