--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -60,5 +60,11 @@
 	return report.violations.length;
 }
 
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+	process.once(signal, () => {
+		process.exit(1);
+	});
+}
+
 const failures = await (values.platform ? runPlatform() : runProduct());
 process.exitCode = failures === 0 ? 0 : 1;
--- a/bench/soak/platform/fleet.ts
+++ b/bench/soak/platform/fleet.ts
@@ -153,11 +153,28 @@
 			await this.#addProcess('entry', `entry-${index}`, index);
 		}
 
+		this.#killAtExit();
 		for (const child of this.processes) {
 			child.start();
 		}
 	}
 
+	/** Leaves no process behind when a signal ends the soak test. */
+	#killAtExit(): void {
+		const killAll = (): void => {
+			for (const child of this.processes) {
+				child.kill();
+			}
+		};
+
+		process.once('exit', killAll);
+		this.#resources.addResource({
+			[Symbol.dispose]() {
+				process.off('exit', killAll);
+			},
+		});
+	}
+
 	async #addAgent(name: string, index: number): Promise<void> {
 		const worker = await startWorkerStandIn({
 			id: `w${this.workers.length}`, service: 'desk', cpu: workerCpu, runMs: parseRunMs, clockRate: workerClockRate, stopMs: bounds.StopMs,
--- a/bench/soak/platform/processes.ts
+++ b/bench/soak/platform/processes.ts
@@ -38,6 +38,11 @@
 		this.child.start();
 	}
 
+	/** Kills the process for good. */
+	kill(): void {
+		this.child.sendSignal('SIGKILL');
+	}
+
 	/** Ends the process and starts it again after a time; does nothing while it is down. */
 	async restart(signal: 'SIGKILL' | 'SIGTERM', downMs: Milliseconds): Promise<void> {
 		if (!this.child.isRunning()) {
