--- a/bench/states/entry.ts
+++ b/bench/states/entry.ts
@@ -5,9 +5,8 @@
 	createAgentMessage, handleAgentDisconnect, handleGrantRequests, hasTasksAt, startSession,
 } from '../../src/core/dispatch/agents.ts';
 import {observeContact} from '../../src/core/dispatch/contact.ts';
-import {
-	chooseEntryRoute, handleEntryMessage, handleOwnedJobs, listJobsForEntry, takeOwnershipNews,
-} from '../../src/core/dispatch/joining.ts';
+import {chooseEntryRoute, handleEntryMessage} from '../../src/core/dispatch/entry-messages.ts';
+import {handleOwnedJobs, listJobsForEntry, takeOwnershipNews} from '../../src/core/dispatch/joining.ts';
 import {
 	admitJob, advanceDispatch, handleCallerLeave, placeAllWaitingTasks, submitJob,
 } from '../../src/core/dispatch/logic.ts';
