Serve nothing at a new entry until it has heard of the others

Callers saw: two runs of a task at once.

Change: until the first list of another entry has come, and for no longer than the contact time after its start, an entry that knows of others answers 502. Entries send such a list at the beginning of each stream. The scenario failed before.

--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -225,6 +225,18 @@
     And task 0 of "j1" ends at "e2" as done
     Then "e1" answers "j1" with completed, none
 
+  # Guards against serving a job that another entry serves, before a new entry has heard of it.
+  Scenario: An entry that has just started serves nothing until it has heard of the others
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And "e2" restarts without streams
+    And 100 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    Then "e2" answers "j1" with given-up, isolated
+    When 500 ms elapse between entries
+    And job "j2" is submitted to "e2"
+    Then "e2" has offered a task of "j2"
+
   # Guards against announcements that go round in a ring of entries for ever.
   Scenario: An announcement is passed on once
     Given job "j1" is submitted to "e1"
--- a/features/ownership/ownership.steps.ts
+++ b/features/ownership/ownership.steps.ts
@@ -48,6 +48,10 @@
 	this.entryFleet.restartEntry(name);
 });
 
+When('{string} restarts without streams', function (this: OwnershipWorld, name: string) {
+	this.entryFleet.restartEntry(name, false);
+});
+
 When('{string} gives up {string}', function (this: OwnershipWorld, name: string, id: string) {
 	this.entryFleet.cancelJob(name, id);
 });
--- a/features/ownership/world.ts
+++ b/features/ownership/world.ts
@@ -135,13 +135,13 @@
 		}
 	}
 
-	/** Ends an entry and starts it with nothing; the others notice both. */
-	restartEntry(name: string): void {
+	/** Ends an entry and starts it with nothing; the others notice both, the second one only with new streams. */
+	restartEntry(name: string, hasStreams = true): void {
 		const world = this.get(name);
 		const others = [...this.entries.keys()].filter(other => other !== name);
 		this.closeStreams(others.map(other => [name, other]));
 		world.state = this.#createState(name, world.state.ownership.self.incarnation + 1);
-		for (const other of others) {
+		for (const other of hasStreams ? others : []) {
 			this.#closed.delete(`${name} ${other}`);
 			this.#closed.delete(`${other} ${name}`);
 			this.#connect(other, name);
--- a/src/core/dispatch/joining.ts
+++ b/src/core/dispatch/joining.ts
@@ -5,7 +5,7 @@
 import type {EntryMessageBody} from '../../ports/dispatch-messages.ts';
 import type {NodeName} from '../identity/types.ts';
 import {
-	addOwnedJobs, announceJob, chooseJoinAction, describeOwnedJob, findLastOwner, isIsolated, joinJob, listAllOwnedJobs, pruneForeignJobs,
+	addOwnedJobs, announceJob, chooseJoinAction, describeOwnedJob, findLastOwner, isIsolated, joinJob, listAllOwnedJobs, pruneForeignJobs, recordInformed,
 	removeForeignJob, takeNews, type OwnershipMessage,
 } from '../ownership/logic.ts';
 import type {
@@ -149,6 +149,7 @@
 export function handleOwnedJobs(state: DispatchState, from: NodeName, lists: readonly OwnedJobs[], now: Milliseconds): DispatchEffect[] {
 	const {ownership, timings} = state;
 	const effects: DispatchEffect[] = [];
+	recordInformed(ownership);
 	for (const list of lists) {
 		addOwnedJobs(ownership, from, list, {timings, now});
 		for (const [id, age] of list.owner.name === ownership.self.name ? [] : list.jobs) {
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -4,7 +4,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
 import {isGivenUp, pruneCrashes} from '../crashes/logic.ts';
-import {findFollower} from '../ownership/logic.ts';
+import {isUninformed, findFollower} from '../ownership/logic.ts';
 import {
 	checkAdmission, checkOversizedJob, checkSuspendedJob, checkWaitingJob,
 } from './admission.ts';
@@ -92,7 +92,7 @@
 }
 
 function checkSubmission(state: DispatchState, {submission}: JobRequest, now: Milliseconds): JobAnswer | undefined {
-	if (isSubmissionLate(state, now)) {
+	if (isSubmissionLate(state, now) || isUninformed(state.ownership, state.timings, now)) {
 		return createAnswer('given-up', 'isolated', defaultRetryMs);
 	}
 
--- a/src/core/ownership/logic.ts
+++ b/src/core/ownership/logic.ts
@@ -354,6 +354,7 @@
 /** Records which other entries are connected. */
 export function observeEntryContact(state: OwnershipState, contact: EntryContact, now: Milliseconds): void {
 	state.contact = contact;
+	state.startedAt ??= now;
 	const isIsolated = contact.connected === 0 && contact.silent > 0;
 	state.isolatedSince = isIsolated ? state.isolatedSince ?? now : undefined;
 }
@@ -366,6 +367,19 @@
 	return isolatedSince !== undefined && now - isolatedSince >= reconnectMs;
 }
 
+/** Records that another entry has told all that it knows, as at the beginning of each stream. */
+export function recordInformed(state: OwnershipState): void {
+	state.isInformed = true;
+}
+
+/**
+ * Returns whether this entry has just started and may get jobs that other ones serve, of which it has not heard yet. An entry
+ * that reaches none of them in the contact time goes on without.
+ */
+export function isUninformed({isInformed, startedAt, contact}: OwnershipState, {contactMs}: Timings, now: Milliseconds): boolean {
+	return !isInformed && contact.connected + contact.silent > 0 && now < (startedAt ?? now) + contactMs;
+}
+
 /** Drops the jobs of other entries that have expired, and losses that no such job depends on. */
 export function pruneForeignJobs(state: OwnershipState, now: Milliseconds): void {
 	if (now - state.prunedAt < pruneIntervalMs) {
--- a/src/core/ownership/state.ts
+++ b/src/core/ownership/state.ts
@@ -38,6 +38,9 @@
 	/** Since when no entry is connected although some may live; undefined otherwise. */
 	isolatedSince: Milliseconds | undefined;
 	prunedAt: Milliseconds;
+	/** When this entry was first advanced, and whether another one has told it of the jobs that it knows; undefined before. */
+	startedAt: Milliseconds | undefined;
+	isInformed: boolean;
 };
 
 /**
@@ -60,5 +63,7 @@
 		contact: {connected: 0, silent: 0},
 		isolatedSince: undefined,
 		prunedAt: 0,
+		startedAt: undefined,
+		isInformed: false,
 	};
 }
