Let a new entry without others in reach wait until no run of theirs can be left

The entry that served the job was killed before the new one had a stream to it, and its runs went on at the agents for longer than the contact time.

Change: an entry that has reached none of the others it knows of serves nothing for goneMs after its start, instead of the contact time. The extended scenario failed before.

--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -233,7 +233,10 @@
     And 100 ms elapse between entries
     And job "j1" is submitted to "e2"
     Then "e2" answers "j1" with given-up, isolated
-    When 500 ms elapse between entries
+    When 1100 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    Then "e2" answers "j1" with given-up, isolated
+    When 150 ms elapse between entries
     And job "j2" is submitted to "e2"
     Then "e2" has offered a task of "j2"
 
--- a/src/core/ownership/logic.ts
+++ b/src/core/ownership/logic.ts
@@ -373,11 +373,11 @@
 }
 
 /**
- * Returns whether this entry has just started and may get jobs that other ones serve, of which it has not heard yet. An entry
- * that reaches none of them in the contact time goes on without.
+ * Returns whether this entry has just started and may get jobs that other ones serve, of which it has not heard yet. If it
+ * reaches none of them, those that have ended have no runs left after `goneMs`.
  */
-export function isUninformed({isInformed, startedAt, contact}: OwnershipState, {contactMs}: Timings, now: Milliseconds): boolean {
-	return !isInformed && contact.connected + contact.silent > 0 && now < (startedAt ?? now) + contactMs;
+export function isUninformed({isInformed, startedAt, contact}: OwnershipState, {goneMs}: Timings, now: Milliseconds): boolean {
+	return !isInformed && contact.connected + contact.silent > 0 && now < (startedAt ?? now) + goneMs;
 }
 
 /** Drops the jobs of other entries that have expired, and losses that no such job depends on. */
