--- a/features/dispatch/random-run.feature
+++ b/features/dispatch/random-run.feature
@@ -73,6 +73,16 @@
       | workers that are back before they are missed beside late orders  | 10    | 518  |
       | crashes that are noticed late                                    | 4     | 303  |
 
+  # Guards against a second run beside a start that a worker's next process under the same id carries out late.
+  Scenario Outline: Starts that reach the next process of a worker
+    When a fleet with slow clocks runs for 12 s with <faults>, over 2 seeds from <seed>
+    Then no task ran twice at the same time and no worker exceeded its capacity
+
+    Examples:
+      | faults                                                       | seed |
+      | restarts of workers beside late orders and suspended agents  | 7008 |
+      | restarts and crashes of workers beside many late orders      | 9326 |
+
   # Guards against a second run of a task that a suspended agent starts at a worker that has restarted meanwhile.
   Scenario: Suspended agents whose workers restart
     When a fleet with slow clocks runs for 15 s with suspended agents beside restarts of workers, over 10 seeds from 9008
--- a/features/dispatch/random-run.steps.ts
+++ b/features/dispatch/random-run.steps.ts
@@ -51,6 +51,12 @@
 	'workers that are back before they are missed beside late orders': {
 		...none, workerRestartMs: 1500, darkCrashes: 0.6, lateOrders: 0.1, lateLease: 'from-execution',
 	},
+	'restarts of workers beside late orders and suspended agents': {
+		...none, workerRestartMs: 400, darkCrashes: 0.6, lateOrders: 0.1, agentSuspensionMs: 700,
+	},
+	'restarts and crashes of workers beside many late orders': {
+		...none, workerRestartMs: 700, workerCrashMs: 2000, lateOrders: 0.3,
+	},
 	'crashes that are noticed late': {
 		...none, workerCrashMs: 2500, darkCrashes: 0.4, lateHeartbeats: 0.3, lateDepartures: 0.4, failures: 0.05, stalls: 0.03,
 	},
