--- a/features/platform/worker-connections.feature
+++ b/features/platform/worker-connections.feature
@@ -2,7 +2,7 @@
   An agent tells why it opens each connection to its worker.
 
   Scenario Outline: Reasons for new connections
-    Given a worker that <fault>
+    Given a worker whose connections are counted that <fault>
     When an agent calls it <calls>
     Then its connections are "<connections>"
 
--- a/features/platform/worker-connections.steps.ts
+++ b/features/platform/worker-connections.steps.ts
@@ -82,7 +82,7 @@
 	}),
 };
 
-Given(/^a worker that (.+)$/, async function (this: ConnectionWorld, fault: string) {
+Given(/^a worker whose connections are counted that (.+)$/, async function (this: ConnectionWorld, fault: string) {
 	const server = createServer((request, response) => {
 		request.resume();
 		faults[fault](request, response);
