Open streams to entries out of reach in the emulator

An entry opens a stream for some seconds to an entry that it has a message for (`extendStreams`). An emulated one relied on a third entry with streams to both, and took a live owner for lost when there was none.

--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -64,7 +64,7 @@
 	state: DispatchState;
 	readonly links: EmulatedLinks;
 	#cutUntil = 0;
-	/** Agents outside the subset, with the time until which a stream is kept. */
+	/** Agents outside the subset and entries that are no neighbours, with the time until which a stream is kept. */
 	readonly #extraUntil = new Map<string, Milliseconds>();
 	/** Entries with an open stream, with their incarnations. */
 	readonly #entries = new Map<string, number>();
@@ -105,6 +105,7 @@
 		},
 		'tell-entry': ({entry, message}) => {
 			this.input.context.trace.recordJob(message.job, () => `${this.process.name} sends ${message.type} to ${entry}`);
+			this.#extendStream(entry);
 			this.#sendToEntry(message);
 		},
 		log: ({event, details}) => {
@@ -272,6 +273,15 @@
 		}
 	}
 
+	/** Opens a stream to an entry that is no neighbour, for some seconds. */
+	#extendStream(name: string): void {
+		const entry = this.input.listEntries().find(({process}) => process.name === name);
+		if (entry !== undefined && !this.#entries.has(name)) {
+			this.#extraUntil.set(name, this.#now() + extraStreamMs);
+			this.links.openStream(entry);
+		}
+	}
+
 	#sendOwnershipNews(): void {
 		for (const [entry, message] of takeOwnershipNews(this.state, [...this.#entries.keys()], this.#now())) {
 			this.links.sendMessage(entry, message);
@@ -339,7 +349,7 @@
 		for (const [name, until] of this.#extraUntil) {
 			if (until <= now && !hasTasksAt(this.state, name)) {
 				this.#extraUntil.delete(name);
-				if (!this.hasInSubset(name)) {
+				if (!this.hasInSubset(name) && !this.input.neighbours.has(name)) {
 					this.links.closeStream(name);
 				}
 			}
