Check the crashes of a task again before a job is taken over

Callers saw: nothing yet; found by reading. A task that crashes its workers was started again by the entry that took its job over, although that entry had heard meanwhile that the task is given up.

Cause: the crashes were checked on submission, before the entry joined the job, and not when it took it over 1.3 s or more later.

Change: the check belongs to the admission, which both ways pass.

--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -171,6 +171,17 @@
     When task 0 of "j1" ends at "e2" as done
     Then "e3" answers "j1" with completed, none
 
+  # Guards against a task that crashes one worker after another, each time for another entry.
+  Scenario: A job whose task has crashed workers while an entry waited for it is not taken over
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    And "e1" restarts
+    And "e2" hears of crashes under task 0 of "j1"
+    And 1500 ms elapse between entries
+    Then "e2" answers "j1" with failed, crashes
+    And "e2" has offered no task of "j1"
+
   # Guards against a job that is ended as a caller leaves that has come back to its first entry long ago.
   Scenario: An earlier caller at another entry does not end a job that was submitted to its owner again
     Given job "j1" is submitted to "e1"
--- a/features/ownership/ownership.steps.ts
+++ b/features/ownership/ownership.steps.ts
@@ -53,6 +53,10 @@
 	this.entryFleet.endTask(name, `${id}.0.0.0`, 'stopped');
 });
 
+When('{string} hears of crashes under task {int} of {string}', function (this: OwnershipWorld, name: string, index: number, id: string) {
+	this.entryFleet.recordCrashes(name, `${id}.0.0.${index}`);
+});
+
 When('the caller of {string} leaves {string}', function (this: OwnershipWorld, id: string, name: string) {
 	this.entryFleet.removeCaller(name, id);
 });
--- a/features/ownership/world.ts
+++ b/features/ownership/world.ts
@@ -8,7 +8,7 @@
 import {
 	admitJob, advanceDispatch, cancelJob, handleCallerLeave, submitJob,
 } from '../../src/core/dispatch/logic.ts';
-import {applyReports} from '../../src/core/dispatch/reports.ts';
+import {applyReports, handleCrashes} from '../../src/core/dispatch/reports.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
 import type {DispatchEffect, JobAnswer} from '../../src/core/dispatch/types.ts';
 import {addAgent, applyLoad, createFleetState} from '../../src/core/fleet/state.ts';
@@ -113,6 +113,14 @@
 		}], this.now));
 	}
 
+	/** Tells an entry of crashes under a task, as many as make it give the task up. */
+	recordCrashes(name: string, task: string): void {
+		const crash = {
+			task, route: route.name, target: route.target, isBlamed: true, isIsolated: false,
+		};
+		this.#apply(this.get(name), handleCrashes(this.get(name).state, this.agent, [1, 2, 3].map(run => ({...crash, run})), this.now));
+	}
+
 	/** Closes the streams between two entries, or between all. */
 	closeStreams(pairs: ReadonlyArray<readonly [string, string]> = this.#listPairs()): void {
 		for (const [left, right] of pairs.filter(pair => !this.#closed.has(pair.join(' ')))) {
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -133,10 +133,6 @@
 	}
 
 	const job = createJob(state, request, now);
-	if (job.tasks.some(({name}) => isGivenUp(state.crashes, name))) {
-		return {job, effects: refuseJob(job, createAnswer('failed', 'crashes'))};
-	}
-
 	if (earlier !== undefined) {
 		for (const [index, task] of job.tasks.entries()) {
 			task.nextRun = earlier.tasks[index]?.nextRun ?? 1;
@@ -156,6 +152,10 @@
  * @returns Offers, or the refusal.
  */
 export function admitJob(state: DispatchState, job: Job, now: Milliseconds): DispatchEffect[] {
+	if (job.tasks.some(({name}) => isGivenUp(state.crashes, name))) {
+		return refuseJob(job, createAnswer('failed', 'crashes'));
+	}
+
 	recordLabels(state, job.submission, now);
 	const placement = placeTasks(state, job, now);
 	const overloadRefusal = checkAdmission(state, job, placement, now);
