Pass a cancellation at the owner on to the entry that waits

Callers saw: nothing yet; found by reading. A DELETE that reached the owner of a job was answered 200, and the entry where the latest caller waited took the job over and ran it, as its owner had no run of it any more.

Cause: the owner passed on the answers `completed` and `failed` only. What it gives up for want of means may be served by another entry, what a caller has cancelled may not.

Change: `cancelled` is passed on too. A caller that leaves its owner does not end a job that another entry waits for, so with such an entry the reason can only come from a call. The new scenario failed before (given no answer at e2, and an offer) and passes now. The scenario on two waiting entries lets the owner shut down now instead of cancelling, which it had used for a release.

Open: the message is sent once. If it is lost with a stream, the entry that asks again hears `released` and takes the job over.

--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -140,7 +140,7 @@
     And 1300 ms elapse between entries
     And job "j1" is submitted to "e3"
     Then "e2" answers "j1" with given-up, superseded
-    When "e1" gives up "j1" and its runs end
+    When "e1" gives up "j1" as it shuts down, and its runs end
     And 200 ms elapse between entries
     Then "e3" has offered a task of "j1"
     And "e2" has offered no task of "j1"
@@ -171,6 +171,16 @@
     When task 0 of "j1" ends at "e2" as done
     Then "e3" answers "j1" with completed, none
 
+  # Guards against a cancelled job that another entry takes over as one that was released.
+  Scenario: A job that is cancelled at its owner is cancelled at the entry that waits for it
+    Given job "j1" is submitted to "e1"
+    When 1300 ms elapse between entries
+    And job "j1" is submitted to "e2"
+    And "e1" gives up "j1" and its runs end
+    And 300 ms elapse between entries
+    Then "e2" answers "j1" with given-up, cancelled
+    And "e2" has offered no task of "j1"
+
   # Guards against a task that crashes one worker after another, each time for another entry.
   Scenario: A job whose task has crashed workers while an entry waited for it is not taken over
     Given job "j1" is submitted to "e1"
--- a/features/ownership/ownership.steps.ts
+++ b/features/ownership/ownership.steps.ts
@@ -57,6 +57,11 @@
 	this.entryFleet.recordCrashes(name, `${id}.0.0.${index}`);
 });
 
+When('{string} gives up {string} as it shuts down, and its runs end', function (this: OwnershipWorld, name: string, id: string) {
+	this.entryFleet.cancelJob(name, id, 'leaving');
+	this.entryFleet.endTask(name, `${id}.0.0.0`, 'stopped');
+});
+
 When('the caller of {string} leaves {string}', function (this: OwnershipWorld, id: string, name: string) {
 	this.entryFleet.removeCaller(name, id);
 });
--- a/features/ownership/world.ts
+++ b/features/ownership/world.ts
@@ -97,8 +97,8 @@
 		this.#apply(world, effects);
 	}
 
-	cancelJob(name: string, id: string): void {
-		this.#apply(this.get(name), cancelJob(this.get(name).state, id, 'cancelled', this.now));
+	cancelJob(name: string, id: string, reason: 'cancelled' | 'leaving' = 'cancelled'): void {
+		this.#apply(this.get(name), cancelJob(this.get(name).state, id, reason, this.now));
 	}
 
 	removeCaller(name: string, id: string): void {
--- a/src/core/dispatch/steps.ts
+++ b/src/core/dispatch/steps.ts
@@ -27,11 +27,11 @@
 	return job.tasks.some(({phase}) => phase === 'placed' || phase === 'detached');
 }
 
-/** Tells the entry that waits for the answer of a job that it has ended. */
+/** Tells the entry that waits for the answer of a job that it has ended, unless that may serve it. */
 function sendResult({ownership}: DispatchState, job: Job): DispatchEffect[] {
 	const {outcome, reason} = job.answer!;
-	const hasResult = outcome === 'completed' || outcome === 'failed';
-	const entry = hasResult ? findFollower(ownership, job.id) : undefined;
+	const isFinal = outcome === 'completed' || outcome === 'failed' || reason === 'cancelled';
+	const entry = isFinal ? findFollower(ownership, job.id) : undefined;
 	removeOwnJob(ownership, job.id);
 	return entry === undefined
 		? []
