Let a restarted entry wait for the runs of its earlier life

Callers saw: nothing yet; found by reading. A caller whose connection broke unnoticed comes back after the resubmission time to the same entry, which has restarted just before: it started the tasks at once, while agents that had just lost the earlier life were still stopping the runs. Any other entry waits for that.

Cause: an entry skipped all that others told of jobs under its own name.

Change: jobs of an earlier life count as jobs of another entry whose end is known, from the first time that this life hears of them. Such an entry asks nobody, but the others that wait for the job hear its question; its own message that comes back is dropped.

--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -181,6 +181,18 @@
     Then "e2" answers "j1" with given-up, cancelled
     And "e2" has offered no task of "j1"
 
+  # Guards against a start beside runs of an earlier life of the same entry.
+  Scenario: A job that comes back to its owner after a restart waits until no run of it can be left
+    Given job "j1" is submitted to "e1"
+    When 1250 ms elapse between entries
+    And "e1" restarts
+    And 50 ms elapse between entries
+    And job "j1" is submitted to "e1"
+    And 1150 ms elapse between entries
+    Then "e1" has offered "j1" 1 time
+    When 200 ms elapse between entries
+    Then "e1" has offered "j1" 2 times
+
   # Guards against a task that crashes one worker after another, each time for another entry.
   Scenario: A job whose task has crashed workers while an entry waited for it is not taken over
     Given job "j1" is submitted to "e1"
--- a/src/core/dispatch/entry-messages.ts
+++ b/src/core/dispatch/entry-messages.ts
@@ -97,7 +97,7 @@
 function observeQuestion(state: DispatchState, {job: id, from, age}: Extract<EntryMessage, {type: 'join-job'}>, now: Milliseconds): DispatchEffect[] {
 	const job = state.jobs.get(id);
 	const joined = state.ownership.joined.get(id);
-	if (job === undefined || from.name === state.ownership.self.name) {
+	if (job === undefined) {
 		return [];
 	}
 
@@ -164,6 +164,11 @@
  * @returns Effects to carry out.
  */
 export function handleEntryMessage(state: DispatchState, message: EntryMessage, now: Milliseconds, admit: Admit): DispatchEffect[] {
+	// An entry asks others for the jobs of its own earlier life, and they pass that on.
+	if (message.from.name === state.ownership.self.name) {
+		return [];
+	}
+
 	return (messageHandlers[message.type] as (state: DispatchState, message: EntryMessage, now: Milliseconds, admit: Admit) => DispatchEffect[])(state, message, now, admit);
 }
 
--- a/src/core/ownership/logic.ts
+++ b/src/core/ownership/logic.ts
@@ -62,6 +62,12 @@
 	latestCallers.delete(id);
 }
 
+/** Records that an earlier life of this entry has ended, at the latest when it is first heard of. */
+function recordOwnEnd({lostOwners, self}: OwnershipState, now: Milliseconds): void {
+	const lostAt = lostOwners.get(self.name)?.lostAt ?? now;
+	lostOwners.set(self.name, {incarnation: self.incarnation - 1, lostAt, isEnded: true});
+}
+
 /**
  * Adds the jobs that other entries serve, and passes on those that are new.
  *
@@ -76,7 +82,11 @@
 	}
 
 	if (owner.name === state.self.name) {
-		return;
+		if (owner.incarnation >= state.self.incarnation) {
+			return;
+		}
+
+		recordOwnEnd(state, now);
 	}
 
 	for (const [id, age, left] of jobs) {
