--- a/bench/soak/platform/soak.ts
+++ b/bench/soak/platform/soak.ts
@@ -74,17 +74,17 @@
 	async run(): Promise<PlatformSoakReport> {
 		const {fleet, options} = this;
 		using lag = new LagMonitor();
-		const isLinked = await fleet.waitUntilLinked();
 		const reviver = setInterval(() => {
 			for (const child of fleet.processes) {
 				child.revive();
 			}
 		}, reviveMs);
+		const isLinked = await fleet.waitUntilLinked();
 		await using callers = new PlatformCallers({
 			entries: fleet.listEntries(), random: createSeededRandom(options.seed + 1), rate: options.rate, resubmitMs: bounds.RetransmitMs,
 		});
 		const load = callers.run();
-		const faults = isLinked ? await runPlan(fleet, this.plan, options.durationMs) : [];
+		const faults = await runPlan(fleet, isLinked ? this.plan : [], isLinked ? options.durationMs : 0);
 		await waitFor(options.recoveryMs === 0 ? 0 : options.recoveryMs + recoveredLoadMs);
 		callers.stop();
 		await load;
