--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -53,6 +53,8 @@
 	readonly workers: WorkerStandIn[] = [];
 	readonly processes: FleetProcess[] = [];
 	readonly entries: EntryAddresses[] = [];
+	/** Addresses of the metrics of the agents. */
+	readonly agentMetrics: string[] = [];
 	graceSeconds = defaultGraceSeconds;
 	#store: StoreStandIn | undefined;
 	#folder = '';
@@ -92,10 +94,13 @@
 			const worker = await startWorkerStandIn({
 				id: `w${index}`, service: 'desk', cpu: 12_000, runMs,
 			});
-			const [agentPort, heartbeatPort] = ports.splice(0, portsPerProcess);
+			const [agentPort, heartbeatPort, metricsPort] = ports.splice(0, portsPerProcess);
+			this.agentMetrics.push(`127.0.0.1:${metricsPort}`);
 			this.workers.push(worker);
 			worker.startHeartbeats(`127.0.0.1:${heartbeatPort}`);
-			await this.#startProcess('agent', `agent-${index}`, {agentPort, heartbeats: `127.0.0.1:${heartbeatPort}`, worker: worker.address});
+			await this.#startProcess('agent', `agent-${index}`, {
+				agentPort, heartbeats: `127.0.0.1:${heartbeatPort}`, metrics: `127.0.0.1:${metricsPort}`, worker: worker.address,
+			});
 		}
 
 		await this.addEntry();
@@ -160,9 +165,9 @@
 		this.#store!.writeKey('op/config', createConfiguration(version, false));
 	}
 
-	/** Submits a job and waits for the response. */
-	async submitJob(id: string, body: unknown, prefix = '/q/'): Promise<{status: number; body: unknown}> {
-		const response = await this.#send('POST', `${prefix}${id}`, JSON.stringify(body));
+	/** Submits a job and waits for the response; the connection closes when `signal` is aborted. */
+	async submitJob(id: string, body: unknown, prefix = '/q/', signal?: AbortSignal): Promise<{status: number; body: unknown}> {
+		const response = await this.#send('POST', `${prefix}${id}`, JSON.stringify(body), signal);
 		return response;
 	}
 
@@ -252,10 +257,10 @@
 		});
 	}
 
-	async #send(method: string, url: string, body?: string): Promise<{status: number; body: unknown}> {
+	async #send(method: string, url: string, body?: string, signal?: AbortSignal): Promise<{status: number; body: unknown}> {
 		const {request} = await import('undici');
 		const answer = await request(`http://${this.callers}${url}`, {
-			method, body, headers: {host: 'jobs.example', 'deadline-ms': '8000'},
+			method, body, signal, headers: {host: 'jobs.example', 'deadline-ms': '8000'},
 		});
 		const text = await answer.body.text();
 		return {status: answer.statusCode, body: text === '' ? undefined : JSON.parse(text) as unknown};
