--- a/features/platform/caller-deadlines.feature
+++ b/features/platform/caller-deadlines.feature
@@ -27,6 +27,11 @@
     Then the caller was answered 504 within 400 ms
     And the caller has left its job
 
+  # Guards against a job for a caller that has submitted it elsewhere, when a busy entry reads the submission seconds late.
+  Scenario: A submission that is read together with the end of its connection
+    When a caller submits a job and closes its connection before that is read
+    Then the entry has got no job
+
   Scenario: A caller that leaves
     When a caller that waits for 1000 ms submits a job
     And its connection closes
--- a/features/platform/caller-deadlines.steps.ts
+++ b/features/platform/caller-deadlines.steps.ts
@@ -2,11 +2,14 @@
  * Steps of features/platform/caller-deadlines.feature.
  */
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import type {IncomingMessage} from 'node:http';
+import {connect} from 'node:net';
 import {PassThrough} from 'node:stream';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {takePorts} from '../../bench/rig/ports.ts';
 import {createCallerHandler} from '../../platform/caller-handlers.ts';
-import type {HttpResponse} from '../../platform/http-server.ts';
+import {startHttpServer, type HttpResponse} from '../../platform/http-server.ts';
 import type {JobRequest} from '../../src/core/dispatch/logic.ts';
 import type {JobAnswer} from '../../src/core/dispatch/types.ts';
 import {applyConfiguration} from '../../src/core/routes/logic.ts';
@@ -58,6 +61,15 @@
 	world.response = {...response, at: world.callerClock.getTime()};
 }
 
+/** Lets the handler look for the end of the connection. */
+async function waitForTurns(): Promise<void> {
+	for (let turn = 0; turn < 5; turn++) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
 async function submit(world: DeadlineWorld, deadlineMs: number, bodyMs: Milliseconds): Promise<void> {
 	const stream = new PassThrough();
 	const request = Object.assign(stream, {
@@ -69,6 +81,7 @@
 	stream.write(body.slice(0, 5));
 	await world.callerClock.advance(bodyMs);
 	stream.end(body.slice(5));
+	await waitForTurns();
 	await world.callerClock.advance(0);
 }
 
@@ -87,6 +100,17 @@
 	await submit(this, deadlineMs, bodyMs);
 });
 
+When('a caller submits a job and closes its connection before that is read', async function (this: DeadlineWorld) {
+	const [port] = await takePorts(1);
+	await using server = await startHttpServer(`127.0.0.1:${port}`, createCallerHandler(createEntry(this), {recordDecision: () => undefined}, this.callerClock), () => undefined);
+	assert.ok(server);
+	const socket = connect(port, '127.0.0.1');
+	await once(socket, 'connect');
+	socket.end(`POST /q/${jobId} HTTP/1.1\r\nhost: jobs.example\r\ndeadline-ms: 1000\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+	socket.resume();
+	await once(socket, 'close');
+});
+
 When('the caller waits for {int} ms', async function (this: DeadlineWorld, time: number) {
 	await this.callerClock.advance(time);
 });
