Refuse late submissions only after a standstill, and jobs only beside entries that may live

Callers saw: 502 from an entry that was cut off from its agents for half a second and had heard its callers all the while.

Cause: the silence of agents alone counted as a standstill of the process, and an entry whose machine refuses connections as one that may live. Besides, jobs that were told on a stream that closed were not told again on the other one to the same entry.

Change: a standstill is a silence of agents and callers. Refused attempts to open a stream are told apart from unanswered ones, and count as ended until the entry announces itself. A new entry still waits, as runs of the others may be left. The new scenario failed before.

--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -22,6 +22,7 @@
 	addAgent, applyLoad, createFleetState, removeAgent,
 } from '../../src/core/fleet/state.ts';
 import {observeEntryContact, recordOwnerConnect, recordOwnerLoss} from '../../src/core/ownership/logic.ts';
+import type {EntryContact} from '../../src/core/ownership/types.ts';
 import {isOfOpenedSession} from '../../src/core/sessions/logic.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
 import type {DispatchMessage, EntryMessage} from '../../src/ports/dispatch-messages.ts';
@@ -131,7 +132,9 @@
 				this.#applyEffects(handleAgentDisconnect(this.state, peer, this.#now()));
 			},
 			onStreamsChange: peer => {
-				if (!this.#isEntry(peer)) {
+				if (this.#isEntry(peer)) {
+					this.#connectEntry(peer);
+				} else {
 					this.#startSession(peer);
 				}
 			},
@@ -165,7 +168,7 @@
 				this.#applyEffects(observeContact(this.state, 'agents', this.links.getLastContact(agent), this.#now()));
 			}
 
-			observeEntryContact(this.state.ownership, {connected: this.#entries.size, silent: [...this.input.neighbours].filter(name => !this.#entries.has(name)).length}, this.#now());
+			observeEntryContact(this.state.ownership, this.#countEntries(), this.#now());
 			this.#applyEffects(advanceDispatch(this.state, this.#now()));
 			this.#sendOwnershipNews();
 			this.#updateExtraStreams();
@@ -255,6 +258,12 @@
 		return [...this.links.connected.keys()].filter(name => !this.#isEntry(name));
 	}
 
+	#countEntries(): EntryContact {
+		const unconnected = [...this.input.neighbours].filter(name => !this.#entries.has(name));
+		const ended = unconnected.filter(name => this.links.refusing.has(name)).length;
+		return {connected: this.#entries.size, silent: unconnected.length - ended, ended};
+	}
+
 	#observeAgents(): void {
 		this.#applyEffects(observeContact(this.state, 'agents', this.#now(), this.#now()));
 	}
--- a/bench/emulator/streams.ts
+++ b/bench/emulator/streams.ts
@@ -32,6 +32,8 @@
 export class EmulatedLinks {
 	/** Incarnation of each process whose announcement has arrived on an open stream. */
 	readonly connected = new Map<string, number>();
+	/** Processes that were down at the last attempt to open a stream. */
+	readonly refusing = new Set<string>();
 	#ends = new Set<StreamEnd>();
 	readonly #current = new Map<string, StreamEnd>();
 	readonly #opening = new Set<string>();
@@ -124,6 +126,7 @@
 		this.#opening.clear();
 		this.#retries.clear();
 		this.connected.clear();
+		this.refusing.clear();
 	}
 
 	#connect(peer: EmulatedLinks): void {
@@ -141,7 +144,10 @@
 		this.process.startTimer(openTimeoutMs, endAttempt);
 		this.#transmit(name, () => {
 			if (!peer.process.isUp) {
-				this.process.handleArrival(endAttempt);
+				this.process.handleArrival(() => {
+					this.refusing.add(name);
+					endAttempt();
+				});
 				return;
 			}
 
@@ -249,6 +255,7 @@
 
 		const isNew = !this.connected.has(peerName);
 		this.connected.set(peerName, peerIncarnation);
+		this.refusing.delete(peerName);
 		this.#retries.recordOpen(peerName);
 		if (isNew) {
 			this.context.trace.record(`${this.process.name} has a stream to ${peerName}`);
--- a/bench/states/entry.ts
+++ b/bench/states/entry.ts
@@ -187,7 +187,7 @@
 	}
 
 	const entries = listEntries(model, name);
-	observeEntryContact(state.ownership, {connected: entries.length, silent: Object.keys(model.entries).length - 1 - entries.length}, model.now);
+	observeEntryContact(state.ownership, {connected: entries.length, silent: Object.keys(model.entries).length - 1 - entries.length, ended: 0}, model.now);
 	applyEffects(model, entry, advanceDispatch(state, model.now));
 	for (const [peer, message] of takeOwnershipNews(state, entries, model.now)) {
 		sendMessage(model, name, peer, message);
--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -245,6 +245,13 @@
     And job "j2" is submitted to "e1"
     Then "e1" has offered a task of "j2"
 
+  # Guards against refusing the callers of an entry that was cut off from its agents, and never stood still.
+  Scenario: A submission after a cut from the agents alone is served
+    When "e1" hears callers and no agents for 700 ms
+    And 50 ms elapse between entries
+    And job "j1" is submitted to "e1"
+    Then "e1" has offered a task of "j1"
+
   # Guards against repeating "not run" of a job that another entry has started since.
   Scenario: A kept refusal is not repeated once another entry serves the job
     Given the agent is full for "e1"
--- a/features/ownership/ownership.steps.ts
+++ b/features/ownership/ownership.steps.ts
@@ -40,6 +40,12 @@
 	this.entryFleet.advance(duration, name);
 });
 
+When('{string} hears callers and no agents for {int} ms', function (this: OwnershipWorld, name: string, duration: number) {
+	this.entryFleet.get(name).isCutOff = true;
+	this.entryFleet.advance(duration);
+	this.entryFleet.get(name).isCutOff = false;
+});
+
 When('{string} falls silent', function (this: OwnershipWorld, name: string) {
 	this.entryFleet.get(name).isSilent = true;
 });
--- a/features/ownership/world.ts
+++ b/features/ownership/world.ts
@@ -38,6 +38,8 @@
 	readonly name: string;
 	state: DispatchState;
 	isSilent: boolean;
+	/** Whether it hears its callers and not its agent. */
+	isCutOff: boolean;
 	readonly offers: string[];
 	readonly answers: Map<string, JobAnswer>;
 	readonly dismissed: string[];
@@ -75,7 +77,7 @@
 	constructor(names: readonly string[], private readonly agent: string) {
 		for (const name of names) {
 			this.entries.set(name, {
-				name, state: this.#createState(name, 1), isSilent: false, offers: [], answers: new Map(), dismissed: [],
+				name, state: this.#createState(name, 1), isSilent: false, isCutOff: false, offers: [], answers: new Map(), dismissed: [],
 			});
 		}
 	}
@@ -173,8 +175,8 @@
 	#advanceEntry(world: World): void {
 		const {state} = world;
 		const connected = this.#listConnected(world.name);
-		this.#apply(world, observeContact(state, 'agents', this.now, this.now));
-		observeEntryContact(state.ownership, {connected: connected.length, silent: this.entries.size - 1 - connected.length}, this.now);
+		this.#apply(world, observeContact(state, world.isCutOff ? 'callers' : 'agents', this.now, this.now));
+		observeEntryContact(state.ownership, {connected: connected.length, silent: this.entries.size - 1 - connected.length, ended: 0}, this.now);
 		this.#apply(world, advanceDispatch(state, this.now));
 		for (const [name, message] of takeOwnershipNews(state, connected, this.now)) {
 			this.#deliver(world.name, name, message);
--- a/src/adapters/peer/errors.ts
+++ b/src/adapters/peer/errors.ts
@@ -5,12 +5,13 @@
 /**
  * Why a stream could not be opened.
  *
- * - `unreachable`: no process listens at the address, it does not answer, or it refuses the stream; or this process is stopping.
+ * - `refused`: the machine answers, and no process listens at the address.
+ * - `unreachable`: nothing answers, or the stream is refused; or this process is stopping.
  * - `unauthorized`: the other process did not prove that it has the shared secret.
  * - `version`: the other process uses another version of the protocol.
  * - `other-incarnation`: the process has restarted, or another process listens at the address.
  */
-export type PeerErrorKind = 'unreachable' | 'unauthorized' | 'version' | 'other-incarnation';
+export type PeerErrorKind = 'refused' | 'unreachable' | 'unauthorized' | 'version' | 'other-incarnation';
 
 /** Thrown when a stream cannot be opened. */
 export class PeerError extends Error {
--- a/src/adapters/peer/network.ts
+++ b/src/adapters/peer/network.ts
@@ -249,8 +249,8 @@
 
 				resolve(this.#addStream(peer, socket, true));
 			});
-			socket.on('error', error => {
-				reject(new PeerError('unreachable', `cannot reach "${to.name}": ${error.message}`));
+			socket.on('error', (error: NodeJS.ErrnoException) => {
+				reject(new PeerError(error.code === 'ECONNREFUSED' ? 'refused' : 'unreachable', `cannot reach "${to.name}": ${error.message}`));
 			});
 		});
 	}
--- a/src/core/dispatch/contact.ts
+++ b/src/core/dispatch/contact.ts
@@ -47,7 +47,8 @@
 		return [];
 	}
 
-	state.lateUntil = now + state.timings.reconnectMs;
+	const hasStoodStill = at - Math.max(before.agents, before.callers) >= state.timings.contactMs;
+	state.lateUntil = hasStoodStill ? now + state.timings.reconnectMs : state.lateUntil;
 	return [{type: 'log', event: 'contact-regained', details: {source, silenceMs, openJobs: state.openJobs.size}}, ...endIsolatedJobs(state, before, now)];
 }
 
--- a/src/core/links/logic.ts
+++ b/src/core/links/logic.ts
@@ -8,6 +8,7 @@
 import {
 	computeDigest, selectAgents, selectEntries, selectNeighbours,
 } from '../subsets/logic.ts';
+import type {EntryContact} from '../ownership/types.ts';
 import type {LinksState} from './state.ts';
 import type {ConnectedPeer, KnownPeer, PeerDigests} from './types.ts';
 
@@ -61,7 +62,7 @@
 
 function createKnownPeer(address: DispatchPeer, now: Milliseconds): KnownPeer {
 	return {
-		address, retryAt: now, retryDelay: minRetryMs, missingSince: undefined, lastContactAt: now, isUnreachable: false, neededUntil: 0,
+		address, retryAt: now, retryDelay: minRetryMs, missingSince: undefined, lastContactAt: now, isUnreachable: false, isRefused: false, neededUntil: 0,
 	};
 }
 
@@ -124,14 +125,26 @@
 }
 
 /** Records that a stream could not be opened: another process takes its place in the subset meanwhile. */
-export function recordOpenFailure(state: LinksState, name: NodeName): void {
+export function recordOpenFailure(state: LinksState, name: NodeName, isRefused = false): void {
 	const known = state.known.get(name);
+	if (known !== undefined) {
+		known.isRefused = isRefused;
+	}
+
 	if (known !== undefined && !known.isUnreachable) {
 		known.isUnreachable = true;
 		state.isSubsetOutdated = true;
 	}
 }
 
+/** Counts the other entries: those with an open stream, and those that may live or have ended, as their machines refuse connections. */
+export function countEntries({known, connected}: LinksState): EntryContact {
+	const entries = [...known.values()].filter(({address}) => address.role === 'entry');
+	const unconnected = entries.filter(({address}) => !connected.has(address.name));
+	const ended = unconnected.filter(({isRefused}) => isRefused).length;
+	return {connected: entries.length - unconnected.length, silent: unconnected.length - ended, ended};
+}
+
 /** Keeps streams to processes outside the subset for some seconds. */
 export function extendStreams(state: LinksState, names: readonly NodeName[], now: Milliseconds): void {
 	for (const name of names) {
--- a/src/core/links/types.ts
+++ b/src/core/links/types.ts
@@ -23,6 +23,8 @@
 	lastContactAt: Milliseconds;
 	/** Whether the last attempt to open a stream failed. */
 	isUnreachable: boolean;
+	/** Whether that attempt was refused by its machine: the process has ended, and has not started again. */
+	isRefused: boolean;
 	/** Until when a stream is wanted although the process is outside the subset. */
 	neededUntil: Milliseconds;
 };
--- a/src/core/ownership/logic.ts
+++ b/src/core/ownership/logic.ts
@@ -387,7 +387,7 @@
  * reaches none of them, those that have ended have no runs left after `goneMs`.
  */
 export function isUninformed({isInformed, startedAt, contact}: OwnershipState, {goneMs}: Timings, now: Milliseconds): boolean {
-	return !isInformed && contact.connected + contact.silent > 0 && now < (startedAt ?? now) + goneMs;
+	return !isInformed && contact.connected + contact.silent + contact.ended > 0 && now < (startedAt ?? now) + goneMs;
 }
 
 /** Drops the jobs of other entries that have expired, and losses that no such job depends on. */
--- a/src/core/ownership/state.ts
+++ b/src/core/ownership/state.ts
@@ -60,7 +60,7 @@
 		joined: new Map(),
 		latestCallers: new Map(),
 		lostOwners: new Map(),
-		contact: {connected: 0, silent: 0},
+		contact: {connected: 0, silent: 0, ended: 0},
 		isolatedSince: undefined,
 		prunedAt: 0,
 		startedAt: undefined,
--- a/src/core/ownership/types.ts
+++ b/src/core/ownership/types.ts
@@ -69,6 +69,8 @@
 export type EntryContact = {
 	/** Entries with an open stream. */
 	readonly connected: number;
-	/** Known entries without one that are not known to have ended. */
+	/** Known entries without one that may live. */
 	readonly silent: number;
+	/** Known entries that have ended, as their machines refuse connections. */
+	readonly ended: number;
 };
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -174,8 +174,11 @@
 				this.#handleDisconnect(peer);
 			},
 			onStreamsChange: peer => {
+				// What was sent before may be lost.
 				if (peer.role === 'agent') {
 					this.#startSession(peer);
+				} else {
+					this.#ownership.handleConnect(peer);
 				}
 			},
 			onMessage: (from, message) => {
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -11,11 +11,12 @@
 import type {Timings} from '../../core/bounds/types.ts';
 import type {NodeName, NodeRef} from '../../core/identity/types.ts';
 import {
-	addPeers, applyPeerAnnouncement, computeDigests, getSubset, handlePeerDisconnect, isWanted, listMissingAddresses, recordOpenFailure, extendStreams, takeDuePeers, takeNews,
+	addPeers, applyPeerAnnouncement, computeDigests, countEntries, getSubset, handlePeerDisconnect, isWanted, listMissingAddresses, recordOpenFailure, extendStreams, takeDuePeers, takeNews,
 } from '../../core/links/logic.ts';
 import {isAwaitedMessage} from '../../core/links/awaited.ts';
 import {createLinksState, type LinksState} from '../../core/links/state.ts';
 import type {ConnectedPeer} from '../../core/links/types.ts';
+import type {EntryContact} from '../../core/ownership/types.ts';
 import {defaultSubsetOptions} from '../../core/subsets/options.ts';
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {DecisionLog} from '../../ports/decision-log.ts';
@@ -166,9 +167,9 @@
 		return [...this.state.known.values()].map(({address}) => address).filter(({role, name}) => role === 'agent' && !this.state.connected.has(name));
 	}
 
-	/** Counts the known entries without an open stream. */
-	countUnconnectedEntries(): number {
-		return [...this.state.known.values()].filter(({address: {role, name}}) => role === 'entry' && !this.state.connected.has(name)).length;
+	/** Counts the other entries by what is known of them. */
+	countEntries(): EntryContact {
+		return countEntries(this.state);
 	}
 
 	/** Opens streams to processes outside the subset, for some seconds. */
@@ -245,7 +246,7 @@
 				throw error;
 			}
 
-			recordOpenFailure(this.state, address.name);
+			recordOpenFailure(this.state, address.name, error.kind === 'refused');
 			this.input.log.recordDecision('info', 'stream-not-opened', {peer: address.name, reason: error.kind});
 		}
 	}
--- a/src/processes/dispatch/ownership.ts
+++ b/src/processes/dispatch/ownership.ts
@@ -65,7 +65,7 @@
 	/** Records which entries are connected; to be called before the jobs are advanced. */
 	observeContact(): void {
 		const {state, links, getTime} = this.input;
-		observeEntryContact(state.ownership, {connected: this.#listEntries().length, silent: links.countUnconnectedEntries()}, getTime());
+		observeEntryContact(state.ownership, links.countEntries(), getTime());
 	}
 
 	/** Sends the jobs that the other entries don't know yet, if that is due. */
