Open no connection for a call that was given up

After a call without an answer its connection is closed by aborting the call. Undici leaves an aborted call in the queue of its client, which opens a connection for it and drops it then; the next call, sent at once, opened another one.

The connection itself is closed now, which takes the call out of the queue. The two new scenarios failed before: three connections instead of two, four instead of three after starts without an answer.

--- a/features/platform/worker-connections.steps.ts
+++ b/features/platform/worker-connections.steps.ts
@@ -104,6 +104,14 @@
 	}
 });
 
+When('a start and at once a renewal are sent to it', async function (this: ConnectionWorld) {
+	this.connectionCounts = createConnectionCounts();
+	await using control = createWorkerControl(this.connectionAddress, timings, () => undefined, this.connectionCounts);
+	await calls.start(control);
+	await calls.renewal(control);
+	await delay(settleMs);
+});
+
 Then('its connections are {string}', function (this: ConnectionWorld, expected: string) {
 	const {opened, failed} = takeConnectionNews(this.connectionCounts)!;
 	const found = Object.entries({...opened, ...(failed > 0 && {'not-opened': failed})});
