--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -8,9 +8,8 @@
 	admitJob, advanceDispatch, cancelJob, handleCallerLeave, placeAllWaitingTasks, submitJob, type JobRequest,
 } from '../../src/core/dispatch/logic.ts';
 import {observeContact} from '../../src/core/dispatch/contact.ts';
-import {
-	chooseEntryRoute, handleEntryMessage, handleOwnedJobs, listJobsForEntry, takeOwnershipNews,
-} from '../../src/core/dispatch/joining.ts';
+import {chooseEntryRoute, handleEntryMessage} from '../../src/core/dispatch/entry-messages.ts';
+import {handleOwnedJobs, listJobsForEntry, takeOwnershipNews} from '../../src/core/dispatch/joining.ts';
 import {extendOffers} from '../../src/core/dispatch/placing.ts';
 import {chooseExtraAgents} from '../../src/core/dispatch/reach.ts';
 import {applyReports, handleCrashes} from '../../src/core/dispatch/reports.ts';
@@ -65,7 +64,7 @@
 	state: DispatchState;
 	readonly links: EmulatedLinks;
 	#cutUntil = 0;
-	/** Agents outside the subset, with the time until which a stream is kept. */
+	/** Agents outside the subset and entries that are no neighbours, with the time until which a stream is kept. */
 	readonly #extraUntil = new Map<string, Milliseconds>();
 	/** Entries with an open stream, with their incarnations. */
 	readonly #entries = new Map<string, number>();
@@ -106,6 +105,7 @@
 		},
 		'tell-entry': ({entry, message}) => {
 			this.input.context.trace.recordJob(message.job, () => `${this.process.name} sends ${message.type} to ${entry}`);
+			this.#extendStream(entry);
 			this.#sendToEntry(message);
 		},
 		log: ({event, details}) => {
@@ -165,7 +165,7 @@
 				this.#applyEffects(observeContact(this.state, 'agents', this.links.getLastContact(agent), this.#now()));
 			}
 
-			observeEntryContact(this.state.ownership, {connected: this.#entries.size, silent: this.input.neighbours.size - this.#entries.size}, this.#now());
+			observeEntryContact(this.state.ownership, {connected: this.#entries.size, silent: [...this.input.neighbours].filter(name => !this.#entries.has(name)).length}, this.#now());
 			this.#applyEffects(advanceDispatch(this.state, this.#now()));
 			this.#sendOwnershipNews();
 			this.#updateExtraStreams();
@@ -246,8 +246,9 @@
 		return state;
 	}
 
+	/** Returns whether a peer is an entry; one that is no neighbour of this one may have this one as a neighbour. */
 	#isEntry(peer: string): boolean {
-		return this.input.neighbours.has(peer);
+		return this.input.listEntries().some(({process}) => process.name === peer);
 	}
 
 	#listConnectedAgents(): readonly string[] {
@@ -259,12 +260,11 @@
 	}
 
 	#handleEntryMessage(sender: string, message: EntryMessage): readonly DispatchEffect[] {
-		if (message.to === this.process.name) {
-			return handleEntryMessage(this.state, message, this.#now(), admitJob);
+		if (message.to !== this.process.name) {
+			this.#sendToEntry(message, sender);
 		}
 
-		this.#sendToEntry(message, sender);
-		return [];
+		return handleEntryMessage(this.state, message, this.#now(), admitJob);
 	}
 
 	#sendToEntry(message: EntryMessage, sender?: string): void {
@@ -273,6 +273,15 @@
 		}
 	}
 
+	/** Opens a stream to an entry that is no neighbour, for some seconds. */
+	#extendStream(name: string): void {
+		const entry = this.input.listEntries().find(({process}) => process.name === name);
+		if (entry !== undefined && !this.#entries.has(name)) {
+			this.#extraUntil.set(name, this.#now() + extraStreamMs);
+			this.links.openStream(entry);
+		}
+	}
+
 	#sendOwnershipNews(): void {
 		for (const [entry, message] of takeOwnershipNews(this.state, [...this.#entries.keys()], this.#now())) {
 			this.links.sendMessage(entry, message);
@@ -310,7 +319,7 @@
 
 	#openStreams(): void {
 		for (const entry of this.input.listEntries()) {
-			if (this.#isEntry(entry.process.name)) {
+			if (this.input.neighbours.has(entry.process.name)) {
 				// The later one of a pair waits, so that one stream is opened.
 				this.links.openStream(entry, this.process.name < entry.process.name ? 0 : secondaryDelayMs);
 			}
@@ -340,7 +349,7 @@
 		for (const [name, until] of this.#extraUntil) {
 			if (until <= now && !hasTasksAt(this.state, name)) {
 				this.#extraUntil.delete(name);
-				if (!this.hasInSubset(name)) {
+				if (!this.hasInSubset(name) && !this.input.neighbours.has(name)) {
 					this.links.closeStream(name);
 				}
 			}
--- a/features/ownership/ownership.steps.ts
+++ b/features/ownership/ownership.steps.ts
@@ -28,6 +28,10 @@
 	this.entryFleet.submitJob(name, id, limit);
 });
 
+Given('the agent is full for {string}', function (this: OwnershipWorld, name: string) {
+	this.entryFleet.setFull(name);
+});
+
 When('{int} ms elapse between entries', function (this: OwnershipWorld, duration: number) {
 	this.entryFleet.advance(duration);
 });
@@ -44,6 +48,10 @@
 	this.entryFleet.restartEntry(name);
 });
 
+When('{string} restarts without streams', function (this: OwnershipWorld, name: string) {
+	this.entryFleet.restartEntry(name, false);
+});
+
 When('{string} gives up {string}', function (this: OwnershipWorld, name: string, id: string) {
 	this.entryFleet.cancelJob(name, id);
 });
@@ -53,6 +61,15 @@
 	this.entryFleet.endTask(name, `${id}.0.0.0`, 'stopped');
 });
 
+When('{string} hears of crashes under task {int} of {string}', function (this: OwnershipWorld, name: string, index: number, id: string) {
+	this.entryFleet.recordCrashes(name, `${id}.0.0.${index}`);
+});
+
+When('{string} gives up {string} as it shuts down, and its runs end', function (this: OwnershipWorld, name: string, id: string) {
+	this.entryFleet.cancelJob(name, id, 'leaving');
+	this.entryFleet.endTask(name, `${id}.0.0.0`, 'stopped');
+});
+
 When('the caller of {string} leaves {string}', function (this: OwnershipWorld, id: string, name: string) {
 	this.entryFleet.removeCaller(name, id);
 });
@@ -86,6 +103,10 @@
 	assert.ok(this.entryFleet.get(name).offers.some(task => task.startsWith(`${id}.`)));
 });
 
+Then('{string} has offered {string} {int} time(s)', function (this: OwnershipWorld, name: string, id: string, count: number) {
+	assert.equal(this.entryFleet.get(name).offers.filter(task => task.startsWith(`${id}.`)).length, count);
+});
+
 Then('{string} answers {string} with {word}, {word}', function (this: OwnershipWorld, name: string, id: string, outcome: string, reason: string) {
 	const answer = this.entryFleet.get(name).answers.get(id);
 	assert.deepEqual([answer?.outcome, answer?.reason], [outcome, reason]);
@@ -107,7 +128,7 @@
 
 Then('no entry knows of jobs of others', function (this: OwnershipWorld) {
 	for (const {name, state: {ownership}} of this.entryFleet.entries.values()) {
-		assert.equal(ownership.foreign.size + ownership.announced.size + ownership.followers.size, 0, name);
+		assert.equal(ownership.foreign.size + ownership.announced.size + ownership.latestCallers.size + ownership.joined.size, 0, name);
 	}
 });
 
--- a/features/ownership/world.ts
+++ b/features/ownership/world.ts
@@ -3,13 +3,12 @@
  */
 import {computeTimings} from '../../src/core/bounds/logic.ts';
 import {observeContact} from '../../src/core/dispatch/contact.ts';
-import {
-	chooseEntryRoute, handleEntryMessage, handleOwnedJobs, listJobsForEntry, takeOwnershipNews,
-} from '../../src/core/dispatch/joining.ts';
+import {chooseEntryRoute, handleEntryMessage} from '../../src/core/dispatch/entry-messages.ts';
+import {handleOwnedJobs, listJobsForEntry, takeOwnershipNews} from '../../src/core/dispatch/joining.ts';
 import {
 	admitJob, advanceDispatch, cancelJob, handleCallerLeave, submitJob,
 } from '../../src/core/dispatch/logic.ts';
-import {applyReports} from '../../src/core/dispatch/reports.ts';
+import {applyReports, handleCrashes} from '../../src/core/dispatch/reports.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
 import type {DispatchEffect, JobAnswer} from '../../src/core/dispatch/types.ts';
 import {addAgent, applyLoad, createFleetState} from '../../src/core/fleet/state.ts';
@@ -85,6 +84,11 @@
 		return this.entries.get(name)!;
 	}
 
+	/** Tells an entry that its agent has no free resources. */
+	setFull(name: string): void {
+		applyLoad(this.get(name).state.fleet, this.agent, {...load, free: {cpu: 0, memory: 0, accelerators: 0}}, 0);
+	}
+
 	submitJob(name: string, id: string, timeLimitMs: Milliseconds): void {
 		const world = this.get(name);
 		this.#apply(world, observeContact(world.state, 'callers', this.now, this.now));
@@ -98,8 +102,8 @@
 		this.#apply(world, effects);
 	}
 
-	cancelJob(name: string, id: string): void {
-		this.#apply(this.get(name), cancelJob(this.get(name).state, id, 'cancelled', this.now));
+	cancelJob(name: string, id: string, reason: 'cancelled' | 'leaving' = 'cancelled'): void {
+		this.#apply(this.get(name), cancelJob(this.get(name).state, id, reason, this.now));
 	}
 
 	removeCaller(name: string, id: string): void {
@@ -114,6 +118,14 @@
 		}], this.now));
 	}
 
+	/** Tells an entry of crashes under a task, as many as make it give the task up. */
+	recordCrashes(name: string, task: string): void {
+		const crash = {
+			task, route: route.name, target: route.target, isBlamed: true, isIsolated: false,
+		};
+		this.#apply(this.get(name), handleCrashes(this.get(name).state, this.agent, [1, 2, 3].map(run => ({...crash, run})), this.now));
+	}
+
 	/** Closes the streams between two entries, or between all. */
 	closeStreams(pairs: ReadonlyArray<readonly [string, string]> = this.#listPairs()): void {
 		for (const [left, right] of pairs.filter(pair => !this.#closed.has(pair.join(' ')))) {
@@ -131,13 +143,13 @@
 		}
 	}
 
-	/** Ends an entry and starts it with nothing; the others notice both. */
-	restartEntry(name: string): void {
+	/** Ends an entry and starts it with nothing; the others notice both, the second one only with new streams. */
+	restartEntry(name: string, hasStreams = true): void {
 		const world = this.get(name);
 		const others = [...this.entries.keys()].filter(other => other !== name);
 		this.closeStreams(others.map(other => [name, other]));
 		world.state = this.#createState(name, world.state.ownership.self.incarnation + 1);
-		for (const other of others) {
+		for (const other of hasStreams ? others : []) {
 			this.#closed.delete(`${name} ${other}`);
 			this.#closed.delete(`${other} ${name}`);
 			this.#connect(other, name);
@@ -202,12 +214,8 @@
 			this.told.push(...message.lists.flatMap(({jobs}) => jobs.map(([id]) => id)));
 			this.#apply(world, handleOwnedJobs(world.state, from, message.lists, this.now));
 		} else if (message.type === 'join-job' || message.type === 'leave-job' || message.type === 'job-state') {
-			if (message.to === to) {
-				this.#apply(world, handleEntryMessage(world.state, message, this.now, admitJob));
-				return;
-			}
-
-			for (const next of chooseEntryRoute(message, this.#listConnected(to), from)) {
+			this.#apply(world, handleEntryMessage(world.state, message, this.now, admitJob));
+			for (const next of message.to === to ? [] : chooseEntryRoute(message, this.#listConnected(to), from)) {
 				this.#deliver(to, next, message);
 			}
 		}
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -4,13 +4,14 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
 import {isGivenUp, pruneCrashes} from '../crashes/logic.ts';
-import {listFollowers} from '../ownership/logic.ts';
+import {isUninformed, findFollower} from '../ownership/logic.ts';
 import {
 	checkAdmission, checkOversizedJob, checkSuspendedJob, checkWaitingJob,
 } from './admission.ts';
 import {placeLostTasks} from './agents.ts';
 import {cancelIsolatedJobs, isSubmissionLate} from './contact.ts';
 import {updateReservedAgents} from './containment.ts';
+import {recordResubmission} from './entry-messages.ts';
 import {
 	advanceOwnership, cancelJoinedJob, findOwner, startJoining,
 } from './joining.ts';
@@ -91,7 +92,7 @@
 }
 
 function checkSubmission(state: DispatchState, {submission}: JobRequest, now: Milliseconds): JobAnswer | undefined {
-	if (isSubmissionLate(state, now)) {
+	if (isSubmissionLate(state, now) || isUninformed(state.ownership, state.timings, now)) {
 		return createAnswer('given-up', 'isolated', defaultRetryMs);
 	}
 
@@ -117,9 +118,11 @@
  * @returns The job whose answer the caller gets, and effects to carry out.
  */
 export function submitJob(state: DispatchState, request: JobRequest, now: Milliseconds): {job: Job; effects: DispatchEffect[]} {
-	const earlier = state.jobs.get(request.submission.id);
-	if (earlier !== undefined && earlier.answer?.outcome !== 'given-up') {
-		return {job: earlier, effects: earlier.answer === undefined ? [] : [{type: 'answer', job: earlier, answer: earlier.answer}]};
+	const {id} = request.submission;
+	const earlier = state.jobs.get(id);
+	const isServedElsewhere = earlier?.answer?.outcome === 'not-run' && findOwner(state, id, now) !== undefined;
+	if (earlier !== undefined && earlier.answer?.outcome !== 'given-up' && !isServedElsewhere) {
+		return {job: earlier, effects: earlier.answer === undefined ? recordResubmission(state, earlier, now) : [{type: 'answer', job: earlier, answer: earlier.answer}]};
 	}
 
 	const refusal = earlier !== undefined && hasOpenRuns(earlier)
@@ -132,10 +135,6 @@
 	}
 
 	const job = createJob(state, request, now);
-	if (job.tasks.some(({name}) => isGivenUp(state.crashes, name))) {
-		return {job, effects: refuseJob(job, createAnswer('failed', 'crashes'))};
-	}
-
 	if (earlier !== undefined) {
 		for (const [index, task] of job.tasks.entries()) {
 			task.nextRun = earlier.tasks[index]?.nextRun ?? 1;
@@ -155,6 +154,10 @@
  * @returns Offers, or the refusal.
  */
 export function admitJob(state: DispatchState, job: Job, now: Milliseconds): DispatchEffect[] {
+	if (job.tasks.some(({name}) => isGivenUp(state.crashes, name))) {
+		return refuseJob(job, createAnswer('failed', 'crashes'));
+	}
+
 	recordLabels(state, job.submission, now);
 	const placement = placeTasks(state, job, now);
 	const overloadRefusal = checkAdmission(state, job, placement, now);
@@ -208,7 +211,7 @@
  * @returns Effects to carry out.
  */
 export function handleCallerLeave(state: DispatchState, id: string, now: Milliseconds): DispatchEffect[] {
-	return listFollowers(state.ownership, id).length > 0 ? [] : cancelJob(state, id, 'cancelled', now);
+	return findFollower(state.ownership, id) === undefined ? cancelJob(state, id, 'cancelled', now) : [];
 }
 
 /** Places the tasks for which no agent was found before. */
