Cut entries of the emulator off from each other

Change: `peerCutMs`, mean time between cuts of 0.5 to 4 s, one way between two entries or both ways between all; drawn by `npm run explore`.

`submitJob` looks at its own earlier answer before it asks who owns the job.

--- a/bench/emulator/faults.ts
+++ b/bench/emulator/faults.ts
@@ -71,6 +71,9 @@
 		shortEntryCutMs: () => {
 			this.#cutPaths(this.#drawEntry().process.name, drawTime(this.context.random, 500, 1200));
 		},
+		peerCutMs: () => {
+			this.#cutPeers();
+		},
 		workerLeaveMs: () => {
 			this.workers.startLeaving(this.#drawAgent());
 		},
@@ -169,6 +172,26 @@
 		}
 	}
 
+	/** Cuts one way between two entries, or both ways between all of them; each goes on with its agents and callers. */
+	#cutPeers(): void {
+		const {random, trace, paths} = this.context;
+		const names = this.targets.entries.map(({process: {name}}) => name);
+		const from = chooseItem(random, names);
+		const others = names.filter(name => name !== from);
+		if (others.length === 0) {
+			return;
+		}
+
+		const duration = drawTime(random, 500, 4000);
+		const to = chooseItem(random, others);
+		const isForAll = isDrawn(random, 0.5);
+		trace.record(`${isForAll ? 'all entries are cut off from each other' : `${from} does not reach ${to}`} for ${duration.toFixed(0)} ms`);
+		const cuts = isForAll ? names.flatMap(name => names.filter(other => other !== name).map(other => [name, other] as const)) : [[from, to] as const];
+		for (const [sender, receiver] of cuts) {
+			paths.startCut(sender, receiver, duration);
+		}
+	}
+
 	/** Cuts an entry off from all agents and from its callers. */
 	#cutEntry(entry: EmulatedEntry): void {
 		const duration = drawTime(this.context.random, 1000, 4000);
--- a/bench/emulator/types.ts
+++ b/bench/emulator/types.ts
@@ -135,6 +135,8 @@
 	readonly callerCutMs: Milliseconds;
 	/** Mean time between cuts of an entry from all agents that last 0.5 to 1.2 s, about as long as it takes to notice them. */
 	readonly shortEntryCutMs: Milliseconds;
+	/** Mean time between cuts of 0.5 to 4 s of the paths between entries: one way between two of them, or between all of them. */
+	readonly peerCutMs: Milliseconds;
 	/** Share of runs that fail, and of runs that stall without progress. */
 	readonly failures: number;
 	readonly stalls: number;
@@ -224,6 +226,7 @@
 	entryCutMs: 0,
 	callerCutMs: 0,
 	shortEntryCutMs: 0,
+	peerCutMs: 0,
 	failures: 0,
 	stalls: 0,
 	cancels: 0,
--- a/bench/explore/faults.ts
+++ b/bench/explore/faults.ts
@@ -41,6 +41,7 @@
 	entryCutMs: seldom,
 	callerCutMs: often,
 	shortEntryCutMs: often,
+	peerCutMs: seldom,
 	failures: {least: 0.01, most: 0.2},
 	stalls: {least: 0.01, most: 0.1},
 	cancels: {least: 0.02, most: 0.3},
--- a/features/dispatch/random-run.feature
+++ b/features/dispatch/random-run.feature
@@ -117,3 +117,14 @@
       | callers whose loss no entry is told of beside cut entries               | 4     | 70   |
       | callers whose loss no entry is told of beside killed agents and entries | 4     | 1    |
       | callers whose loss no entry is told of beside lost streams              | 4     | 1    |
+
+  # Guards against two entries that serve one job while they don't reach each other.
+  Scenario: Entries that do not reach each other
+    When a fleet with long runs runs for 20 s with entries that do not reach each other, over 8 seeds
+    Then no task ran twice at the same time and no worker exceeded its capacity
+    And every job was answered
+
+  # Guards against an entry whose announcements don't arrive while it hears the other one, and serves on.
+  Scenario: Callers that turn to another entry that does not hear of their jobs
+    When a fleet with long runs runs for 20 s with callers whose loss no entry is told of beside entries that do not reach each other, over 4 seeds from 10
+    Then no task ran twice at the same time and no worker exceeded its capacity
--- a/features/dispatch/random-run.steps.ts
+++ b/features/dispatch/random-run.steps.ts
@@ -75,6 +75,8 @@
 		...none, callerCutMs: 600, agentKillMs: 4000, entryKillMs: 5000,
 	},
 	'callers whose loss no entry is told of beside lost streams': {...none, callerCutMs: 600, streamLossMs: 1000},
+	'entries that do not reach each other': {...none, peerCutMs: 1500},
+	'callers whose loss no entry is told of beside entries that do not reach each other': {...none, callerCutMs: 600, peerCutMs: 2000},
 	'streams that close': {...none, streamLossMs: 1000},
 	'agents that are killed': {...none, agentKillMs: 4000},
 	'agents in crash loops': {...none, agentCrashLoopMs: 4000},
