--- a/features/platform/start.feature
+++ b/features/platform/start.feature
@@ -10,3 +10,13 @@
       | role  |
       | entry |
       | agent |
+
+  # Guards against a process that ends because its settings file changes while it starts.
+  Scenario Outline: A process that is told of changed settings while it starts
+    When the command of role "<role>" in the deploy file receives SIGHUP while it reads its settings
+    Then it goes on to read them
+
+    Examples:
+      | role  |
+      | entry |
+      | agent |
--- a/scripts/platform-loader.cjs
+++ b/scripts/platform-loader.cjs
@@ -8,6 +8,9 @@
 const process = require('node:process');
 const {Script} = require('node:vm');
 
+// Without a handler, the signal of changed settings ends a process that is still starting.
+process.on('SIGHUP', () => {});
+
 const filename = path.join(__dirname, 'bundle.cjs');
 const role = process.argv[2];
 const cacheFile = path.join(__dirname, `${role}.cache`);
