--- a/bench/soak/platform/fleet.ts
+++ b/bench/soak/platform/fleet.ts
@@ -14,6 +14,7 @@
 import {startStoreStandIn, type StoreStandIn} from '../../../platform/stand-ins/store.ts';
 import {startWorkerStandIn, type WorkerStandIn} from '../../../platform/stand-ins/worker.ts';
 import {ResourceStack} from '../../../src/adapters/system/resources.ts';
+import {defaultSubsetOptions} from '../../../src/core/subsets/options.ts';
 import type {Milliseconds} from '../../../src/ports/clock.ts';
 import {RigProcess} from '../../rig/process.ts';
 import {parseRunMs} from './jobs.ts';
@@ -124,12 +125,12 @@
 		return path.join(this.folder, `${name}.log`);
 	}
 
-	/** Resolves to whether every entry is ready and linked to all agents within a time. */
+	/** Resolves to whether every entry is ready and linked to the agents of its subset within a time. */
 	async waitUntilLinked(limitMs: Milliseconds = startLimitMs): Promise<boolean> {
 		const endsAt = Date.now() + limitMs;
 		while (Date.now() < endsAt) {
 			const linked = await Promise.all(this.listProcesses('entry').map(async ({options: {host}}) => await checkReadiness(`${host}:${ports.readiness}`)
-				&& await readLinkedAgents(`${host}:${ports.metrics}`) === this.workers.length));
+				&& await readLinkedAgents(`${host}:${ports.metrics}`) >= Math.min(this.workers.length, defaultSubsetOptions.agentsPerEntry)));
 			if (linked.every(Boolean)) {
 				return true;
 			}
