Acknowledge announcements between entries by number

The path from one entry to the other was cut, the other way was not: the announcement did not arrive, and the heartbeats of the other entry hid that, as any frame counted as an answer. The owner gave its job up 384 ms too late.

Change: a message with own jobs has a number, and the receiver's next message names the last number that has arrived. An entry that owes a receipt for two intervals counts as out of reach.

--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -81,7 +81,8 @@
 		},
 		crashes: (agent, {crashes}) => handleCrashes(this.state, agent, crashes, this.#now()),
 		ask: (agent, {tasks}) => handleGrantRequests(this.state, agent, tasks, this.#now()),
-		'jobs-owned': (entry, {lists}) => handleOwnedJobs(this.state, entry, lists, this.#now()),
+		'jobs-owned': (entry, message) => handleOwnedJobs(this.state, entry, message, this.#now()),
+		'jobs-seen': (entry, message) => handleOwnedJobs(this.state, entry, message, this.#now()),
 		'join-job': (entry, message) => this.#handleEntryMessage(entry, message),
 		'leave-job': (entry, message) => this.#handleEntryMessage(entry, message),
 		'job-state': (entry, message) => this.#handleEntryMessage(entry, message),
@@ -168,7 +169,7 @@
 				this.#applyEffects(observeContact(this.state, 'agents', this.links.getLastContact(agent), this.#now()));
 			}
 
-			observeEntryContact(this.state.ownership, this.#countEntries(), this.#now());
+			observeEntryContact(this.state.ownership, this.#countEntries(), {timings, now: this.#now()});
 			this.#applyEffects(advanceDispatch(this.state, this.#now()));
 			this.#sendOwnershipNews();
 			this.#updateExtraStreams();
--- a/bench/states/entry.ts
+++ b/bench/states/entry.ts
@@ -123,7 +123,8 @@
 	},
 	crashes: (state, agent, {crashes}, now) => handleCrashes(state, agent, crashes, now),
 	ask: (state, agent, {tasks}, now) => handleGrantRequests(state, agent, tasks, now),
-	'jobs-owned': (state, entry, {lists}, now) => handleOwnedJobs(state, entry, lists, now),
+	'jobs-owned': (state, entry, message, now) => handleOwnedJobs(state, entry, message, now),
+	'jobs-seen': (state, entry, message, now) => handleOwnedJobs(state, entry, message, now),
 	'join-job': applyEntryMessage,
 	'leave-job': applyEntryMessage,
 	'job-state': applyEntryMessage,
@@ -187,7 +188,7 @@
 	}
 
 	const entries = listEntries(model, name);
-	observeEntryContact(state.ownership, {connected: entries.length, silent: Object.keys(model.entries).length - 1 - entries.length, ended: 0}, model.now);
+	observeEntryContact(state.ownership, {connected: entries.length, silent: Object.keys(model.entries).length - 1 - entries.length, ended: 0}, {timings: state.timings, now: model.now});
 	applyEffects(model, entry, advanceDispatch(state, model.now));
 	for (const [peer, message] of takeOwnershipNews(state, entries, model.now)) {
 		sendMessage(model, name, peer, message);
--- a/features/ownership/world.ts
+++ b/features/ownership/world.ts
@@ -176,7 +176,7 @@
 		const {state} = world;
 		const connected = this.#listConnected(world.name);
 		this.#apply(world, observeContact(state, world.isCutOff ? 'callers' : 'agents', this.now, this.now));
-		observeEntryContact(state.ownership, {connected: connected.length, silent: this.entries.size - 1 - connected.length, ended: 0}, this.now);
+		observeEntryContact(state.ownership, {connected: connected.length, silent: this.entries.size - 1 - connected.length, ended: 0}, {timings, now: this.now});
 		this.#apply(world, advanceDispatch(state, this.now));
 		for (const [name, message] of takeOwnershipNews(state, connected, this.now)) {
 			this.#deliver(world.name, name, message);
@@ -212,9 +212,9 @@
 			return;
 		}
 
-		if (message.type === 'jobs-owned') {
-			this.told.push(...message.lists.flatMap(({jobs}) => jobs.map(([id]) => id)));
-			this.#apply(world, handleOwnedJobs(world.state, from, message.lists, this.now));
+		if (message.type === 'jobs-owned' || message.type === 'jobs-seen') {
+			this.told.push(...(message.type === 'jobs-owned' ? message.lists : []).flatMap(({jobs}) => jobs.map(([id]) => id)));
+			this.#apply(world, handleOwnedJobs(world.state, from, message, this.now));
 		} else if (message.type === 'join-job' || message.type === 'leave-job' || message.type === 'job-state') {
 			this.#apply(world, handleEntryMessage(world.state, message, this.now, admitJob));
 			for (const next of message.to === to ? [] : chooseEntryRoute(message, this.#listConnected(to), from)) {
--- a/src/core/dispatch/joining.ts
+++ b/src/core/dispatch/joining.ts
@@ -5,7 +5,7 @@
 import type {EntryMessageBody} from '../../ports/dispatch-messages.ts';
 import type {NodeName} from '../identity/types.ts';
 import {
-	addOwnedJobs, announceJob, chooseJoinAction, describeOwnedJob, findLastOwner, isIsolated, joinJob, listAllOwnedJobs, pruneForeignJobs, recordInformed,
+	addOwnedJobs, announceJob, chooseJoinAction, describeOwnedJob, findLastOwner, isIsolated, joinJob, listAllOwnedJobs, pruneForeignJobs, recordInformed, recordReceipts,
 	removeForeignJob, takeNews, type OwnershipMessage,
 } from '../ownership/logic.ts';
 import type {
@@ -142,15 +142,20 @@
  *
  * @param state - State of the jobs.
  * @param from - The entry that tells it.
- * @param lists - The jobs.
+ * @param message - The jobs, or a receipt.
  * @param now - Current time.
  * @returns Effects to carry out.
  */
-export function handleOwnedJobs(state: DispatchState, from: NodeName, lists: readonly OwnedJobs[], now: Milliseconds): DispatchEffect[] {
+export function handleOwnedJobs(state: DispatchState, from: NodeName, message: OwnershipMessage, now: Milliseconds): DispatchEffect[] {
 	const {ownership, timings} = state;
 	const effects: DispatchEffect[] = [];
+	recordReceipts(ownership, from, message);
+	if (message.type === 'jobs-seen') {
+		return [];
+	}
+
 	recordInformed(ownership);
-	for (const list of lists) {
+	for (const list of message.lists) {
 		addOwnedJobs(ownership, from, list, {timings, now});
 		for (const [id, age] of list.owner.name === ownership.self.name ? [] : list.jobs) {
 			const own = state.jobs.get(id);
--- a/src/core/ownership/logic.ts
+++ b/src/core/ownership/logic.ts
@@ -21,6 +21,9 @@
 /** Most jobs of other entries that are kept; the oldest ones are dropped. */
 const maxForeignJobs = 50_000;
 
+/** Messages that an entry may send before its receipt for an earlier one is overdue. */
+const receiptsPerLimit = 2;
+
 /** Most jobs in one list. */
 const maxJobsPerList = 500;
 
@@ -77,10 +80,6 @@
  * @param options - Time limits, and the current time.
  */
 export function addOwnedJobs(state: OwnershipState, from: NodeName, {owner, jobs}: OwnedJobs, {timings, now}: {timings: Timings; now: Milliseconds}): void {
-	if (owner.name === from) {
-		state.awaiting.add(from);
-	}
-
 	if (owner.name === state.self.name) {
 		if (owner.incarnation >= state.self.incarnation) {
 			return;
@@ -119,6 +118,17 @@
 	return [id, Math.round(now - receivedAt), Math.max(0, Math.round(deadlineAt - now))];
 }
 
+/** Records what a message says of earlier ones, and that its own jobs need a receipt. */
+export function recordReceipts({awaiting, unseen}: OwnershipState, from: NodeName, message: OwnershipMessage): void {
+	if (message.type === 'jobs-owned' && message.sequence !== undefined) {
+		awaiting.set(from, message.sequence);
+	}
+
+	if (message.seen !== undefined && message.seen >= (unseen.get(from)?.sequence ?? 0)) {
+		unseen.delete(from);
+	}
+}
+
 /** Groups jobs by their owners, in lists that fit into a message each. */
 function createLists(jobs: Iterable<readonly [owner: NodeRef, job: OwnedJob]>): OwnedJobs[] {
 	const lists: Array<{owner: NodeRef; jobs: OwnedJob[]}> = [];
@@ -160,12 +170,21 @@
 		return messages;
 	}
 
+	const hasOwn = [...state.news.values()].some(({owner}) => owner === state.self);
+	state.lastSequence += hasOwn ? 1 : 0;
 	for (const entry of entries) {
 		const lists = listNewsFor(state, entry, now);
+		const seen = state.awaiting.get(entry);
 		if (lists.length > 0) {
-			messages.set(entry, {type: 'jobs-owned', lists});
-		} else if (state.awaiting.has(entry)) {
-			messages.set(entry, {type: 'jobs-seen'});
+			messages.set(entry, {
+				type: 'jobs-owned', lists, ...(hasOwn && {sequence: state.lastSequence}), ...(seen !== undefined && {seen}),
+			});
+		} else if (seen !== undefined) {
+			messages.set(entry, {type: 'jobs-seen', seen});
+		}
+
+		if (hasOwn) {
+			state.unseen.set(entry, {sequence: state.lastSequence, since: state.unseen.get(entry)?.since ?? now});
 		}
 	}
 
@@ -234,8 +253,9 @@
  * @param entry - The entry.
  * @param now - Current time.
  */
-export function recordOwnerConnect({lostOwners, foreign}: OwnershipState, {name, incarnation}: NodeRef, now: Milliseconds): void {
+export function recordOwnerConnect({lostOwners, foreign, unseen}: OwnershipState, {name, incarnation}: NodeRef, now: Milliseconds): void {
 	const lost = lostOwners.get(name);
+	unseen.delete(name);
 	lostOwners.delete(name);
 	const earlier = Math.max(...[...foreign.values()].flatMap(({owner}) => owner.name === name && owner.incarnation < incarnation ? [owner.incarnation] : []));
 	if (Number.isFinite(earlier)) {
@@ -244,7 +264,8 @@
 }
 
 /** Records that the streams to an entry have closed, or that it does not answer. */
-export function recordOwnerLoss({lostOwners}: OwnershipState, {name, incarnation}: NodeRef, now: Milliseconds): void {
+export function recordOwnerLoss({lostOwners, unseen}: OwnershipState, {name, incarnation}: NodeRef, now: Milliseconds): void {
+	unseen.delete(name);
 	const lost = lostOwners.get(name);
 	if (lost === undefined || lost.incarnation < incarnation) {
 		lostOwners.set(name, {incarnation, lostAt: now, isEnded: false});
@@ -361,11 +382,18 @@
 	return entry === self.name ? undefined : entry;
 }
 
-/** Records which other entries are connected. */
-export function observeEntryContact(state: OwnershipState, contact: EntryContact, now: Milliseconds): void {
-	state.contact = contact;
+/**
+ * Records which other entries are connected. One that has sent no receipt in time may not hear this entry, though it is heard.
+ *
+ * @param state - State of the ownership.
+ * @param contact - The other entries, as far as streams show.
+ * @param options - Time limits, and the current time.
+ */
+export function observeEntryContact(state: OwnershipState, contact: EntryContact, {timings, now}: {timings: Timings; now: Milliseconds}): void {
+	const deaf = [...state.unseen.values()].filter(({since}) => now - since >= timings.newsMs * receiptsPerLimit).length;
+	state.contact = {...contact, connected: Math.max(0, contact.connected - deaf), silent: contact.silent + deaf};
 	state.startedAt ??= now;
-	const isIsolated = contact.connected === 0 && contact.silent > 0;
+	const isIsolated = state.contact.connected === 0 && state.contact.silent > 0;
 	state.isolatedSince = isIsolated ? state.isolatedSince ?? now : undefined;
 }
 
--- a/src/core/ownership/state.ts
+++ b/src/core/ownership/state.ts
@@ -26,8 +26,12 @@
 	/** Jobs to tell other entries, by id. */
 	news: Map<string, OwnershipNews>;
 	newsSentAt: Milliseconds;
-	/** Entries that wait for a sign that their own jobs have arrived here. */
-	readonly awaiting: Set<NodeName>;
+	/** Entries that wait for a receipt, with the number of their last message with own jobs. */
+	readonly awaiting: Map<NodeName, number>;
+	/** Number of the last message with own jobs. */
+	lastSequence: number;
+	/** Such messages without a receipt, by entry: the last number, and when the first one was sent. */
+	readonly unseen: Map<NodeName, {readonly sequence: number; readonly since: Milliseconds}>;
 	/** Jobs of local callers that wait for the answers of their owners, by id. */
 	readonly joined: Map<string, JoinedJob>;
 	/** Latest callers of own jobs that were submitted more than once, by id. */
@@ -56,7 +60,9 @@
 		announced: new Set(),
 		news: new Map(),
 		newsSentAt: Number.NEGATIVE_INFINITY,
-		awaiting: new Set(),
+		awaiting: new Map(),
+		lastSequence: 0,
+		unseen: new Map(),
 		joined: new Map(),
 		latestCallers: new Map(),
 		lostOwners: new Map(),
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -152,6 +152,9 @@
 /** The same with sender and receiver. */
 export type EntryMessage = EntryEnvelope & EntryMessageBody;
 
+/** Tells the other entry that the messages with its own jobs have arrived up to this number; undefined if none has since the last receipt. */
+type OwnershipReceipt = {readonly seen?: number};
+
 /** Every message between entries and agents; `type` is the discriminant. */
 export type DispatchMessage =
 	/**
@@ -182,9 +185,9 @@
 	| {readonly type: 'crashes'; readonly crashes: readonly TaskCrash[]; readonly agent?: string}
 	| (SessionMember & {readonly type: 'load'; readonly load: WorkerLoad; readonly seen: number})
 	/** Jobs that entries have had open for long, the sender or others. The receiver passes on those that are new to it. */
-	| {readonly type: 'jobs-owned'; readonly lists: readonly OwnedJobs[]}
-	/** Answer to `jobs-owned`, which shows at once that the receiver is in reach. */
-	| {readonly type: 'jobs-seen'}
+	| (OwnershipReceipt & {readonly type: 'jobs-owned'; readonly lists: readonly OwnedJobs[]; readonly sequence?: number})
+	/** Receipt alone, if there is nothing to tell. */
+	| (OwnershipReceipt & {readonly type: 'jobs-seen'})
 	| EntryMessage
 	/** Version of the configuration that an entry has applied. */
 	| {readonly type: 'version'; readonly version: number}
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -83,8 +83,11 @@
 		ask: (from, {tasks}) => {
 			this.#applyEffects(handleGrantRequests(this.state, from.name, tasks, this.#now()));
 		},
-		'jobs-owned': (from, {lists}) => {
-			this.#ownership.handleOwnedJobs(from.name, lists);
+		'jobs-owned': (from, message) => {
+			this.#ownership.handleOwnedJobs(from.name, message);
+		},
+		'jobs-seen': (from, message) => {
+			this.#ownership.handleOwnedJobs(from.name, message);
 		},
 		'join-job': (from, message) => {
 			this.#ownership.handleMessage(from.name, message);
--- a/src/processes/dispatch/ownership.ts
+++ b/src/processes/dispatch/ownership.ts
@@ -7,8 +7,9 @@
 import type {DispatchState} from '../../core/dispatch/state.ts';
 import type {DispatchEffect} from '../../core/dispatch/types.ts';
 import type {NodeName, NodeRef} from '../../core/identity/types.ts';
-import {observeEntryContact, recordOwnerConnect, recordOwnerLoss} from '../../core/ownership/logic.ts';
-import type {OwnedJobs} from '../../core/ownership/types.ts';
+import {
+	observeEntryContact, recordOwnerConnect, recordOwnerLoss, type OwnershipMessage,
+} from '../../core/ownership/logic.ts';
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {EntryMessage} from '../../ports/dispatch-messages.ts';
 import type {PeerLinks} from './links.ts';
@@ -38,10 +39,10 @@
 		recordOwnerLoss(this.input.state.ownership, entry, this.input.getTime());
 	}
 
-	/** Applies the jobs that an entry tells. */
-	handleOwnedJobs(from: NodeName, lists: readonly OwnedJobs[]): void {
+	/** Applies the jobs that an entry tells, or its receipt. */
+	handleOwnedJobs(from: NodeName, message: OwnershipMessage): void {
 		const {state, getTime, applyEffects} = this.input;
-		applyEffects(handleOwnedJobs(state, from, lists, getTime()));
+		applyEffects(handleOwnedJobs(state, from, message, getTime()));
 	}
 
 	/** Applies a message about a job, or passes it on to the entry that it is for. */
@@ -65,7 +66,7 @@
 	/** Records which entries are connected; to be called before the jobs are advanced. */
 	observeContact(): void {
 		const {state, links, getTime} = this.input;
-		observeEntryContact(state.ownership, links.countEntries(), getTime());
+		observeEntryContact(state.ownership, links.countEntries(), {timings: state.timings, now: getTime()});
 	}
 
 	/** Sends the jobs that the other entries don't know yet, if that is due. */
