Keep the time of each announcement without a receipt

An entry that announced jobs at each interval got each receipt for the last message but one, kept the time of the first one for ever, and took itself for cut off from all others.

Change: a receipt clears the messages up to its number, and the age of the first one that is left counts. The scenario failed before.

--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -280,6 +280,13 @@
     And job "j2" is submitted to "e2"
     Then "e2" has offered a task of "j2"
 
+  # Guards against an entry that announces jobs again and again and takes itself for cut off, as each receipt is for the last but one.
+  Scenario: Receipts that are one message behind
+    When "e1" announces a job each 200 ms for 3000 ms, with receipts that are one message behind
+    Then "e1" is not isolated
+    When "e1" announces a job each 200 ms for 1000 ms, without receipts
+    Then "e1" is isolated
+
   # Guards against announcements that go round in a ring of entries for ever.
   Scenario: An announcement is passed on once
     Given job "j1" is submitted to "e1"
--- a/features/ownership/ownership.steps.ts
+++ b/features/ownership/ownership.steps.ts
@@ -3,10 +3,13 @@
  */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {
+	announceJob, observeEntryContact, recordReceipts, takeNews,
+} from '../../src/core/ownership/logic.ts';
 import type {TaskEnd} from '../../src/ports/dispatch-messages.ts';
 import {EntryFleet} from './world.ts';
 
-type OwnershipWorld = {entryFleet: EntryFleet};
+type OwnershipWorld = {entryFleet: EntryFleet; sent: number[]};
 
 const usualLimitMs = 60_000;
 
@@ -46,6 +49,38 @@
 	this.entryFleet.get(name).isCutOff = false;
 });
 
+/** Lets an entry announce jobs to one other entry, whose receipts are `behind` messages late. */
+function announceJobs(world: OwnershipWorld, {interval, duration, behind}: {interval: number; duration: number; behind: number}): void {
+	const {state: {ownership, timings}} = world.entryFleet.get('e1');
+	world.sent ??= [];
+	for (let passed = 0; passed < duration; passed += interval) {
+		world.entryFleet.now += interval;
+		const {now} = world.entryFleet;
+		announceJob(ownership, `job-${now}`, {receivedAt: now, deadlineAt: now + usualLimitMs});
+		const message = takeNews(ownership, ['e2'], {timings, now}).get('e2');
+		assert.ok(message?.type === 'jobs-owned');
+		world.sent.push(message.sequence!);
+		recordReceipts(ownership, 'e2', {type: 'jobs-seen', seen: world.sent.at(-1 - behind)});
+		observeEntryContact(ownership, {connected: 1, silent: 0, ended: 0}, {timings, now});
+	}
+}
+
+When('{string} announces a job each {int} ms for {int} ms, with receipts that are one message behind', function (this: OwnershipWorld, _name: string, interval: number, duration: number) {
+	announceJobs(this, {interval, duration, behind: 1});
+});
+
+When('{string} announces a job each {int} ms for {int} ms, without receipts', function (this: OwnershipWorld, _name: string, interval: number, duration: number) {
+	announceJobs(this, {interval, duration, behind: Number.POSITIVE_INFINITY});
+});
+
+Then('{string} is not isolated', function (this: OwnershipWorld, name: string) {
+	assert.equal(this.entryFleet.get(name).state.ownership.isolatedSince, undefined);
+});
+
+Then('{string} is isolated', function (this: OwnershipWorld, name: string) {
+	assert.notEqual(this.entryFleet.get(name).state.ownership.isolatedSince, undefined);
+});
+
 When('{string} falls silent', function (this: OwnershipWorld, name: string) {
 	this.entryFleet.get(name).isSilent = true;
 });
--- a/src/core/ownership/logic.ts
+++ b/src/core/ownership/logic.ts
@@ -124,8 +124,9 @@
 		awaiting.set(from, message.sequence);
 	}
 
-	if (message.seen !== undefined && message.seen >= (unseen.get(from)?.sequence ?? 0)) {
-		unseen.delete(from);
+	const {seen} = message;
+	if (seen !== undefined) {
+		unseen.set(from, unseen.get(from)?.filter(({sequence}) => sequence > seen) ?? []);
 	}
 }
 
@@ -184,7 +185,7 @@
 		}
 
 		if (hasOwn) {
-			state.unseen.set(entry, {sequence: state.lastSequence, since: state.unseen.get(entry)?.since ?? now});
+			state.unseen.set(entry, [...state.unseen.get(entry) ?? [], {sequence: state.lastSequence, sentAt: now}]);
 		}
 	}
 
@@ -390,7 +391,7 @@
  * @param options - Time limits, and the current time.
  */
 export function observeEntryContact(state: OwnershipState, contact: EntryContact, {timings, now}: {timings: Timings; now: Milliseconds}): void {
-	const deaf = [...state.unseen.values()].filter(({since}) => now - since >= timings.newsMs * receiptsPerLimit).length;
+	const deaf = [...state.unseen.values()].filter(([first]) => first !== undefined && now - first.sentAt >= timings.newsMs * receiptsPerLimit).length;
 	state.contact = {...contact, connected: Math.max(0, contact.connected - deaf), silent: contact.silent + deaf};
 	state.startedAt ??= now;
 	const isIsolated = state.contact.connected === 0 && state.contact.silent > 0;
--- a/src/core/ownership/state.ts
+++ b/src/core/ownership/state.ts
@@ -30,8 +30,8 @@
 	readonly awaiting: Map<NodeName, number>;
 	/** Number of the last message with own jobs. */
 	lastSequence: number;
-	/** Such messages without a receipt, by entry: the last number, and when the first one was sent. */
-	readonly unseen: Map<NodeName, {readonly sequence: number; readonly since: Milliseconds}>;
+	/** Such messages without a receipt, by entry, in the order in which they were sent. */
+	readonly unseen: Map<NodeName, ReadonlyArray<{readonly sequence: number; readonly sentAt: Milliseconds}>>;
 	/** Jobs of local callers that wait for the answers of their owners, by id. */
 	readonly joined: Map<string, JoinedJob>;
 	/** Latest callers of own jobs that were submitted more than once, by id. */
