Call what is there: same processes, earlier submissions, isolated jobs, last owners

Cause: on reading the change again, the ownership of jobs compared processes as src/core/identity does already, wrote the order of two submissions twice, ended isolated jobs like src/core/dispatch/contact.ts, and wrapped findLastOwner in a function that did no more.

Change: isSameNode is called; isEarlierSubmission and endAsIsolated serve both places; the wrapper is gone. No behaviour changes: the two retry times of isolated jobs were equal.

Measured: type check, the linter on both folders and the verbs clean; ownership, dispatch and sessions 93 passed, 0 failed.

--- a/src/core/dispatch/contact.ts
+++ b/src/core/dispatch/contact.ts
@@ -5,11 +5,16 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {DispatchState} from './state.ts';
 import {createAnswer, endJob} from './steps.ts';
-import type {Contact, DispatchEffect} from './types.ts';
+import type {Contact, DispatchEffect, Job} from './types.ts';
 
 /** Retry time, in ms, of a job that was given up or refused for want of contact. */
 const isolationRetryMs = 1000;
 
+/** Ends a job whose caller may have turned to another entry. */
+export function endAsIsolated(state: DispatchState, job: Job, now: Milliseconds): DispatchEffect[] {
+	return endJob(state, job, createAnswer(job.mayHaveRun ? 'given-up' : 'not-run', 'isolated', isolationRetryMs), now);
+}
+
 /** Ends the jobs that have been open for the contact time; while callers are heard, only those from before the last agent was. */
 function endIsolatedJobs(state: DispatchState, {agents, callers}: Contact, now: Milliseconds): DispatchEffect[] {
 	const {openJobs, timings} = state;
@@ -21,7 +26,7 @@
 			{
 				type: 'log', event: 'jobs-isolated', details: {agentsMs: Math.round(now - agents), callersMs: Math.round(now - callers), count: isolated.length},
 			},
-			...isolated.flatMap(job => endJob(state, job, createAnswer(job.mayHaveRun ? 'given-up' : 'not-run', 'isolated', isolationRetryMs), now)),
+			...isolated.flatMap(job => endAsIsolated(state, job, now)),
 		];
 }
 
@@ -48,7 +53,10 @@
 	}
 
 	const hasStoodStill = at - Math.max(before.agents, before.callers) >= state.timings.contactMs;
-	state.lateUntil = hasStoodStill ? now + state.timings.reconnectMs : state.lateUntil;
+	if (hasStoodStill) {
+		state.lateUntil = now + state.timings.reconnectMs;
+	}
+
 	return [{type: 'log', event: 'contact-regained', details: {source, silenceMs, openJobs: state.openJobs.size}}, ...endIsolatedJobs(state, before, now)];
 }
 
--- a/src/core/dispatch/entry-messages.ts
+++ b/src/core/dispatch/entry-messages.ts
@@ -9,7 +9,7 @@
 } from '../ownership/logic.ts';
 import type {OwnedJobState} from '../ownership/types.ts';
 import {
-	createLog, createMessage, endJoinedJob, ownedRetryMs, takeOverJob, type Admit,
+	createLog, createMessage, endJoinedJob, isEarlierSubmission, ownedRetryMs, takeOverJob, type Admit,
 } from './joining.ts';
 import type {DispatchState} from './state.ts';
 import {createAnswer, endJob, hasOpenRuns} from './steps.ts';
@@ -105,8 +105,7 @@
 		return state.openJobs.has(job) ? [createMessage(state, from.name, {type: 'job-state', job: id, state: 'open'})] : [];
 	}
 
-	const ownAge = now - joined.submittedAt;
-	const isEarlier = ownAge > age || (ownAge === age && state.ownership.self.name > from.name);
+	const isEarlier = isEarlierSubmission({age: now - joined.submittedAt, entry: state.ownership.self.name}, {age, entry: from.name});
 	return isEarlier ? endJoinedJob(state, job, createAnswer('given-up', 'superseded', ownedRetryMs), now) : [];
 }
 
--- a/src/core/dispatch/joining.ts
+++ b/src/core/dispatch/joining.ts
@@ -5,12 +5,13 @@
 import type {EntryMessageBody} from '../../ports/dispatch-messages.ts';
 import type {NodeName} from '../identity/types.ts';
 import {
-	addOwnedJobs, announceJob, chooseJoinAction, describeOwnedJob, findLastOwner, isIsolated, joinJob, listAllOwnedJobs, pruneForeignJobs, recordInformed, recordReceipts,
+	addOwnedJobs, announceJob, chooseJoinAction, describeOwnedJob, isIsolated, joinJob, listAllOwnedJobs, pruneForeignJobs, recordInformed, recordReceipts,
 	removeForeignJob, takeNews, type OwnershipMessage,
 } from '../ownership/logic.ts';
 import type {
 	ForeignJob, JoinAction, OwnedJob, OwnedJobs,
 } from '../ownership/types.ts';
+import {endAsIsolated} from './contact.ts';
 import type {DispatchState} from './state.ts';
 import {createAnswer, endJob} from './steps.ts';
 import type {DispatchEffect, Job, JobAnswer} from './types.ts';
@@ -128,6 +129,11 @@
 	return (actionHandlers[action.type] as (state: DispatchState, job: Job, action: JoinAction, now: Milliseconds) => DispatchEffect[])(state, job, action, now);
 }
 
+/** Returns whether a caller submitted a job to one entry before another one; of equal ages the names decide, the same way at both. */
+export function isEarlierSubmission(left: {readonly age: Milliseconds; readonly entry: NodeName}, right: {readonly age: Milliseconds; readonly entry: NodeName}): boolean {
+	return left.age > right.age || (left.age === right.age && left.entry > right.entry);
+}
+
 /** Gives up a job that its caller has submitted to another entry. */
 export function yieldJob(state: DispatchState, job: Job, details: {readonly evidence: 'announcement' | 'agent'; readonly to: string}, now: Milliseconds): DispatchEffect[] {
 	return [
@@ -164,7 +170,7 @@
 			}
 
 			const ownAge = now - own.receivedAt;
-			if (ownAge > age || (ownAge === age && ownership.self.name > list.owner.name)) {
+			if (isEarlierSubmission({age: ownAge, entry: ownership.self.name}, {age, entry: list.owner.name})) {
 				effects.push(...yieldJob(state, own, {evidence: 'announcement', to: list.owner.name}, now));
 			} else {
 				announceJob(ownership, id, own);
@@ -192,7 +198,7 @@
 		? []
 		: [
 			createLog('entry-isolated', {silentEntries: ownership.contact.silent, silenceMs: Math.round(now - ownership.isolatedSince!), count: old.length}),
-			...old.flatMap(job => endJob(state, job, createAnswer(job.mayHaveRun ? 'given-up' : 'not-run', 'isolated', ownedRetryMs), now)),
+			...old.flatMap(job => endAsIsolated(state, job, now)),
 		];
 }
 
@@ -221,8 +227,3 @@
 	pruneForeignJobs(ownership, now);
 	return effects;
 }
-
-/** Finds the entry that serves or served a job, as far as is known. */
-export function findOwner(state: DispatchState, id: string, now: Milliseconds): ForeignJob | undefined {
-	return findLastOwner(state.ownership, id, now);
-}
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -4,7 +4,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Route} from '../routes/types.ts';
 import {isGivenUp, pruneCrashes} from '../crashes/logic.ts';
-import {isUninformed, findFollower} from '../ownership/logic.ts';
+import {findFollower, findLastOwner, isUninformed} from '../ownership/logic.ts';
 import {
 	checkAdmission, checkOversizedJob, checkSuspendedJob, checkWaitingJob,
 } from './admission.ts';
@@ -13,7 +13,7 @@
 import {updateReservedAgents} from './containment.ts';
 import {recordResubmission} from './entry-messages.ts';
 import {
-	advanceOwnership, cancelJoinedJob, findOwner, startJoining,
+	advanceOwnership, cancelJoinedJob, startJoining,
 } from './joining.ts';
 import {computeWork, estimateCriticalPath} from './estimates.ts';
 import {clearPlacement, createOffers, placeTasks} from './placing.ts';
@@ -120,7 +120,7 @@
 export function submitJob(state: DispatchState, request: JobRequest, now: Milliseconds): {job: Job; effects: DispatchEffect[]} {
 	const {id} = request.submission;
 	const earlier = state.jobs.get(id);
-	const isServedElsewhere = earlier?.answer?.outcome === 'not-run' && findOwner(state, id, now) !== undefined;
+	const isServedElsewhere = earlier?.answer?.outcome === 'not-run' && findLastOwner(state.ownership, id, now) !== undefined;
 	if (earlier !== undefined && earlier.answer?.outcome !== 'given-up' && !isServedElsewhere) {
 		return {job: earlier, effects: earlier.answer === undefined ? recordResubmission(state, earlier, now) : [{type: 'answer', job: earlier, answer: earlier.answer}]};
 	}
@@ -141,7 +141,7 @@
 		}
 	}
 
-	const owner = findOwner(state, job.id, now);
+	const owner = findLastOwner(state.ownership, job.id, now);
 	return {job, effects: owner === undefined ? admitJob(state, job, now) : startJoining(state, job, owner, now)};
 }
 
--- a/src/core/ownership/logic.ts
+++ b/src/core/ownership/logic.ts
@@ -9,6 +9,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {Timings} from '../bounds/types.ts';
 import type {DispatchMessage} from '../../ports/dispatch-messages.ts';
+import {isSameNode} from '../identity/logic.ts';
 import type {NodeName, NodeRef} from '../identity/types.ts';
 import type {OwnershipState} from './state.ts';
 import type {
@@ -30,10 +31,6 @@
 /** A message about the jobs that entries serve. */
 export type OwnershipMessage = Extract<DispatchMessage, {type: 'jobs-owned' | 'jobs-seen'}>;
 
-function isSameNode(left: NodeRef, right: NodeRef): boolean {
-	return left.name === right.name && left.incarnation === right.incarnation;
-}
-
 /**
  * Announces an own job, unless it was announced before.
  *
