--- a/review/rig-2/case.mjs
+++ b/review/rig-2/case.mjs
@@ -36,6 +36,14 @@
 		process.exit(code);
 	}
 
+	for (const signal of ['SIGTERM', 'SIGINT']) {
+		process.once(signal, () => {
+			fleet.log(`ended by ${signal}`);
+			code = 2;
+			finishCase();
+		});
+	}
+
 	try {
 		const faults = await play(fleet, hasTrouble);
 		for (const fault of faults) {
--- a/review/rig-2/fleet.mjs
+++ b/review/rig-2/fleet.mjs
@@ -31,6 +31,9 @@
 
 const pollMs = 50;
 
+/** Most entries of a fleet, those that are added later too. */
+const maxEntries = 4;
+
 /** Returns whether a port of an address is free. */
 async function isFree(host, port) {
 	return new Promise(resolve => {
@@ -97,7 +100,7 @@
 	 */
 	async start(entries, workers) {
 		this.#folder = await mkdtemp(path.join(tmpdir(), 'review-'));
-		this.#addresses = await findAddresses(entries + workers.length);
+		this.#addresses = await findAddresses(workers.length + maxEntries);
 		this.store = await startStoreStandIn();
 		this.store.writeKey('op/config', createConfiguration(3));
 		for (const [index, options] of workers.entries()) {
@@ -105,13 +108,7 @@
 		}
 
 		for (let index = 0; index < entries; index++) {
-			const ip = this.#addresses[workers.length + index];
-			const name = `entry-${index + 1}`;
-			const entry = {
-				name, ip, callers: `${ip}:${ports.frontend}`, readiness: `${ip}:${ports.readiness}`,
-			};
-			this.entries.push(entry);
-			await this.startProcess('entry', name, ip);
+			await this.addEntry();
 		}
 
 		for (const entry of this.entries) {
@@ -121,6 +118,18 @@
 		this.log('all entries serve jobs');
 	}
 
+	/** Starts one more entry, at an address of its own. */
+	async addEntry() {
+		const index = this.entries.length;
+		const ip = this.#addresses[this.workers.length + index];
+		const entry = {
+			name: `entry-${index + 1}`, ip, callers: `${ip}:${ports.frontend}`, readiness: `${ip}:${ports.readiness}`,
+		};
+		this.entries.push(entry);
+		await this.startProcess('entry', entry.name, ip);
+		return entry;
+	}
+
 	/** Writes a line with the time since the start, in ms. */
 	log(text) {
 		this.lines.push(`${String(Date.now() - this.#startedAt).padStart(6)} ${text}`);
