Review: drop the cancel at another entry, which review/5 shows

The cases behind it move up: 8 is the cancelled job that runs again, 9 the label that a worker's next boot does not have.

--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,50 +1,44 @@
 /**
- * A client cancels a job that runs, and the answer to the job makes it submit the job again.
+ * A worker crashes, and the next boot at its address is of another kind. Jobs that need the former kind go on.
  */
 import {setTimeout as waitFor} from 'node:timers/promises';
 import {runCase} from '../rig-2/case.mjs';
-import {bounds} from '../rig-2/fleet.mjs';
-import {listRunsAfterCancel} from '../rig-2/cancelled.mjs';
-
-/** Ten steps of 600 ms, one after the other. */
-const stepMs = 600;
-const steps = Array.from({length: 10}, (_, index) => ({
-	Count: 2, Cpu: 1000, MemMb: 64, EstimateMs: stepMs, ...(index > 0 && {After: [index - 1]}),
-}));
-
-/** Time after the submission at which the job is cancelled, in ms. */
-const cancelAfterMs = 700;
-
-/** Submits a job as the pages say: after no response, a broken channel, 502 or 504 it is sent again, to another node. */
-async function submitWithRetry(fleet, job, deadlineMs) {
-	const end = Date.now() + deadlineMs;
-	for (let attempt = 0; Date.now() < end; attempt++) {
-		const {status} = await fleet.submit(fleet.entries[attempt % fleet.entries.length].callers, job, {deadlineMs: end - Date.now()});
-		if (![0, 502, 504].includes(status)) {
-			return;
-		}
-
-		await waitFor(bounds.RetransmitMs);
-	}
+
+/** Each job has two tasks of 300 ms; a worker has room for four tasks. */
+const runMs = 300;
+const steps = [{
+	Count: 2, Cpu: 8000, MemMb: 64, EstimateMs: runMs, Requirements: 'a',
+}];
+
+/** Time between two jobs, in ms: more than one worker of the kind can do, and less than two can. */
+const intervalMs = 100;
+
+/** Times after the first job, in ms. */
+const crashAtMs = 3000;
+const endAtMs = 9000;
+
+const downMs = 1000;
+
+/** Time from the start of the new boot to its first heartbeat, in ms; they come approximately every 1,500 ms. */
+const firstHeartbeatMs = 700;
+
+async function replaceWorker(worker) {
+	await waitFor(crashAtMs);
+	await worker.crash();
+	await waitFor(downMs);
+	await worker.start({labels: ['b', 'r1'], firstHeartbeatMs});
 }
 
 await runCase(async (fleet, hasTrouble) => {
-	await fleet.start(2, [{}, {}]);
-	const id = '7d41b0a9c25e83f6';
-	const job = submitWithRetry(fleet, {id, spec: String(stepMs), steps}, 12_000);
-	await waitFor(cancelAfterMs);
-	if (!hasTrouble) {
-		await job;
-		return [];
-	}
-
-	const {status} = await fleet.cancel(fleet.entries[0].callers, id);
-	const ackedAt = Date.now();
-	if (status !== 410 && (status < 200 || status > 299)) {
-		throw new Error(`the DELETE was not acknowledged: ${status}`);
+	await fleet.start(1, [{labels: ['a', 'r1']}, {labels: ['a', 'r1']}, {labels: ['b', 'r1']}]);
+	const replacement = hasTrouble ? replaceWorker(fleet.workers[0]) : undefined;
+	const jobs = [];
+	for (let sent = 0; sent * intervalMs < endAtMs; sent++) {
+		jobs.push(fleet.submit(fleet.entries[0].callers, {id: `8a${String(sent).padStart(14, '0')}`, spec: String(runMs), steps}));
+		await waitFor(intervalMs);
 	}
 
-	await job;
-	await waitFor(500);
-	return listRunsAfterCancel(fleet, id, ackedAt);
+	await Promise.all([...jobs, replacement]);
+	const wrong = fleet.starts.filter(({task, labels}) => task.startsWith('8a') && !labels.includes('a'));
+	return wrong.map(({task, worker, labels, startedAt}) => `ROUTE: ${task}, which requires the label a, starts on ${worker} with the labels ${labels.join(' ')} at ${fleet.getOffset(startedAt)}`);
 });
