--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -13,6 +13,9 @@
 /** Time between two jobs, in ms: more than one worker of the kind can do, and less than two can. */
 const intervalMs = 100;
 
+/** Kinds of the workers: the one that crashes is one of eight. */
+const kinds = ['a', 'a', 'b', 'b', 'b', 'b', 'b', 'b'];
+
 /** Times after the first job, in ms. */
 const crashAtMs = 3000;
 const endAtMs = 9000;
@@ -30,7 +33,7 @@
 }
 
 await runCase(async (fleet, hasTrouble) => {
-	await fleet.start(1, [{labels: ['a', 'r1']}, {labels: ['a', 'r1']}, {labels: ['b', 'r1']}]);
+	await fleet.start(1, kinds.map(kind => ({labels: [kind, 'r1']})));
 	const replacement = hasTrouble ? replaceWorker(fleet.workers[0]) : undefined;
 	const jobs = [];
 	for (let sent = 0; sent * intervalMs < endAtMs; sent++) {
