--- a/src/core/bounds/types.ts
+++ b/src/core/bounds/types.ts
@@ -17,6 +17,8 @@
 	readonly configurationMs: Milliseconds;
 	/** Factor on the run time of a task on a worker outside the rack of its data. */
 	readonly remoteFactor: number;
+	/** Time within which the closing of a data centre must take effect; undefined where operators close none. */
+	readonly closingMs?: Milliseconds;
 };
 
 /** Time limits of a call to the store that waits for a change. */
--- a/src/settings/dispatch.ts
+++ b/src/settings/dispatch.ts
@@ -22,6 +22,7 @@
 const port = z.int().check(z.minimum(1), z.maximum(maxPort));
 const host = z.string().check(z.refine(text => isIP(text) !== 0, 'must be an IP address'));
 const nonNegative = z.number().check(z.minimum(0));
+const positive = z.number().check(z.positive());
 
 /** Schema of the settings; keys that are not listed are ignored, since the platform may add some. */
 export const dispatchSettingsSchema = z.object({
@@ -59,7 +60,20 @@
 		configurationMs: nonNegative,
 		/** Factor on the run time of a task that runs outside the rack of its data. */
 		remoteFactor: z.number().check(z.minimum(1)),
+		/** Time within which the closing of a data centre must take effect, in ms; absent where operators close none. */
+		closingMs: z.optional(nonNegative),
 	}),
+	/** What the platform allots to the process; absent if it does not say. */
+	machine: z.optional(z.object({
+		/** Processor cores that the process may use; below 1 for a share of one. */
+		cores: positive,
+		/** Memory, in MB; the platform kills a process that exceeds it. */
+		memoryMb: positive,
+		/** Open files and sockets. */
+		descriptors: positive,
+		/** Bandwidth of the network link, in Mbit/s. */
+		linkMbps: positive,
+	})),
 });
 
 /** Validated settings. */
