Place and start nothing in a closed data centre

Entries learn of closings by one watch of the prefix op/ in place of the key op/config where bounds.closingMs is set; without it their calls are as before. Entries leave agents of closed data centres out of placement, waiting offers, quarantine, labels in reach and the capacity for admission, place waiting tasks elsewhere at once, and refuse while no data centre of a known agent is open. Agents report the mode closed, hand back what waits and drop a start order that waits to be sent, so that a grant or an offer on its way starts nothing; earlier builds of entries offer nothing to an agent in that mode. Workers tell ColdRemainingMs: a cold one counts half in admission and as slower in placement, and its run times change neither the slowness nor the estimates. The store's prefix calls are not covered yet.

--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -59,9 +59,9 @@
 	return tasks.some(({name, phase}) => phase === 'waiting' && getSuspicion(crashes, name) !== 'none');
 }
 
-/** Returns whether a task of a step needs more than any worker has, while no agents are expected to connect again. */
+/** Returns whether a task of a step needs more than any worker has, while no agents of open data centres are expected to connect again. */
 function isStepOversized(state: DispatchState, {route: {target}}: Job, {label, needs}: StepSubmission, now: Milliseconds): boolean {
-	return now >= state.expectAgentsUntil && isOversized(state.fleet, {target, label, needs});
+	return (now >= state.expectAgentsUntil || !state.fleet.hasOpenDataCentre) && isOversized(state.fleet, {target, label, needs});
 }
 
 /** Returns whether no task of a job has run: no agent has one, and no report of another end than `not-started` has come. */
--- a/src/core/dispatch/containment.ts
+++ b/src/core/dispatch/containment.ts
@@ -6,7 +6,7 @@
 import {
 	computeQuarantineSize, getSuspicion, isCareful, listCarefulRoutes, listConfinedRoutes, listQuarantineOrder,
 } from '../crashes/logic.ts';
-import {isSuitable} from '../fleet/logic.ts';
+import {isInClosedDataCentre, isSuitable} from '../fleet/logic.ts';
 import type {FleetState} from '../fleet/state.ts';
 import type {TaskDemand} from '../fleet/types.ts';
 import type {NodeName} from '../identity/types.ts';
@@ -58,8 +58,9 @@
 	return job.canary === task ? 'canary' : 'held';
 }
 
-function listAgentsOfTarget({agents}: FleetState, target: string): readonly NodeName[] {
-	return [...agents].filter(([, {load}]) => load?.target === target).map(([name]) => name);
+/** Lists the agents of a target outside the closed data centres; quarantine agents are chosen among them. */
+function listAgentsOfTarget(fleet: FleetState, target: string): readonly NodeName[] {
+	return [...fleet.agents].filter(([, view]) => view.load?.target === target && !isInClosedDataCentre(fleet, view)).map(([name]) => name);
 }
 
 function listQuarantine({fleet}: DispatchState, {name, target}: Pick<Route, 'name' | 'target'>): readonly NodeName[] {
--- a/src/core/dispatch/reach.ts
+++ b/src/core/dispatch/reach.ts
@@ -4,6 +4,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {DispatchPeer} from '../../ports/dispatch-messages.ts';
+import {isInClosedDataCentre} from '../fleet/logic.ts';
 import type {NodeName} from '../identity/types.ts';
 import type {DispatchState} from './state.ts';
 import type {JobSubmission} from './types.ts';
@@ -38,7 +39,7 @@
 			continue;
 		}
 
-		const count = [...state.fleet.agents.values()].filter(({load}) => load?.mode !== 'closed' && load?.labels.includes(label)).length;
+		const count = [...state.fleet.agents.values()].filter(view => view.load?.mode !== 'closed' && view.load?.labels.includes(label) && !isInClosedDataCentre(state.fleet, view)).length;
 		const candidates = unconnected.filter(({labels}) => labels?.includes(label)).map(({name}) => name);
 		chosen.push(...candidates.slice(0, Math.max(0, agentsPerLabel - count)));
 	}
@@ -72,7 +73,7 @@
 		return [];
 	}
 
-	const unconnected = listUnconnected();
+	const unconnected = listUnconnected().filter(peer => !isInClosedDataCentre(state.fleet, peer));
 	const labelled = chooseLabelledAgents(state, unconnected, now);
 	if (!needsOthers || unconnected.length === 0) {
 		return labelled;
--- a/src/core/dispatch/reports.ts
+++ b/src/core/dispatch/reports.ts
@@ -38,7 +38,7 @@
 		job.openTaskCounts[task.step]--;
 		state.tasks.delete(task.name);
 		const slowness = (state.fleet.agents.get(task.agent!)?.load?.slowness ?? 1) / computeMedianSlowness(state.fleet);
-		if (report.runMs > 0) {
+		if (report.runMs > 0 && report.isCold !== true) {
 			recordRunTime(state, job.route, job.submission.steps[task.step], report.runMs / slowness);
 		}
 
--- a/src/core/dispatch/waits.ts
+++ b/src/core/dispatch/waits.ts
@@ -7,6 +7,7 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {OthersLoad} from '../../ports/dispatch-messages.ts';
+import {computeEffectiveCpu, isInClosedDataCentre} from '../fleet/logic.ts';
 import type {Route} from '../routes/types.ts';
 import {isReserved} from './containment.ts';
 import type {DispatchState, TargetLoad} from './state.ts';
@@ -78,9 +79,11 @@
 function computeCapacity(state: DispatchState, target: string, now: Milliseconds): number {
 	let capacity = 0;
 	let reportedCount = 0;
-	for (const [name, {load}] of state.fleet.agents) {
+	for (const [name, view] of state.fleet.agents) {
+		const {load} = view;
 		reportedCount += load === undefined || load.mode === 'starting' ? 0 : 1;
-		capacity += load?.mode === 'open' && load.target === target && !isReserved(state, target, name) ? load.capacity.cpu / Math.max(1, load.slowness) : 0;
+		const isCounted = load?.mode === 'open' && load.target === target && !isReserved(state, target, name) && !isInClosedDataCentre(state.fleet, view);
+		capacity += isCounted ? computeEffectiveCpu(load) : 0;
 	}
 
 	const areAgentsExpected = now < state.expectAgentsUntil && reportedCount > 0;
@@ -99,8 +102,9 @@
 /** Adds up what other entries use or queue at the agents of a target, over the priorities that pass the test. */
 function computeOthersSum(state: DispatchState, target: string, column: keyof OthersLoad, isCounted: (priority: number) => boolean): number {
 	let sum = 0;
-	for (const {load} of state.fleet.agents.values()) {
-		if (load?.mode === 'open' && load.target === target) {
+	for (const view of state.fleet.agents.values()) {
+		const {load} = view;
+		if (load?.mode === 'open' && load.target === target && !isInClosedDataCentre(state.fleet, view)) {
 			for (const [priority, value] of (load.others?.[column] ?? []).entries()) {
 				sum += isCounted(priority) ? value : 0;
 			}
--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -31,9 +31,27 @@
 /** Multiple of the median slowness above which a worker gets no tasks that can wait for another one. */
 const slowFactor = 2;
 
-function canRun(view: AgentView, load: WorkerLoad, demand: Pick<TaskDemand, 'target' | 'label' | 'needs'>): boolean {
+/** Run time on a cold worker divided by that on a warm one. The platform does not tell it; runs on cold workers are not measured. */
+const coldFactor = 2;
+
+/** Returns whether the data centre of an agent is closed, so that its worker gets no tasks. */
+export function isInClosedDataCentre({closedDataCentres}: FleetState, {dataCentre}: Pick<AgentView, 'dataCentre'>): boolean {
+	return closedDataCentres.has(dataCentre);
+}
+
+/** Estimates the run time of a task on a worker that stays cold for some time of it. */
+function addColdTime(runMs: Milliseconds, {coldMs = 0}: WorkerLoad): Milliseconds {
+	return runMs + Math.min(runMs * (coldFactor - 1), coldMs * (1 - (1 / coldFactor)));
+}
+
+/** Computes the processor capacity of a worker in thousandths of a core of normal speed. */
+export function computeEffectiveCpu({capacity, slowness, coldMs = 0}: WorkerLoad): number {
+	return capacity.cpu / Math.max(1, slowness) / (coldMs > 0 ? coldFactor : 1);
+}
+
+function canRun(state: FleetState, view: AgentView, load: WorkerLoad, demand: Pick<TaskDemand, 'target' | 'label' | 'needs'>): boolean {
 	const isOpen = load.mode === 'open' || (load.mode === 'trial' && view.unreportedOffers.length === 0);
-	return isOpen && !view.isRetiring
+	return isOpen && !view.isRetiring && !isInClosedDataCentre(state, view)
 		&& load.target === demand.target
 		&& (demand.label === '' || load.labels.includes(demand.label))
 		&& hasCapacityFor(load.capacity, demand.needs);
@@ -92,14 +110,14 @@
 	const estimates: PlacementEstimate[] = [];
 	for (const [name, view] of state.agents) {
 		const {load} = view;
-		if (load === undefined || !canRun(view, load, demand)) {
+		if (load === undefined || !canRun(state, view, load, demand)) {
 			continue;
 		}
 
 		const free = computeFreeResources(view);
 		const wait = estimateWait(view, load, free, demand);
 		const isOutsideRack = demand.dataRack !== '' && !load.labels.includes(demand.dataRack);
-		const runMs = demand.expectedMs * (load.slowness / medianSlowness) * (isOutsideRack ? state.options.remoteFactor : 1);
+		const runMs = addColdTime(demand.expectedMs * (load.slowness / medianSlowness) * (isOutsideRack ? state.options.remoteFactor : 1), load);
 		const dataCentreDelay = view.dataCentre === state.options.dataCentre ? 0 : dataCentreDelayMs;
 		const total = wait + runMs + dataCentreDelay;
 		const utilization = 1 - Math.max(0, free.cpu / Math.max(1, load.capacity.cpu));
@@ -124,7 +142,7 @@
  */
 export function computeSpareResources(state: FleetState, name: NodeName): Resources | undefined {
 	const view = state.agents.get(name);
-	if (view?.load?.mode !== 'open' || view.load.free.cpu <= 0 || view.isRetiring || view.load.slowness > computeMedianSlowness(state) * slowFactor) {
+	if (view?.load?.mode !== 'open' || view.load.free.cpu <= 0 || view.isRetiring || isInClosedDataCentre(state, view) || view.load.slowness > computeMedianSlowness(state) * slowFactor) {
 		return undefined;
 	}
 
@@ -138,17 +156,22 @@
 
 /**
  * Returns whether no worker of a target is large enough for a task: each agent has told its load, and none of the
- * capacities covers the needs, whether the agents take tasks at present or not.
+ * capacities covers the needs, whether the agents take tasks at present or not. Workers of closed data centres do not count.
  *
  * @param state - State of the fleet.
  * @param demand - Requirements of the task.
  */
 export function isOversized(state: FleetState, {target, label, needs}: Pick<TaskDemand, 'target' | 'label' | 'needs'>): boolean {
+	if (!state.hasOpenDataCentre) {
+		return true;
+	}
+
 	let isTargetKnown = false;
-	for (const {load} of state.agents.values()) {
+	for (const view of state.agents.values()) {
+		const {load} = view;
 		const isUnknown = load === undefined || load.mode === 'starting';
 		const isMatching = load?.target === target && (label === '' || load.labels.includes(label));
-		if (isUnknown || (isMatching && hasCapacityFor(load.capacity, needs))) {
+		if (!isInClosedDataCentre(state, view) && (isUnknown || (isMatching && hasCapacityFor(load.capacity, needs)))) {
 			return false;
 		}
 
@@ -161,11 +184,11 @@
 /** Returns whether an agent can run a task, now or once resources are free. */
 export function isSuitable(state: FleetState, name: NodeName, demand: Pick<TaskDemand, 'target' | 'label' | 'needs'>): boolean {
 	const view = state.agents.get(name);
-	return view?.load !== undefined && canRun(view, view.load, demand);
+	return view?.load !== undefined && canRun(state, view, view.load, demand);
 }
 
 /** Returns whether an agent has free resources for a task now. */
 export function hasFreeCapacity(state: FleetState, name: NodeName, demand: TaskDemand): boolean {
 	const view = state.agents.get(name);
-	return view?.load !== undefined && canRun(view, view.load, demand) && hasCapacityFor(computeFreeResources(view), demand.needs);
+	return view?.load !== undefined && canRun(state, view, view.load, demand) && hasCapacityFor(computeFreeResources(view), demand.needs);
 }
--- a/src/core/fleet/state.ts
+++ b/src/core/fleet/state.ts
@@ -21,6 +21,10 @@
 	readonly agents: Map<NodeName, AgentView>;
 	/** Capacities of the workers of agents whose stream has closed, and when the agents were last heard. */
 	readonly heardCapacities: Map<NodeName, {readonly capacity: Resources; readonly at: Milliseconds}>;
+	/** Data centres whose workers get no tasks. */
+	closedDataCentres: ReadonlySet<string>;
+	/** Whether a known process belongs to a data centre that is not closed; without one, nothing can be placed. */
+	hasOpenDataCentre: boolean;
 	/** Median slowness of the agents; undefined after a change, until it is needed. */
 	medianSlowness: number | undefined;
 };
@@ -36,7 +40,7 @@
  */
 export function createFleetState(options: FleetOptions): FleetState {
 	return {
-		options, agents: new Map(), heardCapacities: new Map(), medianSlowness: undefined,
+		options, agents: new Map(), heardCapacities: new Map(), closedDataCentres: new Set(), hasOpenDataCentre: true, medianSlowness: undefined,
 	};
 }
 
--- a/src/core/runs/health.ts
+++ b/src/core/runs/health.ts
@@ -108,10 +108,10 @@
 export function getAgentMode(state: RunsState, now: Milliseconds): AgentMode {
 	const {worker, health} = state;
 	const isServing = worker.isReachable && worker.areRunsKnown && worker.announcement?.state === 'ready' && isAnnouncementCurrent(state, now);
-	if (!isServing || state.isShuttingDown) {
+	if (!isServing || state.isShuttingDown || state.isDataCentreClosed) {
 		// Neither a worker heartbeat nor a failed call yet.
 		const isStarting = worker.announcement === undefined && worker.lastFailureAt === Number.NEGATIVE_INFINITY;
-		return isStarting && !state.isShuttingDown ? 'starting' : 'closed';
+		return isStarting && !state.isShuttingDown && !state.isDataCentreClosed ? 'starting' : 'closed';
 	}
 
 	if (health.nextTrialAt === undefined) {
--- a/src/core/runs/load-reports.ts
+++ b/src/core/runs/load-reports.ts
@@ -22,6 +22,9 @@
 /** Steps of a wait, in ms. */
 const waitSteps = [5, 20, 50, 100, 200, 400, 800];
 
+/** Steps of the time for which a worker stays cold, in ms. */
+const coldSteps = [1, 1000, 2000, 4000, 8000, 16_000, 32_000];
+
 /** Change of the slowness that is reported. */
 const slownessStep = 0.25;
 
@@ -44,11 +47,14 @@
 }
 
 /** Describes the free resources and waits in steps; equal texts make no difference to an entry. */
-function formatSteps({free, capacity, waits}: WorkerLoad): string {
+function formatSteps({
+	free, capacity, waits, coldMs = 0,
+}: WorkerLoad): string {
 	const freeShares = [free.cpu / Math.max(1, capacity.cpu), free.memory / Math.max(1, capacity.memory)];
 	return [
 		...freeShares.map(share => countSteps(freeSteps, share)),
 		...waits.map(wait => countSteps(waitSteps, wait)),
+		countSteps(coldSteps, coldMs),
 	].join(' ');
 }
 
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -9,6 +9,7 @@
 	endUnsuitableTasks, endUnstartedTasks, retryStop, startQueued,
 } from './orders.ts';
 import {recordWorkerRefusal} from './crashes.ts';
+import {endTasksOfClosed} from './closings.ts';
 import {dropRenewal} from './leases.ts';
 import {applyPendingClaims, dropDisconnectedOwners} from './owners.ts';
 import {endLapsedRuns, resetWorker} from './losses.ts';
@@ -185,6 +186,8 @@
 
 	state.worker.announcedAt = now;
 	state.worker.isRestored = false;
+	const {coldMs = 0} = announcement;
+	state.worker.coldUntil = coldMs > 0 ? now + coldMs : Math.min(state.worker.coldUntil, now);
 	return applyAnnouncement(state, {...announcement, isResized: hasBeenResized(state, announcement)}, now);
 }
 
@@ -319,6 +322,7 @@
 		...dropDisconnectedOwners(state, now),
 		...endRunsOfSilentWorker(state, now),
 		...dropWaitingTasks(state, now),
+		...endTasksOfClosed(state, now),
 		...stopOrphans(state, now),
 		...retryStops(state, now),
 		...startQueued(state, now),
@@ -402,5 +406,6 @@
 		free: computeFreeResources(state),
 		waits: estimateWaits(state, now),
 		slowness: Math.round(state.slowness * 100) / 100,
+		...(now < state.worker.coldUntil && {coldMs: Math.round(state.worker.coldUntil - now)}),
 	};
 }
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -15,6 +15,7 @@
 import {
 	getRecordKey, recordEnd, type RunsState,
 } from './state.ts';
+import {isColdRun} from './progress.ts';
 import {addToQueue} from './queue.ts';
 import {hasOtherStartedRun, isStartOrdered, removeRecord} from './records.ts';
 import {canAcceptTask, isAnnouncementCurrent} from './health.ts';
@@ -46,6 +47,7 @@
 		runMs: hasRun ? Math.round(now - record.orderedAt) : 0,
 		waitMs: Math.round((isStartOrdered(record) ? record.orderedAt : now) - record.queuedAt),
 		...(record.stopReason === 'superseded' && {isSuperseded: true}),
+		...(hasRun && isColdRun(state, record) && {isCold: true}),
 		...(crash !== undefined && {crash}),
 	};
 	if (crash !== undefined) {
@@ -104,11 +106,11 @@
  * @param now - Current time.
  * @returns Whether it may be sent; false if it was stopped in the meantime or removed with its worker, its entry is silent or
  * has to confirm it, the worker may not run it any more, its capacity has shrunk below what is reserved, or what it can run is not
- * known, or the lease must not be extended.
+ * known, the data centre was closed, or the lease must not be extended.
  */
 export function recordStartSent(state: RunsState, record: RunRecord, now: Milliseconds): boolean {
 	const isKnown = state.records.get(getRecordKey(record.owner, record.offer.task)) === record;
-	const isSuitable = isAnnouncementCurrent(state, now) && canEverRun(state, record.offer) && hasReservedCapacity(state);
+	const isSuitable = !state.isDataCentreClosed && isAnnouncementCurrent(state, now) && canEverRun(state, record.offer) && hasReservedCapacity(state);
 	const hasLease = computeLeaseEnd(state, now) !== undefined;
 	if (!isKnown || record.phase !== 'starting' || record.mustAsk || !isOwnerPresent(state, record, now) || !isSuitable || !hasLease) {
 		return false;
@@ -155,7 +157,7 @@
  */
 export function startQueued(state: RunsState, now: Milliseconds): RunsEffect[] {
 	const effects: RunsEffect[] = [];
-	const canStart = state.worker.isReachable && state.worker.areRunsKnown && isAnnouncementCurrent(state, now) && computeLeaseEnd(state, now) !== undefined;
+	const canStart = !state.isDataCentreClosed && state.worker.isReachable && state.worker.areRunsKnown && isAnnouncementCurrent(state, now) && computeLeaseEnd(state, now) !== undefined;
 	if (state.queue.length === 0 || !canStart) {
 		return effects;
 	}
@@ -239,7 +241,7 @@
 	record.phase = 'queued';
 	record.confirmedAt = undefined;
 	record.presumedLoss = undefined;
-	if (state.isShuttingDown || state.worker.announcement?.state !== 'ready' || !canEverRun(state, record.offer)) {
+	if (state.isShuttingDown || state.isDataCentreClosed || state.worker.announcement?.state !== 'ready' || !canEverRun(state, record.offer)) {
 		return [endRecord(state, record, 'not-started', now)];
 	}
 
--- a/src/core/runs/progress.ts
+++ b/src/core/runs/progress.ts
@@ -24,8 +24,13 @@
 const maxSlowness = 20;
 const minSlowness = 0.2;
 
+/** Returns whether the worker was cold for a part of a run, so that its time tells nothing of later ones. */
+export function isColdRun({worker}: RunsState, {orderedAt}: RunRecord): boolean {
+	return worker.coldUntil > orderedAt;
+}
+
 /**
- * Records a measured run time in the slowness of the worker.
+ * Records a measured run time in the slowness of the worker, unless it was cold.
  *
  * @param state - State of the agent.
  * @param record - The run.
@@ -33,6 +38,10 @@
  * @param gain - Weight, from 0 to 1.
  */
 export function recordSlowness(state: RunsState, record: RunRecord, runMs: Milliseconds, gain = slownessGain): void {
+	if (isColdRun(state, record)) {
+		return;
+	}
+
 	const measured = Math.min(maxSlowness, Math.max(minSlowness, runMs / Math.max(1, record.offer.expectedMs)));
 	state.slowness *= (measured / state.slowness) ** gain;
 }
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -47,6 +47,8 @@
 	/** Measured run time divided by the expected one. */
 	slowness: number;
 	isShuttingDown: boolean;
+	/** Whether operators have closed the data centre of this agent. */
+	isDataCentreClosed: boolean;
 };
 
 /**
@@ -64,6 +66,7 @@
 			isRestored: false,
 			replaced: undefined,
 			ignored: undefined,
+			coldUntil: Number.NEGATIVE_INFINITY,
 			bornAt: undefined,
 			identifiedAt: 0,
 			isReachable: false,
@@ -94,6 +97,7 @@
 		},
 		slowness: 1,
 		isShuttingDown: false,
+		isDataCentreClosed: false,
 	};
 }
 
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -191,6 +191,8 @@
 	replaced: {readonly announcement: WorkerAnnouncement; readonly at: Milliseconds} | undefined;
 	/** Older heartbeats of the same process since the last one applied, with rising numbers. */
 	ignored: {readonly sequence: number; readonly count: number} | undefined;
+	/** Until when it is cold, or was last. */
+	coldUntil: Milliseconds;
 	/** Start time of the worker process that answers. */
 	bornAt: Milliseconds | undefined;
 	/** When that process first answered. */
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -1,6 +1,7 @@
 /**
  * Messages between entries that dispatch jobs and the agents beside the workers.
  */
+import type {ClosingSet} from '../core/closings/types.ts';
 import type {JobAnswer} from '../core/dispatch/types.ts';
 import type {NodeName, NodeRef} from '../core/identity/types.ts';
 import type {PeerDigests} from '../core/links/types.ts';
@@ -87,6 +88,8 @@
 	readonly waitMs: Milliseconds;
 	/** Whether it was dropped because another entry had offered the task too. */
 	readonly isSuperseded?: boolean;
+	/** Whether its worker was cold for a part of the run, so that the run time tells nothing of later ones. */
+	readonly isCold?: boolean;
 	/** Set for `crashed`. */
 	readonly crash?: CrashEvidence;
 };
@@ -120,6 +123,8 @@
 	readonly waits: readonly Milliseconds[];
 	/** Ratio of measured to expected run times. */
 	readonly slowness: number;
+	/** Time for which the worker stays cold, and so slower than that; undefined if it is not, or from processes of an earlier build. */
+	readonly coldMs?: Milliseconds;
 	/** Undefined from processes of an earlier build. */
 	readonly others?: OthersLoad;
 };
@@ -185,9 +190,10 @@
 	| (SessionMember & {readonly type: 'grant'; readonly tasks: readonly string[]})
 	/**
 	 * All tasks that the entry believes to be at this agent; begins a session, whenever a stream between them opens or
-	 * closes. `heard`: from an earlier stream, if there was one lately.
+	 * closes. `heard`: from an earlier stream, if there was one lately. `closings`: undefined if the entry knows no set, or is
+	 * of an earlier build.
 	 */
-	| (SessionMember & {readonly type: 'claim'; readonly tasks: readonly TaskOffer[]; readonly heard?: HeardCapacity})
+	| (SessionMember & {readonly type: 'claim'; readonly tasks: readonly TaskOffer[]; readonly heard?: HeardCapacity; readonly closings?: ClosingSet})
 	/** `seen`: number of tasks offered in this session that `load` accounts for. */
 	| (SessionMember & {readonly type: 'ended'; readonly reports: readonly TaskReport[]; readonly load: WorkerLoad; readonly seen: number})
 	/** Isolated tasks whose worker has not crashed in the time after their start. */
@@ -210,6 +216,8 @@
 	| {readonly type: 'fetch-configuration'}
 	/** A configuration of the platform; answer to `fetch-configuration`. */
 	| {readonly type: 'configuration'; readonly version: number; readonly text: string}
+	/** The closed data centres: between entries when a stream opens and on each change, to agents on change, from agents to entries that are behind. */
+	| {readonly type: 'closings'; readonly closings: ClosingSet}
 	/** Addresses of processes that the receiver may not know. */
 	| {readonly type: 'peers'; readonly addresses: readonly DispatchPeer[]};
 
--- a/src/ports/store.ts
+++ b/src/ports/store.ts
@@ -53,3 +53,31 @@
 	/** Reads every key with a prefix, and keeps what `select` returns for each: the values together may not fit into memory. */
 	listKeys<Kept>(prefix: string, select: (item: StoreItem) => Kept): Promise<Result<readonly Kept[], StoreError>>;
 };
+
+/** A change of a key. */
+export type StoreChange = {
+	readonly key: string;
+	readonly revision: number;
+	/** Undefined if the key was deleted. */
+	readonly value: string | undefined;
+};
+
+/** Keys with a prefix, or their changes. */
+export type StoreChanges = {
+	readonly changes: readonly StoreChange[];
+	/** Whether the changes are all keys that exist; what is missing was deleted. */
+	readonly isComplete: boolean;
+	/** Revision of the store that the answer is of, from which a watch can continue. */
+	readonly at: number;
+};
+
+/** Reads and watches the keys with a prefix, to follow several keys at the cost of one. */
+export type StorePrefixWatcher = {
+	/** Reads all keys. */
+	readPrefix(prefix: string): Promise<Result<StoreChanges, StoreError>>;
+	/**
+	 * Resolves with the changes after `afterRevision` once there are any, or without changes once `timeout` has passed; with
+	 * all keys if the store has no history since that revision. Fails if no answer has arrived `answerTimeout` after that.
+	 */
+	watchPrefix(prefix: string, afterRevision: number, timeout: Milliseconds, answerTimeout?: Milliseconds): Promise<Result<StoreChanges, StoreError>>;
+};
--- a/src/ports/worker.ts
+++ b/src/ports/worker.ts
@@ -33,6 +33,8 @@
 	readonly sequence: number;
 	/** Start time of the worker process in ms since the epoch, if reported. */
 	readonly bornAt: Milliseconds | undefined;
+	/** Time for which the worker stays cold: it runs tasks more slowly until then. Undefined if it does not tell it. */
+	readonly coldMs?: Milliseconds;
 	/** Whether the worker process has told another capacity before; added by its agent. */
 	readonly isResized?: boolean;
 };
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -4,6 +4,7 @@
 import type {Timings} from '../../core/bounds/types.ts';
 import type {NodeName} from '../../core/identity/types.ts';
 import {addToGroup} from '../../core/groups.ts';
+import {applyClosing} from '../../core/runs/closings.ts';
 import {applySnapshot} from '../../core/runs/snapshots.ts';
 import {
 	advanceRuns, applyHeardCapacity, applyRenewalFailure, computeLoad, computeRenewalWait, findWorkerToStore, handleAnnouncement, handleDeparture, hasRecentFailure, isExtraRenewalDue,
@@ -33,6 +34,7 @@
 import type {RunRef, WorkerAnnouncement, WorkerControl} from '../../ports/worker.ts';
 import {runLoop} from '../shared/loops.ts';
 import {waitFor} from '../shared/wait.ts';
+import {ClosingsExchange} from './closings.ts';
 import {Directory} from './directory.ts';
 import {createOwnAddress, type DispatchInput} from './input.ts';
 import {PeerLinks} from './links.ts';
@@ -58,6 +60,7 @@
 export class DispatchAgent implements AsyncDisposable {
 	readonly state: RunsState;
 	readonly #links: PeerLinks;
+	readonly #closings: ClosingsExchange;
 	readonly #directory: Directory;
 	readonly #timers: Disposable[];
 	/** Number of offered tasks received in the session of each entry. */
@@ -82,7 +85,13 @@
 		},
 		withdraw: (from, {tasks}) => handleWithdrawal(this.state, from.name, tasks, this.#now()),
 		grant: (from, {tasks}) => handleGrant(this.state, from.name, tasks, this.#now()),
-		claim: (from, {tasks, heard}) => {
+		closings: (from, {closings}) => {
+			this.#closings.handleSet(from.name, closings);
+			return [];
+		},
+		claim: (from, {tasks, heard, closings}) => {
+			// Before the claim, which may start tasks that were granted.
+			this.#closings.handleSet(from.name, closings);
 			this.#receivedOfferCounts.delete(from.name);
 			this.#reportedLoads.delete(from.name);
 			return [
@@ -149,6 +158,7 @@
 				this.#sendCrashes(peer.name, listRecentCrashes(this.state, this.#now()));
 			},
 			onDisconnect: peer => {
+				this.#closings.handleDisconnect(peer.name);
 				handleOwnerDisconnect(this.state, peer.name, this.#now());
 			},
 			onMessage: (from, message) => {
@@ -164,6 +174,16 @@
 			},
 			isQuiet: peer => !hasRecordsOf(this.state, peer.name),
 		});
+		this.#closings = new ClosingsExchange({
+			role: 'agent',
+			links: this.#links,
+			clock,
+			log,
+			onChange: closed => {
+				this.#applyEffects(applyClosing(this.state, closed.has(input.settings.dataCentre), this.#now()));
+				this.#sendLoads();
+			},
+		});
 		this.#directory = new Directory({
 			store: input.store,
 			clock,
@@ -179,6 +199,7 @@
 		this.#timers = [
 			clock.startInterval(tickMs, () => {
 				this.#recordContacts();
+				this.#closings.advance();
 				this.#applyEffects(advanceRuns(this.state, this.#now()));
 				if (isExtraRenewalDue(this.state, this.#now())) {
 					void this.#fetchSnapshotNow();
@@ -223,6 +244,7 @@
 			worker_millicores: capacity.cpu,
 			free_millicores: free.cpu,
 			worker_slowness: slowness,
+			closed_data_centres: this.#closings.closed.length,
 		};
 	}
 
--- a/src/processes/dispatch/configuration.ts
+++ b/src/processes/dispatch/configuration.ts
@@ -1,14 +1,21 @@
 /**
- * Keeps the newest configuration: reads and watches it in the store, and receives it from other entries.
+ * Keeps the newest configuration: reads and watches it in the store, and receives it from other entries. Where operators
+ * close data centres, one watch covers the configuration and the closings.
  */
+import type {Result} from 'ts-results-es';
 import {computeWatchTimings} from '../../core/bounds/logic.ts';
 import type {Bounds, WatchTimings} from '../../core/bounds/types.ts';
+import {applyStoreChanges} from '../../core/closings/logic.ts';
+import {createStoreView, type StoreView} from '../../core/closings/state.ts';
+import type {ClosingChange, ClosingSet} from '../../core/closings/types.ts';
 import {applyConfiguration} from '../../core/routes/logic.ts';
 import {createRoutesState, type RoutesState} from '../../core/routes/state.ts';
 import type {Configuration} from '../../core/routes/types.ts';
 import type {Clock} from '../../ports/clock.ts';
 import type {DecisionLog} from '../../ports/decision-log.ts';
-import type {Store} from '../../ports/store.ts';
+import type {
+	Store, StoreChanges, StoreError, StorePrefixWatcher,
+} from '../../ports/store.ts';
 import {runLoop} from '../shared/loops.ts';
 import {waitFor} from '../shared/wait.ts';
 
@@ -16,6 +23,29 @@
 const minRetryMs = 50;
 const maxRetryMs = 800;
 
+/** Where closings are found in the store. */
+export type ClosingKeys = {
+	readonly store: StorePrefixWatcher;
+	/** Prefix of the configuration and of the closings. */
+	readonly prefix: string;
+	/** Prefix of the closings; the name of the data centre follows it. */
+	readonly closingPrefix: string;
+};
+
+/** How closings are followed. */
+export type ClosingsInput = ClosingKeys & {
+	/** Called with the set of each answer of the store. */
+	readonly onSet: (set: ClosingSet) => void;
+};
+
+/** Answer of the store to a read or a watch. */
+type StoreAnswer = {
+	readonly at: number;
+	/** Text of the configuration, if it was read or has changed. */
+	readonly text: string | undefined;
+	readonly changes?: StoreChanges;
+};
+
 /** Dependencies and callbacks of the configuration source. */
 export type ConfigurationInput = {
 	readonly store: Store;
@@ -28,12 +58,15 @@
 	readonly bounds: Bounds;
 	/** Called after a new configuration was applied. */
 	readonly onChange: (version: number) => void;
+	/** Undefined where operators close no data centres: only the key of the configuration is watched then. */
+	readonly closings?: ClosingsInput;
 };
 
 /** Source of the configuration of one entry. */
 export class ConfigurationSource implements Disposable {
 	readonly routes: RoutesState = createRoutesState();
 	readonly #timings: WatchTimings;
+	readonly #storeView: StoreView = createStoreView();
 	#text = '';
 	#revision = 0;
 	#isClosed = false;
@@ -42,7 +75,7 @@
 
 	/** @param input - Dependencies and callbacks. */
 	constructor(private readonly input: ConfigurationInput) {
-		this.#timings = computeWatchTimings(input.bounds);
+		this.#timings = computeWatchTimings({configurationMs: Math.min(input.bounds.configurationMs, input.bounds.closingMs ?? Number.POSITIVE_INFINITY)});
 	}
 
 	/** Version of the current configuration; 0 for none. */
@@ -112,16 +145,15 @@
 		this.#isClosed = true;
 	}
 
-	/** Reads the key, or waits until it changes; returns false if the store failed or has no such key. */
+	/** Reads the keys, or waits until one changes; returns false if the store failed or has no such key. */
 	async #readOnce(): Promise<boolean> {
-		const {store, key} = this.input;
 		const restarted = new Promise<'restarted'>(resolve => {
 			this.#restart = () => {
 				resolve('restarted');
 			};
 		});
 		const answer = await Promise.race([
-			this.#revision === 0 ? store.readKey(key) : store.watchKey(key, this.#revision, this.#timings.waitMs, this.#timings.answerMs),
+			this.input.closings === undefined ? this.#fetchKey() : this.#fetchPrefix(this.input.closings),
 			restarted,
 		]);
 		if (answer === 'restarted') {
@@ -135,13 +167,37 @@
 			return false;
 		}
 
-		const {revision, value, at} = answer.value;
+		const {at, text, changes} = answer.value;
 		// Set first, so that a value which can't be applied is not read again.
-		this.#revision = at ?? revision;
-		if (value !== undefined) {
-			this.applyText(value, 'store');
+		this.#revision = at;
+		if (changes !== undefined) {
+			this.#applyClosings(this.input.closings!, changes);
+		}
+
+		if (text !== undefined) {
+			this.applyText(text, 'store');
 		}
 
 		return this.#revision > 0;
 	}
+
+	async #fetchKey(): Promise<Result<StoreAnswer, StoreError>> {
+		const {store, key} = this.input;
+		const answer = await (this.#revision === 0 ? store.readKey(key) : store.watchKey(key, this.#revision, this.#timings.waitMs, this.#timings.answerMs));
+		return answer.map(({revision, value, at}) => ({at: at ?? revision, text: value}));
+	}
+
+	async #fetchPrefix({store, prefix}: ClosingsInput): Promise<Result<StoreAnswer, StoreError>> {
+		const answer = await (this.#revision === 0 ? store.readPrefix(prefix) : store.watchPrefix(prefix, this.#revision, this.#timings.waitMs, this.#timings.answerMs));
+		return answer.map(changes => {
+			const texts = changes.changes.flatMap(({key, value}) => key === this.input.key ? value ?? [] : []);
+			return {at: changes.at, text: texts.at(-1), changes};
+		});
+	}
+
+	#applyClosings({closingPrefix, onSet}: ClosingsInput, {changes, isComplete, at}: StoreChanges): void {
+		const closings = changes.filter(({key}) => key.startsWith(closingPrefix) && key.length > closingPrefix.length)
+			.map(({key, revision, value}): ClosingChange => ({dataCentre: key.slice(closingPrefix.length), revision, isClosed: value !== undefined}));
+		onSet(applyStoreChanges(this.#storeView, closings, isComplete, at));
+	}
 }
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -9,6 +9,7 @@
 import {
 	advanceDispatch, cancelJob, handleCallerLeave, placeAllWaitingTasks, submitJob, type JobRequest,
 } from '../../core/dispatch/logic.ts';
+import {applyClosedDataCentres, updateOpenDataCentres} from '../../core/dispatch/closings.ts';
 import {listCheckedJobs, observeStandstill} from '../../core/dispatch/checking.ts';
 import {observeContact} from '../../core/dispatch/contact.ts';
 import {applyReports, handleCrashes, handleSurvival} from '../../core/dispatch/reports.ts';
@@ -32,6 +33,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {PeerAddress} from '../../ports/messages.ts';
 import {waitFor} from '../shared/wait.ts';
+import {ClosingsExchange} from './closings.ts';
 import {ConfigurationSource} from './configuration.ts';
 import {Directory} from './directory.ts';
 import {PeerLinks} from './links.ts';
@@ -56,6 +58,7 @@
 	readonly configuration: ConfigurationSource;
 	readonly #links: PeerLinks;
 	readonly #ownership: OwnershipExchange;
+	readonly #closings: ClosingsExchange;
 	readonly #timer: Disposable;
 	readonly #waiters = new Map<Job, Waiter[]>();
 	readonly #sharing = createSharingState();
@@ -108,6 +111,9 @@
 		version: (from, {version}) => {
 			recordPeerVersion(this.#sharing, from.name, version);
 		},
+		closings: (from, {closings}) => {
+			this.#closings.handleSet(from.name, closings);
+		},
 		'fetch-configuration': from => {
 			if (this.configuration.version > 0) {
 				this.#links.sendMessage(from.name, {type: 'configuration', version: this.configuration.version, text: this.configuration.text});
@@ -169,6 +175,13 @@
 			onChange: version => {
 				this.#shareVersion(version);
 			},
+			closings: settings.bounds.closingMs === undefined || input.closingKeys === undefined
+				? undefined
+				: {
+					...input.closingKeys, onSet: set => {
+						this.#closings.applySet(set, 'store');
+					},
+				},
 		});
 		this.#links = new PeerLinks({
 			self,
@@ -195,6 +208,7 @@
 					this.#startSession(peer);
 				} else {
 					this.#ownership.handleConnect(peer);
+					this.#closings.handleConnect(peer.name);
 				}
 			},
 			onMessage: (from, message) => {
@@ -220,6 +234,16 @@
 				this.#applyEffects(effects);
 			},
 		});
+		this.#closings = new ClosingsExchange({
+			role: 'entry',
+			links: this.#links,
+			clock,
+			log,
+			onChange: closed => {
+				this.#applyEffects(applyClosedDataCentres(this.state, closed, this.#now()));
+				updateOpenDataCentres(this.state, this.#links.listDataCentres('agent'));
+			},
+		});
 		this.#timer = clock.startInterval(tickMs, () => {
 			this.#advance();
 		});
@@ -293,6 +317,7 @@
 			linked_agents: this.state.fleet.agents.size,
 			subset_agents: this.state.agentCount,
 			configuration_version: this.configuration.version,
+			closed_data_centres: this.#closings.closed.length,
 		};
 	}
 
@@ -350,6 +375,11 @@
 		}
 
 		this.#ownership.observeContact();
+		this.#closings.advance();
+		if (this.#closings.closed.length > 0) {
+			updateOpenDataCentres(this.state, this.#links.listDataCentres('agent'));
+		}
+
 		this.#applyEffects(advanceDispatch(this.state, now));
 		this.#ownership.sendNews();
 		this.#recordCarefulRoutes(now);
@@ -404,12 +434,13 @@
 		}
 
 		this.#ownership.handleConnect(peer);
+		this.#closings.handleConnect(peer.name);
 		recordPeerVersion(this.#sharing, peer.name, peer.configurationVersion);
 	}
 
 	#startSession({name}: ConnectedPeer): void {
 		const {claim, effects} = startSession(this.state, name, this.#now());
-		this.#links.sendMessage(name, {...claim, heard: takeHeardCapacity(this.state.fleet, name, this.#now())});
+		this.#links.sendMessage(name, {...claim, heard: takeHeardCapacity(this.state.fleet, name, this.#now()), closings: this.#closings.set});
 		this.#applyEffects(effects);
 	}
 
@@ -421,6 +452,7 @@
 		this.#updatePeerCounts();
 		this.configuration.restartWatch();
 		removePeerVersion(this.#sharing, peer.name);
+		this.#closings.handleDisconnect(peer.name);
 		if (peer.role === 'agent') {
 			removeAgent(this.state.fleet, peer.name);
 			this.#applyEffects(handleAgentDisconnect(this.state, peer.name, this.#now()));
--- a/src/processes/dispatch/input.ts
+++ b/src/processes/dispatch/input.ts
@@ -7,6 +7,7 @@
 import type {PeerAddress, Role} from '../../ports/messages.ts';
 import type {Store, StoreLister} from '../../ports/store.ts';
 import type {DispatchSettings} from '../../settings/dispatch.ts';
+import type {ClosingKeys} from './configuration.ts';
 
 /** Settings and ports of a process. */
 export type DispatchInput = {
@@ -17,6 +18,8 @@
 	readonly store: Store & StoreLister;
 	/** Key of the configuration in the store. */
 	readonly configurationKey: string;
+	/** Where closings are found; used by entries whose bounds have a time for them. */
+	readonly closingKeys?: ClosingKeys;
 	/** Decodes a configuration; returns an error message if it is invalid. */
 	readonly decodeConfiguration: (text: string) => Configuration | string;
 	readonly clock: Clock;
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -21,7 +21,7 @@
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {DispatchMessage, DispatchPeer} from '../../ports/dispatch-messages.ts';
-import type {PeerAddress} from '../../ports/messages.ts';
+import type {PeerAddress, Role} from '../../ports/messages.ts';
 import {parsePeer, selectLabels} from './directory-records.ts';
 
 /** Interval of opening streams that are due and of passing on new addresses, in ms. */
@@ -162,6 +162,12 @@
 		return [...getSubset(this.state)].filter(name => this.state.known.get(name)?.address.role === 'agent').length;
 	}
 
+	/** Lists the data centres of the known processes of a role, or of all roles and this process. */
+	listDataCentres(role?: Role): ReadonlySet<string> {
+		const addresses = [...this.state.known.values()].map(({address}) => address);
+		return new Set((role === undefined ? [this.state.self, ...addresses] : addresses.filter(address => address.role === role)).map(({dataCentre}) => dataCentre));
+	}
+
 	/** Lists the known agents without an open stream. */
 	listUnconnectedAgents(): readonly DispatchPeer[] {
 		return [...this.state.known.values()].map(({address}) => address).filter(({role, name}) => role === 'agent' && !this.state.connected.has(name));
