--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -45,6 +45,9 @@
 	readonly metrics: string;
 };
 
+/** Data centre of the entries. */
+const entryDataCentre = 'dc';
+
 /** Grace period of the processes, in seconds, unless a fleet has its own. */
 const defaultGraceSeconds = 3;
 
@@ -56,6 +59,10 @@
 	/** Addresses of the metrics of the agents. */
 	readonly agentMetrics: string[] = [];
 	graceSeconds = defaultGraceSeconds;
+	/** Time within which the closing of a data centre must take effect, in ms; operators close none if it is not set. */
+	closingMs: number | undefined;
+	/** Data centres of the agents, by position; others are in that of the entries. */
+	dataCentres: readonly string[] = [];
 	#store: StoreStandIn | undefined;
 	#folder = '';
 	#probes = 0;
@@ -99,7 +106,7 @@
 			this.workers.push(worker);
 			worker.startHeartbeats(`127.0.0.1:${heartbeatPort}`);
 			await this.#startProcess('agent', `agent-${index}`, {
-				agentPort, heartbeats: `127.0.0.1:${heartbeatPort}`, metrics: `127.0.0.1:${metricsPort}`, worker: worker.address,
+				dataCentre: this.dataCentres[index] ?? entryDataCentre, agentPort, heartbeats: `127.0.0.1:${heartbeatPort}`, metrics: `127.0.0.1:${metricsPort}`, worker: worker.address,
 			});
 		}
 
@@ -165,6 +172,16 @@
 		this.#store!.writeKey('op/config', createConfiguration(version, false));
 	}
 
+	/** Closes a data centre. */
+	closeDataCentre(name: string): void {
+		this.#store!.writeText(`op/evacuate/${name}`, '');
+	}
+
+	/** Opens a closed data centre. */
+	openDataCentre(name: string): void {
+		this.#store!.deleteKey(`op/evacuate/${name}`);
+	}
+
 	/** Submits a job and waits for the response; the connection closes when `signal` is aborted. */
 	async submitJob(id: string, body: unknown, prefix = '/q/', signal?: AbortSignal): Promise<{status: number; body: unknown}> {
 		const response = await this.#send('POST', `${prefix}${id}`, JSON.stringify(body), signal);
@@ -242,8 +259,8 @@
 	async #startProcess(role: FleetProcess['role'], name: string, fields: Record<string, unknown>): Promise<void> {
 		const file = path.join(this.#folder, `${name}.json`);
 		await writeFile(file, JSON.stringify({
-			name, host: '127.0.0.1', dataCentre: 'dc', entryPort: 1, agentPort: 1, store: this.#store!.address, ...fields, bounds: {
-				maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: this.graceSeconds, configurationMs: 2000, remoteFactor: 1.5,
+			name, host: '127.0.0.1', dataCentre: entryDataCentre, entryPort: 1, agentPort: 1, store: this.#store!.address, ...fields, bounds: {
+				maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: this.graceSeconds, configurationMs: 2000, remoteFactor: 1.5, closingMs: this.closingMs,
 			},
 		}));
 		this.processes.push({
