Cover jobs that wait for agents while data centres are closed

A trial with single guards removed showed that two of them were not covered: an entry must refuse at once, instead of waiting for agents to connect again, while the data centres of all known agents are closed, also without a connected agent.

--- a/features/closings/entry.feature
+++ b/features/closings/entry.feature
@@ -56,9 +56,23 @@
   Scenario: A job is refused at once while all are closed and agents are expected to connect
     Given 3 agents are known and expected to connect again
     When "dc west" are closed
-    And job "j1" of 1 tasks of 3000 arrives
+    And job "j1" of 1 tasks of 3000 and 2000 ms arrives
+    Then "j1" is refused as "not-run" for "no-worker"
+
+  # Guards against the same wait after the streams to all agents have closed.
+  Scenario: A job is refused at once while all are closed and no agent is connected
+    When "dc west" are closed
+    And both streams close
+    And job "j1" of 1 tasks of 3000 and 2000 ms arrives
     Then "j1" is refused as "not-run" for "no-worker"
 
+  # Guards against a refusal of jobs that the agents of an open data centre can run once they are connected again.
+  Scenario: A job waits for agents of an open data centre that are expected to connect
+    When "west" is closed
+    And both streams close
+    And job "j1" of 1 tasks of 3000 and 2000 ms arrives
+    Then "j1" has no answer
+
   # Guards against a caller that is held until its deadline: its tasks were handed back by the last open data centre.
   Scenario: A job whose tasks come back is refused at the next tick while all are closed
     When job "j1" of 1 tasks of 3000 arrives
