Measure processor time per job in the profile bench

The bench divided by the requested rate, which the load generator did not reach, and printed minified names. It now submits what is due by the clock, counts answers, measures the processes without load, prints the time per job, runs an unminified bundle, and ends its processes if interrupted.

--- a/bench/profile.ts
+++ b/bench/profile.ts
@@ -1,8 +1,9 @@
 /**
  * Measures what an entry and an agent of the platform spend under a steady load, with stand-ins on loopback.
  *
- * Run by `npm run profile -- [--entries N] [--agents N] [--jobs PER_SECOND] [--seconds N]` after `npm run build`.
- * Prints processor time per role and the functions of one entry and one agent that spend most.
+ * Run by `npm run profile -- [--entries N] [--agents N] [--jobs PER_SECOND] [--task-cpu MILLICORES] [--seconds N]`.
+ * Prints processor time per role, idle and per answered job, and the functions of one entry and one agent that spend
+ * most. The processes run a bundle that is built for the measurement: as on the platform, but with readable names.
  */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {
@@ -12,16 +13,21 @@
 import path from 'node:path';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {build} from 'esbuild';
 import {Agent as HttpAgent, request} from 'undici';
 import {startStoreStandIn} from '../platform/stand-ins/store.ts';
 import {startWorkerStandIn} from '../platform/stand-ins/worker.ts';
-import {platformNodeOptions} from '../scripts/bundle-options.mjs';
+import {bundleOptions, optionalAddons, platformNodeOptions} from '../scripts/bundle-options.mjs';
 import {describeProfile, readProcessorTime} from './profile/report.ts';
 import {takePorts} from './rig/ports.ts';
 
 const {values} = parseArgs({
 	options: {
-		entries: {type: 'string', default: '3'}, agents: {type: 'string', default: '8'}, jobs: {type: 'string', default: '90'}, seconds: {type: 'string', default: '12'},
+		entries: {type: 'string', default: '3'},
+		agents: {type: 'string', default: '8'},
+		jobs: {type: 'string', default: '90'},
+		seconds: {type: 'string', default: '12'},
+		'task-cpu': {type: 'string', default: '1600'},
 	},
 });
 
@@ -33,7 +39,6 @@
 
 const runMs = 300;
 const tasksPerJob = 4;
-const taskCpu = 1600;
 const workerCpu = 32_000;
 
 type Member = {readonly role: 'entry' | 'agent'; readonly child: ChildProcess};
@@ -57,8 +62,21 @@
 	Limits: {MaxBodyBytes: 65_536},
 };
 
-const [entryCount, agentCount, jobsPerSecond, seconds] = [values.entries, values.agents, values.jobs, values.seconds].map(Number);
+const [entryCount, agentCount, jobsPerSecond, seconds, taskCpu] = [values.entries, values.agents, values.jobs, values.seconds, values['task-cpu']].map(Number);
 const folder = await mkdtemp(path.join(tmpdir(), 'medlardale-profile-'));
+// An interrupted measurement must not leave its processes behind.
+process.once('SIGTERM', () => {
+	process.exit(1);
+});
+process.on('exit', () => {
+	for (const {child} of members) {
+		child.kill();
+	}
+});
+const bundle = path.join(folder, 'bundle.cjs');
+await build({
+	...bundleOptions, minify: false, entryPoints: ['platform/main.ts'], format: 'cjs', outfile: bundle, external: optionalAddons,
+});
 const store = await startStoreStandIn();
 store.writeKey('op/config', configuration);
 const ports = await takePorts((entryCount + agentCount) * portsPerProcess);
@@ -74,7 +92,7 @@
 	}));
 	// Only the first of each role is profiled: profiling costs processor time itself.
 	const profiling = index === 0 ? ['--cpu-prof', `--cpu-prof-dir=${path.join(folder, role)}`] : [];
-	const child = spawn(process.execPath, [...platformNodeOptions[role], ...profiling, 'target/medlardale.cjs', role, '--settings', file], {
+	const child = spawn(process.execPath, [...platformNodeOptions[role], ...profiling, bundle, role, '--settings', file], {
 		stdio: ['ignore', 'ignore', 'inherit'], env: {...process.env, MEDLARDALE_SECRET: 'profile'},
 	});
 	members.push({role, child});
@@ -126,6 +144,10 @@
 	answers[result] = (answers[result] ?? 0) + 1;
 }
 
+function countAnswers(): number {
+	return Object.values(answers).reduce((sum, count) => sum + count, 0);
+}
+
 async function readRoleTimes(): Promise<Record<Member['role'], number>> {
 	const times = {entry: 0, agent: 0};
 	for (const {role, child} of members) {
@@ -136,22 +158,37 @@
 }
 
 await waitMs(warmupMs);
+const idleStart = await readRoleTimes();
+await waitMs(warmupMs);
+const idleEnd = await readRoleTimes();
+const loadStart = performance.now();
+// A timer has a resolution of 1 ms, so each call submits what is due by then.
 const load = setInterval(() => {
-	void submitJob();
-}, 1000 / jobsPerSecond);
+	while (submitted < (performance.now() - loadStart) * jobsPerSecond / 1000) {
+		void submitJob();
+	}
+}, 1);
 await waitMs(warmupMs);
 const before = await readRoleTimes();
-const startsPerAgent = jobsPerSecond * tasksPerJob / agentCount;
+const answeredBefore = countAnswers();
+const measuredFrom = performance.now();
 await waitMs(seconds * 1000);
 const after = await readRoleTimes();
+const answered = countAnswers() - answeredBefore;
+const measuredMs = performance.now() - measuredFrom;
 clearInterval(load);
 await waitMs(runMs * 2);
 
-process.stdout.write(`${entryCount} entries, ${agentCount} agents, ${jobsPerSecond} jobs/s of ${tasksPerJob} tasks (${startsPerAgent.toFixed(1)} starts/s an agent)\n`);
+const answerRate = answered * 1000 / measuredMs;
+process.stdout.write(`${entryCount} entries, ${agentCount} agents, ${jobsPerSecond} jobs/s of ${tasksPerJob} tasks of ${taskCpu} millicores; ${answerRate.toFixed(0)} answers/s\n`);
 process.stdout.write(`answers ${JSON.stringify(answers)}\n`);
 for (const [role, count] of [['entry', entryCount], ['agent', agentCount]] as const) {
-	const share = (after[role] - before[role]) / seconds / 1000 / count;
-	process.stdout.write(`${role}: ${(share * 100).toFixed(2)}% of a core each\n`);
+	const share = (after[role] - before[role]) / measuredMs / count;
+	const idleShare = (idleEnd[role] - idleStart[role]) / warmupMs / count;
+	const msPerJob = (after[role] - before[role]) / answered;
+	const idleMsPerJob = idleShare * count * measuredMs / answered;
+	process.stdout.write(`${role}: ${(share * 100).toFixed(2)}% of a core each, ${(idleShare * 100).toFixed(2)}% without load; `
+		+ `${msPerJob.toFixed(2)} ms per job over all of the role, ${(msPerJob - idleMsPerJob).toFixed(2)} ms without the idle share\n`);
 }
 
 for (const {child} of members) {
@@ -164,7 +201,7 @@
 for (const role of ['entry', 'agent']) {
 	const files = await readdir(path.join(folder, role));
 	const profile = JSON.parse(await readFile(path.join(folder, role, files[0]), 'utf8')) as Parameters<typeof describeProfile>[0];
-	process.stdout.write(`\n${role}\n${describeProfile(profile, warmupMs)}\n`);
+	process.stdout.write(`\n${role}\n${describeProfile(profile, warmupMs * 2)}\n`);
 }
 
 await dispatcher.close();
