Rank agents once per step and list waiting tasks once per turn

Placement estimated and sorted all agents for every task, and each load report listed and sorted all open jobs. Both grow with the fleet.

A placement now ranks the agents once per step and estimates only those again that have got an offer since; the expected wait and the utilization, which pass over all agents, are computed only where they can decide. Waiting tasks are listed once for all agents that report in one turn, and pending withdrawals are inserted without an array per effect.

--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -118,15 +118,21 @@
 	}
 
 	// A job whose tasks all find free resources starts now: refusing it would not help other jobs.
-	const wait = placement.hasTentativeOffer ? placement.wait : 0;
+	const wait = placement.hasTentativeOffer ? placement.wait ?? 0 : 0;
 	const total = Math.max(placement.total, criticalPath);
 	if (now + (total * endMarginFactor) > state.endsAt) {
 		return leavingRefusal;
 	}
 
+	const isInTime = total <= Math.min(job.objectiveMs * maxResponseFactor, timeLeft);
+	if (wait === 0 && isInTime && criticalPath <= job.objectiveMs) {
+		// The limit of the wait, which takes a pass over all agents, cannot decide.
+		return undefined;
+	}
+
 	const isLightLoad = estimateUtilization(state, job.route, now) < lightLoadLimit;
 	const limit = (job.objectiveMs - criticalPath) * (isLightLoad ? lightLoadWaitShare : maxWaitShare);
-	return wait <= limit && total <= Math.min(job.objectiveMs * maxResponseFactor, timeLeft)
+	return wait <= limit && isInTime
 		? undefined
 		: createRefusal('overload', wait, {
 			waitMs: Math.round(wait), totalMs: Math.round(total), limitMs: Math.round(limit), agents: state.fleet.agents.size,
--- a/src/core/dispatch/containment.ts
+++ b/src/core/dispatch/containment.ts
@@ -122,6 +122,10 @@
 		return inside.length > 0 || label === '' ? inside : possible;
 	}
 
+	if (!state.crashes.reservedAgents.has(route.target)) {
+		return possible;
+	}
+
 	const unreserved = possible.filter(({agent}) => !isReserved(state, route.target, agent));
 	return unreserved.length > 0 ? unreserved : possible;
 }
--- a/src/core/dispatch/placing.ts
+++ b/src/core/dispatch/placing.ts
@@ -3,11 +3,12 @@
  */
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskOffer} from '../../ports/dispatch-messages.ts';
+import type {Resources} from '../../ports/worker.ts';
 import {
-	computeSpareResources, hasFreeCapacity, isSuitable, listPlacementEstimates,
+	computeSpareResources, hasFreeCapacity, isSuitable,
 } from '../fleet/logic.ts';
 import {recordOffer} from '../fleet/state.ts';
-import type {TaskDemand} from '../fleet/types.ts';
+import type {PlacementEstimate, TaskDemand} from '../fleet/types.ts';
 import {addToGroup} from '../groups.ts';
 import type {NodeName} from '../identity/types.ts';
 import {hasCapacityFor, removeResources} from '../resources/logic.ts';
@@ -15,6 +16,9 @@
 	canStartAt, chooseStartMode, selectContained, type StartMode,
 } from './containment.ts';
 import {createIsolatedPlacer, type Placer} from './isolated-placing.ts';
+import {
+	createRanking, findBestEstimate, listRanked, recordRankedOffer, updateRanking, type Ranking, type Rankings,
+} from './ranking.ts';
 import {createDemand, createOffer} from './task-offers.ts';
 import {estimateWait} from './waits.ts';
 import type {DispatchState} from './state.ts';
@@ -56,8 +60,10 @@
 export type Placement = {
 	/** By agent. */
 	readonly offers: Map<NodeName, TaskOffer[]>;
-	/** Expected wait of a task that is offered tentatively. */
-	readonly wait: Milliseconds;
+	/** Expected wait of a task that is offered tentatively; computed when it is first needed, as most tasks start at once. */
+	wait: Milliseconds | undefined;
+	/** The agents that can run the tasks, by step. */
+	readonly rankings: Rankings;
 	/** The last agent with a direct offer. */
 	run?: Run;
 	/** Estimated time until the last task ends. */
@@ -78,12 +84,13 @@
 /** The agent that got the last task with a direct offer. */
 type Run = {readonly step: number; readonly agent: NodeName; readonly demand: TaskDemand; length: number};
 
-function placeDirectly(state: DispatchState, job: Job, task: TaskState, run: Omit<Run, 'length'>, {offers}: Placement): void {
+function placeDirectly(state: DispatchState, job: Job, task: TaskState, run: Omit<Run, 'length'>, {offers, rankings}: Placement): void {
 	const offer = {...createOffer(job, task, run.demand), isTentative: false};
 	task.offer = offer;
 	task.phase = 'placed';
 	task.agent = run.agent;
 	recordOffer(state.fleet, run.agent, run.demand, false);
+	recordRankedOffer(rankings, state.fleet, run.agent, false);
 	addToGroup(offers, run.agent, offer);
 }
 
@@ -101,22 +108,45 @@
 	return true;
 }
 
+/** Returns the ranking for a task: that of its step, or one of its own if it should avoid agents. */
+function getRanking(state: DispatchState, job: Job, task: TaskState, {rankings}: Placement, now: Milliseconds): Ranking {
+	if (task.avoidedAgents.size > 0) {
+		return createRanking(state.fleet, createDemand(state, job, task), now, task.avoidedAgents);
+	}
+
+	const existing = rankings.get(task.step);
+	if (existing !== undefined) {
+		updateRanking(state.fleet, existing, now);
+		return existing;
+	}
+
+	const ranking = createRanking(state.fleet, createDemand(state, job, task), now);
+	rankings.set(task.step, ranking);
+	return ranking;
+}
+
+/** Computes the expected wait before a task of the job is offered, as that would count as work ahead of it. */
+function computeWait(state: DispatchState, job: Job, placement: Placement, now: Milliseconds): Milliseconds {
+	placement.wait ??= estimateWait(state, job.route, now);
+	return placement.wait;
+}
+
 function placeTask(state: DispatchState, job: Job, task: TaskState, placement: Placement, now: Milliseconds): void {
-	const demand = createDemand(state, job, task);
+	const ranking = getRanking(state, job, task, placement, now);
+	const {demand} = ranking;
 	const fullAgents = listFullAgents(job, task);
-	const suitable = listPlacementEstimates(state.fleet, demand, task.avoidedAgents, now);
-	const possible = suitable.filter(({agent}) => !fullAgents.has(agent));
-	const choices = selectContained(state, job.route, demand.label, possible);
-	const best = choices.at(0);
+	const selectChoices = (estimates: readonly PlacementEstimate[]): readonly PlacementEstimate[] =>
+		selectContained(state, job.route, demand.label, fullAgents.size === 0 ? estimates : estimates.filter(({agent}) => !fullAgents.has(agent)));
+	const best = findBestEstimate(selectChoices(ranking.estimates));
 	if (best === undefined) {
 		placement.isComplete = false;
-		placement.hasSuitableAgents &&= suitable.length > 0;
+		placement.hasSuitableAgents &&= ranking.estimates.length > 0;
 		return;
 	}
 
 	const isTentative = best.wait > 0;
 	placement.hasTentativeOffer ||= isTentative;
-	const wait = isTentative ? placement.wait : 0;
+	const wait = isTentative ? computeWait(state, job, placement, now) : 0;
 	placement.total = Math.max(placement.total, wait + best.total - best.wait);
 	if (!isTentative) {
 		placement.run = {
@@ -128,12 +158,13 @@
 
 	task.phase = 'offered';
 	task.offeredAt = now;
-	const preferred = choices.filter(({isAvoided}) => !isAvoided);
+	const preferred = selectChoices(listRanked(ranking)).filter(({isAvoided}) => !isAvoided);
 	const candidates = (preferred.length > 0 ? preferred : [best]).slice(0, maxCandidates);
 	task.offer = {...createOffer(job, task, demand), isTentative, copies: candidates.length};
 	for (const {agent} of candidates) {
 		task.candidates.add(agent);
 		recordOffer(state.fleet, agent, demand, true);
+		recordRankedOffer(placement.rankings, state.fleet, agent, true);
 		addToGroup(placement.offers, agent, task.offer);
 	}
 }
@@ -162,11 +193,17 @@
  */
 export function placeTasks(state: DispatchState, job: Job, now: Milliseconds): Placement {
 	const placement: Placement = {
-		offers: new Map(), wait: estimateWait(state, job.route, now), total: 0, isComplete: true, hasTentativeOffer: false, hasSuitableAgents: true, lacksQuarantine: false,
+		offers: new Map(), rankings: new Map(), wait: undefined, total: 0, isComplete: true, hasTentativeOffer: false, hasSuitableAgents: true, lacksQuarantine: false,
 	};
 	for (const task of job.tasks) {
 		if (task.phase === 'waiting') {
-			placers[chooseStartMode(state, job, task, now)](state, job, task, placement, now);
+			const mode = chooseStartMode(state, job, task, now);
+			if (mode !== 'free') {
+				computeWait(state, job, placement, now);
+				placement.rankings.clear();
+			}
+
+			placers[mode](state, job, task, placement, now);
 		}
 	}
 
@@ -198,29 +235,29 @@
 	return [...offers].map(([agent, tasks]) => ({type: 'offer', agent, tasks}));
 }
 
-/** Lists the tasks that wait at agents, the most urgent ones first, then the oldest. */
-function listOfferedTasks(state: DispatchState): ReadonlyArray<{readonly job: Job; readonly task: TaskState}> {
-	const jobs = [...state.openJobs].sort((left, right) => left.route.priority - right.route.priority);
-	return jobs.flatMap(job => job.tasks.filter(({phase}) => phase === 'offered').map(task => ({job, task})));
-}
+/** A task that is offered tentatively. */
+type OfferedTask = {readonly job: Job; readonly task: TaskState};
 
-/**
- * Offers tasks that wait at other agents to an agent with free resources, no more than fit there.
- *
- * @param state - State of the jobs.
- * @param agent - The agent.
- * @returns Offers.
- */
-export function extendOffers(state: DispatchState, agent: NodeName): DispatchEffect[] {
-	let spare = computeSpareResources(state.fleet, agent);
-	if (spare === undefined) {
-		return [];
+/** Lists the tasks that wait at agents, the most urgent ones first, then the oldest. */
+function listOfferedTasks(state: DispatchState): readonly OfferedTask[] {
+	const offered: OfferedTask[] = [];
+	for (const job of state.openJobs) {
+		for (const task of job.tasks) {
+			if (task.phase === 'offered') {
+				offered.push({job, task});
+			}
+		}
 	}
 
+	return offered.sort((left, right) => left.job.route.priority - right.job.route.priority);
+}
+
+function extendOffersTo(state: DispatchState, agent: NodeName, available: Resources, offered: readonly OfferedTask[]): DispatchEffect[] {
+	let spare = available;
 	const offers: TaskOffer[] = [];
-	for (const {job, task} of listOfferedTasks(state)) {
+	for (const {job, task} of offered) {
 		const {candidates, avoidedAgents, offer} = task;
-		const isCandidate = canStartAt(state, job, offer!, agent) && !candidates.has(agent) && !avoidedAgents.has(agent) && hasCapacityFor(spare, offer!.needs);
+		const isCandidate = hasCapacityFor(spare, offer!.needs) && !candidates.has(agent) && !avoidedAgents.has(agent) && canStartAt(state, job, offer!, agent);
 		if (isCandidate && isSuitable(state.fleet, agent, offer!)) {
 			candidates.add(agent);
 			spare = removeResources(spare, offer!.needs);
@@ -231,3 +268,36 @@
 
 	return offers.length === 0 ? [] : [{type: 'offer', agent, tasks: offers}];
 }
+
+/**
+ * Offers tasks that wait at other agents to agents with free resources, no more than fit there. The waiting tasks are
+ * listed once for all of them: on a large fleet, many agents report in one turn of the event loop.
+ *
+ * @param state - State of the jobs.
+ * @param agents - The agents, in the order in which they get offers.
+ * @returns Offers.
+ */
+export function extendAllOffers(state: DispatchState, agents: Iterable<NodeName>): DispatchEffect[] {
+	const effects: DispatchEffect[] = [];
+	let offered: readonly OfferedTask[] | undefined;
+	for (const agent of agents) {
+		const spare = computeSpareResources(state.fleet, agent);
+		if (spare !== undefined) {
+			offered ??= listOfferedTasks(state);
+			effects.push(...extendOffersTo(state, agent, spare, offered));
+		}
+	}
+
+	return effects;
+}
+
+/**
+ * Offers tasks that wait at other agents to an agent with free resources, no more than fit there.
+ *
+ * @param state - State of the jobs.
+ * @param agent - The agent.
+ * @returns Offers.
+ */
+export function extendOffers(state: DispatchState, agent: NodeName): DispatchEffect[] {
+	return extendAllOffers(state, [agent]);
+}
--- a/src/core/dispatch/withdrawals.ts
+++ b/src/core/dispatch/withdrawals.ts
@@ -35,17 +35,22 @@
  * @returns The effects with the withdrawals.
  */
 export function addPendingWithdrawals({pendingWithdrawals}: DispatchState, effects: readonly DispatchEffect[]): readonly DispatchEffect[] {
-	if (pendingWithdrawals.size === 0) {
+	if (pendingWithdrawals.size === 0 || effects.length === 0) {
 		return effects;
 	}
 
-	return effects.flatMap(effect => {
-		const tasks = 'agent' in effect ? pendingWithdrawals.get(effect.agent) : undefined;
-		if (!('agent' in effect) || tasks === undefined) {
-			return [effect];
+	const extended: DispatchEffect[] = [];
+	for (const effect of effects) {
+		if ('agent' in effect) {
+			const tasks = pendingWithdrawals.get(effect.agent);
+			if (tasks !== undefined) {
+				pendingWithdrawals.delete(effect.agent);
+				extended.push({type: 'withdraw', agent: effect.agent, tasks});
+			}
 		}
 
-		pendingWithdrawals.delete(effect.agent);
-		return [{type: 'withdraw', agent: effect.agent, tasks}, effect];
-	});
+		extended.push(effect);
+	}
+
+	return extended;
 }
--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -79,18 +79,25 @@
 }
 
 /**
- * Lists the agents that can run a task, the best one first.
+ * Estimates the completion time of a task at each agent that can run it.
  *
  * @param state - State of the fleet.
  * @param demand - Requirements of the task.
- * @param avoided - Agents to avoid; they come last.
+ * @param avoided - Agents to avoid; they get the highest scores.
  * @param now - Current time.
- * @returns The estimates, by rising score.
+ * @param agents - The agents to look at.
+ * @returns The estimates, in the order of the agents.
  */
-export function listPlacementEstimates(state: FleetState, demand: TaskDemand, avoided: ReadonlySet<NodeName>, now: Milliseconds): readonly PlacementEstimate[] {
+export function estimatePlacements(
+	state: FleetState,
+	demand: TaskDemand,
+	avoided: ReadonlySet<NodeName>,
+	now: Milliseconds,
+	agents: Iterable<readonly [NodeName, AgentView]> = state.agents,
+): readonly PlacementEstimate[] {
 	const medianSlowness = computeMedianSlowness(state);
 	const estimates: PlacementEstimate[] = [];
-	for (const [name, view] of state.agents) {
+	for (const [name, view] of agents) {
 		const {load} = view;
 		if (load === undefined || !canRun(view, load, demand)) {
 			continue;
@@ -111,7 +118,25 @@
 		});
 	}
 
-	return estimates.sort((left, right) => left.score - right.score);
+	return estimates;
+}
+
+/** Lists estimates by rising score. */
+export function listByScore(estimates: readonly PlacementEstimate[]): readonly PlacementEstimate[] {
+	return [...estimates].sort((left, right) => left.score - right.score);
+}
+
+/**
+ * Lists the agents that can run a task, the best one first.
+ *
+ * @param state - State of the fleet.
+ * @param demand - Requirements of the task.
+ * @param avoided - Agents to avoid; they come last.
+ * @param now - Current time.
+ * @returns The estimates, by rising score.
+ */
+export function listPlacementEstimates(state: FleetState, demand: TaskDemand, avoided: ReadonlySet<NodeName>, now: Milliseconds): readonly PlacementEstimate[] {
+	return listByScore(estimatePlacements(state, demand, avoided, now));
 }
 
 /**
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -12,7 +12,7 @@
 import {listCheckedJobs, observeStandstill} from '../../core/dispatch/checking.ts';
 import {observeContact} from '../../core/dispatch/contact.ts';
 import {applyReports, handleCrashes, handleSurvival} from '../../core/dispatch/reports.ts';
-import {extendOffers} from '../../core/dispatch/placing.ts';
+import {extendAllOffers} from '../../core/dispatch/placing.ts';
 import {listCarefulRoutes} from '../../core/crashes/logic.ts';
 import {countOpenJobs, createDispatchState, type DispatchState} from '../../core/dispatch/state.ts';
 import type {DispatchEffect, Job, JobAnswer} from '../../core/dispatch/types.ts';
@@ -389,9 +389,7 @@
 		const agents = [...this.#reportedAgents];
 		this.#reportedAgents.clear();
 		this.#applyEffects(placeAllWaitingTasks(this.state, this.#now()));
-		for (const agent of agents) {
-			this.#applyEffects(extendOffers(this.state, agent));
-		}
+		this.#applyEffects(extendAllOffers(this.state, agents));
 	}
 
 	#handleConnect(peer: ConnectedPeer): void {
