Look for duplicate streams only if there can be any

Ten times a second, each stream was compared with every other one, which grows with the square of the fleet.

--- a/src/adapters/peer/network.ts
+++ b/src/adapters/peer/network.ts
@@ -197,8 +197,7 @@
 	closeIdleStreams(needed: ReadonlySet<NodeName>, idleMs: Milliseconds): void {
 		const now = this.input.clock.getTime();
 		for (const stream of this.#openStreams) {
-			const isDuplicate = [...this.#openStreams].some(other => other !== stream && isSameNode(other.node, stream.node))
-				&& this.input.self.name < stream.node.name;
+			const isDuplicate = this.#isDuplicate(stream) && this.input.self.name < stream.node.name;
 			const isUnneeded = stream.isOutbound && !needed.has(stream.node.name);
 			if ((isUnneeded || (stream.isOutbound && isDuplicate)) && now - stream.lastUsedAt >= idleMs) {
 				stream.close();
@@ -317,6 +316,12 @@
 		return stream;
 	}
 
+	/** Returns whether another stream to the same process is open. With as many streams as names, there is none to look for. */
+	#isDuplicate(stream: PeerStream<Message>): boolean {
+		return this.#openStreams.size > this.#streams.size
+			&& [...this.#openStreams].some(other => other !== stream && isSameNode(other.node, stream.node));
+	}
+
 	#handleMessages(stream: PeerStream<Message>, messages: readonly Message[]): void {
 		for (const message of messages) {
 			this.counts.received.set(message.type, (this.counts.received.get(message.type) ?? 0) + 1);
