--- a/src/adapters/system/clock.ts
+++ b/src/adapters/system/clock.ts
@@ -25,6 +25,8 @@
  * @returns The clock.
  */
 export function createSystemClock(): Clock {
+	// It never changes. Reading it each time takes a third of the call in agents, which run without optimized code.
+	const {timeOrigin} = performance;
 	const intervals = new SharedIntervals(sharedTickMs);
 	let shared: Disposable | undefined;
 
@@ -43,7 +45,7 @@
 	}
 
 	return {
-		getTime: () => performance.timeOrigin + performance.now(),
+		getTime: () => timeOrigin + performance.now(),
 		startTimer(delay, callback) {
 			const timer = setTimeout(callback, delay);
 			return createDisposable(() => {
