Anchor expected run times to measured time

Cause: an entry divided each measured run time by the slowness of its agent, and the agent measured its slowness by the entry's expected run time. Nothing anchored the common scale: placement prefers agents below the median, so the expected time grew and the slowness of busy agents fell, until jobs were refused on a fleet that was nearly idle.

Change: the expected run time is the mean of the run times as measured, without the slowness; only the factor of a task outside the rack of its data is taken out, at entries and at agents. An agent's slowness is relative to that and returns to 1 without measurements, with the half-life of the product's placement (src/core/slowness). Entries multiply both without a median. A run whose expected time is a guess tells nothing of its worker. Admission compares the shortest likely run time, two standard deviations below the mean, with the deadline, and does not refuse a job without a wait for its wait.

--- a/bench/emulator/agent.ts
+++ b/bench/emulator/agent.ts
@@ -244,6 +244,14 @@
 	}
 
 	#sendReports(owner: string, reports: readonly TaskReport[]): void {
+		for (const {end, expectedMs, runMs} of reports) {
+			if (end === 'done') {
+				this.context.recordRun({
+					agent: this.process.name, expectedMs, runMs, slowness: computeLoad(this.state, this.#now()).slowness,
+				});
+			}
+		}
+
 		this.context.trace.recordTask(reports, () => `${this.process.name} reports to ${owner}: ${reports.map(({task, run, end}) => `${task} run ${run} ${end}`).join(', ')}`);
 		const load = this.#adaptLoad(owner, computeLoad(this.state, this.#now()));
 		this.#sendToOwner(owner, {
--- a/bench/emulator/callers.ts
+++ b/bench/emulator/callers.ts
@@ -32,6 +32,8 @@
 	readonly answers: Record<string, number> = {};
 	readonly kinds: Record<string, KindReport> = {};
 	submittedCount = 0;
+	/** Number of jobs that were refused as `overload` though their tasks had not to wait. */
+	refusedWithoutWait = 0;
 	readonly checks: AnswerChecks;
 	readonly #jobs = new Map<string, CallerJob>();
 	/** Jobs without an answer, each with the entry that it was last submitted to; undefined between submissions. */
@@ -121,6 +123,7 @@
 		}
 
 		const reason = answer.outcome === 'completed' ? 'completed' : answer.reason;
+		this.refusedWithoutWait += reason === 'overload' && answer.estimate?.waitMs === 0 ? 1 : 0;
 		this.answers[reason] = (this.answers[reason] ?? 0) + 1;
 		if (reason === 'still-ending') {
 			this.#retryJob(id);
@@ -142,7 +145,7 @@
 
 	#submitJob(id: string): void {
 		const running = this.entries.filter(entry => entry.isReachable());
-		const {route, submission} = this.#jobs.get(id)!;
+		const {route, submission, kind} = this.#jobs.get(id)!;
 		if (running.length === 0) {
 			this.#retryJob(id);
 			return;
@@ -151,10 +154,11 @@
 		const entry = this.#drawEntry(running);
 		this.#pendingJobs.set(id, entry);
 		this.checks.recordSubmission(id);
-		const {deadlineMs, faults: {lateSubmissions}} = this.context.scenario;
+		const {deadlineMs: defaultDeadlineMs, faults: {lateSubmissions}} = this.context.scenario;
+		const deadlineMs = kind.deadlineMs ?? defaultDeadlineMs;
 		const isFirst = !this.#attempts.has(id);
 		const isOnNewChannel = lateSubmissions > 0 && this.submittedCount % jobsPerChannel === 0;
-		this.#awaitAnswer(id, entry);
+		this.#awaitAnswer(id, entry, deadlineMs);
 		const request = {
 			route, submission, timeLimitMs: deadlineMs, mayBeRepeated: !isFirst || isOnNewChannel,
 		};
@@ -198,10 +202,10 @@
 	}
 
 	/** Lets the caller close its connection and submit the job again if it gets no answer in time. */
-	#awaitAnswer(id: string, entry: EmulatedEntry): void {
+	#awaitAnswer(id: string, entry: EmulatedEntry, deadlineMs: Milliseconds): void {
 		const attempt = (this.#attempts.get(id) ?? 0) + 1;
 		this.#attempts.set(id, attempt);
-		this.context.events.addEvent(this.context.scenario.deadlineMs + answerMarginMs, () => {
+		this.context.events.addEvent(deadlineMs + answerMarginMs, () => {
 			if (this.#attempts.get(id) === attempt && this.#pendingJobs.get(id) === entry) {
 				this.endConnection(id, closeDelayMs);
 			}
--- a/bench/emulator/context.ts
+++ b/bench/emulator/context.ts
@@ -8,7 +8,7 @@
 import type {EventQueue} from '../event-queue.ts';
 import type {Paths} from './paths.ts';
 import type {TaskTrace} from './trace.ts';
-import type {Scenario} from './types.ts';
+import type {MeasuredRun, Scenario} from './types.ts';
 
 /** Time bounds of the emulated installation; the timings of all its processes follow from them. */
 export const bounds = {
@@ -30,6 +30,8 @@
 	readonly random: Random;
 	readonly paths: Paths;
 	readonly trace: TaskTrace;
+	/** Keeps a completed run for the report. */
+	readonly recordRun: (run: Omit<MeasuredRun, 'at'>) => void;
 	/** Counts a message between an entry and an agent. */
 	readonly countMessage: (type: DispatchMessage['type']) => void;
 };
--- a/bench/emulator/fleet.ts
+++ b/bench/emulator/fleet.ts
@@ -17,7 +17,9 @@
 import {Paths} from './paths.ts';
 import {EmulatedProcess} from './process.ts';
 import {TaskTrace} from './trace.ts';
-import type {EmulationReport, Scenario, WorkerSpec} from './types.ts';
+import type {
+	EmulationReport, MeasuredRun, Scenario, WorkerSpec,
+} from './types.ts';
 import type {RunOutcome, WorkerRun} from './worker-types.ts';
 import {EmulatedWorker} from './worker.ts';
 
@@ -44,6 +46,7 @@
 	readonly #callers: EmulatedCallers;
 	readonly #messages: Record<string, number> = {};
 	readonly #violations: string[] = [];
+	readonly #runs: MeasuredRun[] = [];
 	readonly #faults: FaultInjector;
 	#isTrafficOver = false;
 
@@ -61,6 +64,9 @@
 			random: this.#random,
 			paths: new Paths(this.#events, this.#random, createSeededRandom(seed + entryPathSeedOffset)),
 			trace: new TaskTrace(this.#events, tracedTask),
+			recordRun: run => {
+				this.#runs.push({...run, at: this.#events.getTime() - warmUpMs});
+			},
 			countMessage: type => {
 				this.#messages[type] = (this.#messages[type] ?? 0) + 1;
 			},
@@ -104,6 +110,8 @@
 		this.#isTrafficOver = true;
 		this.#events.runUntil(warmUpMs + trafficMs + settleMs);
 		return {
+			runs: this.#runs,
+			refusedWithoutWait: this.#callers.refusedWithoutWait,
 			answers: this.#callers.answers,
 			kinds: this.#callers.kinds,
 			submitted: this.#callers.submittedCount,
--- a/bench/emulator/load.ts
+++ b/bench/emulator/load.ts
@@ -34,6 +34,10 @@
 	return Math.min(max, mean * Math.exp((sigma * drawNormal(random)) - (sigma * sigma / 2)));
 }
 
+function drawLongFactor({longTasks}: JobKind, random: Random): number {
+	return longTasks !== undefined && random.getFloat() < longTasks.share ? longTasks.factor : 1;
+}
+
 /**
  * Draws a job of a kind.
  *
@@ -48,11 +52,11 @@
 	const count = Math.max(1, Math.round(drawLognormal(random, kind.taskCount)));
 	const cpu = Math.round(drawLognormal(random, kind.cpu));
 	const meanRunMs = drawLognormal(random, kind.runMs);
-	const nominalRunMs = Array.from({length: count}, () => drawLognormal(random, {mean: meanRunMs, sigma: 0.15, max: kind.runMs.max}));
+	const nominalRunMs = Array.from({length: count}, () => drawLognormal(random, {mean: meanRunMs, sigma: 0.15, max: kind.runMs.max}) * drawLongFactor(kind, random));
 	return {
 		kind,
 		route: {
-			name: kind.name, host: 'h', prefix: '/', target: 't', priority: kind.priority, maxAttempts: 4, slackFactor, targetMs, timeoutMs: 0, needsApproval: false,
+			name: kind.queue ?? kind.name, host: 'h', prefix: '/', target: 't', priority: kind.priority, maxAttempts: 4, slackFactor, targetMs, timeoutMs: 0, needsApproval: false,
 		},
 		submission: {
 			id,
@@ -60,7 +64,7 @@
 			steps: [{
 				count,
 				needs: {cpu, memory: 1, accelerators: 0},
-				estimateMs: meanRunMs * Math.exp(kind.estimateSigma * drawNormal(random)),
+				estimateMs: meanRunMs * (kind.estimateFactor ?? 1) * Math.exp(kind.estimateSigma * drawNormal(random)),
 				after: [],
 				label: '',
 				dataRack: '',
--- a/bench/emulator/types.ts
+++ b/bench/emulator/types.ts
@@ -15,6 +15,14 @@
 /** One kind of job. */
 export type JobKind = {
 	readonly name: string;
+	/** Name of its queue, which other kinds may share; the name of the kind if undefined. */
+	readonly queue?: string;
+	/** Factor by which all its callers' estimates are off; 1 if undefined. */
+	readonly estimateFactor?: number;
+	/** Deadline of its jobs; that of the scenario if undefined. */
+	readonly deadlineMs?: Milliseconds;
+	/** Share of its tasks that run `factor` times as long, which their callers do not know. */
+	readonly longTasks?: {readonly share: number; readonly factor: number};
 	/** Scheduling priority; 0 is the highest. */
 	readonly priority: number;
 	/** Mean arrivals per second. */
@@ -182,8 +190,23 @@
 	failed: number;
 };
 
+/** A completed run as its agent measured it. */
+export type MeasuredRun = {
+	/** Time of its end, counted from the start of the traffic. */
+	readonly at: Milliseconds;
+	readonly agent: string;
+	readonly expectedMs: Milliseconds;
+	readonly runMs: Milliseconds;
+	/** Slowness of the worker, as its agent measures it. */
+	readonly slowness: number;
+};
+
 /** Result of a run. */
 export type EmulationReport = {
+	/** Completed runs, by the time of their end. */
+	readonly runs: readonly MeasuredRun[];
+	/** Number of jobs that were refused as `overload` though their tasks had not to wait. */
+	readonly refusedWithoutWait: number;
 	/** Number of answers by reason; `completed` for success. */
 	readonly answers: Record<string, number>;
 	readonly kinds: Readonly<Record<string, KindReport>>;
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -5,7 +5,7 @@
 import {getSuspicion} from '../crashes/logic.ts';
 import {isOversized} from '../fleet/logic.ts';
 import {settleMs} from '../runs/isolation.ts';
-import {estimateCriticalPath} from './estimates.ts';
+import {estimateCriticalPath, estimateShortestFactor} from './estimates.ts';
 import type {Placement} from './placing.ts';
 import type {DispatchState} from './state.ts';
 import type {
@@ -125,11 +125,14 @@
 	}
 
 	const isLightLoad = estimateUtilization(state, job.route, now) < lightLoadLimit;
+	// Run times that decide a refusal are the shortest that are likely: a mean that is too high would refuse jobs that fit.
+	const shortestFactor = estimateShortestFactor(state, job.route);
+	const shortestTotal = wait + ((total - wait) * shortestFactor);
 	const limit = (job.objectiveMs - criticalPath) * (isLightLoad ? lightLoadWaitShare : maxWaitShare);
-	return wait <= limit && total <= Math.min(job.objectiveMs * maxResponseFactor, timeLeft)
+	return (wait === 0 || wait <= limit) && shortestTotal <= Math.min(job.objectiveMs * maxResponseFactor, timeLeft)
 		? undefined
 		: createRefusal('overload', wait, {
-			waitMs: Math.round(wait), totalMs: Math.round(total), limitMs: Math.round(limit), agents: state.fleet.agents.size,
+			waitMs: Math.round(wait), totalMs: Math.round(total), shortestMs: Math.round(shortestTotal), limitMs: Math.round(limit), agents: state.fleet.agents.size,
 		});
 }
 
--- a/src/core/dispatch/reports.ts
+++ b/src/core/dispatch/reports.ts
@@ -4,7 +4,7 @@
 import type {Milliseconds} from '../../ports/clock.ts';
 import type {TaskCrash, TaskEnd, TaskReport} from '../../ports/dispatch-messages.ts';
 import {isGivenUp, recordCrash} from '../crashes/logic.ts';
-import {computeMedianSlowness} from '../fleet/logic.ts';
+import {computeRemoteFactor} from '../fleet/logic.ts';
 import {recordRefusal} from '../fleet/state.ts';
 import type {NodeName} from '../identity/types.ts';
 import {updateReservedAgents} from './containment.ts';
@@ -32,14 +32,18 @@
 	return moveTask(state, job, task, now);
 }
 
+function getRemoteFactor({fleet}: DispatchState, job: Job, task: TaskState): number {
+	const load = fleet.agents.get(task.agent!)?.load;
+	return load === undefined ? 1 : computeRemoteFactor(fleet, load, job.submission.steps[task.step].dataRack);
+}
+
 const endHandlers: Record<TaskEnd, EndHandler> = {
 	done(state, job, task, report, now) {
 		task.phase = 'done';
 		job.openTaskCounts[task.step]--;
 		state.tasks.delete(task.name);
-		const slowness = (state.fleet.agents.get(task.agent!)?.load?.slowness ?? 1) / computeMedianSlowness(state.fleet);
 		if (report.runMs > 0) {
-			recordRunTime(state, job.route, job.submission.steps[task.step], report.runMs / slowness);
+			recordRunTime(state, job.route, job.submission.steps[task.step], report.runMs / getRemoteFactor(state, job, task));
 		}
 
 		if (job.openTaskCounts.every(count => count === 0)) {
--- a/src/core/dispatch/state.ts
+++ b/src/core/dispatch/state.ts
@@ -17,6 +17,8 @@
 	meanLogRunTime: number;
 	logEstimateVariance: number;
 	covariance: number;
+	/** Mean square of the differences between run times and their predictions. */
+	errorVariance: number;
 };
 
 /** Measured load of one target's workers. */
--- a/src/core/dispatch/task-offers.ts
+++ b/src/core/dispatch/task-offers.ts
@@ -3,7 +3,7 @@
  */
 import type {TaskOffer} from '../../ports/dispatch-messages.ts';
 import type {TaskDemand} from '../fleet/types.ts';
-import {estimateRunTime} from './estimates.ts';
+import {estimateRunTime, hasEnoughRunTimes} from './estimates.ts';
 import type {DispatchState} from './state.ts';
 import type {Job, TaskState} from './types.ts';
 
@@ -24,8 +24,10 @@
 		needs: step.needs,
 		priority: job.route.priority,
 		expectedMs: estimateRunTime(state, job.route, step),
+		isGuess: !hasEnoughRunTimes(state, job.route),
 		label: step.label,
 		dataRack: step.dataRack,
+		...(step.dataRack !== '' && {remote: {rack: step.dataRack, factor: state.fleet.options.remoteFactor}}),
 	};
 }
 
@@ -42,6 +44,8 @@
 		target: demand.target,
 		label: demand.label,
 		route: job.route.name,
+		...(demand.isGuess === true && {isGuess: true}),
+		...(demand.remote !== undefined && {remote: demand.remote}),
 	};
 }
 
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -68,6 +68,8 @@
 	readonly waitMs: Milliseconds;
 	/** Expected response time. */
 	readonly totalMs: Milliseconds;
+	/** The same by the shortest run times that are likely, which decide. */
+	readonly shortestMs: Milliseconds;
 	/** Longest wait that is admitted. */
 	readonly limitMs: Milliseconds;
 	/** Number of agents with an open stream. */
--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -78,6 +78,18 @@
 	return state.medianSlowness;
 }
 
+/**
+ * Computes by how much longer a task runs on a worker outside the rack of its data.
+ *
+ * @param state - State of the fleet.
+ * @param load - Load of the worker, with its labels.
+ * @param dataRack - Rack of the data; empty for none.
+ * @returns The factor; 1 in the rack.
+ */
+export function computeRemoteFactor(state: FleetState, {labels}: WorkerLoad, dataRack: string): number {
+	return dataRack === '' || labels.includes(dataRack) ? 1 : state.options.remoteFactor;
+}
+
 /**
  * Lists the agents that can run a task, the best one first.
  *
@@ -98,8 +110,7 @@
 
 		const free = computeFreeResources(view);
 		const wait = estimateWait(view, load, free, demand);
-		const isOutsideRack = demand.dataRack !== '' && !load.labels.includes(demand.dataRack);
-		const runMs = demand.expectedMs * (load.slowness / medianSlowness) * (isOutsideRack ? state.options.remoteFactor : 1);
+		const runMs = demand.expectedMs * load.slowness * computeRemoteFactor(state, load, demand.dataRack);
 		const dataCentreDelay = view.dataCentre === state.options.dataCentre ? 0 : dataCentreDelayMs;
 		const total = wait + runMs + dataCentreDelay;
 		const utilization = 1 - Math.max(0, free.cpu / Math.max(1, load.capacity.cpu));
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -38,10 +38,14 @@
 	readonly needs: Resources;
 	readonly priority: number;
 	readonly expectedMs: Milliseconds;
+	/** Whether the expected run time rests on the caller's estimate or on few runs. */
+	readonly isGuess?: boolean;
 	/** Label that the worker must have; empty for none. */
 	readonly label: string;
 	/** Rack of its data; empty for none. */
 	readonly dataRack: string;
+	/** Rack of its data, and by how much longer it runs elsewhere; undefined for a task without such data. */
+	readonly remote?: {readonly rack: string; readonly factor: number};
 };
 
 /** An agent that can run a task, with the estimated time until the task would end there. */
--- a/src/core/placement/estimate.ts
+++ b/src/core/placement/estimate.ts
@@ -2,6 +2,7 @@
  * Estimates the round trip, wait and run time of a task at an agent.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
+import {estimateDecayedSlowness} from '../slowness/logic.ts';
 import type {AgentRecord, Candidate, PlacementAgent} from './types.ts';
 import {findExclusion, type PlacementState} from './state.ts';
 
@@ -63,9 +64,7 @@
 	}
 
 	updateMedian(state, now);
-	const age = Math.max(0, now - updatedAt);
-	const excess = (ratio / state.medianSlowness) - 1;
-	const relative = 1 + (excess * (2 ** (-age / state.options.slownessHalfLife)));
+	const relative = estimateDecayedSlowness({ratio: ratio / state.medianSlowness, updatedAt}, now, state.options.slownessHalfLife);
 	return relative >= state.options.slowFactor ? relative : 1;
 }
 
--- a/src/core/runs/capacity.ts
+++ b/src/core/runs/capacity.ts
@@ -5,6 +5,7 @@
 import type {Resources} from '../../ports/worker.ts';
 import {hasCapacityFor, noResources, removeResources} from '../resources/logic.ts';
 import {isAnnouncementOfProcess} from './health.ts';
+import {computeExpectedTime, estimateSlowness} from './progress.ts';
 import type {RunsState} from './state.ts';
 import type {RunRecord} from './types.ts';
 
@@ -45,7 +46,7 @@
 }
 
 function estimateReleaseDelay(state: RunsState, record: RunRecord, now: Milliseconds): Milliseconds {
-	const expected = record.offer.expectedMs * state.slowness;
+	const expected = computeExpectedTime(state, record.offer) * estimateSlowness(state, now);
 	return record.phase === 'asking' ? expected : Math.max(minRemainingMs, expected - (now - record.orderedAt));
 }
 
@@ -92,6 +93,7 @@
  */
 export function estimateWaits(state: RunsState, now: Milliseconds): readonly Milliseconds[] {
 	const free = computeFreeResources(state);
+	const slowness = estimateSlowness(state, now);
 	const records = [...state.records.values()];
 	const meanCpu = records.length === 0 ? 0 : records.reduce((sum, {offer}) => sum + offer.needs.cpu, 0) / records.length;
 	const releases: Release[] = [{at: 0, cpu: free.cpu}];
@@ -107,7 +109,7 @@
 		while (next < state.queue.length && getWaitClass(state.queue[next].offer.priority) <= priority) {
 			const {offer} = state.queue[next];
 			const at = takeCapacity(releases, offer.needs.cpu);
-			addRelease(releases, {at: at + (offer.expectedMs * state.slowness), cpu: offer.needs.cpu});
+			addRelease(releases, {at: at + (computeExpectedTime(state, offer) * slowness), cpu: offer.needs.cpu});
 			next++;
 		}
 
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -13,6 +13,7 @@
 import {applyPendingClaims, dropDisconnectedOwners} from './owners.ts';
 import {endLapsedRuns, resetWorker} from './losses.ts';
 import {computeFreeResources, estimateWaits} from './capacity.ts';
+import {computeExpectedTime, estimateSlowness} from './progress.ts';
 import {refuseLateCalls, updateFencingToken, type RunsState} from './state.ts';
 import {getAgentMode, isAnnouncementCurrent, isRecent} from './health.ts';
 import type {Renewal, RunsEffect} from './types.ts';
@@ -359,8 +360,9 @@
 		return failureWaitMs;
 	}
 
+	const slowness = estimateSlowness(state, now);
 	for (const {phase, offer, orderedAt} of state.records.values()) {
-		if (phase === 'running' && now - orderedAt > offer.expectedMs * state.slowness) {
+		if (phase === 'running' && now - orderedAt > computeExpectedTime(state, offer) * slowness) {
 			return overdueWaitMs;
 		}
 	}
@@ -401,6 +403,6 @@
 		capacity: announcement?.capacity ?? noResources,
 		free: computeFreeResources(state),
 		waits: estimateWaits(state, now),
-		slowness: Math.round(state.slowness * 100) / 100,
+		slowness: Math.round(estimateSlowness(state, now) * 100) / 100,
 	};
 }
--- a/src/core/runs/losses.ts
+++ b/src/core/runs/losses.ts
@@ -188,6 +188,6 @@
 	state.worker.identifiedAt = now;
 	state.worker.refusal = undefined;
 	resetHealth(state);
-	state.slowness = 1;
+	state.slowness = {ratio: 1, updatedAt: now};
 	return [...effects, {type: 'log', event: 'worker-restarted', details: {bornAt, listed: listed.length, unsettled: unsettled.length}}];
 }
--- a/src/core/runs/progress.ts
+++ b/src/core/runs/progress.ts
@@ -2,6 +2,8 @@
  * Estimates from the progress of a run: its remaining time, and whether the worker or the job is slow.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
+import type {TaskOffer} from '../../ports/dispatch-messages.ts';
+import {defaultHalfLifeMs, estimateDecayedSlowness} from '../slowness/logic.ts';
 import {getJobId, type RunsState} from './state.ts';
 import type {RunRecord} from './types.ts';
 
@@ -24,17 +26,46 @@
 const maxSlowness = 20;
 const minSlowness = 0.2;
 
+/** Estimates the present slowness of the worker; it returns to 1 while no run ends there. */
+export function estimateSlowness({slowness}: RunsState, now: Milliseconds): number {
+	return estimateDecayedSlowness(slowness, now, defaultHalfLifeMs);
+}
+
+/** A measurement for the slowness of the worker. */
+type SlownessSample = {
+	/** Run time; of an abandoned run the estimated one. */
+	readonly runMs: Milliseconds;
+	readonly now: Milliseconds;
+	/** Weight, from 0 to 1. */
+	readonly gain?: number;
+};
+
 /**
- * Records a measured run time in the slowness of the worker.
+ * Records a measured run time in the slowness of the worker, unless the expected run time is a guess: the estimates of the
+ * callers of an entry that has just started would make its workers seem slow.
  *
  * @param state - State of the agent.
- * @param record - The run.
- * @param runMs - Its run time; of an abandoned run the estimated one.
- * @param gain - Weight, from 0 to 1.
+ * @param offer - The offer of the task.
+ * @param sample - The measurement.
  */
-export function recordSlowness(state: RunsState, record: RunRecord, runMs: Milliseconds, gain = slownessGain): void {
-	const measured = Math.min(maxSlowness, Math.max(minSlowness, runMs / Math.max(1, record.offer.expectedMs)));
-	state.slowness *= (measured / state.slowness) ** gain;
+export function recordSlowness(state: RunsState, offer: TaskOffer, {runMs, now, gain = slownessGain}: SlownessSample): void {
+	if (offer.isGuess === true) {
+		return;
+	}
+
+	const previous = estimateSlowness(state, now);
+	const measured = Math.min(maxSlowness, Math.max(minSlowness, runMs / Math.max(1, computeExpectedTime(state, offer))));
+	state.slowness = {ratio: previous * ((measured / previous) ** gain), updatedAt: now};
+}
+
+/** Computes by how much longer a task runs at this worker as its data are in another rack. */
+function computeRemoteFactor({worker: {announcement}}: RunsState, {remote}: TaskOffer): number {
+	return remote === undefined || (announcement?.labels.includes(remote.rack) ?? false) ? 1 : remote.factor;
+}
+
+/** Computes the expected run time of a task at this worker, if its slowness were 1. */
+export function computeExpectedTime(state: RunsState, offer: TaskOffer): Milliseconds {
+	return offer.expectedMs * computeRemoteFactor(state, offer);
 }
 
 /**
@@ -83,7 +114,7 @@
 		}
 	}
 
-	return slowCount > normalCount || slowCount + normalCount === 0 || state.slowness > slowRunFactor;
+	return slowCount > normalCount || slowCount + normalCount === 0 || estimateSlowness(state, now) > slowRunFactor;
 }
 
 /** Updates the progress of a run by a snapshot of the worker. */
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -16,7 +16,7 @@
 import {checkMissedTime} from './missed-time.ts';
 import {findRecord, hasOrphanOf, isStartOrdered} from './records.ts';
 import {
-	abandonedGain, estimateRemainingTime, isWorkerSlow, recordSlowness, updatePace, updateProgress,
+	abandonedGain, computeExpectedTime, estimateRemainingTime, isWorkerSlow, recordSlowness, updatePace, updateProgress,
 } from './progress.ts';
 import {
 	getJobId, getRunKey, recordEnd, type RunsState,
@@ -74,7 +74,7 @@
 
 	const effects: RunsEffect[] = [];
 	if (ended.end === 'done') {
-		recordSlowness(state, record, now - record.orderedAt);
+		recordSlowness(state, record.offer, {runMs: now - record.orderedAt, now});
 		effects.push(...recordOutcome(state, record, true, now));
 	} else if (ended.end === 'failed') {
 		effects.push(...recordOutcome(state, record, false, now));
@@ -87,14 +87,14 @@
 function checkProgress(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
 	const stallMs = Math.max(minStallMs, record.offer.expectedMs * stallShare);
 	if (now - record.progressAt >= stallMs) {
-		recordSlowness(state, record, record.offer.expectedMs * 2, abandonedGain);
+		recordSlowness(state, record.offer, {runMs: computeExpectedTime(state, record.offer) * 2, now, gain: abandonedGain});
 		return [...recordOutcome(state, record, false, now), ...stopRecord(state, record, 'stalled', now)];
 	}
 
 	const remaining = estimateRemainingTime(record, now);
 	updatePace(record, now);
 	if (remaining !== undefined && remaining > record.offer.abandonMs && isWorkerSlow(state, record, now)) {
-		recordSlowness(state, record, remaining + (now - record.orderedAt), abandonedGain);
+		recordSlowness(state, record.offer, {runMs: remaining + (now - record.orderedAt), now, gain: abandonedGain});
 		return stopRecord(state, record, 'slow', now);
 	}
 
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -5,6 +5,7 @@
 import type {TaskEnd, TaskOffer} from '../../ports/dispatch-messages.ts';
 import type {Resources, WorkerAnnouncement} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
+import type {MeasuredSlowness} from '../slowness/logic.ts';
 import type {ClaimedSessions} from '../sessions/state.ts';
 import type {
 	RecentCrash, RecentEnds, OrphanRun, OwnerRecord, RunRecord, RunsOptions, WorkerHealth, WorkerClock, WorkerRecord,
@@ -44,8 +45,8 @@
 	/** Claims that arrived before the worker's runs were known. */
 	readonly pendingClaims: Map<NodeName, readonly TaskOffer[]>;
 	readonly health: WorkerHealth;
-	/** Measured run time divided by the expected one. */
-	slowness: number;
+	/** Measured run times by the expected ones. */
+	slowness: MeasuredSlowness;
 	isShuttingDown: boolean;
 };
 
@@ -92,7 +93,7 @@
 		health: {
 			failedJobs: new Set(), nextTrialAt: undefined, trialIntervalMs: initialTrialIntervalMs, successfulTrials: 0,
 		},
-		slowness: 1,
+		slowness: {ratio: 1, updatedAt: 0},
 		isShuttingDown: false,
 	};
 }
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -36,6 +36,10 @@
 	readonly copies?: number;
 	/** Name of the route of its job; undefined from processes of an earlier build. */
 	readonly route?: string;
+	/** Set if the expected run time rests on its caller's estimate or on few runs, so that it tells nothing of the worker's speed. */
+	readonly isGuess?: boolean;
+	/** Rack of its data, and by how much longer it runs elsewhere; undefined for a task without such data and from processes of an earlier build. */
+	readonly remote?: {readonly rack: string; readonly factor: number};
 	/** Why it has to start alone; undefined if it does not. */
 	readonly isolation?: Isolation;
 };
--- a/src/settings/sections/placement.ts
+++ b/src/settings/sections/placement.ts
@@ -2,6 +2,7 @@
  * Settings of placement.
  */
 import * as z from 'zod';
+import {defaultHalfLifeMs} from '../../core/slowness/logic.ts';
 import {placementPolicies} from '../../core/placement/types.ts';
 
 /** Schema of the section `placement`; every key has a default. */
@@ -18,7 +19,7 @@
 		.describe('Run time of a task, in ms, that is assumed until one has been measured.'),
 	slowFactor: z.number().min(1.1).max(100).default(1.5)
 		.describe('Ratio of an agent\'s run times to those of other agents from which the agent counts as slow.'),
-	slownessHalfLifeMs: z.int().min(100).max(3_600_000).default(10_000)
+	slownessHalfLifeMs: z.int().min(100).max(3_600_000).default(defaultHalfLifeMs)
 		.describe('Half-life, in ms, of the measured slowness of an agent that runs nothing.'),
 	peerCount: z.int().min(1).max(1024).default(32)
 		.describe('Maximum number of agents with which a process exchanges messages.'),
