Count measured by expected run times in a histogram

Cause: a drift of the expected run times showed only in the log lines task-ended, which are bounded.

Change: medlardale_task_run_ratio counts completed tasks by the ratio.

--- a/src/adapters/log/decision-metrics.ts
+++ b/src/adapters/log/decision-metrics.ts
@@ -25,6 +25,9 @@
 /** Upper bounds of the histograms, in seconds; tasks take 50 ms to several seconds. */
 const buckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
+/** Upper bounds of the ratio of measured to expected run times; it should be near 1. */
+const ratioBuckets = [0.2, 0.5, 0.8, 1, 1.25, 2, 5, 10];
+
 /** Reads the current values of gauges, by name. */
 export type GaugeReader = () => Readonly<Record<string, number>>;
 
@@ -65,6 +68,9 @@
 		[name, new Histogram({
 			name, help, labelNames: ['result'], buckets, registers,
 		})] as const)));
+	const ratios = new Histogram({
+		name: 'medlardale_task_run_ratio', help: 'Measured by expected run time of completed tasks', buckets: ratioBuckets, registers,
+	});
 	const gauges = new Map<string, Gauge>();
 	let readGauges: GaugeReader = () => ({});
 
@@ -85,6 +91,10 @@
 				histograms.get(name)!.observe({result}, Number(fields[field]) / 1000);
 			}
 
+			if (event === 'task-ended' && fields.end === 'done' && Number(fields.expectedMs) > 0) {
+				ratios.observe(Number(fields.runMs) / Number(fields.expectedMs));
+			}
+
 			log.recordDecision(level, event, fields);
 		},
 		addCount(event, result, count) {
