Tell a long task from a slow worker by its progress

Cause: a task that ran several times as long as expected was given up when nothing else ran on its worker, though it would take as long elsewhere; a very long one also counted as stalled between two percents.

Change: a run is given up as slow only if the rest of it takes longer than the whole task elsewhere, by what the worker adds to run times. A run that ended at a usual pace within the last second shows that the worker is not slow. The time after which a run counts as stalled is at least three percents at its own pace.

--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -104,6 +104,28 @@
     And 101 ms pass and a snapshot shows the percents "a 10, b 60, c 70"
     Then the worker is ordered to stop nothing
 
+  # Guards against a long task that is given up, and begins anew elsewhere, because nothing else runs on its worker at the time.
+  Scenario: A run that is slow after another ended as expected is that of a long job
+    When entry "e1" offers direct tasks "a b" of 3000
+    And the start of "a" is answered "started"
+    And the start of "b" is answered "started"
+    And 90 ms pass and a snapshot shows the percents "a 10, b 90"
+    And the worker lists "b" as ended "done" while the others are at "a 11"
+    And 100 ms pass and a snapshot shows "a" at 21 percent
+    And 100 ms pass and a snapshot shows "a" at 32 percent
+    Then the worker is ordered to stop nothing
+
+  # Guards against a long task that is stopped as stalled between two percents of its progress.
+  Scenario: A long run shows its next percent late
+    When entry "e1" offers direct tasks "a b" of 3000
+    And the start of "a" is answered "started"
+    And the start of "b" is answered "started"
+    And the worker lists "b" as ended "done" while the others are at "a 0"
+    And 180 ms pass and a snapshot shows "a" at 1 percent
+    And 180 ms pass and a snapshot shows "a" at 2 percent
+    And 250 ms pass and a snapshot shows "a" at 2 percent
+    Then the worker is ordered to stop nothing
+
   Scenario: A run that is slow among slow ones is given up
     When entry "e1" offers direct tasks "a b c" of 3000
     And the start of "a" is answered "started"
--- a/src/core/runs/losses.ts
+++ b/src/core/runs/losses.ts
@@ -189,5 +189,6 @@
 	state.worker.refusal = undefined;
 	resetHealth(state);
 	state.slowness = {ratio: 1, updatedAt: now};
+	state.usualPaceAt = Number.NEGATIVE_INFINITY;
 	return [...effects, {type: 'log', event: 'worker-restarted', details: {bornAt, listed: listed.length, unsettled: unsettled.length}}];
 }
--- a/src/core/runs/progress.ts
+++ b/src/core/runs/progress.ts
@@ -92,29 +92,66 @@
 }
 
 /** Estimates the total run time divided by the expected one; undefined while there is too little progress. */
-function estimateRunTimeFactor(record: RunRecord, now: Milliseconds): number | undefined {
+function estimateRunTimeFactor(state: RunsState, record: RunRecord, now: Milliseconds): number | undefined {
 	const remaining = estimateRemainingTime(record, now);
-	return remaining === undefined ? undefined : (now - record.orderedAt + remaining) / Math.max(1, record.offer.expectedMs);
+	return remaining === undefined ? undefined : (now - record.orderedAt + remaining) / Math.max(1, computeExpectedTime(state, record.offer));
+}
+
+/** Delay, in ms, of moving a task to another worker. */
+const moveDelayMs = 150;
+
+/** Time, in ms, for which a run that ended at a usual pace shows that the worker is not slow. */
+const usualPaceMs = 1000;
+
+/** Records that a run has ended, to tell a slow worker from a long task. */
+export function recordPace(state: RunsState, {offer, orderedAt}: RunRecord, now: Milliseconds): void {
+	if (now - orderedAt <= computeExpectedTime(state, offer) * slowRunFactor) {
+		state.usualPaceAt = now;
+	}
 }
 
 /**
- * Returns whether a slow run is due to the worker and not to the job: most runs of other jobs on it are slow too,
- * there are none to compare with, or the measured slowness of the worker is above `slowRunFactor`. Callers'
- * estimates are often wrong, so all tasks of a job that takes longer than expected appear slow on every worker.
+ * Estimates by how much a worker prolongs a slow run, from the runs of other jobs on it. Callers' estimates are often wrong,
+ * so all tasks of a job that takes longer than expected appear slow on every worker.
+ *
+ * @returns The factor; undefined if the run is slow because of its task.
  */
-export function isWorkerSlow(state: RunsState, record: RunRecord, now: Milliseconds): boolean {
+function estimateWorkerFactor(state: RunsState, record: RunRecord, now: Milliseconds): number | undefined {
 	const job = getJobId(record.offer.task);
-	let slowCount = 0;
-	let normalCount = 0;
+	const factors: number[] = [];
 	for (const other of state.records.values()) {
-		const factor = other.phase === 'running' && getJobId(other.offer.task) !== job ? estimateRunTimeFactor(other, now) : undefined;
+		const factor = other.phase === 'running' && getJobId(other.offer.task) !== job ? estimateRunTimeFactor(state, other, now) : undefined;
 		if (factor !== undefined) {
-			slowCount += factor > slowRunFactor ? 1 : 0;
-			normalCount += factor > slowRunFactor ? 0 : 1;
+			factors.push(factor);
 		}
 	}
 
-	return slowCount > normalCount || slowCount + normalCount === 0 || estimateSlowness(state, now) > slowRunFactor;
+	const slowFactors = factors.filter(factor => factor > slowRunFactor);
+	const slowness = estimateSlowness(state, now);
+	if (slowFactors.length * 2 > factors.length) {
+		return slowFactors.sort((left, right) => left - right)[slowFactors.length >> 1];
+	}
+
+	if (slowness > slowRunFactor) {
+		return slowness;
+	}
+
+	const isPaceKnown = state.usualPaceAt > Math.max(record.orderedAt, now - usualPaceMs);
+	return factors.length === 0 && !isPaceKnown ? estimateRunTimeFactor(state, record, now) : undefined;
+}
+
+/**
+ * Returns whether a slow run ends sooner if its task is moved to another worker: it is slow because of this worker, and the
+ * rest of it takes longer here than the whole task elsewhere.
+ *
+ * @param state - State of the agent.
+ * @param record - The run.
+ * @param remaining - Its estimated remaining time.
+ * @param now - Current time.
+ */
+export function isMoveFaster(state: RunsState, record: RunRecord, remaining: Milliseconds, now: Milliseconds): boolean {
+	const factor = estimateWorkerFactor(state, record, now);
+	return factor !== undefined && remaining > moveDelayMs + ((now - record.orderedAt + remaining) / factor);
 }
 
 /** Updates the progress of a run by a snapshot of the worker. */
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -16,7 +16,7 @@
 import {checkMissedTime} from './missed-time.ts';
 import {findRecord, hasOrphanOf, isStartOrdered} from './records.ts';
 import {
-	abandonedGain, computeExpectedTime, estimateRemainingTime, isWorkerSlow, recordSlowness, updatePace, updateProgress,
+	abandonedGain, computeExpectedTime, estimateRemainingTime, isMoveFaster, recordPace, recordSlowness, updatePace, updateProgress,
 } from './progress.ts';
 import {
 	getJobId, getRunKey, recordEnd, type RunsState,
@@ -32,6 +32,9 @@
 /** Share of the expected run time without progress after which a run counts as stalled. */
 const stallShare = 0.3;
 
+/** The same in percents at the pace of the run: a long task shows its next percent later than a usual one. */
+const stallPercents = 3;
+
 /** Number of ended runs in a snapshot from which its lists may be incomplete. */
 const maxListedEnds = 500;
 
@@ -75,6 +78,7 @@
 	const effects: RunsEffect[] = [];
 	if (ended.end === 'done') {
 		recordSlowness(state, record.offer, {runMs: now - record.orderedAt, now});
+		recordPace(state, record, now);
 		effects.push(...recordOutcome(state, record, true, now));
 	} else if (ended.end === 'failed') {
 		effects.push(...recordOutcome(state, record, false, now));
@@ -85,7 +89,8 @@
 }
 
 function checkProgress(state: RunsState, record: RunRecord, now: Milliseconds): RunsEffect[] {
-	const stallMs = Math.max(minStallMs, record.offer.expectedMs * stallShare);
+	const percentMs = record.percent === 0 ? 0 : (record.progressAt - record.orderedAt) / record.percent;
+	const stallMs = Math.max(minStallMs, computeExpectedTime(state, record.offer) * stallShare, percentMs * stallPercents);
 	if (now - record.progressAt >= stallMs) {
 		recordSlowness(state, record.offer, {runMs: computeExpectedTime(state, record.offer) * 2, now, gain: abandonedGain});
 		return [...recordOutcome(state, record, false, now), ...stopRecord(state, record, 'stalled', now)];
@@ -93,7 +98,7 @@
 
 	const remaining = estimateRemainingTime(record, now);
 	updatePace(record, now);
-	if (remaining !== undefined && remaining > record.offer.abandonMs && isWorkerSlow(state, record, now)) {
+	if (remaining !== undefined && remaining > record.offer.abandonMs && isMoveFaster(state, record, remaining, now)) {
 		recordSlowness(state, record.offer, {runMs: remaining + (now - record.orderedAt), now, gain: abandonedGain});
 		return stopRecord(state, record, 'slow', now);
 	}
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -47,6 +47,8 @@
 	readonly health: WorkerHealth;
 	/** Measured run times by the expected ones. */
 	slowness: MeasuredSlowness;
+	/** When a run last ended that had not taken much longer than expected. */
+	usualPaceAt: Milliseconds;
 	isShuttingDown: boolean;
 };
 
@@ -94,6 +96,7 @@
 			failedJobs: new Set(), nextTrialAt: undefined, trialIntervalMs: initialTrialIntervalMs, successfulTrials: 0,
 		},
 		slowness: {ratio: 1, updatedAt: 0},
+		usualPaceAt: Number.NEGATIVE_INFINITY,
 		isShuttingDown: false,
 	};
 }
