--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -5,6 +5,7 @@
 import type {TaskEnd, TaskOffer} from '../../ports/dispatch-messages.ts';
 import type {Resources, WorkerAnnouncement} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
+import type {MeasuredSlowness} from '../slowness/logic.ts';
 import type {ClaimedSessions} from '../sessions/state.ts';
 import type {
 	RecentCrash, RecentEnds, OrphanRun, OwnerRecord, RunRecord, RunsOptions, WorkerHealth, WorkerClock, WorkerRecord,
@@ -44,8 +45,10 @@
 	/** Claims that arrived before the worker's runs were known. */
 	readonly pendingClaims: Map<NodeName, readonly TaskOffer[]>;
 	readonly health: WorkerHealth;
-	/** Measured run time divided by the expected one. */
-	slowness: number;
+	/** Measured run times by the expected ones. */
+	slowness: MeasuredSlowness;
+	/** When a run last ended that had not taken much longer than expected. */
+	usualPaceAt: Milliseconds;
 	isShuttingDown: boolean;
 	/** Whether operators have closed the data centre of this agent. */
 	isDataCentreClosed: boolean;
@@ -95,7 +98,8 @@
 		health: {
 			failedJobs: new Set(), nextTrialAt: undefined, trialIntervalMs: initialTrialIntervalMs, successfulTrials: 0,
 		},
-		slowness: 1,
+		slowness: {ratio: 1, updatedAt: 0},
+		usualPaceAt: Number.NEGATIVE_INFINITY,
 		isShuttingDown: false,
 		isDataCentreClosed: false,
 	};
