Reach for agents of open data centres when those of the subset are closed

Closed agents also no longer make a started job count as impossible: another agent with the label may be reached.

--- a/features/closings/entry.steps.ts
+++ b/features/closings/entry.steps.ts
@@ -5,19 +5,21 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {recordCrash} from '../../src/core/crashes/logic.ts';
 import {applyClosedDataCentres, updateOpenDataCentres} from '../../src/core/dispatch/closings.ts';
+import {chooseExtraAgents} from '../../src/core/dispatch/reach.ts';
 import {applyReports} from '../../src/core/dispatch/reports.ts';
 import type {DispatchState} from '../../src/core/dispatch/state.ts';
 import {estimateUtilization, recordWork} from '../../src/core/dispatch/waits.ts';
 import type {DispatchEffect, JobAnswer} from '../../src/core/dispatch/types.ts';
 import {applyLoad} from '../../src/core/fleet/state.ts';
 import type {Milliseconds} from '../../src/ports/clock.ts';
-import type {WorkerLoad} from '../../src/ports/dispatch-messages.ts';
+import type {DispatchPeer, WorkerLoad} from '../../src/ports/dispatch-messages.ts';
 
 type EntryWorld = {
 	state: DispatchState;
 	now: Milliseconds;
 	effects: DispatchEffect[];
 	answers: Map<string, JobAnswer>;
+	unconnected: readonly DispatchPeer[];
 };
 
 function recordEffects(world: EntryWorld, effects: readonly DispatchEffect[]): void {
@@ -113,3 +115,15 @@
 	assert.ok(this.effects.some(effect => effect.type === 'withdraw' && effect.agent === name));
 	assert.ok(this.effects.every(({type}) => type !== 'grant'));
 });
+
+Given('the entry knows agents {string} of {string} and {string} of {string} without a stream', function (this: EntryWorld, first: string, firstCentre: string, second: string, secondCentre: string) {
+	const create = (names: string, dataCentre: string): DispatchPeer[] => names.split(' ').map(name => ({
+		name, incarnation: 1, role: 'agent', dataCentre, host: '127.0.0.1', port: 1,
+	}));
+	this.unconnected = [...create(first, firstCentre), ...create(second, secondCentre)];
+	this.state.agentCount = this.state.fleet.agents.size;
+});
+
+Then('it opens streams to {string}', function (this: EntryWorld, names: string) {
+	assert.equal([...chooseExtraAgents(this.state, () => this.unconnected, this.now)].sort().join(' '), names);
+});
--- a/src/core/dispatch/reach.ts
+++ b/src/core/dispatch/reach.ts
@@ -58,6 +58,11 @@
 	return false;
 }
 
+/** Counts the connected agents outside the closed data centres. */
+function countOpenAgents({fleet}: DispatchState): number {
+	return [...fleet.agents.values()].filter(view => !isInClosedDataCentre(fleet, view)).length;
+}
+
 /**
  * Chooses the agents to which streams are opened for some seconds.
  *
@@ -67,8 +72,10 @@
  * @returns Names of the agents.
  */
 export function chooseExtraAgents(state: DispatchState, listUnconnected: () => readonly DispatchPeer[], now: Milliseconds): readonly NodeName[] {
-	const hasRoom = state.fleet.agents.size < state.agentCount * (1 + maxExtraShare);
-	const needsOthers = hasRoom && hasBusyTasks(state, now);
+	const openCount = countOpenAgents(state);
+	const hasRoom = openCount < state.agentCount * (1 + maxExtraShare);
+	const hasOnlyClosed = openCount === 0 && state.fleet.agents.size > 0;
+	const needsOthers = hasRoom && (hasOnlyClosed || hasBusyTasks(state, now));
 	if (!needsOthers && state.labelsNeededAt.size === 0) {
 		return [];
 	}
--- a/src/core/fleet/logic.ts
+++ b/src/core/fleet/logic.ts
@@ -169,9 +169,13 @@
 	let isTargetKnown = false;
 	for (const view of state.agents.values()) {
 		const {load} = view;
+		if (isInClosedDataCentre(state, view)) {
+			continue;
+		}
+
 		const isUnknown = load === undefined || load.mode === 'starting';
 		const isMatching = load?.target === target && (label === '' || load.labels.includes(label));
-		if (!isInClosedDataCentre(state, view) && (isUnknown || (isMatching && hasCapacityFor(load.capacity, needs)))) {
+		if (isUnknown || (isMatching && hasCapacityFor(load.capacity, needs))) {
 			return false;
 		}
 
