Take heartbeats whose cold time is not valid

A heartbeat with a ColdRemainingMs of null, or below 0, was taken before the field was read, and was refused since: its agent would have lost the worker. Any such value counts as unknown now.

--- a/features/closings/agent.feature
+++ b/features/closings/agent.feature
@@ -119,3 +119,18 @@
     And 250 ms go by
     And the worker lists "b" as ended "done"
     Then "b" is not reported as run on a cold worker
+
+  # Guards against a worker that is lost, as its heartbeat is refused for a field that is not needed.
+  Scenario Outline: A heartbeat with the cold time <text> is taken
+    When the cold time <text> comes with a heartbeat
+    Then the worker stays cold for "<time>" ms
+
+    Examples:
+      | text   | time    |
+      | 1500   | 1500    |
+      | 0      | 0       |
+      | none   | unknown |
+      | null   | unknown |
+      | -1     | unknown |
+      | "long" | unknown |
+      | 1e400  | unknown |
--- a/features/closings/agent.steps.ts
+++ b/features/closings/agent.steps.ts
@@ -3,11 +3,15 @@
  */
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
+import {decodeAnnouncement} from '../../platform/bodies.ts';
 import {applyClosing} from '../../src/core/runs/closings.ts';
 import {computeLoad, handleAnnouncement} from '../../src/core/runs/logic.ts';
 import type {TaskReport} from '../../src/ports/dispatch-messages.ts';
+import type {WorkerAnnouncement} from '../../src/ports/worker.ts';
 import {recordEffects, type RunsWorld} from '../runs/world.ts';
 
+type HeartbeatWorld = {decodedHeartbeat: WorkerAnnouncement};
+
 function findReport(world: RunsWorld, task: string): TaskReport | undefined {
 	return world.effects.flatMap(effect => effect.type === 'report' ? effect.reports : []).find(report => report.task === `${task}.0.0.0`);
 }
@@ -45,3 +49,12 @@
 		.filter(report => report.task === `${task}.0.0.0`).map(report => report.end);
 	assert.deepEqual(ends, Array.from({length: count}, () => end));
 });
+
+When('the cold time {} comes with a heartbeat', function (this: HeartbeatWorld, text: string) {
+	const field = text === 'none' ? '' : `,"ColdRemainingMs":${text}`;
+	this.decodedHeartbeat = decodeAnnouncement('w', JSON.parse(`{"Service":"desk","Address":"","State":"ready","Capacity":{},"Sequence":1${field}}`) as Record<string, unknown>);
+});
+
+Then('the worker stays cold for {string} ms', function (this: HeartbeatWorld, time: string) {
+	assert.equal(String(this.decodedHeartbeat.coldMs ?? 'unknown'), time);
+});
