Describe loads in steps only if they differ in a figure

An agent decided 20 times a second for each entry whether to report its load, and described both loads as text each time. It now looks at the time first, and at the figures before their descriptions.

--- a/src/core/runs/load-reports.ts
+++ b/src/core/runs/load-reports.ts
@@ -52,6 +52,13 @@
 	].join(' ');
 }
 
+/** Returns whether two loads are the same in steps; most are the same in every figure. */
+function isSameSteps(left: WorkerLoad, right: WorkerLoad): boolean {
+	const isSame = isSameResources(left.free, right.free) && isSameResources(left.capacity, right.capacity)
+		&& left.waits.length === right.waits.length && left.waits.every((wait, index) => wait === right.waits[index]);
+	return isSame || formatSteps(left) === formatSteps(right);
+}
+
 function isSameWorker(left: WorkerLoad, right: WorkerLoad): boolean {
 	return left.mode === right.mode
 		&& left.target === right.target
@@ -78,6 +85,6 @@
 		return true;
 	}
 
-	const isRefined = Math.abs(reported.load.slowness - load.slowness) >= slownessStep || formatSteps(reported.load) !== formatSteps(load);
-	return isRefined && now - reported.at >= refinementMs;
+	return now - reported.at >= refinementMs
+		&& (Math.abs(reported.load.slowness - load.slowness) >= slownessStep || !isSameSteps(reported.load, load));
 }
