--- a/bench/profile.ts
+++ b/bench/profile.ts
@@ -1,9 +1,10 @@
 /**
  * Measures what an entry and an agent of the platform spend under a steady load, with stand-ins on loopback.
  *
- * Run by `npm run profile -- [--entries N] [--agents N] [--jobs PER_SECOND] [--task-cpu MILLICORES] [--seconds N]`.
+ * Run by `npm run profile -- [--entries N] [--agents N] [--jobs PER_SECOND] [--task-cpu MILLICORES] [--cores SHARE] [--seconds N]`.
  * Prints processor time per role, idle and per answered job, and the functions of one entry and one agent that spend
- * most. The processes run a bundle that is built for the measurement: as on the platform, but with readable names.
+ * most. With `--cores`, the settings tell that share of a core, which nothing enforces. The processes run a bundle that is
+ * built for the measurement: as on the platform, but with readable names.
  */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {
@@ -28,6 +29,7 @@
 		jobs: {type: 'string', default: '90'},
 		seconds: {type: 'string', default: '12'},
 		'task-cpu': {type: 'string', default: '1600'},
+		cores: {type: 'string'},
 	},
 });
 
@@ -63,6 +65,11 @@
 };
 
 const [entryCount, agentCount, jobsPerSecond, seconds, taskCpu] = [values.entries, values.agents, values.jobs, values.seconds, values['task-cpu']].map(Number);
+const machine = values.cores === undefined
+	? undefined
+	: {
+		cores: Number(values.cores), memoryMb: 250, descriptors: 4096, linkMbps: 100,
+	};
 const folder = await mkdtemp(path.join(tmpdir(), 'medlardale-profile-'));
 // An interrupted measurement must not leave its processes behind.
 process.once('SIGTERM', () => {
@@ -88,7 +95,7 @@
 	const name = `${role}-${index}`;
 	const file = path.join(folder, `${name}.json`);
 	await writeFile(file, JSON.stringify({
-		name, host: '127.0.0.1', dataCentre: 'dc', entryPort: 1, agentPort: 1, store: store.address, bounds, ...fields,
+		name, host: '127.0.0.1', dataCentre: 'dc', entryPort: 1, agentPort: 1, store: store.address, bounds, machine, ...fields,
 	}));
 	// Only the first of each role is profiled: profiling costs processor time itself.
 	const profiling = index === 0 ? ['--cpu-prof', `--cpu-prof-dir=${path.join(folder, role)}`] : [];
