--- a/bench/soak/platform/judge.ts
+++ b/bench/soak/platform/judge.ts
@@ -25,6 +25,10 @@
 /** Share of jobs that have to be served after the recovery. */
 const minServedShare = 0.25;
 
+/** Share of jobs that have to be served while no fault is near, and the number of such jobs from which it is judged. */
+const minCalmShare = 0.995;
+const minCalmJobs = 200;
+
 const refusedStatuses = new Set<unknown>([429, 503]);
 
 function describeRun({run, worker, startedAt, endedAt, end}: StartRecord): string {
@@ -93,11 +97,15 @@
 	}));
 }
 
+function isCalm(faults: readonly InjectedFault[], from: Milliseconds, to: Milliseconds): boolean {
+	return faults.every(fault => fault.endedAt + calmMs < from || fault.at > to);
+}
+
 /** Submissions without an answer by their deadline, with no fault near. */
 function listLateAnswers({jobs, faults}: Observations): Finding[] {
 	return [...jobs.values()].flatMap(({id, submissions}) => submissions
 		.filter(({result}) => result === 'timeout')
-		.filter(({at, endedAt = at}) => faults.every(fault => fault.endedAt + calmMs < at || fault.at > endedAt))
+		.filter(({at, endedAt = at}) => isCalm(faults, at, endedAt))
 		.map(({entry, at}) => ({
 			rule: 'LATE', at, text: `${entry} does not answer ${id} by its deadline`, jobs: [id],
 		})));
@@ -115,7 +123,18 @@
 		}];
 }
 
-const checks = [listConcurrentRuns, listExcessiveStarts, listUnaskedStarts, listUntrueAnswers, listLateAnswers, listMissingService];
+/** Too few jobs served whose submissions were all made and ended with no fault near. */
+function listCalmLosses({jobs, faults, endsAt}: Observations): Finding[] {
+	const calm = [...jobs.values()].filter(({submissions}) => submissions.every(({at, endedAt = at}) => isCalm(faults, at, endedAt)));
+	const lost = calm.filter(({submissions}) => submissions.every(({result}) => result !== 200));
+	return calm.length < minCalmJobs || lost.length <= calm.length * (1 - minCalmShare)
+		? []
+		: [{
+			rule: 'UNSERVED', at: endsAt, text: `${lost.length} of ${calm.length} jobs are not served though no fault is near`, jobs: lost.map(({id}) => id).slice(0, 3),
+		}];
+}
+
+const checks = [listConcurrentRuns, listExcessiveStarts, listUnaskedStarts, listUntrueAnswers, listLateAnswers, listMissingService, listCalmLosses];
 
 /**
  * Lists the broken rules of a run.
