--- a/features/dispatch/random-run.feature
+++ b/features/dispatch/random-run.feature
@@ -152,6 +152,12 @@
       | submissions that arrive late beside lost data centres | 8     |
       | submissions that arrive late beside suspended entries | 3     |
 
+  # Guards against a second run beside that of an entry that is killed right after it has read a late first submission.
+  Scenario: Submissions that arrive late beside killed entries of several data centres
+    When a fleet of 3 data centres runs for 20 s with submissions that arrive late beside killed entries and lost streams, over 3 seeds
+    Then no task ran twice at the same time and no worker exceeded its capacity
+    And some checks asked a data centre only
+
   # Guards against the same while the entries can't ask each other.
   Scenario: Submissions that arrive late at entries that do not reach each other
     When a fleet with long runs runs for 20 s with submissions that arrive late beside entries that do not reach each other, over 4 seeds from 1
