--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -16,7 +16,7 @@
 const portsPerProcess = 4;
 
 /** Creates a configuration with one route, or with none. */
-function createConfiguration(version: number, hasRoute: boolean): unknown {
+function createConfiguration(version: number, hasRoute: boolean, maxBodyBytes = 65_536): unknown {
 	return {
 		Version: version,
 		Routes: hasRoute
@@ -25,7 +25,7 @@
 			}]
 			: [],
 		Services: [],
-		Limits: {MaxBodyBytes: 65_536},
+		Limits: {MaxBodyBytes: maxBodyBytes},
 	};
 }
 
@@ -55,7 +55,15 @@
 	readonly entries: EntryAddresses[] = [];
 	/** Addresses of the metrics of the agents. */
 	readonly agentMetrics: string[] = [];
+	/** Addresses at which the agents receive heartbeats. */
+	readonly agentHeartbeats: string[] = [];
 	graceSeconds = defaultGraceSeconds;
+	/** Settings of the machine of each process; absent by default. */
+	machine: Readonly<Record<string, number>> | undefined;
+	/** Options of Node.js after those of the deploy file. */
+	nodeOptions: readonly string[] = [];
+	/** Maximum size of a body by the configuration, in bytes. */
+	maxBodyBytes: number | undefined;
 	#store: StoreStandIn | undefined;
 	#folder = '';
 	#probes = 0;
@@ -88,7 +96,7 @@
 			this.#store.writeText(key, text);
 		}
 
-		this.#store.writeKey('op/config', createConfiguration(7, true));
+		this.#store.writeKey('op/config', createConfiguration(7, true, this.maxBodyBytes));
 		const ports = await takePorts(agents * portsPerProcess);
 		for (let index = 0; index < agents; index++) {
 			const worker = await startWorkerStandIn({
@@ -96,6 +104,7 @@
 			});
 			const [agentPort, heartbeatPort, metricsPort] = ports.splice(0, portsPerProcess);
 			this.agentMetrics.push(`127.0.0.1:${metricsPort}`);
+			this.agentHeartbeats.push(`127.0.0.1:${heartbeatPort}`);
 			this.workers.push(worker);
 			worker.startHeartbeats(`127.0.0.1:${heartbeatPort}`);
 			await this.#startProcess('agent', `agent-${index}`, {
@@ -242,7 +251,7 @@
 	async #startProcess(role: FleetProcess['role'], name: string, fields: Record<string, unknown>): Promise<void> {
 		const file = path.join(this.#folder, `${name}.json`);
 		await writeFile(file, JSON.stringify({
-			name, host: '127.0.0.1', dataCentre: 'dc', entryPort: 1, agentPort: 1, store: this.#store!.address, ...fields, bounds: {
+			name, host: '127.0.0.1', dataCentre: 'dc', entryPort: 1, agentPort: 1, store: this.#store!.address, machine: this.machine, ...fields, bounds: {
 				maxLeaseMs: 1000, stopMs: 50, resubmitMs: 1300, graceSeconds: this.graceSeconds, configurationMs: 2000, remoteFactor: 1.5,
 			},
 		}));
@@ -252,7 +261,7 @@
 	}
 
 	#spawnProcess(role: FleetProcess['role'], file: string): ChildProcess {
-		return spawn(process.execPath, [...platformNodeOptions[role], 'target/medlardale.cjs', role, '--settings', file], {
+		return spawn(process.execPath, [...platformNodeOptions[role], ...this.nodeOptions, 'target/medlardale.cjs', role, '--settings', file], {
 			stdio: ['ignore', 'ignore', 'inherit'], env: {...process.env, MEDLARDALE_SECRET: 'features'},
 		});
 	}
