Bound what clients keep open, over both HTTP interfaces

Cause: readBody kept an object for each chunk (199 to 236 bytes of heap), and nothing bounded connections, times or pipelined requests (docs/incidents/clients-outside-limits.md). Change: src/core/receiving decides on one budget of memory and connections for each process; src/adapters/http/receiver.ts applies it. Bodies are copied into blocks; large ones wait while memory is short; the largest and oldest unfinished ones are ended. Responses queued on a closed connection are closed, which Node.js does only for the first.

--- a/src/adapters/http/body.ts
+++ b/src/adapters/http/body.ts
@@ -1,25 +1,18 @@
 /**
- * Reads request bodies and enforces size limits, on the header and again as bytes arrive.
+ * Reads JSON bodies of requests and enforces size limits, on the header and again as bytes arrive.
  */
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {HttpError} from './errors.ts';
+import {readBytes, type BodyFault} from './receiver.ts';
 
-/** Size limits of request bodies. */
-export type BodyLimits = {
-	/** Maximum size of one body, in bytes. */
-	readonly maxBodyBytes: number;
-	/** Maximum total size of all bodies that are being received, in bytes. */
-	readonly maxBufferedBytes: number;
-};
-
-/** Reads request bodies and tracks how many bytes are buffered in total. */
+/** Reads request bodies. */
 export type BodyReader = {
-	/** Reads a complete JSON body. After a refusal, the rest of the request is left for the caller to discard. */
+	/** Reads a complete JSON body, within the budget for requests that are being received. After a refusal, the rest of the request is left for the caller to discard. */
 	readBody(request: IncomingMessage): Promise<Result<Uint8Array, HttpError>>;
 };
 
+/** The oldest and largest unfinished bodies are ended at once when memory is short, so that there is room again soon. */
 const overloadRetryMs = 1000;
 const jsonTypePattern = /^application\/json\s*(?:;|$)/i;
 
@@ -48,55 +41,28 @@
 	});
 }
 
+const faultErrors: Readonly<Record<Exclude<BodyFault, 'too-large'>, HttpError>> = {
+	incomplete: {kind: 'body-incomplete', message: 'the connection was closed before the whole body had arrived'},
+	slow: {kind: 'request-timeout', message: 'the body did not arrive in time; nothing was run'},
+	'no-memory': {kind: 'overloaded', message: 'the memory for requests that are being received is used up', retryAfter: overloadRetryMs},
+};
+
 /**
  * Creates a reader of request bodies.
  *
- * @param limits - Size limits.
+ * @param maxBodyBytes - Maximum size of one body, in bytes.
  * @returns The reader.
  */
-export function createBodyReader(limits: BodyLimits): BodyReader {
-	const {maxBodyBytes, maxBufferedBytes} = limits;
-	let bufferedBytes = 0;
-
-	async function readChunks(request: IncomingMessage): Promise<Result<Uint8Array, HttpError>> {
-		const chunks: Uint8Array[] = [];
-		let size = 0;
-
-		return new Promise(resolve => {
-			function handleResult(result: Result<Uint8Array, HttpError>): void {
-				request.off('data', handleChunk).off('end', handleEnd).off('close', handleClose);
-				bufferedBytes -= size;
-				resolve(result);
-			}
-
-			function handleChunk(chunk: Uint8Array): void {
-				size += chunk.length;
-				bufferedBytes += chunk.length;
-				if (size > maxBodyBytes) {
-					handleResult(createSizeError(`more than ${maxBodyBytes} bytes`, maxBodyBytes));
-				} else if (bufferedBytes > maxBufferedBytes) {
-					handleResult(Err({kind: 'overloaded', message: `more than ${maxBufferedBytes} bytes of requests are being received`, retryAfter: overloadRetryMs}));
-				} else {
-					chunks.push(chunk);
-				}
-			}
-
-			function handleEnd(): void {
-				handleResult(Ok(Buffer.concat(chunks, size)));
-			}
-
-			function handleClose(): void {
-				handleResult(Err({kind: 'body-incomplete', message: 'the connection was closed before the whole body had arrived'}));
-			}
-
-			request.on('data', handleChunk).on('end', handleEnd).on('close', handleClose).on('error', () => undefined);
-		});
-	}
-
+export function createBodyReader(maxBodyBytes: number): BodyReader {
 	return {
 		async readBody(request) {
 			const checked = checkHeader(request, maxBodyBytes);
-			return checked.isErr() ? checked : readChunks(request);
+			if (checked.isErr()) {
+				return checked;
+			}
+
+			const body = await readBytes(request, maxBodyBytes);
+			return body.mapErr(fault => fault === 'too-large' ? createSizeError(`more than ${maxBodyBytes} bytes`, maxBodyBytes).error : faultErrors[fault]);
 		},
 	};
 }
--- /dev/null
+++ b/src/adapters/http/receiver.ts
@@ -0,0 +1,348 @@
+/**
+ * Applies the decisions of `src/core/receiving` to the connections of HTTP servers; all servers of a process share one budget.
+ */
+import type {
+	IncomingMessage, RequestListener, Server, ServerResponse,
+} from 'node:http';
+import type {Socket} from 'node:net';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {
+	addConnection, admitRequest, advanceReceiving, isBodyToWait, observeConnection, recordBodyEnd, removeConnection, setBodyBytes, settleRequest,
+} from '../../core/receiving/logic.ts';
+import {createReceivingState} from '../../core/receiving/state.ts';
+import type {ConnectionEnd, EndReason, ReceivingLimits} from '../../core/receiving/types.ts';
+import type {Clock, Milliseconds} from '../../ports/clock.ts';
+import {createBodyBuffer} from './body-buffer.ts';
+
+/** Why a body was not received. */
+export type BodyFault = 'too-large' | 'incomplete' | 'slow' | 'no-memory';
+
+/** Connections ended and requests refused in a second, by reason, and what is left. */
+export type ReceivingReport = {
+	readonly ends: Readonly<Partial<Record<EndReason, number>>>;
+	readonly connections: number;
+	readonly bytes: number;
+};
+
+/** How a server takes part. */
+export type ReceivingServerOptions = {
+	/** Unique name in the process. */
+	readonly name: string;
+	/** Connections of this server, if they are fewer than the limit of the process. */
+	readonly maxConnections?: number;
+	/** Answers a request that is refused because the memory for requests is used up; nothing of it was run. */
+	refuse(request: IncomingMessage, response: ServerResponse): void;
+};
+
+/** Bounds memory and connections of clients; disposing of it stops its timer. */
+export type Receiver = Disposable & {
+	/** Bounds the connections of a server; called before it listens. */
+	addServer(server: Server, options: ReceivingServerOptions): void;
+	/** Wraps the handler of requests of a server, so that it gets only those that are admitted. */
+	createListener(options: ReceivingServerOptions, handler: RequestListener): RequestListener;
+	/** Lists the values of the gauges, by name. */
+	listGauges(): Readonly<Record<string, number>>;
+};
+
+/** One connection. */
+type Client = {
+	readonly id: number;
+	readonly socket: Socket;
+	readonly server: Server;
+	readonly responses: Set<ServerResponse>;
+	/** Bytes read before the next header. */
+	bytesBefore: number;
+	/** Ends the body that is being read. */
+	endBody: ((fault: BodyFault) => void) | undefined;
+	/** Continues to read a body that waits. */
+	resumeBody: (() => void) | undefined;
+	setBodyBytes(bytes: number): void;
+	isBodyToWait(bytes: number): boolean;
+	recordBodyEnd(): void;
+};
+
+/** Interval between two checks of the time limits, in ms. */
+const checkMs = 250;
+
+/** Interval between two reports, in ms. */
+const reportMs = 1000;
+
+/** Time for the client to read a refusal before its connection is closed, in ms. */
+const lingerMs = 1000;
+
+/**
+ * Memory of an unfinished header by its bytes on the wire. Measured: 28.7 KB of heap for 8 KB in short lines
+ * (docs/incidents/clients-outside-limits.md).
+ */
+const headerFactor = 4;
+
+const bodyFaults: Readonly<Partial<Record<EndReason, BodyFault>>> = {memory: 'no-memory', 'slow-body': 'slow'};
+const timeoutResponse = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+
+/** Connections of all receivers. */
+const clients = new WeakMap<Socket, Client>();
+
+function hasBody({headers}: IncomingMessage): boolean {
+	return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+}
+
+function countUnreadBytes({socket, responses}: Client): number {
+	let bytes = socket.writableLength;
+	for (const response of responses) {
+		// The response that is being sent counts its own bytes and those of the connection.
+		bytes += response.socket === null ? response.writableLength : 0;
+	}
+
+	return bytes;
+}
+
+/**
+ * Emits `close` on the responses that wait for an earlier one of their closed connection. Node.js does so only for the first,
+ * so the handlers of the others would wait for ever and keep the memory of the whole connection.
+ */
+function closeQueuedResponses({responses}: Client): void {
+	for (const response of responses) {
+		if (response.socket === null) {
+			response.destroy();
+			response.emit('close');
+		}
+	}
+}
+
+function closeSocket({socket}: Client, delay: Milliseconds): void {
+	const timer = setTimeout(() => {
+		socket.destroy();
+	}, delay);
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+}
+
+function endSlowHeader(client: Client): void {
+	const {server, socket} = client;
+	closeSocket(client, lingerMs);
+	if (server.listenerCount('clientError') > 0) {
+		server.emit('clientError', Object.assign(new Error('the header did not arrive in time'), {code: 'ERR_HTTP_REQUEST_TIMEOUT'}), socket);
+	} else {
+		socket.end(timeoutResponse);
+	}
+}
+
+/**
+ * Creates a receiver.
+ *
+ * @param limits - Limits of the process.
+ * @param clock - Source of time.
+ * @param report - Called at most once a second if connections were ended or requests refused.
+ * @returns The receiver.
+ */
+export function createReceiver(limits: ReceivingLimits, clock: Clock, report: (news: ReceivingReport) => void): Receiver {
+	const state = createReceivingState(limits);
+	const clientsById = new Map<number, Client>();
+	let lastId = 0;
+	let ended = new Map<EndReason, number>();
+
+	function countEnd(reason: EndReason): void {
+		ended.set(reason, (ended.get(reason) ?? 0) + 1);
+	}
+
+	function endConnection({id, reason, phase}: ConnectionEnd): void {
+		const client = clientsById.get(id);
+		clientsById.delete(id);
+		countEnd(reason);
+		if (client === undefined) {
+			return;
+		}
+
+		const fault = bodyFaults[reason];
+		if (phase === 'body' && client.endBody !== undefined && fault !== undefined) {
+			closeSocket(client, lingerMs);
+			client.endBody(fault);
+		} else if (reason === 'slow-header') {
+			endSlowHeader(client);
+		} else {
+			client.socket.destroy();
+		}
+	}
+
+	function applyEnds(ends: readonly ConnectionEnd[]): void {
+		for (const end of ends) {
+			endConnection(end);
+		}
+	}
+
+	function observeClient(client: Client): void {
+		const headerBytes = (client.socket.bytesRead - client.bytesBefore) * headerFactor;
+		observeConnection(state, client.id, headerBytes, countUnreadBytes(client), clock.getTime());
+	}
+
+	function handleConnection(socket: Socket, server: Server, {name, maxConnections}: ReceivingServerOptions): void {
+		lastId++;
+		const id = lastId;
+		const client: Client = {
+			id,
+			socket,
+			server,
+			responses: new Set(),
+			bytesBefore: 0,
+			endBody: undefined,
+			resumeBody: undefined,
+			isBodyToWait: bytes => isBodyToWait(state, bytes),
+			setBodyBytes(bytes) {
+				applyEnds(setBodyBytes(state, id, bytes, clock.getTime()));
+			},
+			recordBodyEnd() {
+				client.bytesBefore = socket.bytesRead;
+				recordBodyEnd(state, id, clock.getTime());
+			},
+		};
+		clients.set(socket, client);
+		clientsById.set(id, client);
+		socket.once('close', () => {
+			clientsById.delete(id);
+			removeConnection(state, id);
+			closeQueuedResponses(client);
+		});
+		applyEnds(addConnection(state, id, name, Math.min(maxConnections ?? Infinity, limits.maxConnections), clock.getTime()));
+	}
+
+	function settleResponse(client: Client, response: ServerResponse): void {
+		client.responses.delete(response);
+		client.bytesBefore = client.socket.bytesRead;
+		settleRequest(state, client.id, clock.getTime());
+	}
+
+	/** Returns whether the request may be handled. */
+	function admitClient(client: Client, request: IncomingMessage, response: ServerResponse, refuse: ReceivingServerOptions['refuse']): boolean {
+		observeClient(client);
+		client.bytesBefore = client.socket.bytesRead;
+		const decision = admitRequest(state, client.id, hasBody(request), clock.getTime());
+		if (decision.type === 'ended') {
+			endConnection(decision.end);
+			return false;
+		}
+
+		client.responses.add(response);
+		response.once('close', () => {
+			settleResponse(client, response);
+		});
+		request.once('end', client.recordBodyEnd);
+		if (decision.type === 'refused') {
+			countEnd(decision.reason);
+			refuse(request, response);
+			return false;
+		}
+
+		applyEnds(decision.ends);
+		return true;
+	}
+
+	const checkTimer = clock.startInterval(checkMs, () => {
+		for (const client of clientsById.values()) {
+			observeClient(client);
+		}
+
+		applyEnds(advanceReceiving(state, clock.getTime()));
+		for (const client of clientsById.values()) {
+			client.resumeBody?.();
+		}
+	});
+	const reportTimer = clock.startInterval(reportMs, () => {
+		if (ended.size > 0) {
+			report({ends: Object.fromEntries(ended), connections: state.connections.size, bytes: state.bytes});
+			ended = new Map();
+		}
+	});
+
+	return {
+		addServer(server, options) {
+			server.on('connection', (socket: Socket) => {
+				handleConnection(socket, server, options);
+			});
+		},
+		createListener: ({refuse}, handler) => (request, response) => {
+			const client = clients.get(request.socket);
+			// A connection that was ended may have sent more requests before; none of them is handled.
+			if (client !== undefined && clientsById.has(client.id) && admitClient(client, request, response, refuse)) {
+				handler(request, response);
+			}
+		},
+		listGauges: () => ({receiving_connections: state.connections.size, receiving_bytes: state.bytes}),
+		[Symbol.dispose]() {
+			checkTimer[Symbol.dispose]();
+			reportTimer[Symbol.dispose]();
+		},
+	};
+}
+
+/**
+ * Reads the body of a request, within the budget of the receiver of its connection if it has one.
+ *
+ * @param request - The request.
+ * @param maxBytes - Maximum size, in bytes.
+ * @returns The body, or why it was not received; then nothing is read any more.
+ */
+export async function readBytes(request: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, BodyFault>> {
+	const client = request.socket && clients.get(request.socket);
+	const buffer = createBodyBuffer();
+	let allocated = 0;
+
+	return new Promise(resolve => {
+		function handleResult(result: Result<Uint8Array, BodyFault>): void {
+			request.off('data', handleChunk).off('end', handleEnd).off('close', handleClose);
+			if (client !== undefined) {
+				client.endBody = undefined;
+				client.resumeBody = undefined;
+				client.setBodyBytes(0);
+			}
+
+			resolve(result);
+		}
+
+		function handleChunk(chunk: Uint8Array): void {
+			if (buffer.getSize() + chunk.length > maxBytes) {
+				handleResult(Err('too-large'));
+				return;
+			}
+
+			buffer.addChunk(chunk);
+			if (buffer.getAllocatedBytes() > allocated) {
+				allocated = buffer.getAllocatedBytes();
+				client?.setBodyBytes(allocated);
+			}
+
+			checkPressure();
+		}
+
+		/** Pauses the body while it has to wait; the next check of the receiver decides anew. */
+		function checkPressure(): void {
+			if (client?.endBody === undefined) {
+				return;
+			}
+
+			if (client.isBodyToWait(allocated)) {
+				client.resumeBody = checkPressure;
+				request.pause();
+			} else if (client.resumeBody !== undefined) {
+				client.resumeBody = undefined;
+				request.resume();
+			}
+		}
+
+		function handleEnd(): void {
+			handleResult(Ok(buffer.getBytes()));
+		}
+
+		function handleClose(): void {
+			handleResult(Err('incomplete'));
+		}
+
+		if (client !== undefined) {
+			client.endBody = fault => {
+				handleResult(Err(fault));
+			};
+		}
+
+		request.on('data', handleChunk).on('end', handleEnd).on('close', handleClose).on('error', () => undefined);
+	});
+}
--- a/src/adapters/http/server.ts
+++ b/src/adapters/http/server.ts
@@ -9,11 +9,16 @@
 import type {JobService} from '../../ports/jobs.ts';
 import type {Log} from '../../ports/log.ts';
 import type {Settings} from '../../settings/schema.ts';
-import {listProblemHeaders} from './answers.ts';
+import {defaultLimits} from '../../core/receiving/state.ts';
+import type {ReceivingLimits} from '../../core/receiving/types.ts';
+import {createSystemClock} from '../system/clock.ts';
+import {listProblemHeaders, writeProblem} from './answers.ts';
 import {createBodyReader} from './body.ts';
-import type {HttpErrorKind} from './errors.ts';
+import {getRefusalOutcome} from './calls.ts';
+import type {HttpError, HttpErrorKind} from './errors.ts';
 import {createInFlightTracker, type InFlightTracker} from './in-flight.ts';
 import {createErrorProblem} from './problems.ts';
+import {createReceiver, type ReceivingServerOptions} from './receiver.ts';
 import {createRequestHandler} from './routes.ts';
 
 /** Options of the HTTP interface. */
@@ -32,8 +37,10 @@
 	readonly requestTimeoutMs?: number;
 	/** Maximum size of the header of a request, in bytes. */
 	readonly maxHeaderBytes?: number;
-	/** Maximum total size of all bodies that are being received, in bytes. */
+	/** Maximum memory of all requests and answers in progress, in bytes. */
 	readonly maxBufferedBytes?: number;
+	/** Limits of clients; those that are absent are constants. */
+	readonly receiving?: Partial<ReceivingLimits>;
 	/** Renders the metrics of this process as text. */
 	renderMetrics(): string | Promise<string>;
 };
@@ -43,6 +50,8 @@
 	readonly port: number;
 	/** Starts refusing new requests; requests in flight continue. */
 	startDraining(): void;
+	/** Lists the values of the gauges, by name. */
+	listGauges(): Readonly<Record<string, number>>;
 	/** Resolves once no request is in flight. */
 	waitIdle(): Promise<void>;
 };
@@ -50,11 +59,16 @@
 const defaultHeadersTimeoutMs = 10_000;
 const defaultRequestTimeoutMs = 30_000;
 const defaultMaxHeaderBytes = 16_384;
-const defaultMaxBufferedBytes = 67_108_864;
 const keepAliveTimeoutMs = 75_000;
+/** Defaults of the limits that the options leave out; docs/operators/limits.md compares each with what callers need. */
+const defaultProductLimits: ReceivingLimits = {...defaultLimits, maxBytes: 67_108_864, maxConnections: 10_000};
+
+/** Refusal of a request for which there is no memory. */
+const overloadError: HttpError = {
+	kind: 'overloaded', message: 'the memory for requests that are being received is used up', retryAfter: 1000,
+};
 const timeoutCheckIntervalMs = 1000;
 const maxHeadersCount = 100;
-const maxConnections = 10_000;
 
 /** Error kinds for requests that could not be parsed, by error code of Node's HTTP server; others are `malformed-request`. */
 const clientErrorKinds: Readonly<Record<string, HttpErrorKind>> = {
@@ -98,10 +112,26 @@
 	const {limits, log, host} = options;
 	const inFlight = createInFlightTracker();
 	let draining = false;
+	const {maxBufferedBytes, headersTimeoutMs = defaultHeadersTimeoutMs, requestTimeoutMs = defaultRequestTimeoutMs} = options;
+	const receiver = createReceiver({
+		...defaultProductLimits,
+		headersMs: headersTimeoutMs,
+		bodyMs: requestTimeoutMs,
+		...(maxBufferedBytes === undefined ? {} : {maxBytes: maxBufferedBytes}),
+		...options.receiving,
+	}, createSystemClock(), report => {
+		log.warn(`clients ended or refused: ${JSON.stringify(report)}`);
+	});
+	const receivingOptions: ReceivingServerOptions = {
+		name: 'callers',
+		refuse(request, response) {
+			writeProblem(request, response, createErrorProblem(overloadError, getRefusalOutcome(request)));
+		},
+	};
 
 	const handler = createRequestHandler({
 		...options,
-		bodies: createBodyReader({maxBodyBytes: limits.maxBodyBytes, maxBufferedBytes: options.maxBufferedBytes ?? defaultMaxBufferedBytes}),
+		bodies: createBodyReader(limits.maxBodyBytes),
 		isDraining: () => draining,
 		addWork: inFlight.addWork,
 	});
@@ -123,16 +153,17 @@
 		handleRequest(request, response);
 	}
 
+	const handleAdmitted = receiver.createListener(receivingOptions, handleRequest);
 	const server = createServer({
 		maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
-		headersTimeout: options.headersTimeoutMs ?? defaultHeadersTimeoutMs,
-		requestTimeout: options.requestTimeoutMs ?? defaultRequestTimeoutMs,
+		headersTimeout: headersTimeoutMs,
+		requestTimeout: requestTimeoutMs,
 		connectionsCheckingInterval: timeoutCheckIntervalMs,
 		keepAliveTimeout: keepAliveTimeoutMs,
-	}, handleRequest);
+	}, handleAdmitted);
+	receiver.addServer(server, receivingOptions);
 	server.maxHeadersCount = maxHeadersCount;
-	server.maxConnections = maxConnections;
-	server.on('checkContinue', handleExpectation).on('clientError', (error, socket) => {
+	server.on('checkContinue', receiver.createListener(receivingOptions, handleExpectation)).on('clientError', (error, socket) => {
 		handleClientError(error, socket as Socket, inFlight);
 	});
 	const port = await listenServer(server, host, options.port);
@@ -140,6 +171,7 @@
 
 	return {
 		port,
+		listGauges: receiver.listGauges,
 		startDraining() {
 			draining = true;
 			inFlight.closeAfterResponse();
@@ -147,6 +179,7 @@
 		waitIdle: async () => inFlight.waitIdle(),
 		async [Symbol.asyncDispose]() {
 			draining = true;
+			receiver[Symbol.dispose]();
 			await new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
--- a/src/settings/dispatch.ts
+++ b/src/settings/dispatch.ts
@@ -74,6 +74,21 @@
 		/** Bandwidth of the network link, in Mbit/s. */
 		linkMbps: positive,
 	})),
+	/** Limits of clients; those that are absent follow from `machine`, or are constants. */
+	receiving: z.optional(z.object({
+		/** Memory for requests and answers in progress, in bytes. */
+		maxBytes: z.optional(positive),
+		/** Connections of callers. */
+		maxConnections: z.optional(positive),
+		/** Requests of one connection that are not answered. */
+		maxPipelined: z.optional(positive),
+		/** Time for a header after its first byte, in ms. */
+		headersMs: z.optional(positive),
+		/** Time for a body after its header, in ms. */
+		bodyMs: z.optional(positive),
+		/** Time in which a client has to read some of its answer, in ms. */
+		answerMs: z.optional(positive),
+	})),
 });
 
 /** Validated settings. */
