--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -14,6 +14,7 @@
 import {membershipSchema} from './sections/membership.ts';
 import {peerSchema} from './sections/peer.ts';
 import {placementSchema} from './sections/placement.ts';
+import {receivingSchema} from './sections/receiving.ts';
 import {schedulingSchema} from './sections/scheduling.ts';
 import {targetSchema} from './sections/target.ts';
 import {timelineSchema} from './sections/timeline.ts';
@@ -62,6 +63,7 @@
 	membership: membershipSchema,
 	peer: peerSchema,
 	placement: placementSchema,
+	receiving: receivingSchema,
 	scheduling: schedulingSchema,
 	target: targetSchema,
 	timeline: timelineSchema,
