Mend what the review of closings, entry load and checks found

Load shedding answered 503 before a standstill was noticed: the entry is observed first now, and the test advances the clock without a tick. An entry with one open agent left reached for no others while data centres were closed. Agents warned of unknown data centres that they cannot know.

--- a/features/closings/entry.feature
+++ b/features/closings/entry.feature
@@ -134,6 +134,15 @@
     And task 0 of "j1" ends after 900 ms on a cold worker
     Then a task estimated at 100 ms is expected to run for 100 to 100 ms
 
+  # Guards against an entry that refuses all jobs, as the agents of its subset happen to be in a closed data centre.
+  Scenario: An entry with one open agent left reaches for others
+    Given agent "a1" is in data centre "west"
+    And agent "a2" is in data centre "east"
+    And the entry knows agents "b1 b2" of "west" and "c1 c2" of "east" without a stream
+    Then it opens streams to ""
+    When "west" is closed
+    Then it opens streams to "c1 c2"
+
   # Guards against an entry that refuses all jobs, as the agents of its subset happen to be in a closed data centre.
   Scenario: An entry whose agents are all in closed data centres reaches for others
     Given agent "a1" is in data centre "west"
--- a/features/entry-load/entry-load.feature
+++ b/features/entry-load/entry-load.feature
@@ -47,6 +47,13 @@
     Then a job whose caller waits for 5000 ms is taken
     And a job whose caller waits for 1500 ms is refused
 
+  # Guards against one caller with a very short deadline that makes the entry refuse the others.
+  Scenario: A caller with a short deadline does not tighten the limit of the others
+    When for 2000 ms each tick is 100 ms late, 10% of a core are used, and 5 requests are open
+    Then a job whose caller waits for 1500 ms is taken
+    And a job whose caller waits for 1 ms is refused
+    And a job whose caller waits for 1500 ms is taken
+
   # Guards against a retry time that does not depend on how far behind the entry is.
   Scenario: The retry time follows the backlog
     When for 2000 ms each tick is 60 ms late, 32% of a core are used, and 1000 requests are open
--- a/features/entry-load/entry-load.steps.ts
+++ b/features/entry-load/entry-load.steps.ts
@@ -10,6 +10,7 @@
 import type {HttpResponse} from '../../platform/http-server.ts';
 import {computeTimings} from '../../src/core/bounds/logic.ts';
 import type {JobRequest} from '../../src/core/dispatch/logic.ts';
+import {observeStandstill} from '../../src/core/dispatch/checking.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
 import type {Job, JobAnswer} from '../../src/core/dispatch/types.ts';
 import {
@@ -79,6 +80,9 @@
 	return {
 		configuration: {version: 1, routes},
 		isStopping: () => false,
+		observeSubmission() {
+			observeStandstill(world.jobs, world.loadNow, world.loadNow);
+		},
 		async submitJob(request: JobRequest): Promise<JobAnswer> {
 			world.submitted.push(request);
 			return {outcome: 'completed', reason: 'none', retryAfter: 0};
@@ -144,7 +148,10 @@
 });
 
 When('a second submission after the entry stood still arrives', async function (this: LoadWorld) {
-	this.jobs.ownership.standstill = {unheard: new Set(['e2'])} as unknown as DispatchState['ownership']['standstill'];
+	this.jobs.ownership.checkers.add('e2');
+	observeStandstill(this.jobs, this.loadNow, this.loadNow);
+	// No tick has come since the pause.
+	this.loadNow += 5000;
 	await submitSecond(this, this.load);
 });
 
--- a/src/core/dispatch/reach.ts
+++ b/src/core/dispatch/reach.ts
@@ -74,8 +74,9 @@
 export function chooseExtraAgents(state: DispatchState, listUnconnected: () => readonly DispatchPeer[], now: Milliseconds): readonly NodeName[] {
 	const openCount = countOpenAgents(state);
 	const hasRoom = openCount < state.agentCount * (1 + maxExtraShare);
-	const hasOnlyClosed = openCount === 0 && state.fleet.agents.size > 0;
-	const needsOthers = hasRoom && (hasOnlyClosed || hasBusyTasks(state, now));
+	// Agents of closed data centres take the place of others in the subset, without which jobs would be refused at once.
+	const lacksOpenAgents = openCount < Math.min(state.agentCount, state.fleet.agents.size);
+	const needsOthers = hasRoom && (lacksOpenAgents || hasBusyTasks(state, now));
 	if (!needsOthers && state.labelsNeededAt.size === 0) {
 		return [];
 	}
--- a/src/core/entry-load/logic.ts
+++ b/src/core/entry-load/logic.ts
@@ -122,12 +122,14 @@
  */
 export function checkLoad(state: EntryLoadState, deadlineMs: Milliseconds): LoadDecision {
 	const overheadMs = estimateOverhead(state);
-	const limit = deadlineMs * (state.refusedDeadlineMs === undefined ? maxOverheadShare : releaseShare);
+	// A job with a short deadline does not tighten the limit of those with longer ones.
+	const isReleasing = state.refusedDeadlineMs !== undefined && deadlineMs <= state.refusedDeadlineMs;
+	const limit = deadlineMs * (isReleasing ? releaseShare : maxOverheadShare);
 	if (overheadMs <= limit) {
 		return {isRefused: false, overheadMs, retryAfter: 0};
 	}
 
-	state.refusedDeadlineMs = Math.min(deadlineMs, state.refusedDeadlineMs ?? deadlineMs);
+	state.refusedDeadlineMs = Math.max(deadlineMs, state.refusedDeadlineMs ?? deadlineMs);
 	// What is open now has to be handled first; the rest of the estimate is what a retry may find.
 	return {isRefused: true, overheadMs, retryAfter: Math.max(minRetryMs, overheadMs - (deadlineMs * releaseShare))};
 }
--- a/src/core/entry-load/state.ts
+++ b/src/core/entry-load/state.ts
@@ -28,7 +28,7 @@
 	processorMsPerJob: Milliseconds;
 	/** Arrival times of the requests without an answer; the oldest first. */
 	readonly openRequests: Map<symbol, Milliseconds>;
-	/** Smallest deadline for which a job was refused since the load was last low; undefined if none was. */
+	/** Largest deadline for which a job was refused since the load was last low; undefined if none was. */
 	refusedDeadlineMs: Milliseconds | undefined;
 };
 
--- a/src/core/links/logic.ts
+++ b/src/core/links/logic.ts
@@ -60,7 +60,7 @@
 		return new Set([
 			...selectAgents(state.self.name, {entries, agents: listNames(state, 'agent')}, state.options),
 			...selectNeighbours(state.self.name, entries, listUnreachable(state), state.options),
-			...selectDirectPeers(state.self, listEntries(state)),
+			...selectDirectPeers(state.self, listEntries(state), state.options.asksDataCentre),
 		]);
 	},
 	agent(state) {
--- a/src/core/subsets/data-centres.ts
+++ b/src/core/subsets/data-centres.ts
@@ -37,13 +37,18 @@
  *
  * @param self - The entry.
  * @param others - The other known entries.
+ * @param asksDataCentre - Whether checks may ask the own data centre only; otherwise, streams beside the neighbours gain nothing in a large fleet.
  * @returns Names of the entries.
  */
-export function selectDirectPeers(self: PlacedEntry, others: readonly PlacedEntry[]): readonly NodeName[] {
+export function selectDirectPeers(self: PlacedEntry, others: readonly PlacedEntry[], asksDataCentre = true): readonly NodeName[] {
 	if (others.length <= maxMeshEntries) {
 		return others.map(({name}) => name);
 	}
 
+	if (!asksDataCentre) {
+		return [];
+	}
+
 	return [...new Set(others.map(({dataCentre}) => dataCentre))].flatMap(dataCentre => {
 		const members = others.filter(other => other.dataCentre === dataCentre).map(({name}) => name);
 		if (dataCentre === self.dataCentre) {
@@ -65,7 +70,7 @@
  * @returns Names of the entries.
  */
 export function selectMutualNeighbours(self: NodeName, others: readonly NodeName[], unreachable: ReadonlySet<NodeName>, options: SubsetOptions): ReadonlySet<NodeName> {
-	if (others.length <= maxMeshEntries || others.some(name => unreachable.has(name))) {
+	if (others.length <= maxMeshEntries || options.asksDataCentre === false || others.some(name => unreachable.has(name))) {
 		return new Set(others);
 	}
 
--- a/src/core/subsets/types.ts
+++ b/src/core/subsets/types.ts
@@ -17,4 +17,6 @@
 	readonly minOwners: number;
 	/** Number of other entries that each entry chooses as neighbours; it is chosen by about as many. */
 	readonly neighbours: number;
+	/** Whether checks may ask the own data centre only, for which entries of large fleets keep more streams. */
+	readonly asksDataCentre?: boolean;
 };
--- a/src/processes/dispatch/closings.ts
+++ b/src/processes/dispatch/closings.ts
@@ -86,7 +86,8 @@
 	/** Logs closings of unknown data centres; an agent tells the entries that are behind. */
 	advance(): void {
 		const now = this.input.clock.getTime();
-		if (this.closed.length > 0) {
+		// Agents hear only of entries after their start, so that they can't tell an unknown data centre from a new one.
+		if (this.input.role === 'entry' && this.closed.length > 0) {
 			this.#record(checkUnknownClosings(this.#state, this.input.links.listDataCentres(), now));
 		}
 
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -200,6 +200,7 @@
 			log,
 			getVersion: () => this.configuration.version,
 			getLabels: () => [],
+			asksDataCentre: settings.balancer !== undefined,
 		}, {
 			onConnect: peer => {
 				this.#observeStandstill();
@@ -289,6 +290,14 @@
 		return this.#isStopping;
 	}
 
+	/** Notices, before it is decided about a submission, that this process has stood still or reaches callers again. */
+	observeSubmission(): void {
+		const now = this.#now();
+		this.#observeStandstill();
+		this.#ownership.observeStart();
+		this.#applyEffects(observeContact(this.state, 'callers', now, now));
+	}
+
 	/**
 	 * Submits a job.
 	 *
@@ -297,11 +306,8 @@
 	 * @returns The answer.
 	 */
 	async submitJob(request: JobRequest, signal: AbortSignal): Promise<JobAnswer> {
-		const now = this.#now();
-		this.#observeStandstill();
-		this.#ownership.observeStart();
-		this.#applyEffects(observeContact(this.state, 'callers', now, now));
-		const {job, effects} = submitJob(this.state, request, now);
+		this.observeSubmission();
+		const {job, effects} = submitJob(this.state, request, this.#now());
 		return new Promise(resolve => {
 			addToGroup(this.#waiters, job, resolve);
 			signal.addEventListener('abort', () => {
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -60,6 +60,8 @@
 	readonly getVersion: () => number;
 	/** Labels of the local worker, if there is one. */
 	readonly getLabels: () => readonly string[];
+	/** Whether checks may ask the own data centre only. */
+	readonly asksDataCentre?: boolean;
 };
 
 /** Streams of one process to its peers. */
@@ -75,7 +77,7 @@
 	 */
 	constructor(private readonly input: LinksInput, private readonly handlers: LinkHandlers) {
 		const {self, secret, timings, clock} = input;
-		this.state = createLinksState(self, defaultSubsetOptions);
+		this.state = createLinksState(self, {...defaultSubsetOptions, asksDataCentre: input.asksDataCentre ?? false});
 		this.#server = createServer((_request, response) => {
 			response.writeHead(404).end();
 		});
