--- a/features/receiving/receiving.feature
+++ b/features/receiving/receiving.feature
@@ -77,6 +77,45 @@
     Then the requests were decided "admitted admitted admitted admitted refused"
     And at 2 ms nothing is ended
 
+  # Guards against a connection that is dropped for a refused request and stays open without being counted.
+  Scenario: Connections dropped for a refused request are ended
+    Given a server with 20 connections, 32768 bytes and 2 requests per connection
+    When at 0 ms connections 1 to 6 open
+    And at 1 ms connection 1 sends a request
+    And at 1 ms connection 2 sends a request
+    And at 1 ms connection 3 sends a request
+    And at 1 ms connection 4 sends a request
+    And at 2 ms connection 5 sends 72 bytes of a header
+    And at 3 ms connection 6 sends a request
+    Then the requests were decided "admitted admitted admitted admitted refused"
+    And the connections "5" were ended
+
+  # Guards against large bodies that wait for each other until all of them have run out of time.
+  Scenario: Some large bodies are read while the others wait
+    Given a server with 20 connections, 2000000 bytes and 2 requests per connection
+    When at 0 ms connections 1 to 10 open
+    And at 1 ms connections 1 to 10 send 110000 bytes of a body each
+    Then at 2 ms the bodies of connections "9 10" wait
+    When at 500 ms the body of connection 1 is complete
+    Then at 501 ms the body of connection 9 is read on
+
+  # Guards against bodies that stop just short of their end and keep ordinary large bodies waiting for ten seconds.
+  Scenario: Large bodies that stand still are ended while memory is scarce
+    Given a server with 20 connections, 2000000 bytes and 2 requests per connection
+    When at 0 ms connections 1 to 10 open
+    And at 1 ms connections 1 to 10 send 110000 bytes of a body each
+    Then at 2 ms the bodies of connections "9 10" wait
+    When at 900 ms bytes of the body of connection 1 arrive
+    Then at 1100 ms the connections "2 3 4 5 6 7 8" are ended
+
+  # Guards against an unread answer that takes the time limit of a body away.
+  Scenario: An unread answer beside a body that does not arrive
+    When at 0 ms connection 1 opens
+    And at 1000 ms connection 1 sends 100 bytes of a body
+    And at 5000 ms connection 1 leaves 100 bytes unread
+    And at 6000 ms connection 1 leaves 0 bytes unread
+    Then at 11100 ms connection 1 is ended for "slow-body"
+
   Scenario: Pipelined requests end the connection
     When at 0 ms connection 1 opens
     And at 1 ms connection 1 sends a request
--- a/features/receiving/receiving.steps.ts
+++ b/features/receiving/receiving.steps.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {
-	addConnection, admitRequest, advanceReceiving, observeConnection, setBodyBytes, settleRequest,
+	addConnection, admitRequest, advanceReceiving, observeConnection, recordBodyEnd, recordBodyProgress, setBodyBytes, settleRequest, updateBodyWait,
 } from '../../src/core/receiving/logic.ts';
 import {computeReceivingLimits, createReceivingState, type ReceivingState} from '../../src/core/receiving/state.ts';
 import type {ConnectionEnd} from '../../src/core/receiving/types.ts';
@@ -32,11 +32,7 @@
 function sendRequest(world: ReceivingWorld, id: number, hasBody: boolean, now: number): void {
 	const decision = admitRequest(world.state, id, hasBody, now);
 	world.decisions.push(decision.type);
-	if (decision.type === 'ended') {
-		world.ends.push(decision.end);
-	} else if (decision.type === 'admitted') {
-		world.ends.push(...decision.ends);
-	}
+	world.ends.push(...decision.ends);
 }
 
 When('at {int} ms connection {int} opens', function (this: ReceivingWorld, now: number, id: number) {
@@ -71,6 +67,39 @@
 	observeConnection(this.state, id, 0, bytes, now);
 });
 
+When('at {int} ms connections {int} to {int} send {int} bytes of a body each', function (this: ReceivingWorld, now: number, first: number, last: number, bytes: number) {
+	for (let id = first; id <= last; id++) {
+		sendRequest(this, id, true, now);
+		this.ends.push(...setBodyBytes(this.state, id, bytes, now));
+		updateBodyWait(this.state, id, now);
+	}
+});
+
+When('at {int} ms the body of connection {int} is complete', function (this: ReceivingWorld, now: number, id: number) {
+	recordBodyEnd(this.state, id, now);
+});
+
+When('at {int} ms bytes of the body of connection {int} arrive', function (this: ReceivingWorld, now: number, id: number) {
+	recordBodyProgress(this.state, id, now);
+});
+
+Then('at {int} ms the bodies of connections {string} wait', function (this: ReceivingWorld, now: number, ids: string) {
+	const waiting = [...this.state.connections.values()].filter(({isPaused, id}) => isPaused && updateBodyWait(this.state, id, now));
+	assert.equal(waiting.map(({id}) => id).join(' '), ids);
+});
+
+Then('at {int} ms the body of connection {int} is read on', function (this: ReceivingWorld, now: number, id: number) {
+	assert.equal(updateBodyWait(this.state, id, now), false);
+});
+
+Then('at {int} ms the connections {string} are ended', function (this: ReceivingWorld, now: number, ids: string) {
+	assert.equal(advanceReceiving(this.state, now).map(({id}) => id).join(' '), ids);
+});
+
+Then('the connections {string} were ended', function (this: ReceivingWorld, ids: string) {
+	assert.equal(this.ends.map(({id}) => id).join(' '), ids);
+});
+
 Then('connection {int} was ended for {string}', function (this: ReceivingWorld, id: number, reason: string) {
 	assert.deepEqual(this.ends.map(end => [end.id, end.reason]), [[id, reason]]);
 });
--- a/src/adapters/http/receiver.ts
+++ b/src/adapters/http/receiver.ts
@@ -7,7 +7,7 @@
 import type {Socket} from 'node:net';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {
-	addConnection, admitRequest, advanceReceiving, isBodyToWait, observeConnection, recordBodyEnd, removeConnection, setBodyBytes, settleRequest,
+	addConnection, admitRequest, advanceReceiving, observeConnection, recordBodyEnd, recordBodyProgress, removeConnection, setBodyBytes, settleRequest, updateBodyWait,
 } from '../../core/receiving/logic.ts';
 import {createReceivingState} from '../../core/receiving/state.ts';
 import type {ConnectionEnd, EndReason, ReceivingLimits} from '../../core/receiving/types.ts';
@@ -52,12 +52,15 @@
 	readonly responses: Set<ServerResponse>;
 	/** Bytes read before the next header. */
 	bytesBefore: number;
+	/** The request whose body is being received; of pipelined ones the last. */
+	bodyRequest: IncomingMessage | undefined;
 	/** Ends the body that is being read. */
 	endBody: ((fault: BodyFault) => void) | undefined;
 	/** Continues to read a body that waits. */
 	resumeBody: (() => void) | undefined;
 	setBodyBytes(bytes: number): void;
-	isBodyToWait(bytes: number): boolean;
+	recordBodyProgress(): void;
+	updateBodyWait(): boolean;
 	recordBodyEnd(): void;
 };
 
@@ -76,6 +79,8 @@
  */
 const headerFactor = 4;
 
+const lineEndBytes = 2;
+
 const bodyFaults: Readonly<Partial<Record<EndReason, BodyFault>>> = {memory: 'no-memory', 'slow-body': 'slow'};
 const timeoutResponse = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
@@ -172,8 +177,9 @@
 	}
 
 	function observeClient(client: Client): void {
-		const headerBytes = (client.socket.bytesRead - client.bytesBefore) * headerFactor;
-		observeConnection(state, client.id, headerBytes, countUnreadBytes(client), clock.getTime());
+		const bytes = client.socket.bytesRead - client.bytesBefore;
+		// An empty line after a body, which some clients send, does not begin a header.
+		observeConnection(state, client.id, bytes <= lineEndBytes ? 0 : bytes * headerFactor, countUnreadBytes(client), clock.getTime());
 	}
 
 	function handleConnection(socket: Socket, server: Server, {name, maxConnections}: ReceivingServerOptions): void {
@@ -185,9 +191,13 @@
 			server,
 			responses: new Set(),
 			bytesBefore: 0,
+			bodyRequest: undefined,
 			endBody: undefined,
 			resumeBody: undefined,
-			isBodyToWait: bytes => isBodyToWait(state, bytes),
+			recordBodyProgress() {
+				recordBodyProgress(state, id, clock.getTime());
+			},
+			updateBodyWait: () => updateBodyWait(state, id, clock.getTime()),
 			setBodyBytes(bytes) {
 				applyEnds(setBodyBytes(state, id, bytes, clock.getTime()));
 			},
@@ -218,16 +228,26 @@
 		client.bytesBefore = client.socket.bytesRead;
 		const decision = admitRequest(state, client.id, hasBody(request), clock.getTime());
 		if (decision.type === 'ended') {
-			endConnection(decision.end);
+			applyEnds(decision.ends);
 			return false;
 		}
 
+		if (hasBody(request)) {
+			client.bodyRequest = request;
+		}
+
 		client.responses.add(response);
 		response.once('close', () => {
 			settleResponse(client, response);
 		});
-		request.once('end', client.recordBodyEnd);
+		request.once('end', () => {
+			if (client.bodyRequest === request) {
+				client.bodyRequest = undefined;
+				client.recordBodyEnd();
+			}
+		});
 		if (decision.type === 'refused') {
+			applyEnds(decision.ends);
 			countEnd(decision.reason);
 			refuse(request, response);
 			return false;
@@ -287,10 +307,15 @@
 	const buffer = createBodyBuffer();
 	let allocated = 0;
 
+	/** Returns whether the connection counts this body, and not that of a later pipelined request. */
+	function isCounted(): boolean {
+		return client?.bodyRequest === request;
+	}
+
 	return new Promise(resolve => {
 		function handleResult(result: Result<Uint8Array, BodyFault>): void {
 			request.off('data', handleChunk).off('end', handleEnd).off('close', handleClose);
-			if (client !== undefined) {
+			if (client !== undefined && (isCounted() || client.bodyRequest === undefined)) {
 				client.endBody = undefined;
 				client.resumeBody = undefined;
 				client.setBodyBytes(0);
@@ -306,9 +331,14 @@
 			}
 
 			buffer.addChunk(chunk);
+			if (!isCounted()) {
+				return;
+			}
+
+			client!.recordBodyProgress();
 			if (buffer.getAllocatedBytes() > allocated) {
 				allocated = buffer.getAllocatedBytes();
-				client?.setBodyBytes(allocated);
+				client!.setBodyBytes(allocated);
 			}
 
 			checkPressure();
@@ -320,7 +350,7 @@
 				return;
 			}
 
-			if (client.isBodyToWait(allocated)) {
+			if (client.updateBodyWait()) {
 				client.resumeBody = checkPressure;
 				request.pause();
 			} else if (client.resumeBody !== undefined) {
@@ -337,7 +367,7 @@
 			handleResult(Err('incomplete'));
 		}
 
-		if (client !== undefined) {
+		if (client !== undefined && isCounted()) {
 			client.endBody = fault => {
 				handleResult(Err(fault));
 			};
--- a/src/core/receiving/logic.ts
+++ b/src/core/receiving/logic.ts
@@ -14,6 +14,15 @@
 /** Size from which a body is large, in bytes: 16 times the largest `Spec`. */
 const largeBodyBytes = 65_536;
 
+/** Large bodies that are read while more than half of the memory is in use; the others wait. */
+const maxAdvancingBodies = 8;
+
+/**
+ * Time without a byte, in ms, after which a large body is ended while more than half of the memory is in use: callers wait 1,500 ms
+ * for an answer, so that a body which stands still for two thirds of that is of no use to one of them.
+ */
+const stalledBodyMs = 1000;
+
 function createEnd({id, phase}: ReceivingConnection, reason: EndReason): ConnectionEnd {
 	return {id, reason, phase};
 }
@@ -107,7 +116,7 @@
  */
 export function addConnection(state: ReceivingState, id: number, server: string, maxConnections: number, now: Milliseconds): ConnectionEnd[] {
 	const connection: ReceivingConnection = {
-		id, server, phase: 'idle', since: now, hasServed: false, requests: 0, headerBytes: 0, bodyBytes: 0, answerBytes: 0,
+		id, server, phase: 'idle', since: now, hasServed: false, requests: 0, headerBytes: 0, bodyBytes: 0, answerBytes: 0, progressAt: now, isPaused: false,
 	};
 	const ends: ConnectionEnd[] = [];
 	if ((state.counts.get(server) ?? 0) >= maxConnections) {
@@ -147,24 +156,25 @@
 export function admitRequest(state: ReceivingState, id: number, hasBody: boolean, now: Milliseconds): RequestDecision {
 	const connection = state.connections.get(id);
 	if (connection === undefined) {
-		return {type: 'refused', reason: 'memory'};
+		return {type: 'refused', reason: 'memory', ends: []};
 	}
 
 	if (connection.requests >= state.limits.maxPipelined) {
 		const end = createEnd(connection, 'pipelined');
 		removeConnection(state, id);
-		return {type: 'ended', end};
+		return {type: 'ended', ends: [end]};
 	}
 
 	updateConnection(state, connection, {requests: connection.requests + 1, headerBytes: 0});
 	setPhase(connection, hasBody ? 'body' : 'waiting', now);
+	connection.progressAt = now;
 	const ends = dropLargest(state, now);
 	if (!state.connections.has(id)) {
-		return {type: 'ended', end: ends.at(-1)!};
+		return {type: 'ended', ends};
 	}
 
 	if (state.bytes > state.limits.maxBytes) {
-		return {type: 'refused', reason: 'memory'};
+		return {type: 'refused', reason: 'memory', ends};
 	}
 
 	return {type: 'admitted', ends};
@@ -189,22 +199,55 @@
 	return dropLargest(state, now);
 }
 
+/** Returns whether so much memory is in use that large bodies are read one after the other. */
+function isUnderPressure({bytes, limits}: ReceivingState): boolean {
+	return bytes > limits.maxBytes / 2;
+}
+
+/** Returns whether a connection has a large body that is being read. */
+function isAdvancing({phase, bodyBytes, isPaused}: ReceivingConnection): boolean {
+	return phase === 'body' && bodyBytes >= largeBodyBytes && !isPaused;
+}
+
+/** Records that bytes of the body of a connection have arrived. */
+export function recordBodyProgress(state: ReceivingState, id: number, now: Milliseconds): void {
+	const connection = state.connections.get(id);
+	if (connection !== undefined) {
+		connection.progressAt = now;
+	}
+}
+
 /**
- * Returns whether the rest of a body should wait in the buffers of the system: large bodies do while more than half of the
- * memory is in use, so that small ones have room and what was read of others need not be dropped.
+ * Decides whether the rest of a body waits in the buffers of the system: while more than half of the memory is in use, only
+ * some large bodies are read at once, so that small ones have room and what was read of others need not be dropped.
  *
  * @param state - The state.
- * @param bytes - Bytes allocated for the body.
+ * @param id - The connection.
+ * @param now - Time.
+ * @returns Whether it waits; to be asked again later.
  */
-export function isBodyToWait(state: ReceivingState, bytes: number): boolean {
-	return bytes >= largeBodyBytes && state.bytes > state.limits.maxBytes / 2;
+export function updateBodyWait(state: ReceivingState, id: number, now: Milliseconds): boolean {
+	const connection = state.connections.get(id);
+	if (connection === undefined) {
+		return false;
+	}
+
+	const wasPaused = connection.isPaused;
+	connection.isPaused = false;
+	if (isUnderPressure(state) && isAdvancing(connection)) {
+		const advancing = [...state.connections.values()].filter(other => other !== connection && isAdvancing(other)).length;
+		connection.isPaused = advancing >= maxAdvancingBodies;
+	}
+
+	connection.progressAt = wasPaused && !connection.isPaused ? now : connection.progressAt;
+	return connection.isPaused;
 }
 
 /** Records that a body has arrived completely, or is not wanted any more; its memory is no longer this budget's. */
 export function recordBodyEnd(state: ReceivingState, id: number, now: Milliseconds): void {
 	const connection = state.connections.get(id);
 	if (connection !== undefined) {
-		updateConnection(state, connection, {bodyBytes: 0});
+		updateConnection(state, connection, {bodyBytes: 0, isPaused: false});
 		if (connection.phase === 'body') {
 			setPhase(connection, getPhaseWithoutBody(connection), now);
 		}
@@ -241,6 +284,11 @@
 
 	const isReading = answerBytes < connection.answerBytes;
 	updateConnection(state, connection, {answerBytes, headerBytes: connection.requests === 0 ? headerBytes : 0});
+	if (connection.phase === 'body') {
+		// An unread answer to an earlier request does not replace the time limit of the body.
+		return;
+	}
+
 	if (answerBytes > 0) {
 		setPhase(connection, 'answer', now);
 		connection.since = isReading ? now : connection.since;
@@ -267,7 +315,14 @@
  */
 export function advanceReceiving(state: ReceivingState, now: Milliseconds): ConnectionEnd[] {
 	const ends: ConnectionEnd[] = [];
+	const hasPressure = isUnderPressure(state);
 	for (const connection of state.connections.values()) {
+		if (hasPressure && isAdvancing(connection) && now - connection.progressAt > stalledBodyMs) {
+			ends.push(createEnd(connection, 'memory'));
+			removeConnection(state, connection.id);
+			continue;
+		}
+
 		const [limit, reason] = phaseLimits[connection.phase] ?? [];
 		if (limit !== undefined && now - connection.since > state.limits[limit]) {
 			ends.push(createEnd(connection, reason!));
--- a/src/core/receiving/types.ts
+++ b/src/core/receiving/types.ts
@@ -46,6 +46,10 @@
 	headerBytes: number;
 	bodyBytes: number;
 	answerBytes: number;
+	/** When the last bytes of its body arrived, or the body was read on. */
+	progressAt: Milliseconds;
+	/** Whether its body waits in the buffers of the system. */
+	isPaused: boolean;
 };
 
 /** Why a connection is ended, or a request refused. */
@@ -57,5 +61,6 @@
 /** Decision on a request whose header has arrived. */
 export type RequestDecision =
 	| {readonly type: 'admitted'; readonly ends: readonly ConnectionEnd[]}
-	| {readonly type: 'refused'; readonly reason: 'memory'}
-	| {readonly type: 'ended'; readonly end: ConnectionEnd};
+	| {readonly type: 'refused'; readonly reason: 'memory'; readonly ends: readonly ConnectionEnd[]}
+	/** The connection of the request is among the ends. */
+	| {readonly type: 'ended'; readonly ends: readonly ConnectionEnd[]};
