Compare enough fleets with offers whatever the seed

Traced: both ways of placing agreed for each fleet; a tenth is about the mean of what the generator draws, so the check on the sample failed by chance. The scenario compares 4,000 fleets now, and still asks for more than 200 with offers.

--- a/features/dispatch/fast-placing.feature
+++ b/features/dispatch/fast-placing.feature
@@ -9,5 +9,5 @@
 
   # Guards against offers that depend on whether agents are handled together or one by one.
   Scenario: Waiting tasks are offered to several agents as to one after the other
-    When the waiting tasks of 2000 random fleets are offered to the agents in both ways
+    When the waiting tasks of 4000 random fleets are offered to the agents in both ways
     Then both ways made the same offers, with the same estimates
--- a/features/dispatch/fast-placing.steps.ts
+++ b/features/dispatch/fast-placing.steps.ts
@@ -201,6 +201,9 @@
 	});
 }
 
+/** Fleets with offers that have to be among the compared ones: fleets without any agree whatever the code does. */
+const minFleetsWithOffers = 200;
+
 function compareScenes(world: FastWorld, count: number, compare: (fleet: RandomFleet) => {readonly fast: Outcome; readonly plain: Outcome}): void {
 	const seed = Number(process.env.SEED ?? Date.now() % 1_000_000);
 	process.stdout.write(`fast placing: seed ${seed}\n`);
@@ -242,5 +245,5 @@
 	}
 
 	const withOffers = this.comparisons.filter(({plain}) => (plain.offers as unknown[]).length > 0);
-	assert.ok(withOffers.length > this.comparisons.length / 10, `only ${withOffers.length} of ${this.comparisons.length} fleets made offers`);
+	assert.ok(withOffers.length > minFleetsWithOffers, `only ${withOffers.length} of ${this.comparisons.length} fleets made offers`);
 });
