Add crowds that pipeline the shortest requests, and crowds at the ports for peers

Requests without a host are answered by Node.js itself and never reach the limit on pipelined requests. The ports for peers, and the port of the product's own processes, have no limits at all.

--- a/features/platform/clients-outside-limits.steps.ts
+++ b/features/platform/clients-outside-limits.steps.ts
@@ -44,6 +44,11 @@
 		Count: 1, Cpu: 1000, MemMb: 64, EstimateMs: slowMs,
 	}],
 });
+const ordinaryJob = {
+	BestEffort: true, Steps: [{
+		Count: 1, Cpu: 1000, MemMb: 64, EstimateMs: 50,
+	}],
+};
 const productHead = `${host}Authorization: Bearer token-1\r\nContent-Type: application/json\r\n`;
 const productJob = '{"kind":"k","tasks":[{"body":1}]}';
 
@@ -55,6 +60,8 @@
 		slowRequest: `POST /q/00000000000000b2 HTTP/1.1\r\n${host}Deadline-Ms: 60000\r\nContent-Length: ${slowJob.length}\r\n\r\n${slowJob}`,
 	},
 	metrics: {bodyHead: `POST /metrics HTTP/1.1\r\n${host}`, queryHead: `GET /metrics HTTP/1.1\r\n${host}`},
+	readiness: {bodyHead: `POST /medlardale/ready HTTP/1.1\r\n${host}`, queryHead: `GET /medlardale/ready HTTP/1.1\r\n${host}`},
+	peers: {bodyHead: `POST /stream HTTP/1.1\r\n${host}`, queryHead: `GET /stream HTTP/1.1\r\n${host}`},
 	heartbeats: {bodyHead: `PUT /medlardale/instances/other HTTP/1.1\r\n${host}`, queryHead: `GET /medlardale/instances/other HTTP/1.1\r\n${host}`},
 };
 
@@ -66,6 +73,8 @@
 		slowRequest: `PUT /v1/jobs/id-1 HTTP/1.1\r\n${productHead}Content-Length: ${productJob.length}\r\n\r\n${productJob}`,
 	},
 	metrics: {bodyHead: '', queryHead: `GET /metrics HTTP/1.1\r\n${host}`},
+	targets: {bodyHead: `POST /target HTTP/1.1\r\n${host}`, queryHead: `GET /metrics HTTP/1.1\r\n${host}`},
+	peers: {bodyHead: `POST /stream HTTP/1.1\r\n${host}`, queryHead: `GET /stream HTTP/1.1\r\n${host}`},
 };
 
 After({...timeLimit}, async function (this: ReceivingWorld) {
@@ -88,28 +97,32 @@
 	};
 	await fleet.start(1, spec => Number(spec) || 50);
 	this.child = fleet.processes.find(other => other.role === role)!.child;
-	const metrics = role === 'entry' ? fleet.metrics : fleet.agentMetrics[0];
-	this.ports = {callers: fleet.callers, heartbeats: fleet.agentHeartbeats[0], metrics};
+	this.ports = role === 'entry'
+		? {
+			callers: fleet.callers, readiness: fleet.readiness, metrics: fleet.metrics, peers: fleet.entries[0].peers,
+		}
+		: {heartbeats: fleet.agentHeartbeats[0], metrics: fleet.agentMetrics[0], peers: fleet.agentPeers[0]};
 	this.submitOrdinaryJob = async id => {
-		const {status} = await fleet.submitJob(id, {
-			BestEffort: true, Steps: [{
-				Count: 1, Cpu: 1000, MemMb: 64, EstimateMs: 50,
-			}],
-		});
+		const {status} = await fleet.submitJob(id, ordinaryJob);
 		return status;
 	};
 });
 
-Given('the interface with {int} MB of heap, {int} bytes for requests and {int} connections', timeLimit, async function (this: ReceivingWorld, heapMb: number, bytes: number, connections: number) {
-	this.bundleFolder = await mkdtemp(path.join(tmpdir(), 'medlardale-receiving-'));
-	const file = path.join(this.bundleFolder, 'http-interface.cjs');
+/** Bundles a process of this folder, starts it with little heap, and returns the address that it writes. */
+async function startBundle(world: ReceivingWorld, name: string, heapMb: number, limits: {maxBytes: number; maxConnections: number}): Promise<string> {
+	world.bundleFolder = await mkdtemp(path.join(tmpdir(), 'medlardale-receiving-'));
+	const file = path.join(world.bundleFolder, `${name}.cjs`);
 	await build({
-		...bundleOptions, entryPoints: ['features/platform/http-interface-process.ts'], format: 'cjs', outfile: file, external: optionalAddons,
+		...bundleOptions, entryPoints: [`features/platform/${name}.ts`], format: 'cjs', outfile: file, external: optionalAddons,
 	});
 	const options = [...platformNodeOptions.entry, `--max-old-space-size=${heapMb}`];
-	this.child = spawn(process.execPath, [...options, file, JSON.stringify({receiving: {maxBytes: bytes, maxConnections: connections}})], {stdio: ['ignore', 'pipe', 'inherit']});
-	const [line] = await once(this.child.stdout!, 'data') as [Uint8Array];
-	const address = `127.0.0.1:${String(line).trim()}`;
+	world.child = spawn(process.execPath, [...options, file, JSON.stringify({receiving: limits})], {stdio: ['ignore', 'pipe', 'inherit']});
+	const [line] = await once(world.child.stdout!, 'data') as [Uint8Array];
+	return `127.0.0.1:${String(line).trim()}`;
+}
+
+Given('the interface with {int} MB of heap, {int} bytes for requests and {int} connections', timeLimit, async function (this: ReceivingWorld, heapMb: number, maxBytes: number, maxConnections: number) {
+	const address = await startBundle(this, 'http-interface-process', heapMb, {maxBytes, maxConnections});
 	this.ports = {callers: address, metrics: address};
 	this.submitOrdinaryJob = async id => {
 		const response = await fetch(`http://${address}/v1/jobs/${id}`, {
@@ -119,12 +132,38 @@
 	};
 });
 
+Given('a process of the product with {int} MB of heap, {int} bytes for requests and {int} connections', timeLimit, async function (this: ReceivingWorld, heapMb: number, maxBytes: number, maxConnections: number) {
+	const address = await startBundle(this, 'product-agent-process', heapMb, {maxBytes, maxConnections});
+	this.ports = {targets: address, metrics: address, peers: address};
+	// Without peers the process gets no jobs; it answers collectors at the same port.
+	this.submitOrdinaryJob = async () => {
+		const response = await fetch(`http://${address}/metrics`);
+		await response.arrayBuffer();
+		return response.status;
+	};
+});
+
+async function sendCrowd(world: ReceivingWorld, port: string, [kind, count, size]: readonly [HostileKind, number, number], waitOpen?: () => Promise<void>): Promise<void> {
+	const [address, number] = world.ports[port].split(':');
+	const requests = world.fleet === undefined ? productRequests : platformRequests;
+	world.clients = await startHostileClients({host: address, port: Number(number), ...requests[port]}, kind, count, size, waitOpen);
+	await world.clients.waitSent(sentLimitMs);
+}
+
 When('{int} clients of kind {string} each send {int} to its {string}', timeLimit, async function (this: ReceivingWorld, count: number, kind: HostileKind, size: number, port: string) {
-	const [address, number] = this.ports[port].split(':');
-	const requests = this.fleet === undefined ? productRequests : platformRequests;
 	this.observer = observeProcess(this.child.pid!);
-	this.clients = await startHostileClients({host: address, port: Number(number), ...requests[port]}, kind, count, size);
-	await this.clients.waitSent(sentLimitMs);
+	await sendCrowd(this, port, [kind, count, size]);
+	await this.observer.waitIdle(idleLimitMs);
+});
+
+// The process reads all that was sent in one turn of its event loop.
+When('{int} clients of kind {string} connect, and each send {int} to its {string} while it is suspended', timeLimit, async function (this: ReceivingWorld, count: number, kind: HostileKind, size: number, port: string) {
+	this.observer = observeProcess(this.child.pid!);
+	await sendCrowd(this, port, [kind, count, size], async () => {
+		await this.observer!.waitIdle(idleLimitMs);
+		this.child.kill('SIGSTOP');
+	});
+	this.child.kill('SIGCONT');
 	await this.observer.waitIdle(idleLimitMs);
 });
 
@@ -147,5 +186,20 @@
 		statuses.push(await this.submitOrdinaryJob(`00000000000${String(statuses.length).padStart(5, '0')}`));
 	}
 
-	assert.equal(statuses.at(-1), 200, statuses.join(' '));
+	assert.equal(statuses.at(-1), 200, `the last of ${statuses.length} statuses: ${statuses.slice(-10).join(' ')}`);
+});
+
+Then('an entry that starts now serves a job', timeLimit, async function (this: ReceivingWorld) {
+	const fleet = this.fleet!;
+	const {callers, readiness} = await fleet.addEntry();
+	let count = 0;
+	await fleet.waitUntil(async () => {
+		if (await fleet.readReadiness(readiness) !== 200) {
+			return false;
+		}
+
+		count++;
+		const {status} = await fleet.submitJob(`00000000001${String(count).padStart(5, '0')}`, ordinaryJob, '/q/', undefined, callers);
+		return status === 200;
+	}, idleLimitMs);
 });
--- a/features/platform/hostile-clients.ts
+++ b/features/platform/hostile-clients.ts
@@ -17,7 +17,8 @@
 };
 
 /** Kinds of clients. */
-export type HostileKind = 'large-chunks' | 'one-byte-chunks' | 'endless-headers' | 'silence' | 'pipelined-requests' | 'unread-answers';
+export type HostileKind = 'large-chunks' | 'one-byte-chunks' | 'endless-headers' | 'silence' | 'pipelined-requests' | 'unread-answers'
+	| 'shortest-requests' | 'requests-without-host' | 'refused-upgrades';
 
 /** Clients of one kind; disposing of them closes their connections. */
 export type HostileClients = AsyncDisposable & {
@@ -28,6 +29,12 @@
 const largeChunkBytes = 65_536;
 const chunkedLine = 'Transfer-Encoding: chunked\r\n\r\n';
 
+/** The shortest request that Node.js passes to its handler: one read of 64 KB holds some 2,500 of them. */
+const shortestRequest = 'GET / HTTP/1.1\r\nHost:\r\n\r\n';
+
+/** A request that Node.js answers with 400 itself: the handler of the server does not see it. */
+const requestWithoutHost = 'GET / HTTP/1.1\r\n\r\n';
+
 /** Number of connections that are opened at the same time. */
 const openAtOnce = 50;
 
@@ -42,10 +49,16 @@
 	silence: () => [],
 	'pipelined-requests': ({slowRequest, queryHead}, size) => [(slowRequest ?? `${queryHead}\r\n`).repeat(size)],
 	'unread-answers': ({queryHead}, size) => [`${queryHead}\r\n`.repeat(size)],
+	'shortest-requests': (_target, size) => [shortestRequest.repeat(size)],
+	'requests-without-host': (_target, size) => [requestWithoutHost.repeat(size)],
+	'refused-upgrades': ({queryHead}) => [`${queryHead}Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n`],
 };
 
-async function openSocket({host, port}: HostileTarget): Promise<Socket> {
-	const socket = connect({host, port});
+/** Kinds of clients that keep their side of a connection open after the server has ended its own. */
+const halfOpenKinds: ReadonlySet<HostileKind> = new Set(['refused-upgrades']);
+
+async function openSocket({host, port}: HostileTarget, kind: HostileKind): Promise<Socket> {
+	const socket = connect({host, port, allowHalfOpen: halfOpenKinds.has(kind)});
 	// The server may close the connection at any time, which is what the test expects of it.
 	socket.on('error', () => undefined);
 	await new Promise<void>(resolve => {
@@ -80,16 +93,16 @@
  * @param kind - What the clients do.
  * @param count - Number of clients.
  * @param size - Bytes, chunks, header lines or requests of each client, by kind.
+ * @param waitOpen - Resolves when the clients may send. All connect before it is called; without it, each sends once it is connected.
  * @returns The clients, once all are connected.
  */
-export async function startHostileClients(target: HostileTarget, kind: HostileKind, count: number, size: number): Promise<HostileClients> {
+export async function startHostileClients(target: HostileTarget, kind: HostileKind, count: number, size: number, waitOpen?: () => Promise<void>): Promise<HostileClients> {
 	const payload = createPayload[kind](target, size);
 	const sockets: Socket[] = [];
 	const sending: Array<Promise<void>> = [];
-	while (sockets.length < count) {
-		const opened = await Promise.all(Array.from({length: Math.min(openAtOnce, count - sockets.length)}, async () => openSocket(target)));
+
+	function startSending(opened: readonly Socket[]): void {
 		for (const socket of opened) {
-			sockets.push(socket);
 			// A stream that is not resumed reads at most its buffer. Other clients read and ignore what they are sent.
 			if (kind !== 'unread-answers') {
 				socket.resume();
@@ -99,6 +112,19 @@
 		}
 	}
 
+	while (sockets.length < count) {
+		const opened = await Promise.all(Array.from({length: Math.min(openAtOnce, count - sockets.length)}, async () => openSocket(target, kind)));
+		sockets.push(...opened);
+		if (waitOpen === undefined) {
+			startSending(opened);
+		}
+	}
+
+	if (waitOpen !== undefined) {
+		await waitOpen();
+		startSending(sockets);
+	}
+
 	return {
 		async waitSent(limitMs) {
 			let timer: NodeJS.Timeout | undefined;
--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -43,6 +43,8 @@
 	readonly callers: string;
 	readonly readiness: string;
 	readonly metrics: string;
+	/** Address for streams from other processes. */
+	readonly peers: string;
 };
 
 /** Data centre of the entries. */
@@ -60,6 +62,8 @@
 	readonly agentMetrics: string[] = [];
 	/** Addresses at which the agents receive heartbeats. */
 	readonly agentHeartbeats: string[] = [];
+	/** Addresses of the agents for streams from other processes. */
+	readonly agentPeers: string[] = [];
 	graceSeconds = defaultGraceSeconds;
 	/** Time within which the closing of a data centre must take effect, in ms; operators close none if it is not set. */
 	closingMs: number | undefined;
@@ -112,6 +116,7 @@
 			const [agentPort, heartbeatPort, metricsPort] = ports.splice(0, portsPerProcess);
 			this.agentMetrics.push(`127.0.0.1:${metricsPort}`);
 			this.agentHeartbeats.push(`127.0.0.1:${heartbeatPort}`);
+			this.agentPeers.push(`127.0.0.1:${agentPort}`);
 			this.workers.push(worker);
 			worker.startHeartbeats(`127.0.0.1:${heartbeatPort}`);
 			await this.#startProcess('agent', `agent-${index}`, {
@@ -133,9 +138,10 @@
 		const entry = {
 			name, callers: `127.0.0.1:${callers}`, readiness: `127.0.0.1:${readiness}`, metrics: `127.0.0.1:${metrics}`,
 		};
-		this.entries.push(entry);
+		const addresses = {...entry, peers: `127.0.0.1:${entryPort}`};
+		this.entries.push(addresses);
 		await this.#startProcess('entry', name, {entryPort, ...entry});
-		return entry;
+		return addresses;
 	}
 
 	/**
@@ -191,9 +197,9 @@
 		this.#store!.deleteKey(`op/evacuate/${name}`);
 	}
 
-	/** Submits a job and waits for the response; the connection closes when `signal` is aborted. */
-	async submitJob(id: string, body: unknown, prefix = '/q/', signal?: AbortSignal): Promise<{status: number; body: unknown}> {
-		const response = await this.#send('POST', `${prefix}${id}`, JSON.stringify(body), signal);
+	/** Submits a job to an entry and waits for the response; the connection closes when `signal` is aborted. */
+	async submitJob(id: string, body: unknown, prefix = '/q/', signal?: AbortSignal, callers = this.callers): Promise<{status: number; body: unknown}> {
+		const response = await this.#send('POST', `${prefix}${id}`, JSON.stringify(body), signal, callers);
 		return response;
 	}
 
@@ -202,10 +208,10 @@
 		return this.#send('GET', '/q/');
 	}
 
-	/** Returns the status of the readiness check; 0 if the entry does not listen. */
-	async readReadiness(): Promise<number> {
+	/** Returns the status of the readiness check of an entry; 0 if it does not listen. */
+	async readReadiness(address = this.readiness): Promise<number> {
 		try {
-			const response = await fetch(`http://${this.readiness}/medlardale/ready`);
+			const response = await fetch(`http://${address}/medlardale/ready`);
 			return response.status;
 		} catch {
 			// Not listening yet.
@@ -283,9 +289,9 @@
 		});
 	}
 
-	async #send(method: string, url: string, body?: string, signal?: AbortSignal): Promise<{status: number; body: unknown}> {
+	async #send(method: string, url: string, body?: string, signal?: AbortSignal, callers = this.callers): Promise<{status: number; body: unknown}> {
 		const {request} = await import('undici');
-		const answer = await request(`http://${this.callers}${url}`, {
+		const answer = await request(`http://${callers}${url}`, {
 			method, body, signal, headers: {host: 'jobs.example', 'deadline-ms': '8000'},
 		});
 		const text = await answer.body.text();
