Bound how much of what clients pipeline becomes requests in one turn

What callers saw: 20 connections that send 60 KB of the shortest requests at once end an entry or an agent; all jobs that wait there get no answer.

Cause: Node.js parses a whole read of 64 KB, some 2,500 requests, before anything of the product runs, and frees the objects of a closed connection (some 2.3 KB a request) only after the turn of the event loop. All connections that are read in one turn add up. Requests without a host are answered by Node.js and never reach the limit on pipelined requests.

Change: the HTTP server gets a stream in place of the socket, which the documentation of its event `connection` allows. The stream passes on pieces of 2 KB, not after its connection was closed or ended, and all connections of a process together pass on 64 KB a turn. Those that have sent at most one piece come first, so that ordinary callers do not wait behind a crowd. The rest stays in the buffers of the sockets, which stop reading.

Ruled out: smaller pieces alone.

--- a/src/adapters/http/receiver.ts
+++ b/src/adapters/http/receiver.ts
@@ -5,6 +5,7 @@
 	IncomingMessage, RequestListener, Server, ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {
 	addConnection, admitRequest, advanceReceiving, observeConnection, recordBodyEnd, recordBodyProgress, removeConnection, setBodyBytes, settleRequest, updateBodyWait,
@@ -13,6 +14,8 @@
 import type {ConnectionEnd, EndReason, ReceivingLimits} from '../../core/receiving/types.ts';
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import {createBodyBuffer} from './body-buffer.ts';
+import {ClientStream} from './client-stream.ts';
+import {ReadScheduler} from './read-scheduler.ts';
 
 /** Why a body was not received. */
 export type BodyFault = 'too-large' | 'incomplete' | 'slow' | 'no-memory';
@@ -47,7 +50,7 @@
 /** One connection. */
 type Client = {
 	readonly id: number;
-	readonly socket: Socket;
+	readonly stream: ClientStream;
 	readonly server: Server;
 	readonly responses: Set<ServerResponse>;
 	/** Bytes read before the next header. */
@@ -85,14 +88,14 @@
 const timeoutResponse = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
 /** Connections of all receivers. */
-const clients = new WeakMap<Socket, Client>();
+const clients = new WeakMap<Duplex, Client>();
 
 function hasBody({headers}: IncomingMessage): boolean {
 	return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 }
 
-function countUnreadBytes({socket, responses}: Client): number {
-	let bytes = socket.writableLength;
+function countUnreadBytes({stream, responses}: Client): number {
+	let bytes = stream.writableLength;
 	for (const response of responses) {
 		// The response that is being sent counts its own bytes and those of the connection.
 		bytes += response.socket === null ? response.writableLength : 0;
@@ -114,22 +117,22 @@
 	}
 }
 
-function closeSocket({socket}: Client, delay: Milliseconds): void {
+function closeStream({stream}: Client, delay: Milliseconds): void {
 	const timer = setTimeout(() => {
-		socket.destroy();
+		stream.destroy();
 	}, delay);
-	socket.once('close', () => {
+	stream.once('close', () => {
 		clearTimeout(timer);
 	});
 }
 
 function endSlowHeader(client: Client): void {
-	const {server, socket} = client;
-	closeSocket(client, lingerMs);
+	const {server, stream} = client;
+	closeStream(client, lingerMs);
 	if (server.listenerCount('clientError') > 0) {
-		server.emit('clientError', Object.assign(new Error('the header did not arrive in time'), {code: 'ERR_HTTP_REQUEST_TIMEOUT'}), socket);
+		server.emit('clientError', Object.assign(new Error('the header did not arrive in time'), {code: 'ERR_HTTP_REQUEST_TIMEOUT'}), stream);
 	} else {
-		socket.end(timeoutResponse);
+		stream.end(timeoutResponse);
 	}
 }
 
@@ -144,6 +147,7 @@
 export function createReceiver(limits: ReceivingLimits, clock: Clock, report: (news: ReceivingReport) => void): Receiver {
 	const state = createReceivingState(limits);
 	const clientsById = new Map<number, Client>();
+	const reads = new ReadScheduler();
 	let lastId = 0;
 	let ended = new Map<EndReason, number>();
 
@@ -161,12 +165,12 @@
 
 		const fault = bodyFaults[reason];
 		if (phase === 'body' && client.endBody !== undefined && fault !== undefined) {
-			closeSocket(client, lingerMs);
+			closeStream(client, lingerMs);
 			client.endBody(fault);
 		} else if (reason === 'slow-header') {
 			endSlowHeader(client);
 		} else {
-			client.socket.destroy();
+			client.stream.destroy();
 		}
 	}
 
@@ -177,17 +181,17 @@
 	}
 
 	function observeClient(client: Client): void {
-		const bytes = client.socket.bytesRead - client.bytesBefore;
+		const bytes = client.stream.bytesRead - client.bytesBefore;
 		// An empty line after a body, which some clients send, does not begin a header.
 		observeConnection(state, client.id, bytes <= lineEndBytes ? 0 : bytes * headerFactor, countUnreadBytes(client), clock.getTime());
 	}
 
-	function handleConnection(socket: Socket, server: Server, {name, maxConnections}: ReceivingServerOptions): void {
+	function handleConnection(stream: ClientStream, server: Server, {name, maxConnections}: ReceivingServerOptions): void {
 		lastId++;
 		const id = lastId;
 		const client: Client = {
 			id,
-			socket,
+			stream,
 			server,
 			responses: new Set(),
 			bytesBefore: 0,
@@ -202,13 +206,13 @@
 				applyEnds(setBodyBytes(state, id, bytes, clock.getTime()));
 			},
 			recordBodyEnd() {
-				client.bytesBefore = socket.bytesRead;
+				client.bytesBefore = stream.bytesRead;
 				recordBodyEnd(state, id, clock.getTime());
 			},
 		};
-		clients.set(socket, client);
+		clients.set(stream, client);
 		clientsById.set(id, client);
-		socket.once('close', () => {
+		stream.once('close', () => {
 			clientsById.delete(id);
 			removeConnection(state, id);
 			closeQueuedResponses(client);
@@ -218,14 +222,14 @@
 
 	function settleResponse(client: Client, response: ServerResponse): void {
 		client.responses.delete(response);
-		client.bytesBefore = client.socket.bytesRead;
+		client.bytesBefore = client.stream.bytesRead;
 		settleRequest(state, client.id, clock.getTime());
 	}
 
 	/** Returns whether the request may be handled. */
 	function admitClient(client: Client, request: IncomingMessage, response: ServerResponse, refuse: ReceivingServerOptions['refuse']): boolean {
 		observeClient(client);
-		client.bytesBefore = client.socket.bytesRead;
+		client.bytesBefore = client.stream.bytesRead;
 		const decision = admitRequest(state, client.id, hasBody(request), clock.getTime());
 		if (decision.type === 'ended') {
 			applyEnds(decision.ends);
@@ -276,8 +280,16 @@
 
 	return {
 		addServer(server, options) {
+			// The server of Node.js accepts any stream as a connection, and gets one that passes on what was read in pieces.
+			const listeners = server.listeners('connection') as Array<(stream: Duplex) => void>;
+			server.removeAllListeners('connection');
 			server.on('connection', (socket: Socket) => {
-				handleConnection(socket, server, options);
+				const stream = new ClientStream(socket, reads);
+				for (const listener of listeners) {
+					listener.call(server, stream);
+				}
+
+				handleConnection(stream, server, options);
 			});
 		},
 		createListener: ({refuse}, handler) => (request, response) => {
