Bound connections at the ports for peers of the platform's processes

What callers saw: clients at the port for other processes use up the memory or the descriptors of an entry or an agent, or keep it busy, so that no job is answered any more.

Cause: the server for streams had no limits: no number of connections, 60 s for a header, any number of pipelined requests. A refused stream stayed open as long as its client kept its own side open.

Change: the server shares the budget of the process, with at most 512 connections that have not opened a stream. An opened stream leaves the budget and gets the bare socket, so that its messages cost what they did. A refused one is closed once the refusal was sent.

--- a/src/adapters/http/receiver.ts
+++ b/src/adapters/http/receiver.ts
@@ -47,6 +47,12 @@
 	listGauges(): Readonly<Record<string, number>>;
 };
 
+/**
+ * Connections of a server for peers that have not opened their streams; open streams do not count. The system queues 511 before
+ * they are accepted, and each is gone once its first request was read.
+ */
+export const maxPendingStreams = 512;
+
 /** One connection. */
 type Client = {
 	readonly id: number;
--- a/src/adapters/peer/network.ts
+++ b/src/adapters/peer/network.ts
@@ -11,6 +11,7 @@
 import type {Log} from '../../ports/log.ts';
 import type {PeerAddress, PeerMessage, TypedMessage} from '../../ports/messages.ts';
 import {formatValue} from '../../settings/values.ts';
+import {releaseConnection} from '../http/client-stream.ts';
 import {PeerError} from './errors.ts';
 import {createHello, verifyHello} from './handshake.ts';
 import {PeerStream, type CloseReason, type StreamOptions} from './stream.ts';
@@ -256,23 +257,31 @@
 
 	#handleUpgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void {
 		const {secret, self, clock, log} = this.input;
-		socket.on('error', error => {
+
+		function handleError(error: Error): void {
 			log.debug(`a stream from ${request.socket.remoteAddress} failed to open: ${error.message}`);
-		});
+		}
+
+		socket.on('error', handleError);
 		const hello = verifyHello(secret, request.headers, clock.getTime());
 		if (request.url !== streamPath || typeof hello === 'string') {
 			log.info(`refused a stream from ${request.socket.remoteAddress}: ${typeof hello === 'string' ? hello : 'unknown path'}`);
-			socket.end('HTTP/1.1 403 Forbidden\r\nConnection: close\r\n\r\n');
+			// The other side may keep its direction open for ever.
+			socket.once('finish', () => {
+				socket.destroy();
+			}).end('HTTP/1.1 403 Forbidden\r\nConnection: close\r\n\r\n');
 			return;
 		}
 
+		const bare = releaseConnection(socket, head);
+		bare.socket.on('error', handleError);
 		const answer = createHello(secret, self, clock.getTime(), hello.nonce);
 		this.#webSocketServer.once('headers', headers => {
 			for (const [name, value] of Object.entries(answer.headers)) {
 				headers.push(`${name}: ${value}`);
 			}
 		});
-		this.#webSocketServer.handleUpgrade(request, socket, head, webSocket => {
+		this.#webSocketServer.handleUpgrade(request, bare.socket, bare.head, webSocket => {
 			this.#addStream(hello.node, webSocket, false);
 		});
 	}
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -151,6 +151,7 @@
 			timings,
 			clock,
 			log,
+			receiver: input.receiver,
 			getVersion: () => 0,
 			getLabels: () => this.state.worker.announcement?.labels ?? [],
 		}, {
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -198,6 +198,7 @@
 			timings,
 			clock,
 			log,
+			receiver: input.receiver,
 			getVersion: () => this.configuration.version,
 			getLabels: () => [],
 			asksDataCentre: settings.balancer !== undefined,
--- a/src/processes/dispatch/input.ts
+++ b/src/processes/dispatch/input.ts
@@ -1,6 +1,7 @@
 /**
  * Input of the entry and agent processes.
  */
+import type {Receiver} from '../../adapters/http/receiver.ts';
 import type {Configuration} from '../../core/routes/types.ts';
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {DecisionLog} from '../../ports/decision-log.ts';
@@ -26,6 +27,8 @@
 	/** Reads the time of day, in ms since the epoch; it may be set forward and back. */
 	readonly readTimeOfDay: () => Milliseconds;
 	readonly log: DecisionLog;
+	/** Bounds what clients keep open at the servers of the process; without it, the port for peers is not bounded. */
+	readonly receiver?: Receiver;
 };
 
 /** Ports on which processes listen for streams, by role. */
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -2,7 +2,10 @@
  * Streams between entries and agents: opens those that this process wants, closes those that it does not want any more,
  * and passes on the addresses of new processes.
  */
-import {createServer, type Server} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {maxPendingStreams, type Receiver, type ReceivingServerOptions} from '../../adapters/http/receiver.ts';
 import {createLog} from '../../adapters/log/log.ts';
 import {anyIncarnation, PeerNetwork} from '../../adapters/peer/network.ts';
 import {PeerError} from '../../adapters/peer/errors.ts';
@@ -36,6 +39,19 @@
 /** Most addresses in one message. */
 const maxPassedPeers = 100;
 
+const receivingOptions: ReceivingServerOptions = {
+	name: 'peers',
+	maxConnections: maxPendingStreams,
+	refuse(_request, response) {
+		response.writeHead(503, {'retry-after': '1', connection: 'close'}).end();
+	},
+};
+
+/** Replies to requests that open no stream. */
+function replyNotFound(_request: IncomingMessage, response: ServerResponse): void {
+	response.writeHead(404).end();
+}
+
 /** Callbacks of the links. */
 export type LinkHandlers = {
 	readonly onConnect: (peer: ConnectedPeer) => void;
@@ -56,6 +72,8 @@
 	readonly timings: Timings;
 	readonly clock: Clock;
 	readonly log: DecisionLog;
+	/** Bounds connections that have not opened a stream; without it they are not bounded. */
+	readonly receiver?: Receiver;
 	/** Version of the configuration in force here; 0 for none. */
 	readonly getVersion: () => number;
 	/** Labels of the local worker, if there is one. */
@@ -78,9 +96,9 @@
 	constructor(private readonly input: LinksInput, private readonly handlers: LinkHandlers) {
 		const {self, secret, timings, clock} = input;
 		this.state = createLinksState(self, {...defaultSubsetOptions, asksDataCentre: input.asksDataCentre ?? false});
-		this.#server = createServer((_request, response) => {
-			response.writeHead(404).end();
-		});
+		this.#server = createServer();
+		input.receiver?.addServer(this.#server, receivingOptions);
+		this.#server.on('request', input.receiver?.createListener(receivingOptions, replyNotFound) ?? replyNotFound);
 		this.#network = new PeerNetwork<DispatchMessage>({
 			self,
 			secret,
