Bound clients at the port for peers, operators and targets of the product

What callers saw: clients at the port that serves streams, operators, collectors and targets end a process of the product, or use up its descriptors.

Cause: that server had no budget, and a target's announcement was kept chunk by chunk until it was complete.

Announcements are read into blocks that the budget counts. Agents export the gauges of the receiver too.

--- a/src/adapters/http/server.ts
+++ b/src/adapters/http/server.ts
@@ -9,7 +9,7 @@
 import type {JobService} from '../../ports/jobs.ts';
 import type {Log} from '../../ports/log.ts';
 import type {Settings} from '../../settings/schema.ts';
-import {defaultLimits} from '../../core/receiving/state.ts';
+import {productLimits} from '../../core/receiving/state.ts';
 import type {ReceivingLimits} from '../../core/receiving/types.ts';
 import {createSystemClock} from '../system/clock.ts';
 import {listProblemHeaders, writeProblem} from './answers.ts';
@@ -18,7 +18,7 @@
 import type {HttpError, HttpErrorKind} from './errors.ts';
 import {createInFlightTracker, type InFlightTracker} from './in-flight.ts';
 import {createErrorProblem} from './problems.ts';
-import {createReceiver, type ReceivingServerOptions} from './receiver.ts';
+import {createReceiver, type Receiver, type ReceivingServerOptions} from './receiver.ts';
 import {createRequestHandler} from './routes.ts';
 
 /** Options of the HTTP interface. */
@@ -39,7 +39,9 @@
 	readonly maxHeaderBytes?: number;
 	/** Maximum memory of all requests and answers in progress, in bytes. */
 	readonly maxBufferedBytes?: number;
-	/** Limits of clients; those that are absent are constants. */
+	/** Bounds the clients of the process; the interface creates one of its own without it. */
+	readonly receiver?: Receiver;
+	/** Limits of the receiver that the interface creates; those that are absent are constants. */
 	readonly receiving?: Partial<ReceivingLimits>;
 	/** Renders the metrics of this process as text. */
 	renderMetrics(): string | Promise<string>;
@@ -50,18 +52,12 @@
 	readonly port: number;
 	/** Starts refusing new requests; requests in flight continue. */
 	startDraining(): void;
-	/** Lists the values of the gauges, by name. */
-	listGauges(): Readonly<Record<string, number>>;
 	/** Resolves once no request is in flight. */
 	waitIdle(): Promise<void>;
 };
 
-const defaultHeadersTimeoutMs = 10_000;
-const defaultRequestTimeoutMs = 30_000;
 const defaultMaxHeaderBytes = 16_384;
 const keepAliveTimeoutMs = 75_000;
-/** Defaults of the limits that the options leave out; docs/operators/limits.md compares each with what callers need. */
-const defaultProductLimits: ReceivingLimits = {...defaultLimits, maxBytes: 67_108_864, maxConnections: 10_000};
 
 /** Refusal of a request for which there is no memory. */
 const overloadError: HttpError = {
@@ -112,9 +108,9 @@
 	const {limits, log, host} = options;
 	const inFlight = createInFlightTracker();
 	let draining = false;
-	const {maxBufferedBytes, headersTimeoutMs = defaultHeadersTimeoutMs, requestTimeoutMs = defaultRequestTimeoutMs} = options;
-	const receiver = createReceiver({
-		...defaultProductLimits,
+	const {maxBufferedBytes, headersTimeoutMs = productLimits.headersMs, requestTimeoutMs = productLimits.bodyMs} = options;
+	const receiver = options.receiver ?? createReceiver({
+		...productLimits,
 		headersMs: headersTimeoutMs,
 		bodyMs: requestTimeoutMs,
 		...(maxBufferedBytes === undefined ? {} : {maxBytes: maxBufferedBytes}),
@@ -171,7 +167,6 @@
 
 	return {
 		port,
-		listGauges: receiver.listGauges,
 		startDraining() {
 			draining = true;
 			inFlight.closeAfterResponse();
@@ -179,7 +174,10 @@
 		waitIdle: async () => inFlight.waitIdle(),
 		async [Symbol.asyncDispose]() {
 			draining = true;
-			receiver[Symbol.dispose]();
+			if (options.receiver === undefined) {
+				receiver[Symbol.dispose]();
+			}
+
 			await new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
--- a/src/core/receiving/state.ts
+++ b/src/core/receiving/state.ts
@@ -39,6 +39,14 @@
 	answerMs: 10_000,
 };
 
+/**
+ * Defaults of the product's own processes, whose machine is not known; docs/operators/limits.md compares each with what callers
+ * need.
+ */
+export const productLimits: ReceivingLimits = {
+	...defaultLimits, maxBytes: 64 * bytesPerMegabyte, maxConnections: 10_000, headersMs: 10_000, bodyMs: 30_000,
+};
+
 /**
  * Computes the limits of a process.
  *
--- a/src/processes/entry/entry.ts
+++ b/src/processes/entry/entry.ts
@@ -52,15 +52,12 @@
 		jobs,
 		contracts: node.contracts,
 		limits: settings.limits,
-		receiving: settings.receiving,
+		receiver: node.receiver,
 		log: createLog('http'),
 		host: settings.host,
 		port: settings.publicPort,
 		renderMetrics: async () => node.metrics.renderMetrics(),
 	}));
-	node.metrics.addSource(() => Object.entries(http.listGauges()).map(([name, value]) => ({
-		name: `medlardale_${name}`, help: name.replaceAll('_', ' '), type: 'gauge', samples: [{labels: {}, value}],
-	})));
 	log.info(`entry "${settings.name}" serves callers on ${settings.host}:${http.port}`);
 
 	async function drain(): Promise<boolean> {
--- a/src/processes/shared/node.ts
+++ b/src/processes/shared/node.ts
@@ -3,11 +3,13 @@
  */
 import {startContractSource, type RunningContractSource} from '../../adapters/contracts/source.ts';
 import {startGossip} from '../../adapters/gossip/gossip.ts';
+import {createReceiver, type Receiver} from '../../adapters/http/receiver.ts';
 import {createLog} from '../../adapters/log/log.ts';
 import {createMetrics, type Metrics} from '../../adapters/metrics/metrics.ts';
 import {PeerNetwork} from '../../adapters/peer/network.ts';
 import {controlPath} from '../../adapters/control/server-path.ts';
 import {ResourceStack} from '../../adapters/system/resources.ts';
+import {productLimits} from '../../core/receiving/state.ts';
 import {createTimeline, type Timeline} from '../../core/timeline/logic.ts';
 import type {NodeRef} from '../../core/identity/types.ts';
 import type {Clock} from '../../ports/clock.ts';
@@ -57,6 +59,8 @@
 	readonly input: NodeInput;
 	readonly self: PeerAddress;
 	readonly server: NodeServer;
+	/** Bounds what clients keep open at the servers of the process. */
+	readonly receiver: Receiver;
 	readonly network: PeerNetwork;
 	readonly membership: Membership;
 	readonly contracts: RunningContractSource;
@@ -84,7 +88,11 @@
 export async function startNode(input: NodeInput): Promise<Node> {
 	const {settings, secret, clock, random} = input;
 	await using stack = new ResourceStack();
-	const server = stack.addResource(await startNodeServer(settings.host, settings.port));
+	const clientLog = createLog('http');
+	const receiver = stack.addResource(createReceiver({...productLimits, ...settings.receiving}, clock, report => {
+		clientLog.warn(`clients ended or refused: ${JSON.stringify(report)}`);
+	}));
+	const server = stack.addResource(await startNodeServer(settings.host, settings.port, receiver));
 	const self: PeerAddress = {
 		name: settings.name,
 		incarnation: Math.floor(clock.getTime()),
@@ -113,6 +121,9 @@
 
 	const metrics = createMetrics();
 	metrics.addSource(() => listNodeMetrics(network, membership, contracts));
+	metrics.addSource(() => Object.entries(receiver.listGauges()).map(([name, value]) => ({
+		name: `medlardale_${name}`, help: name.replaceAll('_', ' '), type: 'gauge', samples: [{labels: {}, value}],
+	})));
 	server.addRoute('GET /metrics', async (_request, response) => {
 		const text = await metrics.renderMetrics();
 		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(text);
@@ -124,6 +135,7 @@
 		input,
 		self,
 		server,
+		receiver,
 		network,
 		membership,
 		contracts,
--- a/src/processes/shared/server.ts
+++ b/src/processes/shared/server.ts
@@ -1,11 +1,13 @@
 /**
  * The HTTP server of a process, for streams, operators' calls, metrics and the target that runs beside an agent.
  */
-import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {
+	maxPendingStreams, readBytes, type Receiver, type ReceivingServerOptions,
+} from '../../adapters/http/receiver.ts';
 import {closeServer, listenServer} from '../../adapters/system/servers.ts';
 
 /** Handles a request; resolves once the response is written. */
@@ -45,18 +47,32 @@
 	}
 }
 
+const receivingOptions: ReceivingServerOptions = {
+	name: 'peers',
+	maxConnections: maxPendingStreams,
+	refuse(_request, response) {
+		response.writeHead(503, {'retry-after': '1', connection: 'close'}).end();
+	},
+};
+
 /**
  * Starts the server.
  *
  * @param host - IP address to listen on.
  * @param port - Port to listen on; 0 selects a free one.
+ * @param receiver - Bounds connections that have not opened a stream, and their memory; without it they are not bounded.
  * @returns The server, once it is listening.
  */
-export async function startNodeServer(host: string, port: number): Promise<NodeServer> {
+export async function startNodeServer(host: string, port: number, receiver?: Receiver): Promise<NodeServer> {
 	const routes = new Map<string, RouteHandler>();
-	const server = createServer({headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs}, (request, response) => {
+	const server = createServer({headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs});
+
+	function handleAdmitted(request: IncomingMessage, response: ServerResponse): void {
 		void handleRequest(routes, request, response);
-	});
+	}
+
+	receiver?.addServer(server, receivingOptions);
+	server.on('request', receiver?.createListener(receivingOptions, handleAdmitted) ?? handleAdmitted);
 	await listenServer(server, host, port);
 
 	return {
@@ -76,22 +92,16 @@
  *
  * @param request - The request.
  * @param maxBytes - Greatest size, in bytes.
- * @returns The parsed value, or undefined if it is too large or not JSON.
+ * @returns The parsed value, or undefined if it is too large, did not arrive, or is not JSON.
  */
 export async function readJsonBody(request: IncomingMessage, maxBytes: number): Promise<unknown> {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	for await (const chunk of request as AsyncIterable<Uint8Array>) {
-		size += chunk.length;
-		if (size > maxBytes) {
-			return undefined;
-		}
-
-		chunks.push(chunk);
+	const body = await readBytes(request, maxBytes);
+	if (body.isErr()) {
+		return undefined;
 	}
 
 	try {
-		return JSON.parse(new TextDecoder().decode(Buffer.concat(chunks)));
+		return JSON.parse(new TextDecoder().decode(body.value));
 	} catch {
 		return undefined;
 	}
