Report delayed reads, and split the receiver

Cause: that clients had to wait for a turn was visible nowhere, and receiver.ts had grown to 400 lines.

The connections of clients and the reading of bodies are modules of their own; their code is unchanged.

Measured: 172 scenarios of receiving, http, peer and the platform's processes and bodies pass.

--- a/features/receiving/client-stream.steps.ts
+++ b/features/receiving/client-stream.steps.ts
@@ -14,7 +14,8 @@
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {releaseConnection} from '../../src/adapters/http/client-stream.ts';
-import {createReceiver, readBytes, type Receiver} from '../../src/adapters/http/receiver.ts';
+import {readBytes} from '../../src/adapters/http/read-bytes.ts';
+import {createReceiver, type Receiver} from '../../src/adapters/http/receiver.ts';
 import {createSystemClock} from '../../src/adapters/system/clock.ts';
 import {closeServer, listenServer} from '../../src/adapters/system/servers.ts';
 import {defaultLimits} from '../../src/core/receiving/state.ts';
--- a/src/adapters/http/body.ts
+++ b/src/adapters/http/body.ts
@@ -4,7 +4,8 @@
 import type {IncomingMessage} from 'node:http';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {HttpError} from './errors.ts';
-import {readBytes, type BodyFault} from './receiver.ts';
+import type {BodyFault} from './clients.ts';
+import {readBytes} from './read-bytes.ts';
 
 /** Reads request bodies. */
 export type BodyReader = {
--- a/src/adapters/http/read-scheduler.ts
+++ b/src/adapters/http/read-scheduler.ts
@@ -2,7 +2,7 @@
  * Applies the decisions of `src/core/receiving/turns.ts` to the connections of the HTTP servers of a process.
  */
 import {
-	addSource, createReadTurns, hasSources, maxPieceBytes, recordPiece, removeSource, startTurn, takeSource,
+	addSource, createReadTurns, countSources, maxPieceBytes, recordPiece, removeSource, startTurn, takeSource,
 } from '../../core/receiving/turns.ts';
 import type {ClientStream} from './client-stream.ts';
 
@@ -11,6 +11,7 @@
 	readonly #turns = createReadTurns<ClientStream>();
 	#isRunning = false;
 	#isTurnAwaited = false;
+	#fullTurns = 0;
 
 	/** Adds a connection that has data; its next piece is passed on at once if there is room in this turn. */
 	addStream(stream: ClientStream): void {
@@ -26,6 +27,18 @@
 		removeSource(this.#turns, stream);
 	}
 
+	/** Counts the connections that wait for the next turn. */
+	countWaiting(): number {
+		return countSources(this.#turns);
+	}
+
+	/** Returns the number of turns, since the last call, after which connections had to wait. */
+	takeFullTurns(): number {
+		const count = this.#fullTurns;
+		this.#fullTurns = 0;
+		return count;
+	}
+
 	#sendPieces(): void {
 		this.#isRunning = true;
 		this.#waitForTurn();
@@ -51,7 +64,8 @@
 		setImmediate(() => {
 			this.#isTurnAwaited = false;
 			startTurn(this.#turns);
-			if (hasSources(this.#turns)) {
+			if (countSources(this.#turns) > 0) {
+				this.#fullTurns++;
 				this.#sendPieces();
 			}
 		});
--- a/src/adapters/http/receiver.ts
+++ b/src/adapters/http/receiver.ts
@@ -6,23 +6,20 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
-import {Err, Ok, type Result} from 'ts-results-es';
 import {
 	addConnection, admitRequest, advanceReceiving, observeConnection, recordBodyEnd, recordBodyProgress, removeConnection, setBodyBytes, settleRequest, updateBodyWait,
 } from '../../core/receiving/logic.ts';
 import {createReceivingState} from '../../core/receiving/state.ts';
 import type {ConnectionEnd, EndReason, ReceivingLimits} from '../../core/receiving/types.ts';
 import type {Clock, Milliseconds} from '../../ports/clock.ts';
-import {createBodyBuffer} from './body-buffer.ts';
 import {ClientStream} from './client-stream.ts';
+import {clients, type BodyFault, type Client} from './clients.ts';
 import {ReadScheduler} from './read-scheduler.ts';
 
-/** Why a body was not received. */
-export type BodyFault = 'too-large' | 'incomplete' | 'slow' | 'no-memory';
-
-/** Connections ended and requests refused in a second, by reason, and what is left. */
+/** Connections ended and requests refused in a second, by reason, turns in which connections had to wait, and what is left. */
 export type ReceivingReport = {
 	readonly ends: Readonly<Partial<Record<EndReason, number>>>;
+	readonly fullTurns: number;
 	readonly connections: number;
 	readonly bytes: number;
 };
@@ -53,26 +50,6 @@
  */
 export const maxPendingStreams = 512;
 
-/** One connection. */
-type Client = {
-	readonly id: number;
-	readonly stream: ClientStream;
-	readonly server: Server;
-	readonly responses: Set<ServerResponse>;
-	/** Bytes read before the next header. */
-	bytesBefore: number;
-	/** The request whose body is being received; of pipelined ones the last. */
-	bodyRequest: IncomingMessage | undefined;
-	/** Ends the body that is being read. */
-	endBody: ((fault: BodyFault) => void) | undefined;
-	/** Continues to read a body that waits. */
-	resumeBody: (() => void) | undefined;
-	setBodyBytes(bytes: number): void;
-	recordBodyProgress(): void;
-	updateBodyWait(): boolean;
-	recordBodyEnd(): void;
-};
-
 /** Interval between two checks of the time limits, in ms. */
 const checkMs = 250;
 
@@ -93,9 +70,6 @@
 const bodyFaults: Readonly<Partial<Record<EndReason, BodyFault>>> = {memory: 'no-memory', 'slow-body': 'slow'};
 const timeoutResponse = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
-/** Connections of all receivers. */
-const clients = new WeakMap<Duplex, Client>();
-
 function hasBody({headers}: IncomingMessage): boolean {
 	return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 }
@@ -147,7 +121,7 @@
  *
  * @param limits - Limits of the process.
  * @param clock - Source of time.
- * @param report - Called at most once a second if connections were ended or requests refused.
+ * @param report - Called at most once a second if connections were ended or had to wait, or requests were refused.
  * @returns The receiver.
  */
 export function createReceiver(limits: ReceivingLimits, clock: Clock, report: (news: ReceivingReport) => void): Receiver {
@@ -278,8 +252,11 @@
 		}
 	});
 	const reportTimer = clock.startInterval(reportMs, () => {
-		if (ended.size > 0) {
-			report({ends: Object.fromEntries(ended), connections: state.connections.size, bytes: state.bytes});
+		const fullTurns = reads.takeFullTurns();
+		if (ended.size > 0 || fullTurns > 0) {
+			report({
+				ends: Object.fromEntries(ended), fullTurns, connections: state.connections.size, bytes: state.bytes,
+			});
 			ended = new Map();
 		}
 	});
@@ -305,92 +282,10 @@
 				handler(request, response);
 			}
 		},
-		listGauges: () => ({receiving_connections: state.connections.size, receiving_bytes: state.bytes}),
+		listGauges: () => ({receiving_connections: state.connections.size, receiving_bytes: state.bytes, receiving_waiting_connections: reads.countWaiting()}),
 		[Symbol.dispose]() {
 			checkTimer[Symbol.dispose]();
 			reportTimer[Symbol.dispose]();
 		},
 	};
 }
-
-/**
- * Reads the body of a request, within the budget of the receiver of its connection if it has one.
- *
- * @param request - The request.
- * @param maxBytes - Maximum size, in bytes.
- * @returns The body, or why it was not received; then nothing is read any more.
- */
-export async function readBytes(request: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, BodyFault>> {
-	const client = request.socket && clients.get(request.socket);
-	const buffer = createBodyBuffer();
-	let allocated = 0;
-
-	/** Returns whether the connection counts this body, and not that of a later pipelined request. */
-	function isCounted(): boolean {
-		return client?.bodyRequest === request;
-	}
-
-	return new Promise(resolve => {
-		function handleResult(result: Result<Uint8Array, BodyFault>): void {
-			request.off('data', handleChunk).off('end', handleEnd).off('close', handleClose);
-			if (client !== undefined && (isCounted() || client.bodyRequest === undefined)) {
-				client.endBody = undefined;
-				client.resumeBody = undefined;
-				client.setBodyBytes(0);
-			}
-
-			resolve(result);
-		}
-
-		function handleChunk(chunk: Uint8Array): void {
-			if (buffer.getSize() + chunk.length > maxBytes) {
-				handleResult(Err('too-large'));
-				return;
-			}
-
-			buffer.addChunk(chunk);
-			if (!isCounted()) {
-				return;
-			}
-
-			client!.recordBodyProgress();
-			if (buffer.getAllocatedBytes() > allocated) {
-				allocated = buffer.getAllocatedBytes();
-				client!.setBodyBytes(allocated);
-			}
-
-			checkPressure();
-		}
-
-		/** Pauses the body while it has to wait; the next check of the receiver decides anew. */
-		function checkPressure(): void {
-			if (client?.endBody === undefined) {
-				return;
-			}
-
-			if (client.updateBodyWait()) {
-				client.resumeBody = checkPressure;
-				request.pause();
-			} else if (client.resumeBody !== undefined) {
-				client.resumeBody = undefined;
-				request.resume();
-			}
-		}
-
-		function handleEnd(): void {
-			handleResult(Ok(buffer.getBytes()));
-		}
-
-		function handleClose(): void {
-			handleResult(Err('incomplete'));
-		}
-
-		if (client !== undefined && isCounted()) {
-			client.endBody = fault => {
-				handleResult(Err(fault));
-			};
-		}
-
-		request.on('data', handleChunk).on('end', handleEnd).on('close', handleClose).on('error', () => undefined);
-	});
-}
--- a/src/core/receiving/turns.ts
+++ b/src/core/receiving/turns.ts
@@ -43,9 +43,9 @@
 	waiting.long.delete(source);
 }
 
-/** Returns whether a connection waits. */
-export function hasSources<Source>({waiting}: ReadTurns<Source>): boolean {
-	return waiting.short.size > 0 || waiting.long.size > 0;
+/** Counts the connections that wait. */
+export function countSources<Source>({waiting}: ReadTurns<Source>): number {
+	return waiting.short.size + waiting.long.size;
 }
 
 /**
--- a/src/processes/shared/server.ts
+++ b/src/processes/shared/server.ts
@@ -5,9 +5,8 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {
-	maxPendingStreams, readBytes, type Receiver, type ReceivingServerOptions,
-} from '../../adapters/http/receiver.ts';
+import {readBytes} from '../../adapters/http/read-bytes.ts';
+import {maxPendingStreams, type Receiver, type ReceivingServerOptions} from '../../adapters/http/receiver.ts';
 import {closeServer, listenServer} from '../../adapters/system/servers.ts';
 
 /** Handles a request; resolves once the response is written. */
