Render the settings template without sections

Change: the template has plain names in texts; an empty text is an absent value, and texts are read as numbers. Plain numbers and left-out fields are read as before.

--- a/src/settings/dispatch.ts
+++ b/src/settings/dispatch.ts
@@ -24,6 +24,24 @@
 const nonNegative = z.number().check(z.minimum(0));
 const positive = z.number().check(z.positive());
 
+/** Parses a number that a template renders as text; empty text stands for an absent value. */
+function parseNumberText(value: unknown): unknown {
+	if (value === '') {
+		return undefined;
+	}
+
+	return typeof value === 'string' && value.trim() !== '' ? Number(value) : value;
+}
+
+/** Returns undefined for a table of which the template had no value. */
+function selectFilledTable(value: unknown): unknown {
+	const isEmpty = typeof value === 'object' && value !== null && Object.values(value).every(field => field === '');
+	return isEmpty ? undefined : value;
+}
+
+const positiveText = z.pipe(z.transform(parseNumberText), positive);
+const optionalNonNegativeText = z.optional(z.pipe(z.transform(parseNumberText), z.optional(nonNegative)));
+
 /** Schema of the settings; keys that are not listed are ignored, since the platform may add some. */
 export const dispatchSettingsSchema = z.object({
 	/** Name of the process, unique in the installation. */
@@ -61,7 +79,7 @@
 		/** Factor on the run time of a task that runs outside the rack of its data. */
 		remoteFactor: z.number().check(z.minimum(1)),
 		/** Time within which the closing of a data centre must take effect, in ms; absent where operators close none. */
-		closingMs: z.optional(nonNegative),
+		closingMs: optionalNonNegativeText,
 	}),
 	/**
 	 * How the load balancer chooses entries, if it sends a caller to one of the caller's own data centre unless it counts none there
@@ -73,16 +91,16 @@
 		missesUntilOut: z.int().check(z.minimum(2)),
 	})),
 	/** What the platform allots to the process; absent if it does not say. */
-	machine: z.optional(z.object({
+	machine: z.optional(z.pipe(z.transform(selectFilledTable), z.optional(z.object({
 		/** Processor cores that the process may use; below 1 for a share of one. */
-		cores: positive,
+		cores: positiveText,
 		/** Memory, in MB; the platform kills a process that exceeds it. */
-		memoryMb: positive,
+		memoryMb: positiveText,
 		/** Open files and sockets. */
-		descriptors: positive,
+		descriptors: positiveText,
 		/** Bandwidth of the network link, in Mbit/s. */
-		linkMbps: positive,
-	})),
+		linkMbps: positiveText,
+	})))),
 	/** Limits of clients; those that are absent follow from `machine`, or are constants. */
 	receiving: z.optional(z.object({
 		/** Memory for requests and answers in progress, in bytes. */
