Share the options of the servers for peers

Two servers had the same options; one constant serves both. No change of behaviour: the scenarios of peers, membership and odd entries pass.

--- a/src/adapters/http/receiver.ts
+++ b/src/adapters/http/receiver.ts
@@ -48,7 +48,16 @@
  * Connections of a server for peers that have not opened their streams; open streams do not count. The system queues 511 before
  * they are accepted, and each is gone once its first request was read.
  */
-export const maxPendingStreams = 512;
+const maxPendingStreams = 512;
+
+/** How a server for streams between processes takes part. */
+export const peerServerOptions: ReceivingServerOptions = {
+	name: 'peers',
+	maxConnections: maxPendingStreams,
+	refuse(_request, response) {
+		response.writeHead(503, {'retry-after': '1', connection: 'close'}).end();
+	},
+};
 
 /** Interval between two checks of the time limits, in ms. */
 const checkMs = 250;
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -5,7 +5,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {maxPendingStreams, type Receiver, type ReceivingServerOptions} from '../../adapters/http/receiver.ts';
+import {peerServerOptions, type Receiver} from '../../adapters/http/receiver.ts';
 import {createLog} from '../../adapters/log/log.ts';
 import {anyIncarnation, PeerNetwork} from '../../adapters/peer/network.ts';
 import {PeerError} from '../../adapters/peer/errors.ts';
@@ -39,14 +39,6 @@
 /** Most addresses in one message. */
 const maxPassedPeers = 100;
 
-const receivingOptions: ReceivingServerOptions = {
-	name: 'peers',
-	maxConnections: maxPendingStreams,
-	refuse(_request, response) {
-		response.writeHead(503, {'retry-after': '1', connection: 'close'}).end();
-	},
-};
-
 /** Replies to requests that open no stream. */
 function replyNotFound(_request: IncomingMessage, response: ServerResponse): void {
 	response.writeHead(404).end();
@@ -97,8 +89,8 @@
 		const {self, secret, timings, clock} = input;
 		this.state = createLinksState(self, {...defaultSubsetOptions, asksDataCentre: input.asksDataCentre ?? false});
 		this.#server = createServer();
-		input.receiver?.addServer(this.#server, receivingOptions);
-		this.#server.on('request', input.receiver?.createListener(receivingOptions, replyNotFound) ?? replyNotFound);
+		input.receiver?.addServer(this.#server, peerServerOptions);
+		this.#server.on('request', input.receiver?.createListener(peerServerOptions, replyNotFound) ?? replyNotFound);
 		this.#network = new PeerNetwork<DispatchMessage>({
 			self,
 			secret,
--- a/src/processes/shared/server.ts
+++ b/src/processes/shared/server.ts
@@ -6,7 +6,7 @@
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {readBytes} from '../../adapters/http/read-bytes.ts';
-import {maxPendingStreams, type Receiver, type ReceivingServerOptions} from '../../adapters/http/receiver.ts';
+import {peerServerOptions, type Receiver} from '../../adapters/http/receiver.ts';
 import {closeServer, listenServer} from '../../adapters/system/servers.ts';
 
 /** Handles a request; resolves once the response is written. */
@@ -46,14 +46,6 @@
 	}
 }
 
-const receivingOptions: ReceivingServerOptions = {
-	name: 'peers',
-	maxConnections: maxPendingStreams,
-	refuse(_request, response) {
-		response.writeHead(503, {'retry-after': '1', connection: 'close'}).end();
-	},
-};
-
 /**
  * Starts the server.
  *
@@ -70,8 +62,8 @@
 		void handleRequest(routes, request, response);
 	}
 
-	receiver?.addServer(server, receivingOptions);
-	server.on('request', receiver?.createListener(receivingOptions, handleAdmitted) ?? handleAdmitted);
+	receiver?.addServer(server, peerServerOptions);
+	server.on('request', receiver?.createListener(peerServerOptions, handleAdmitted) ?? handleAdmitted);
 	await listenServer(server, host, port);
 
 	return {
