--- a/review/rig-3/client.ts
+++ b/review/rig-3/client.ts
@@ -12,6 +12,8 @@
 	readonly body?: unknown;
 	/** Time for which the client waits, sent as `Deadline-Ms`. */
 	readonly limitMs: number;
+	/** Time after which the client closes its channel, if it leaves before its time budget. */
+	readonly leaveMs?: number;
 };
 
 /** Answer to a call; status 0 if the channel broke or no answer came in time. */
@@ -26,7 +28,7 @@
  * @param call - The call.
  * @returns The answer.
  */
-export async function callHttp(address: string, {method, path, host, body, limitMs}: HttpCall): Promise<HttpAnswer> {
+export async function callHttp(address: string, {method, path, host, body, limitMs, leaveMs = limitMs}: HttpCall): Promise<HttpAnswer> {
 	const [ip, port] = address.split(':');
 	const agent = new Agent({keepAlive: true, maxSockets: 1});
 	return new Promise(resolve => {
@@ -57,7 +59,7 @@
 		});
 		const timer = setTimeout(() => {
 			sent.destroy();
-		}, limitMs);
+		}, leaveMs);
 
 		function endCall(answer: HttpAnswer): void {
 			clearTimeout(timer);
--- a/review/rig-3/fleet.ts
+++ b/review/rig-3/fleet.ts
@@ -52,7 +52,13 @@
 type FleetProcess = {readonly role: Role; readonly name: string; readonly file: string; child: ChildProcess};
 
 /** Addresses of an entry. */
-export type EntryAddresses = {readonly name: string; readonly callers: string; readonly readiness: string};
+export type EntryAddresses = {
+	readonly name: string;
+	readonly callers: string;
+	readonly readiness: string;
+	/** Address for streams from other processes. */
+	readonly peers: string;
+};
 
 /** What differs between two workers. */
 export type WorkerKind = Pick<WorkerStandInOptions, 'cpu'>;
@@ -66,9 +72,10 @@
 	#folder = '';
 
 	/**
-	 * @param recorder - Records the starts of tasks, and what happens to processes.
+	 * @param recorder - Records what happens to processes.
+	 * @param recordsStarts - Whether each start of a task is recorded too.
 	 */
-	constructor(private readonly recorder: Recorder) {}
+	constructor(private readonly recorder: Recorder, private readonly recordsStarts = true) {}
 
 	/**
 	 * Starts entries, agents and workers, and waits until the entries are ready.
@@ -95,7 +102,7 @@
 			await this.#startEntry(index);
 		}
 
-		await this.#waitUntilReady();
+		await this.waitUntilReady();
 	}
 
 	/** Sends SIGKILL to a process and waits for its end. */
@@ -116,12 +123,51 @@
 		this.recorder.recordEvent('restarted', {process: name});
 	}
 
+	/** Sends SIGKILL to all processes at once. */
+	async killAll(): Promise<void> {
+		await Promise.all(this.#processes.map(async ({name}) => this.killProcess(name)));
+	}
+
+	/** Lists the processes that are down. */
+	listEnded(): readonly string[] {
+		return this.#processes.filter(({child}) => child.exitCode !== null || child.signalCode !== null).map(({name}) => name);
+	}
+
 	/** Returns the status of the readiness check of an entry; 0 without an answer. */
 	async readReadiness({readiness}: EntryAddresses): Promise<number> {
 		const {status} = await callHttp(readiness, {method: 'GET', path: '/medlardale/ready', limitMs: 500});
 		return status;
 	}
 
+	/** Waits until each entry is ready and each worker has run a task of each entry's. */
+	async waitUntilReady(): Promise<void> {
+		const end = Date.now() + startLimitMs;
+		for (const entry of this.entries) {
+			const before = this.workers.map(({starts}) => starts.length);
+			const hasReached = (): boolean => this.workers.every(({starts}, index) => starts.length > before[index]);
+			while (await this.readReadiness(entry) !== 200 || !hasReached()) {
+				if (Date.now() > end) {
+					throw new Error(`${entry.name} is not ready in time`);
+				}
+
+				await callHttp(entry.callers, {
+					method: 'POST',
+					path: `${queuePrefix}${createJobId()}`,
+					host: queueHost,
+					body: {
+						BestEffort: true, Spec: '30', Steps: [{
+							Count: this.workers.length, Cpu: 20_000, MemMb: 64, EstimateMs: 30,
+						}],
+					},
+					limitMs: 1500,
+				});
+				await waitFor(pollMs);
+			}
+		}
+
+		this.recorder.recordEvent('fleet-ready', {entries: this.entries.length, workers: this.workers.length});
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		for (const {child} of this.#processes) {
 			child.kill('SIGKILL');
@@ -146,7 +192,9 @@
 			runMs: Number,
 			stopMs: bounds.StopMs,
 			onStart: ({task, run, worker: id}) => {
-				this.recorder.recordEvent('task-started', {task, run, worker: id});
+				if (this.recordsStarts) {
+					this.recorder.recordEvent('task-started', {task, run, worker: id});
+				}
 			},
 		});
 		this.workers.push(worker);
@@ -159,40 +207,13 @@
 	async #startEntry(index: number): Promise<void> {
 		const [entryPort, callers, readiness] = await takePorts(portsPerProcess);
 		const name = `entry-${index}`;
-		const entry = {name, callers: `127.0.0.1:${callers}`, readiness: `127.0.0.1:${readiness}`};
+		const entry = {
+			name, callers: `127.0.0.1:${callers}`, readiness: `127.0.0.1:${readiness}`, peers: `127.0.0.1:${entryPort}`,
+		};
 		this.entries.push(entry);
 		await this.#startProcess('entry', name, {InternalPorts: [entryPort, 1], ListenAddrs: {Frontend: entry.callers, Readiness: entry.readiness}});
 	}
 
-	/** Waits until each entry is ready and each worker has run a task of each entry's. */
-	async #waitUntilReady(): Promise<void> {
-		const end = Date.now() + startLimitMs;
-		for (const entry of this.entries) {
-			const before = this.workers.map(({starts}) => starts.length);
-			const hasReached = (): boolean => this.workers.every(({starts}, index) => starts.length > before[index]);
-			while (await this.readReadiness(entry) !== 200 || !hasReached()) {
-				if (Date.now() > end) {
-					throw new Error(`${entry.name} is not ready in time`);
-				}
-
-				await callHttp(entry.callers, {
-					method: 'POST',
-					path: `${queuePrefix}${createJobId()}`,
-					host: queueHost,
-					body: {
-						BestEffort: true, Spec: '30', Steps: [{
-							Count: this.workers.length, Cpu: 20_000, MemMb: 64, EstimateMs: 30,
-						}],
-					},
-					limitMs: 1500,
-				});
-				await waitFor(pollMs);
-			}
-		}
-
-		this.recorder.recordEvent('fleet-ready', {entries: this.entries.length, workers: this.workers.length});
-	}
-
 	#findProcess(name: string): FleetProcess {
 		return this.#processes.find(other => other.name === name)!;
 	}
@@ -209,7 +230,13 @@
 
 	#spawnProcess(role: Role, file: string): ChildProcess {
 		const {command, args, env} = readCommand(role, file);
-		return spawn(command, [...args], {stdio: ['ignore', 'ignore', 'inherit'], env: {PATH: process.env.PATH, ...env}});
+		const child = spawn(command, [...args], {stdio: ['ignore', 'ignore', 'ignore'], env: {PATH: process.env.PATH, ...env}});
+		child.once('exit', (code, signal) => {
+			if (!child.killed) {
+				this.recorder.recordEvent('process-ended', {process: path.basename(file, '.json'), code, signal});
+			}
+		});
+		return child;
 	}
 }
 
