--- a/review/12/case.ts
+++ b/review/12/case.ts
@@ -1,98 +1,128 @@
 /**
- * UNASKED: a job that its client has submitted again after the end of its entry goes on after its cancelling was acknowledged
- * by the entry that the platform chooses for the client.
+ * FAULT: when clients of large jobs leave, the agents order stops without end and run out of memory.
  */
 import {setTimeout as waitFor} from 'node:timers/promises';
 import {callHttp, type HttpAnswer} from '../rig-3/client.ts';
 import {
-	cancelMs, createJobId, Fleet, queueHost, queuePrefix, retransmitMs, type EntryAddresses,
+	createJobId, Fleet, queueHost, queuePrefix,
 } from '../rig-3/fleet.ts';
 import {hasTrouble, runCase, type Recorder} from '../rig-3/recorder.ts';
 
-/** Time of each task, in ms, and after which times the entry is killed, is back, and the job is cancelled. */
-const runMs = 6000;
-const killMs = 300;
-const downMs = 300;
-const thinkMs = 1000;
+/** Clients in each wave: those with large jobs leave, a third of all. */
+const largeClients = 8;
+const smallClients = 16;
+
+/** Time between two submissions, and from a submission until its client leaves, in ms. */
+const gapMs = 100;
+const leaveMs = 2000;
 
 const deadlineMs = 30_000;
-const readyLimitMs = 5000;
-
-/** Margin for the time between two clocks of this record, in ms. */
-const marginMs = 50;
-
-/** Statuses that acknowledge a cancel. */
-const acknowledgements = new Set([200, 202, 204, 410]);
-
-/** Steps of the job: the second one starts once the first one is done. */
-const steps = [
-	{
-		Count: 2, Cpu: 3000, MemMb: 64, EstimateMs: runMs,
-	},
-	{
-		Count: 2, Cpu: 3000, MemMb: 64, EstimateMs: runMs, After: [0],
-	},
-];
-
-/** Submits the job to an entry until it is answered; after a broken channel again, at the other entry. */
-async function submitJob(fleet: Fleet, recorder: Recorder, job: string): Promise<HttpAnswer> {
-	const [first, second] = fleet.entries;
-	let entry = first;
-	for (;;) {
-		recorder.recordEvent('submitted', {job, entry: entry.name, steps: steps.length});
-		const answer = await callHttp(entry.callers, {
-			method: 'POST', path: `${queuePrefix}${job}`, host: queueHost, body: {BestEffort: true, Spec: String(runMs), Steps: steps}, limitMs: deadlineMs,
-		});
-		recorder.recordEvent('answered', {job, entry: entry.name, ...answer});
-		if (answer.status !== 0 || entry === second) {
-			return answer;
-		}
 
-		await waitFor(retransmitMs);
-		entry = second;
+/** Longest time in which a process ends after the clients have left, and until the platform starts it again, in ms. */
+const endLimitMs = 13_000;
+const restartMs = 500;
+
+/** Time in which waves begin, in ms; without the disruption, each takes as long as its jobs. */
+const wavesMs = hasTrouble ? 85_000 : 45_000;
+
+/** What the rule allows: fewer ends of one process, or on fewer machines. */
+const maxEnds = 3;
+const minMachines = 2;
+
+const largeJob = {
+	BestEffort: true, Spec: '3000', Steps: [{
+		Count: 760, Cpu: 10, MemMb: 16, EstimateMs: 3000,
+	}],
+};
+const smallJob = {
+	BestEffort: true, Spec: '80', Steps: [{
+		Count: 2, Cpu: 3100, MemMb: 64, EstimateMs: 80,
+	}],
+};
+
+async function submitJob(fleet: Fleet, body: unknown, leavesAfter?: number): Promise<HttpAnswer> {
+	return callHttp(fleet.entries[0].callers, {
+		method: 'POST', path: `${queuePrefix}${createJobId()}`, host: queueHost, body, limitMs: deadlineMs, leaveMs: leavesAfter,
+	});
+}
+
+function countBy(answers: readonly HttpAnswer[]): Readonly<Record<string, number>> {
+	const counts: Record<string, number> = {};
+	for (const {status, text} of answers) {
+		const key = status === 0 ? 'no answer' : `${status} ${text}`;
+		counts[key] = (counts[key] ?? 0) + 1;
 	}
+
+	return counts;
 }
 
-async function waitUntilReady(fleet: Fleet, entry: EntryAddresses): Promise<void> {
-	const end = Date.now() + readyLimitMs;
-	while (await fleet.readReadiness(entry) !== 200) {
-		if (Date.now() > end) {
-			throw new Error(`${entry.name} is not ready again`);
+/** Counts the ends of each process that nothing has ended from outside. */
+function countEnds({events}: Recorder): ReadonlyMap<string, number> {
+	const ends = new Map<string, number>();
+	for (const {event, details} of events) {
+		if (event === 'process-ended') {
+			const name = String(details.process);
+			ends.set(name, (ends.get(name) ?? 0) + 1);
 		}
+	}
+
+	return ends;
+}
 
-		await waitFor(50);
+function listBroken(recorder: Recorder): readonly string[] {
+	return [...countEnds(recorder)].filter(([, count]) => count >= maxEnds).map(([name]) => name);
+}
+
+/** Waits until all agents have ended, or for the longest time. */
+async function waitForEnds(fleet: Fleet): Promise<void> {
+	const end = Date.now() + endLimitMs;
+	while (Date.now() < end && fleet.listEnded().length < fleet.workers.length) {
+		await waitFor(100);
 	}
 }
 
-async function play(recorder: Recorder): Promise<string | undefined> {
-	await using fleet = new Fleet(recorder);
-	await fleet.start(2, [{cpu: 32_000}, {cpu: 32_000}]);
-	await waitFor(3000);
-	const job = createJobId();
-	const [first] = fleet.entries;
-	const answered = submitJob(fleet, recorder, job);
-	await waitFor(killMs);
+async function playWave(fleet: Fleet, recorder: Recorder): Promise<void> {
+	const before = fleet.workers.map(({starts}) => starts.length);
+	const large: Array<Promise<HttpAnswer>> = [];
+	const small: Array<Promise<HttpAnswer>> = [];
+	for (let index = 0; index < smallClients; index++) {
+		small.push(submitJob(fleet, smallJob));
+		await waitFor(gapMs);
+	}
+
+	for (let index = 0; index < largeClients; index++) {
+		large.push(submitJob(fleet, largeJob, hasTrouble ? leaveMs : undefined));
+		await waitFor(gapMs);
+	}
+
+	recorder.recordEvent('submitted', {largeJobs: largeClients, tasksOfEach: largeJob.Steps[0].Count, smallJobs: smallClients});
+	recorder.recordEvent(hasTrouble ? 'clients-left' : 'answered', {largeJobs: countBy(await Promise.all(large))});
 	if (hasTrouble) {
-		await fleet.killProcess(first.name);
-		await waitFor(downMs);
-		fleet.restartProcess(first.name);
-		await waitFor(retransmitMs);
-		await waitUntilReady(fleet, first);
+		await waitForEnds(fleet);
 	}
 
-	await waitFor(thinkMs);
-	// The platform chooses the node of a new channel by a hash of the client, so that it is the same one as for the first submission.
-	const {status} = await callHttp(first.callers, {
-		method: 'DELETE', path: `${queuePrefix}${job}`, host: queueHost, limitMs: deadlineMs,
-	});
-	const acknowledgedAt = recorder.recordEvent('cancel-answered', {job, entry: first.name, status});
-	if (!acknowledgements.has(status)) {
-		throw new Error(`the cancel was answered ${status}`);
+	recorder.recordEvent('answered', {smallJobs: countBy(await Promise.all(small))});
+	recorder.recordEvent('tasks-started', Object.fromEntries(fleet.workers.map(({starts}, index) => [`w${index}`, starts.length - before[index]])));
+}
+
+async function play(recorder: Recorder): Promise<string | undefined> {
+	await using fleet = new Fleet(recorder, false);
+	await fleet.start(1, [{cpu: 32_000}, {cpu: 32_000}]);
+	let waves = 0;
+	while (recorder.readTime() < wavesMs && listBroken(recorder).length < minMachines) {
+		waves++;
+		await waitFor(1000);
+		await playWave(fleet, recorder);
+		await waitFor(restartMs);
+		for (const name of fleet.listEnded()) {
+			fleet.restartProcess(name);
+		}
+
+		await fleet.waitUntilReady();
 	}
 
-	await answered;
-	const late = recorder.listStarts(job).filter(({at}) => at > acknowledgedAt + cancelMs + marginMs);
-	return late.length === 0 ? undefined : `${late.length} starts later than ${cancelMs} ms after the cancel was acknowledged`;
+	const broken = listBroken(recorder);
+	return broken.length < minMachines ? undefined : `${broken.join(' and ')} ended by themselves ${maxEnds} times or more in ${waves} waves`;
 }
 
 void runCase('review/12', play);
