--- a/review/rig-3/client.ts
+++ b/review/rig-3/client.ts
@@ -14,6 +14,8 @@
 	readonly limitMs: number;
 	/** Time after which the client closes its channel, if it leaves before its time budget. */
 	readonly leaveMs?: number;
+	/** Closes the channel when it is aborted. */
+	readonly signal?: AbortSignal;
 };
 
 /** Answer to a call; status 0 if the channel broke or no answer came in time. */
@@ -28,7 +30,7 @@
  * @param call - The call.
  * @returns The answer.
  */
-export async function callHttp(address: string, {method, path, host, body, limitMs, leaveMs = limitMs}: HttpCall): Promise<HttpAnswer> {
+export async function callHttp(address: string, {method, path, host, body, limitMs, leaveMs = limitMs, signal}: HttpCall): Promise<HttpAnswer> {
 	const [ip, port] = address.split(':');
 	const agent = new Agent({keepAlive: true, maxSockets: 1});
 	return new Promise(resolve => {
@@ -67,6 +69,9 @@
 			resolve(answer);
 		}
 
+		signal?.addEventListener('abort', () => {
+			sent.destroy();
+		});
 		sent.on('error', () => {
 			endCall(noAnswer);
 		});
--- a/review/rig-3/fleet.ts
+++ b/review/rig-3/fleet.ts
@@ -16,6 +16,7 @@
 import {startStoreStandIn, type StoreStandIn} from '../../platform/stand-ins/store.ts';
 import {startWorkerStandIn, type WorkerStandIn, type WorkerStandInOptions} from '../../platform/stand-ins/worker.ts';
 import {callHttp} from './client.ts';
+import {LateWorker} from './late-worker.ts';
 import type {Recorder} from './recorder.ts';
 
 /** Host and prefix of the queue. */
@@ -61,12 +62,12 @@
 };
 
 /** What differs between two workers. */
-export type WorkerKind = Pick<WorkerStandInOptions, 'cpu'>;
+export type WorkerKind = Pick<WorkerStandInOptions, 'cpu'> & {readonly isLate?: boolean};
 
 /** A running fleet. */
 export class Fleet implements AsyncDisposable {
 	readonly entries: EntryAddresses[] = [];
-	readonly workers: WorkerStandIn[] = [];
+	readonly workers: Array<WorkerStandIn | LateWorker> = [];
 	readonly #processes: FleetProcess[] = [];
 	#store: StoreStandIn | undefined;
 	#folder = '';
@@ -182,7 +183,7 @@
 	}
 
 	async #startAgent(index: number, kind: WorkerKind): Promise<void> {
-		const worker = await startWorkerStandIn({
+		const options: WorkerStandInOptions = {
 			id: `w${index}`,
 			service,
 			// Read at each heartbeat, as the next process of the worker may be of another kind.
@@ -196,7 +197,8 @@
 					this.recorder.recordEvent('task-started', {task, run, worker: id});
 				}
 			},
-		});
+		};
+		const worker = kind.isLate === true ? await this.#startLateWorker(options) : await startWorkerStandIn(options);
 		this.workers.push(worker);
 		const [agentPort, heartbeatPort] = await takePorts(portsPerProcess);
 		const address = `127.0.0.1:${heartbeatPort}`;
@@ -204,6 +206,14 @@
 		await this.#startProcess('agent', `agent-${index}`, {InternalPorts: [1, agentPort], ListenAddrs: {ControlPlane: address}, app: worker.address});
 	}
 
+	async #startLateWorker(options: WorkerStandInOptions): Promise<LateWorker> {
+		const worker = new LateWorker(options, (event, details) => {
+			this.recorder.recordEvent(event, details);
+		});
+		await worker.listen();
+		return worker;
+	}
+
 	async #startEntry(index: number): Promise<void> {
 		const [entryPort, callers, readiness] = await takePorts(portsPerProcess);
 		const name = `entry-${index}`;
