--- a/review/rig-3/fleet.ts
+++ b/review/rig-3/fleet.ts
@@ -17,7 +17,7 @@
 import {startWorkerStandIn, type WorkerStandIn, type WorkerStandInOptions} from '../../platform/stand-ins/worker.ts';
 import {callHttp} from './client.ts';
 import {LateWorker} from './late-worker.ts';
-import type {Recorder} from './recorder.ts';
+import {outcomes, type Recorder} from './recorder.ts';
 
 /** Host and prefix of the queue. */
 export const queueHost = 'jobs.example';
@@ -76,7 +76,15 @@
 	 * @param recorder - Records what happens to processes.
 	 * @param recordsStarts - Whether each start of a task is recorded too.
 	 */
-	constructor(private readonly recorder: Recorder, private readonly recordsStarts = true) {}
+	constructor(private readonly recorder: Recorder, private readonly recordsStarts = true) {
+		// No process is left behind when the case takes too long or is ended by a signal.
+		process.once('exit', () => {
+			this.#killChildren();
+		});
+		process.once('SIGTERM', () => {
+			process.exit(outcomes.failedToRun);
+		});
+	}
 
 	/**
 	 * Starts entries, agents and workers, and waits until the entries are ready.
@@ -170,10 +178,7 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		for (const {child} of this.#processes) {
-			child.kill('SIGKILL');
-		}
-
+		this.#killChildren();
 		for (const worker of this.workers) {
 			await worker[Symbol.asyncDispose]();
 		}
@@ -224,6 +229,12 @@
 		await this.#startProcess('entry', name, {InternalPorts: [entryPort, 1], ListenAddrs: {Frontend: entry.callers, Readiness: entry.readiness}});
 	}
 
+	#killChildren(): void {
+		for (const {child} of this.#processes) {
+			child.kill('SIGKILL');
+		}
+	}
+
 	#findProcess(name: string): FleetProcess {
 		return this.#processes.find(other => other.name === name)!;
 	}
