--- a/review/rig-3/late-worker.ts
+++ b/review/rig-3/late-worker.ts
@@ -27,6 +27,8 @@
 export class LateWorker implements AsyncDisposable {
 	readonly starts: StartRecord[] = [];
 	address = '';
+	/** Kind and rack. */
+	labels: readonly string[] = ['a', 'r1'];
 	#life: WorkerLife;
 	#server: StandInServer | undefined;
 	#sequence = 0;
@@ -172,7 +174,7 @@
 		const {id, service, cpu} = this.options;
 		const body = {
 			Service: service, Address: this.address, Zone: 'kerr', Version: 'v1', Slots: 8, State: 'ready', ColdRemainingMs: 0,
-			Capacity: {Cpu: cpu, MemMb: 65_536, Gpu: 0}, Labels: ['a', 'r1'], ClockMs: this.#life.readClock(), Sequence: this.#sequence, born: this.#life.bornAt,
+			Capacity: {Cpu: cpu, MemMb: 65_536, Gpu: 0}, Labels: this.labels, ClockMs: this.#life.readClock(), Sequence: this.#sequence, born: this.#life.bornAt,
 		};
 		try {
 			const response = await request(`http://${this.#heartbeatAddress}/medlardale/instances/${id}`, {method: 'PUT', body: JSON.stringify(body)});
