Log by what a job was held to have run or not

Three hypotheses gave the same lines: the task was only ever offered tentatively, a report said that it had not started, or the counters of the entry were not updated. `job-answered` told the outcome and the reason, not what the claim "has not run" rested on.

Change: each task keeps the kind and the time of its evidence; `job-answered` tells the strongest one of the job and its age, unless the job was completed. No decision depends on it yet.

--- a/src/core/dispatch/agents.ts
+++ b/src/core/dispatch/agents.ts
@@ -8,6 +8,7 @@
 import type {NodeName} from '../identity/types.ts';
 import {endSession, openSession} from '../sessions/logic.ts';
 import {listFullAgents} from './placing.ts';
+import {recordRunEvidence} from './run-evidence.ts';
 import type {DispatchState} from './state.ts';
 import {createWithdrawals, placeWaitingTasks, removeCandidate} from './steps.ts';
 import type {AgentEffect, DispatchEffect} from './types.ts';
@@ -57,6 +58,7 @@
 		task.phase = 'placed';
 		task.agent = agent;
 		job.mayHaveRun = true;
+		recordRunEvidence(task, 'ordered', now);
 		granted.push(name);
 		recordWait(state, job.route, now - task.offeredAt, now);
 	}
@@ -172,6 +174,7 @@
 
 		task.nextRun = (task.offer?.run ?? 0) + 1;
 		task.phase = 'waiting';
+		recordRunEvidence(task, 'agent-lost', now);
 		if (job.answer === undefined) {
 			task.moves++;
 			effects.push(...placeWaitingTasks(state, job, now));
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -48,7 +48,7 @@
 const maxTasksPerJob = 4096;
 
 /** Creates the tasks of a job; their names are `job.0.step.position`. */
-function createTasks(submission: JobSubmission): TaskState[] {
+function createTasks(submission: JobSubmission, now: Milliseconds): TaskState[] {
 	return submission.steps.flatMap((step, index) => Array.from({length: step.count}, (_, position): TaskState => ({
 		name: `${submission.id}.0.${index}.${position}`,
 		step: index,
@@ -60,6 +60,7 @@
 		nextRun: 1,
 		failures: 0,
 		moves: 0,
+		evidence: {kind: 'no-order', at: now},
 		avoidedAgents: new Set(),
 		isUnproven: false,
 		reassignableAt: 0,
@@ -82,7 +83,7 @@
 };
 
 function createJob(state: DispatchState, {route, submission, timeLimitMs, mayBeRepeated = false}: JobRequest, now: Milliseconds): Job {
-	const tasks = createTasks(submission);
+	const tasks = createTasks(submission, now);
 	return {
 		id: submission.id,
 		route,
--- a/src/core/dispatch/placing.ts
+++ b/src/core/dispatch/placing.ts
@@ -19,6 +19,7 @@
 import {
 	createRanking, findBestEstimate, listRanked, recordRankedOffer, updateRanking, type Ranking, type Rankings,
 } from './ranking.ts';
+import {recordRunEvidence} from './run-evidence.ts';
 import {createDemand, createOffer} from './task-offers.ts';
 import {estimateWait} from './waits.ts';
 import type {DispatchState} from './state.ts';
@@ -58,6 +59,8 @@
 
 /** Placement of a job's waiting tasks. */
 export type Placement = {
+	/** When it was made. */
+	readonly at: Milliseconds;
 	/** By agent. */
 	readonly offers: Map<NodeName, TaskOffer[]>;
 	/** Expected wait of a task that is offered tentatively; computed when it is first needed, as most tasks start at once. */
@@ -84,11 +87,12 @@
 /** The agent that got the last task with a direct offer. */
 type Run = {readonly step: number; readonly agent: NodeName; readonly demand: TaskDemand; length: number};
 
-function placeDirectly(state: DispatchState, job: Job, task: TaskState, run: Omit<Run, 'length'>, {offers, rankings}: Placement): void {
+function placeDirectly(state: DispatchState, job: Job, task: TaskState, run: Omit<Run, 'length'>, {offers, rankings, at}: Placement): void {
 	const offer = {...createOffer(job, task, run.demand), isTentative: false};
 	task.offer = offer;
 	task.phase = 'placed';
 	task.agent = run.agent;
+	recordRunEvidence(task, 'ordered', at);
 	recordOffer(state.fleet, run.agent, run.demand, false);
 	recordRankedOffer(rankings, state.fleet, run.agent, false);
 	addToGroup(offers, run.agent, offer);
@@ -193,7 +197,7 @@
  */
 export function placeTasks(state: DispatchState, job: Job, now: Milliseconds): Placement {
 	const placement: Placement = {
-		offers: new Map(), rankings: new Map(), wait: undefined, total: 0, isComplete: true, hasTentativeOffer: false, hasSuitableAgents: true, lacksQuarantine: false,
+		at: now, offers: new Map(), rankings: new Map(), wait: undefined, total: 0, isComplete: true, hasTentativeOffer: false, hasSuitableAgents: true, lacksQuarantine: false,
 	};
 	for (const task of job.tasks) {
 		if (task.phase === 'waiting') {
@@ -217,6 +221,7 @@
 			task.phase = 'waiting';
 			task.agent = undefined;
 			task.offer = undefined;
+			task.evidence = {kind: 'no-order', at: task.evidence.at};
 			task.candidates.clear();
 		}
 	}
--- a/src/core/dispatch/reports.ts
+++ b/src/core/dispatch/reports.ts
@@ -10,6 +10,7 @@
 import {updateReservedAgents} from './containment.ts';
 import {recordRunTime} from './estimates.ts';
 import {yieldJob} from './joining.ts';
+import {recordRunEvidence} from './run-evidence.ts';
 import type {DispatchState} from './state.ts';
 import {
 	createAnswer, endJob, moveTask, placeWaitingTasks, removeCandidate,
@@ -99,6 +100,13 @@
 /** Ends that show that the worker has survived the start of the run. */
 const survivalEnds: ReadonlySet<TaskEnd> = new Set(['done', 'failed', 'abandoned']);
 
+/** Records what a report tells of the runs of its task; the number of a run that has not started is used again. */
+function recordReportedRun(task: TaskState, {end, run}: TaskReport, now: Milliseconds): void {
+	const isNotStarted = end === 'not-started' && run === task.offer?.run;
+	task.nextRun = isNotStarted ? run : run + 1;
+	recordRunEvidence(task, isNotStarted ? 'not-started' : 'reported', now);
+}
+
 function applyReport(state: DispatchState, agent: NodeName, report: TaskReport, now: Milliseconds): DispatchEffect[] {
 	if (report.crash !== undefined) {
 		recordCrash(state.crashes, {
@@ -124,7 +132,7 @@
 	const {job, task} = found;
 	job.isProven ||= task.isUnproven && survivalEnds.has(report.end);
 	task.isUnproven &&= !survivalEnds.has(report.end);
-	task.nextRun = report.end === 'not-started' && report.run === task.offer?.run ? report.run : report.run + 1;
+	recordReportedRun(task, report, now);
 	if (job.answer !== undefined) {
 		task.phase = report.end === 'done' ? 'done' : 'waiting';
 		state.tasks.delete(task.name);
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -90,6 +90,17 @@
  */
 export type TaskPhase = 'blocked' | 'waiting' | 'offered' | 'placed' | 'detached' | 'done';
 
+/**
+ * By what an entry knows whether a task has run.
+ *
+ * - `no-order`: no order to start it has left this entry.
+ * - `not-started`: its agents have reported that they did not start it.
+ * - `ordered`: an order has left, and no report on it has come.
+ * - `agent-lost`: its agent was disconnected for so long that no run of it can be left.
+ * - `reported`: an agent has reported the end of a run.
+ */
+export type RunEvidenceKind = 'no-order' | 'not-started' | 'ordered' | 'agent-lost' | 'reported';
+
 /** One task of a job. */
 export type TaskState = {
 	readonly name: string;
@@ -106,6 +117,8 @@
 	failures: number;
 	/** Runs that ended without a result of the task, such as abandoned and lost ones. */
 	moves: number;
+	/** By what it is known whether it has run, and since when. */
+	evidence: {readonly kind: RunEvidenceKind; readonly at: Milliseconds};
 	/** Agents where a run failed or was abandoned. */
 	readonly avoidedAgents: Set<NodeName>;
 	/** Whether its last offer was isolated and it has not survived the time after its start. */
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -14,6 +14,7 @@
 import {observeContact} from '../../core/dispatch/contact.ts';
 import {applyReports, handleCrashes, handleSurvival} from '../../core/dispatch/reports.ts';
 import {extendAllOffers} from '../../core/dispatch/placing.ts';
+import {describeRunEvidence} from '../../core/dispatch/run-evidence.ts';
 import {listCarefulRoutes} from '../../core/crashes/logic.ts';
 import {updateRules} from '../../core/check-scope/logic.ts';
 import {countOpenJobs, createDispatchState, type DispatchState} from '../../core/dispatch/state.ts';
@@ -528,6 +529,7 @@
 	}
 
 	#recordAnswer(job: Job, answer: JobAnswer): void {
+		const now = this.#now();
 		const isCompleted = answer.outcome === 'completed';
 		this.input.log.recordDecision(isCompleted ? 'info' : 'warn', 'job-answered', {
 			job: job.id,
@@ -536,13 +538,14 @@
 			outcome: answer.outcome,
 			reason: answer.reason,
 			...answer.estimate,
-			ms: Math.round(this.#now() - job.receivedAt),
+			ms: Math.round(now - job.receivedAt),
 			mayBeRepeated: job.mayBeRepeated,
 			checkMs: job.checkMs === undefined ? undefined : Math.round(job.checkMs),
 			objectiveMs: Math.round(job.objectiveMs),
 			tasks: job.tasks.length,
 			moves: job.tasks.reduce((sum, {moves}) => sum + moves, 0),
 			failures: job.tasks.reduce((sum, {failures}) => sum + failures, 0),
+			...(!isCompleted && describeRunEvidence(job, now)),
 		});
 	}
 
