Answer 503 only with proof that a job has not run

Cause: "a report not-started proves that nothing has started" was false. A restarted agent answers the claim of its entry with that word for a task that neither it nor its worker knows; it means "I know of none". The entry kept the number of the run, and checkOversizedJob overruled mayHaveRun by it.

Change: an agent answers a claim with not-started only if it has a record of all that the entry has offered to it: an earlier claim was applied by this process, and no end was dropped from its memory. Otherwise the task ends as "lost" with isUnrecorded, also when it is given back after waiting behind an earlier run. The entry holds a job to have not run by the evidence of each task, which a new submission of a job that was given up keeps. This works because a process that was there when an offer arrived knows whether it ordered a start, and any other one knows nothing of it.

"A restarted agent adopts what still runs and answers for what does not" in runs.feature stated the false sentence: the agent had applied a claim before, which a restarted one has not. It starts without one now and expects "lost", which is as strict.

--- a/features/runs/runs.feature
+++ b/features/runs/runs.feature
@@ -170,7 +170,7 @@
     Then the free capacity is 0
     When entry "e1" claims "a b c"
     Then entry "e1" gets the report that "b" ended as "done"
-    And entry "e1" gets the report that "c" ended as "not-started"
+    And entry "e1" gets the report that "c" ended as "lost"
     When the worker lists "a" as ended "done"
     Then entry "e1" gets the report that "a" ended as "done"
 
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -22,7 +22,7 @@
 	EndedTask, RunEnd, RunningTask, StartAnswer, StopAnswer, WorkerAnnouncement,
 } from '../../src/ports/worker.ts';
 import {
-	announcement, applyNextSnapshot, bornAt, createEnd, createOffer, findLastStart, listStarts, passTime, recordEffects, resetWorld, type RunsWorld,
+	announcement, applyNextSnapshot, bornAt, createEnd, createOffer, findLastStart, listStarts, passTime, recordEffects, resetWorld, startAgent, type RunsWorld,
 } from './world.ts';
 
 Given('an agent whose worker has {int} thousandths of a core', function (this: RunsWorld, cpu: number) {
@@ -32,7 +32,7 @@
 });
 
 Given('an agent that restarted while its worker runs {string} and has listed {string} as {string}', function (this: RunsWorld, running: string, ended: string, end: RunEnd) {
-	resetWorld(this);
+	startAgent(this);
 	const present: RunningTask = {task: `${running}.0.0.0`, run: 1, percent: 50};
 	this.position = 1;
 	applyNextSnapshot(this, {
--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -52,6 +52,13 @@
     When 10 ms pass and a snapshot shows no runs
     Then the worker is ordered to start "a" as run 2
 
+  # Guards against "has not run" for a run that an earlier process of the agent may have started.
+  Scenario: A claimed task that waited behind an earlier run is given back
+    Given an agent that restarted while its worker runs "a" and has listed "b" as "done"
+    When entry "e1" claims run 2 of "a"
+    And the worker announces that it drains
+    Then entry "e1" gets the report that "a" ended as "lost"
+
   # Guards against a second run while a worker that has announced its shutdown is still ending its runs.
   Scenario: A departure ends no run before its lease has lapsed
     When entry "e1" offers direct tasks "a" of 4000
--- a/features/runs/world.ts
+++ b/features/runs/world.ts
@@ -64,11 +64,16 @@
 	}, requestedAt, world.now));
 }
 
-export function resetWorld(world: RunsWorld): void {
+/** Starts the agent; its first claims come from the steps. */
+export function startAgent(world: RunsWorld): void {
 	world.now = startTime;
 	world.state = createRunsState({timings, fencingToken: 1});
 	world.effects = [];
 	world.position = 0;
+}
+
+export function resetWorld(world: RunsWorld): void {
+	startAgent(world);
 	for (const owner of ['e1', 'e2']) {
 		recordEffects(world, handleClaim(world.state, owner, [], world.now));
 	}
--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -7,6 +7,7 @@
 import {settleMs} from '../runs/isolation.ts';
 import {estimateCriticalPath, estimateShortestFactor} from './estimates.ts';
 import type {Placement} from './placing.ts';
+import {hasNotRun} from './run-evidence.ts';
 import type {DispatchState} from './state.ts';
 import type {
 	AdmissionEstimate, Job, JobAnswer, StepSubmission,
@@ -64,11 +65,6 @@
 	return (now >= state.expectAgentsUntil || !state.fleet.hasOpenDataCentre) && isOversized(state.fleet, {target, label, needs});
 }
 
-/** Returns whether no task of a job has run: no agent has one, and no report of another end than `not-started` has come. */
-function hasNotRun(job: Job): boolean {
-	return job.tasks.every(({phase, nextRun, failures, moves}) => phase !== 'placed' && phase !== 'detached' && phase !== 'done' && nextRun === 1 && failures === 0 && moves === 0);
-}
-
 /**
  * Checks an open job: it ends once a task that waits needs more than any worker has.
  *
--- a/src/core/dispatch/logic.ts
+++ b/src/core/dispatch/logic.ts
@@ -162,7 +162,11 @@
 	const job = createJob(state, request, now);
 	if (earlier !== undefined) {
 		for (const [index, task] of job.tasks.entries()) {
-			task.nextRun = earlier.tasks[index]?.nextRun ?? 1;
+			const before = earlier.tasks[index];
+			if (before !== undefined) {
+				task.nextRun = before.nextRun;
+				task.evidence = before.evidence;
+			}
 		}
 	}
 
--- a/src/core/dispatch/reports.ts
+++ b/src/core/dispatch/reports.ts
@@ -101,10 +101,15 @@
 const survivalEnds: ReadonlySet<TaskEnd> = new Set(['done', 'failed', 'abandoned']);
 
 /** Records what a report tells of the runs of its task; the number of a run that has not started is used again. */
-function recordReportedRun(task: TaskState, {end, run}: TaskReport, now: Milliseconds): void {
-	const isNotStarted = end === 'not-started' && run === task.offer?.run;
-	task.nextRun = isNotStarted ? run : run + 1;
-	recordRunEvidence(task, isNotStarted ? 'not-started' : 'reported', now);
+function recordReportedRun(task: TaskState, {end, run, isUnrecorded}: TaskReport, now: Milliseconds): void {
+	if (end === 'not-started' && run === task.offer?.run) {
+		task.nextRun = run;
+		recordRunEvidence(task, 'not-started', now);
+		return;
+	}
+
+	task.nextRun = run + 1;
+	recordRunEvidence(task, isUnrecorded === true ? 'unrecorded' : 'reported', now);
 }
 
 function applyReport(state: DispatchState, agent: NodeName, report: TaskReport, now: Milliseconds): DispatchEffect[] {
--- a/src/core/dispatch/run-evidence.ts
+++ b/src/core/dispatch/run-evidence.ts
@@ -7,10 +7,10 @@
 	Job, RunEvidenceKind, TaskState,
 } from './types.ts';
 
-/** Kinds in rising order of how much speaks for a run; the last two hold whatever becomes of later orders. */
-const kinds: readonly RunEvidenceKind[] = ['no-order', 'not-started', 'ordered', 'agent-lost', 'reported'];
+/** Kinds in rising order of how much speaks for a run; the last three hold whatever becomes of later orders. */
+const kinds: readonly RunEvidenceKind[] = ['no-order', 'not-started', 'ordered', 'unrecorded', 'agent-lost', 'reported'];
 
-const lastingKinds: ReadonlySet<RunEvidenceKind> = new Set(['agent-lost', 'reported']);
+const lastingKinds: ReadonlySet<RunEvidenceKind> = new Set(['unrecorded', 'agent-lost', 'reported']);
 
 /**
  * Records by what it is known whether a task has run.
@@ -25,6 +25,15 @@
 	}
 }
 
+/**
+ * Returns whether it is proved that no task of a job has run.
+ *
+ * @param job - The job.
+ */
+export function hasNotRun({tasks}: Job): boolean {
+	return tasks.every(({evidence: {kind}}) => kind === 'no-order' || kind === 'not-started');
+}
+
 /**
  * Describes by what a job was held to have run or not: the evidence of its task for which most speaks for a run.
  *
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -20,29 +20,37 @@
 import {hasOtherStartedRun, isStartOrdered, removeRecord} from './records.ts';
 import {canAcceptTask, isAnnouncementCurrent} from './health.ts';
 import {addSettling, canStartBeside, countSettling} from './isolation.ts';
-import type {RunRecord, RunsEffect, StopReason} from './types.ts';
+import type {
+	RecentEnd, RunRecord, RunsEffect, StopReason,
+} from './types.ts';
 
 /** Age, in ms, from which a waiting task that does not fit blocks the smaller ones behind it. */
 const maxBypassMs = 300;
 
+/** Returns the end to report: a record that does not cover all runs of its offer is no proof that none has started. */
+function getProvenEnd({isUnrecorded}: RunRecord, end: TaskEnd): TaskEnd {
+	return end === 'not-started' && isUnrecorded === true ? 'lost' : end;
+}
+
 /**
  * Removes a record and reports its end to the entry.
  *
  * @param state - State of the agent.
  * @param record - The record.
- * @param end - How the task ended.
+ * @param presumedEnd - How the task ended as far as this record tells.
  * @param now - Current time.
  * @param crash - Set if it ended with a crash of the worker.
  * @returns The report.
  */
-export function endRecord(state: RunsState, record: RunRecord, end: TaskEnd, now: Milliseconds, crash?: CrashEvidence): RunsEffect {
+export function endRecord(state: RunsState, record: RunRecord, presumedEnd: TaskEnd, now: Milliseconds, crash?: CrashEvidence): RunsEffect {
+	const end = getProvenEnd(record, presumedEnd);
 	removeRecord(state, record);
-	recordEnd(state, record.offer.task, record.run, end);
+	const ended: RecentEnd = {run: record.run, end, ...(end !== presumedEnd && {isUnrecorded: true})};
+	recordEnd(state, record.offer.task, ended);
 	const hasRun = isStartOrdered(record) && end !== 'not-started';
 	const report: TaskReport = {
+		...ended,
 		task: record.offer.task,
-		run: record.run,
-		end,
 		expectedMs: record.offer.expectedMs,
 		runMs: hasRun ? Math.round(now - record.orderedAt) : 0,
 		waitMs: Math.round((isStartOrdered(record) ? record.orderedAt : now) - record.queuedAt),
--- a/src/core/runs/owners.ts
+++ b/src/core/runs/owners.ts
@@ -11,9 +11,13 @@
 import {
 	addRecord, hasOtherRecord, isStartOrdered, listRecordsOfTask, removeRecord,
 } from './records.ts';
-import {getRecordKey, getRunKey, type RunsState} from './state.ts';
+import {
+	getRecordKey, getRunKey, recordEnd, type RunsState,
+} from './state.ts';
 import {canAcceptTask} from './health.ts';
-import type {OrphanRun, RunRecord, RunsEffect} from './types.ts';
+import type {
+	OrphanRun, RecentEnd, RunRecord, RunsEffect,
+} from './types.ts';
 
 function createRecord(owner: NodeName, offer: TaskOffer, now: Milliseconds): RunRecord {
 	return {
@@ -194,10 +198,18 @@
 	return [{type: 'log', event: 'run-adopted', details: {task, run, owner}}];
 }
 
+/**
+ * Returns whether this process has a record of everything that an entry has offered to it. What the first claim of an entry
+ * names was offered to an earlier process of this agent.
+ */
+function hasAllRecords({owners, hasDroppedEnds}: RunsState, owner: NodeName): boolean {
+	return owners.get(owner)?.hasClaimed === true && !hasDroppedEnds;
+}
+
 /** Queues a claimed task behind an earlier run of it, which is stopped. */
 function addBehindOrphan(state: RunsState, owner: NodeName, offer: TaskOffer, orphan: OrphanRun, now: Milliseconds): RunsEffect[] {
 	state.orphans.set(getRunKey(orphan.task, orphan.run), {...orphan, seenAt: Number.NEGATIVE_INFINITY});
-	const record = createRecord(owner, offer, now);
+	const record = {...createRecord(owner, offer, now), isUnrecorded: !hasAllRecords(state, owner)};
 	record.isGranted = true;
 	record.mustAsk = hasDelayedMessages(state, owner, now);
 	addRecord(state, record);
@@ -212,12 +224,23 @@
 		return orphan.run >= offer.run ? adoptOrphan(state, owner, offer, orphan, now) : addBehindOrphan(state, owner, offer, orphan, now);
 	}
 
-	const recent = state.recentEnds.get(offer.task);
-	const {run, end} = recent !== undefined && recent.run >= offer.run ? recent : {run: offer.run, end: 'not-started' as const};
-	const report: TaskReport = {
-		task: offer.task, run, end, expectedMs: offer.expectedMs, runMs: 0, waitMs: 0,
+	const {task, run: offeredRun, expectedMs} = offer;
+	const recent = state.recentEnds.get(task);
+	const report = {
+		task, run: offeredRun, expectedMs, runMs: 0, waitMs: 0,
 	};
-	return [{type: 'report', owner, reports: [report]}];
+	if (recent !== undefined && recent.run >= offeredRun) {
+		return [{type: 'report', owner, reports: [{...report, ...recent}]}];
+	}
+
+	if (hasAllRecords(state, owner)) {
+		return [{type: 'report', owner, reports: [{...report, end: 'not-started'}]}];
+	}
+
+	// A later claim gets the same answer, should this one get lost.
+	const ended: RecentEnd = {run: offeredRun, end: 'lost', isUnrecorded: true};
+	recordEnd(state, task, ended);
+	return [{type: 'report', owner, reports: [{...report, ...ended}]}];
 }
 
 /**
@@ -256,6 +279,11 @@
 		}
 	}
 
+	const ownerRecord = state.owners.get(owner);
+	if (ownerRecord !== undefined) {
+		ownerRecord.hasClaimed = true;
+	}
+
 	return effects;
 }
 
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -66,7 +66,7 @@
 function applyEnd(state: RunsState, ended: EndedTask, now: Milliseconds): RunsEffect[] {
 	const key = getRunKey(ended.task, ended.run);
 	if (state.orphans.delete(key)) {
-		recordEnd(state, ended.task, ended.run, ended.end);
+		recordEnd(state, ended.task, {run: ended.run, end: ended.end});
 		return [];
 	}
 
@@ -196,7 +196,7 @@
 	}
 
 	for (const {task, run, end} of snapshot.ended) {
-		recordEnd(state, task, run, end);
+		recordEnd(state, task, {run, end});
 	}
 
 	state.worker.areRunsKnown = true;
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -2,13 +2,13 @@
  * State of the runs that an agent manages on its worker.
  */
 import type {Milliseconds} from '../../ports/clock.ts';
-import type {TaskEnd, TaskOffer} from '../../ports/dispatch-messages.ts';
+import type {TaskOffer} from '../../ports/dispatch-messages.ts';
 import type {Resources, WorkerAnnouncement} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
 import type {MeasuredSlowness} from '../slowness/logic.ts';
 import type {ClaimedSessions} from '../sessions/state.ts';
 import type {
-	RecentCrash, RecentEnds, OrphanRun, OwnerRecord, RunRecord, RunsOptions, WorkerHealth, WorkerClock, WorkerRecord,
+	RecentCrash, RecentEnd, RecentEnds, OrphanRun, OwnerRecord, RunRecord, RunsOptions, WorkerHealth, WorkerClock, WorkerRecord,
 } from './types.ts';
 
 /** Pause before the first trial of an unhealthy worker, in ms; about the run time of a few tasks. */
@@ -36,6 +36,8 @@
 	/** By task and run. */
 	readonly orphans: Map<string, OrphanRun>;
 	readonly recentEnds: RecentEnds;
+	/** Whether ends were dropped from `recentEnds`, so that a task without a record may have run here. */
+	hasDroppedEnds: boolean;
 	/** Oldest first. */
 	recentCrashes: readonly RecentCrash[];
 	/** Entries that have opened a stream, by name. */
@@ -91,6 +93,7 @@
 		queue: [],
 		orphans: new Map(),
 		recentEnds: new Map(),
+		hasDroppedEnds: false,
 		recentCrashes: [],
 		owners: new Map(),
 		sessions: new Map(),
@@ -132,18 +135,19 @@
  *
  * @param state - State of the agent.
  * @param task - Name of the task.
- * @param run - Number of the run.
- * @param end - How it ended.
+ * @param ended - Its run.
  */
-export function recordEnd({recentEnds}: RunsState, task: string, run: number, end: TaskEnd): void {
-	if ((recentEnds.get(task)?.run ?? 0) > run) {
+export function recordEnd(state: RunsState, task: string, ended: RecentEnd): void {
+	const {recentEnds} = state;
+	if ((recentEnds.get(task)?.run ?? 0) > ended.run) {
 		return;
 	}
 
-	recentEnds.set(task, {run, end});
+	recentEnds.set(task, ended);
 	if (recentEnds.size > maxRecentEnds) {
 		const [oldest] = recentEnds.keys();
 		recentEnds.delete(oldest);
+		state.hasDroppedEnds = true;
 	}
 }
 
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -102,6 +102,8 @@
 	progressAt: Milliseconds;
 	/** Time and progress from which the current pace is measured. */
 	paceBaseline: {readonly at: Milliseconds; readonly percent: number};
+	/** Whether it was claimed without a record of it, so that an earlier process of this agent may have started it. */
+	readonly isUnrecorded?: boolean;
 	stopReason: StopReason | undefined;
 	/** When the stop was first ordered. */
 	stopOrderedAt: Milliseconds | undefined;
@@ -127,6 +129,8 @@
 	disconnectedAt: Milliseconds | undefined;
 	/** When data of it last arrived. */
 	lastContactAt: Milliseconds;
+	/** Whether a claim of it was applied: what it has offered since came to this process of the agent, or got lost. */
+	hasClaimed?: boolean;
 	/** Until when its messages may be old, after a silence longer than `silenceMs`. */
 	delayedUntil?: Milliseconds;
 };
@@ -219,5 +223,8 @@
 	readonly at: Milliseconds;
 };
 
+/** The end of a run as it was reported. */
+export type RecentEnd = Pick<TaskReport, 'run' | 'end' | 'isUnrecorded'>;
+
 /** Latest ends of recent tasks with the number of the run, including those before a restart of this agent, by task. */
-export type RecentEnds = Map<string, {readonly run: number; readonly end: TaskEnd}>;
+export type RecentEnds = Map<string, RecentEnd>;
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -57,10 +57,12 @@
 /**
  * How an offered task ended.
  *
- * - `not-started`: it never ran at this agent, and never will under this offer.
+ * - `not-started`: it never ran at this agent, and never will under this offer. An agent says so only by its own record, or
+ *   because it refuses the offer.
  * - `abandoned`: it was stopped because it made no progress or would have taken too long.
  * - `crashed`: the worker process has ended unexpectedly.
- * - `lost`: the worker is gone for another or an unknown reason.
+ * - `lost`: the worker is gone for another or an unknown reason, or the agent has no record from which it could tell whether
+ *   a run was started. No run is left.
  * - others: as reported by the worker.
  */
 export type TaskEnd = RunEnd | 'abandoned' | 'crashed' | 'lost' | 'not-started';
@@ -93,6 +95,8 @@
 	readonly waitMs: Milliseconds;
 	/** Whether it was dropped because another entry had offered the task too. */
 	readonly isSuperseded?: boolean;
+	/** Set for `lost` if the agent has no record of the offer: a run may have started and ended before this process of the agent. */
+	readonly isUnrecorded?: boolean;
 	/** Whether its worker was cold for a part of the run, so that the run time tells nothing of later ones. */
 	readonly isCold?: boolean;
 	/** Set for `crashed`. */
