Split claims and entry contact from the other messages of entries

Change: claims are in claims.ts, the contact of entries in owner-contact.ts, createRecord beside the table of records and dropRecord beside the other stops in orders.ts.

--- a/bench/emulator/agent.ts
+++ b/bench/emulator/agent.ts
@@ -7,8 +7,10 @@
 import {
 	advanceRuns, computeLoad, findWorkerToStore, handleAnnouncement, handleDeparture, isExtraRenewalDue, restoreWorker,
 } from '../../src/core/runs/logic.ts';
+import {handleClaim} from '../../src/core/runs/claims.ts';
+import {recordOwnerContact} from '../../src/core/runs/owner-contact.ts';
 import {
-	handleClaim, handleGrant, handleOffers, handleOwnerDisconnect, handleWithdrawal, recordOwnerContact,
+	handleGrant, handleOffers, handleOwnerDisconnect, handleWithdrawal,
 } from '../../src/core/runs/owners.ts';
 import {observeTimeOfDay} from '../../src/core/runs/missed-time.ts';
 import {hasRecordsOf} from '../../src/core/runs/records.ts';
--- a/bench/states/agent.ts
+++ b/bench/states/agent.ts
@@ -6,8 +6,10 @@
 import {computeTaskCpu, isReportDue} from '../../src/core/runs/load-reports.ts';
 import {advanceRuns, computeLoad, handleAnnouncement} from '../../src/core/runs/logic.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
+import {handleClaim} from '../../src/core/runs/claims.ts';
+import {recordOwnerContact} from '../../src/core/runs/owner-contact.ts';
 import {
-	handleClaim, handleGrant, handleOffers, handleOwnerDisconnect, handleWithdrawal, recordOwnerContact,
+	handleGrant, handleOffers, handleOwnerDisconnect, handleWithdrawal,
 } from '../../src/core/runs/owners.ts';
 import {computeLeaseEnd} from '../../src/core/runs/leases.ts';
 import {createRunsState} from '../../src/core/runs/state.ts';
--- a/features/dispatch/crash-fleet.ts
+++ b/features/dispatch/crash-fleet.ts
@@ -22,9 +22,9 @@
 } from '../../src/core/runs/logic.ts';
 import {findSurvivor, settleMs} from '../../src/core/runs/isolation.ts';
 import {recordStartSent, startQueued} from '../../src/core/runs/orders.ts';
-import {
-	handleClaim, handleGrant, handleOffers, handleWithdrawal, recordOwnerContact,
-} from '../../src/core/runs/owners.ts';
+import {handleClaim} from '../../src/core/runs/claims.ts';
+import {recordOwnerContact} from '../../src/core/runs/owner-contact.ts';
+import {handleGrant, handleOffers, handleWithdrawal} from '../../src/core/runs/owners.ts';
 import {applySnapshot} from '../../src/core/runs/snapshots.ts';
 import {createRunsState, getJobId, type RunsState} from '../../src/core/runs/state.ts';
 import type {RunsEffect} from '../../src/core/runs/types.ts';
--- a/features/dispatch/restarted-agents.steps.ts
+++ b/features/dispatch/restarted-agents.steps.ts
@@ -16,8 +16,10 @@
 import type {Route} from '../../src/core/routes/types.ts';
 import {applyStartAnswer} from '../../src/core/runs/answers.ts';
 import {advanceRuns, computeLoad, handleAnnouncement} from '../../src/core/runs/logic.ts';
+import {handleClaim} from '../../src/core/runs/claims.ts';
+import {recordOwnerContact} from '../../src/core/runs/owner-contact.ts';
 import {
-	handleClaim, handleGrant, handleOffers, handleOwnerDisconnect, handleWithdrawal, recordOwnerContact,
+	handleGrant, handleOffers, handleOwnerDisconnect, handleWithdrawal,
 } from '../../src/core/runs/owners.ts';
 import {applySnapshot} from '../../src/core/runs/snapshots.ts';
 import {createRunsState, recordEnd, type RunsState} from '../../src/core/runs/state.ts';
--- a/features/runs/runs.steps.ts
+++ b/features/runs/runs.steps.ts
@@ -10,9 +10,9 @@
 import {findSurvivor} from '../../src/core/runs/isolation.ts';
 import {createRenewal} from '../../src/core/runs/leases.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
-import {
-	handleClaim, handleGrant, handleOffers, handleOwnerDisconnect, recordOwnerContact,
-} from '../../src/core/runs/owners.ts';
+import {handleClaim} from '../../src/core/runs/claims.ts';
+import {recordOwnerContact} from '../../src/core/runs/owner-contact.ts';
+import {handleGrant, handleOffers, handleOwnerDisconnect} from '../../src/core/runs/owners.ts';
 import {computeOthersLoad, computeOwnersLoad} from '../../src/core/runs/contention.ts';
 import {computeFreeResources} from '../../src/core/runs/capacity.ts';
 import {canAcceptTask, getAgentMode} from '../../src/core/runs/health.ts';
--- a/features/runs/shrinking-worker.ts
+++ b/features/runs/shrinking-worker.ts
@@ -7,9 +7,9 @@
 	advanceRuns, applyHeardCapacity, applyRenewalFailure, handleAnnouncement, restoreWorker,
 } from '../../src/core/runs/logic.ts';
 import {recordStartSent} from '../../src/core/runs/orders.ts';
-import {
-	handleClaim, handleGrant, handleOffers, recordOwnerContact,
-} from '../../src/core/runs/owners.ts';
+import {handleClaim} from '../../src/core/runs/claims.ts';
+import {recordOwnerContact} from '../../src/core/runs/owner-contact.ts';
+import {handleGrant, handleOffers} from '../../src/core/runs/owners.ts';
 import {applySnapshot} from '../../src/core/runs/snapshots.ts';
 import {computeLeaseEnd, createRenewal} from '../../src/core/runs/leases.ts';
 import {createRunsState, type RunsState} from '../../src/core/runs/state.ts';
--- a/features/runs/single-run.steps.ts
+++ b/features/runs/single-run.steps.ts
@@ -7,7 +7,8 @@
 import {
 	advanceRuns, applyRenewalFailure, handleDeparture,
 } from '../../src/core/runs/logic.ts';
-import {handleClaim, handleOffers} from '../../src/core/runs/owners.ts';
+import {handleClaim} from '../../src/core/runs/claims.ts';
+import {handleOffers} from '../../src/core/runs/owners.ts';
 import {observeWorkerTime} from '../../src/core/runs/losses.ts';
 import {observeTimeOfDay} from '../../src/core/runs/missed-time.ts';
 import {applySnapshot} from '../../src/core/runs/snapshots.ts';
--- a/features/sessions/sessions.steps.ts
+++ b/features/sessions/sessions.steps.ts
@@ -8,7 +8,9 @@
 import {submitJob} from '../../src/core/dispatch/logic.ts';
 import {createDispatchState, type DispatchState} from '../../src/core/dispatch/state.ts';
 import {addAgent, applyLoad, createFleetState} from '../../src/core/fleet/state.ts';
-import {handleClaim, handleOffers, recordOwnerContact} from '../../src/core/runs/owners.ts';
+import {handleClaim} from '../../src/core/runs/claims.ts';
+import {recordOwnerContact} from '../../src/core/runs/owner-contact.ts';
+import {handleOffers} from '../../src/core/runs/owners.ts';
 import {
 	acceptMessage, endSession, isOfOpenedSession, openSession,
 } from '../../src/core/sessions/logic.ts';
--- a/src/core/runs/logic.ts
+++ b/src/core/runs/logic.ts
@@ -11,7 +11,8 @@
 import {recordWorkerRefusal} from './crashes.ts';
 import {endTasksOfClosed} from './closings.ts';
 import {dropRenewal} from './leases.ts';
-import {applyPendingClaims, dropDisconnectedOwners} from './owners.ts';
+import {applyPendingClaims} from './claims.ts';
+import {dropDisconnectedOwners} from './owners.ts';
 import {endLapsedRuns, resetWorker} from './losses.ts';
 import {computeFreeResources, estimateWaits} from './capacity.ts';
 import {computeExpectedTime, estimateSlowness} from './progress.ts';
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -266,3 +266,27 @@
 	record.stopRetryAt = 0;
 	return retryStart(state, record, now);
 }
+
+/**
+ * Drops a task that its entry no longer wants here: stops its run, or reports that it has not started.
+ *
+ * @param state - State of the agent.
+ * @param record - The record.
+ * @param reason - Why it is dropped.
+ * @param now - Current time.
+ * @returns The stop or the report; none for a tentative offer that was not granted.
+ */
+export function dropRecord(state: RunsState, record: RunRecord, reason: 'withdrawn' | 'owner-lost' | 'superseded' | 'leaving', now: Milliseconds): RunsEffect[] {
+	if (isStartOrdered(record)) {
+		return stopRecord(state, record, reason, now);
+	}
+
+	// No entry waits for a report on a tentative offer that was not granted.
+	if (!record.isGranted) {
+		removeRecord(state, record);
+		return [];
+	}
+
+	record.stopReason = reason;
+	return [endRecord(state, record, 'not-started', now)];
+}
--- a/src/core/runs/records.ts
+++ b/src/core/runs/records.ts
@@ -1,6 +1,8 @@
 /**
  * Table of the tasks that entries have offered to an agent, with an index by task.
  */
+import type {Milliseconds} from '../../ports/clock.ts';
+import type {TaskOffer} from '../../ports/dispatch-messages.ts';
 import type {RunRef} from '../../ports/worker.ts';
 import type {NodeName} from '../identity/types.ts';
 import {getRecordKey, type RunsState} from './state.ts';
@@ -11,6 +13,30 @@
 	return phase !== 'queued' && phase !== 'asking';
 }
 
+/** Creates the record of a task that an entry has offered. */
+export function createRecord(owner: NodeName, offer: TaskOffer, now: Milliseconds): RunRecord {
+	return {
+		owner,
+		offer,
+		queuedAt: now,
+		phase: 'queued',
+		isGranted: !offer.isTentative,
+		mustAsk: false,
+		run: offer.run,
+		confirmedAt: undefined,
+		lateStartUntil: Number.NEGATIVE_INFINITY,
+		presumedLoss: undefined,
+		orderedAt: now,
+		percent: 0,
+		progressAt: now,
+		paceBaseline: {at: now, percent: 0},
+		stopReason: undefined,
+		stopOrderedAt: undefined,
+		stoppedAt: undefined,
+		stopRetryAt: 0,
+	};
+}
+
 /** Adds a record. */
 export function addRecord(state: RunsState, record: RunRecord): void {
 	const {task} = record.offer;
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -12,7 +12,7 @@
 import {
 	endRecord, retryWithNextRun, retryStop, startQueued, stopRecord,
 } from './orders.ts';
-import {applyPendingClaims} from './owners.ts';
+import {applyPendingClaims} from './claims.ts';
 import {checkMissedTime} from './missed-time.ts';
 import {findRecord, hasOrphanOf, isStartOrdered} from './records.ts';
 import {
--- a/src/processes/dispatch/agent.ts
+++ b/src/processes/dispatch/agent.ts
@@ -17,8 +17,10 @@
 import {computeLeaseEnd, createRenewal} from '../../core/runs/leases.ts';
 import {recordStartSent, startQueued} from '../../core/runs/orders.ts';
 import {hasRecordsOf} from '../../core/runs/records.ts';
+import {handleClaim} from '../../core/runs/claims.ts';
+import {recordOwnerContact} from '../../core/runs/owner-contact.ts';
 import {
-	handleClaim, handleGrant, handleOffers, handleOwnerDisconnect, handleWithdrawal, recordOwnerContact, startShutdown, stopAllRuns,
+	handleGrant, handleOffers, handleOwnerDisconnect, handleWithdrawal, startShutdown, stopAllRuns,
 } from '../../core/runs/owners.ts';
 import {observeWorkerTime} from '../../core/runs/losses.ts';
 import {observeTimeOfDay} from '../../core/runs/missed-time.ts';
