Keep that a job taken over from another entry may have run there

What callers saw: a job that one entry took over from another, and for which no worker was left, was answered 503 although its tasks may have run at the first entry.

Change: takeOverJob records "taken-over" as lasting evidence of each task, so that hasNotRun is false for the job. The refusals at admission rested on mayHaveRun already.

Test: "A job that was taken over finds no worker" in features/ownership/ownership.feature failed before with "not-run, no-worker" in place of "given-up, no-worker".

--- a/features/ownership/ownership.feature
+++ b/features/ownership/ownership.feature
@@ -83,6 +83,20 @@
     When 150 ms elapse between entries
     Then "e2" has offered a task of "j1"
 
+  # Guards against "has not run" for a job whose tasks may have run at the entry that had it before.
+  Scenario: A job that was taken over finds no worker
+    Given job "j1" is submitted to "e1"
+    And the agent is full for "e2"
+    When 1300 ms elapse between entries
+    And "e1" restarts
+    And job "j1" is submitted to "e2"
+    And 1350 ms elapse between entries
+    Then "e2" has offered a task of "j1"
+    When the worker becomes too small for "e2"
+    And task 0 of "j1" ends at "e2" as not-started
+    And 1000 ms elapse between entries
+    Then "e2" answers "j1" with given-up, no-worker
+
   # Guards against taking the loss of one stream for the end of an entry that others reach.
   Scenario: An owner without a stream is asked through another entry
     Given job "j1" is submitted to "e1"
--- a/features/ownership/ownership.steps.ts
+++ b/features/ownership/ownership.steps.ts
@@ -66,6 +66,10 @@
 	this.entryFleet.setFull(name);
 });
 
+When('the worker becomes too small for {string}', function (this: OwnershipWorld, name: string) {
+	this.entryFleet.shrinkWorker(name);
+});
+
 When('{int} ms elapse between entries', function (this: OwnershipWorld, duration: number) {
 	this.entryFleet.advance(duration);
 });
--- a/features/ownership/world.ts
+++ b/features/ownership/world.ts
@@ -131,6 +131,12 @@
 		applyLoad(this.get(name).state.fleet, this.agent, {...load, free: {cpu: 0, memory: 0, accelerators: 0}}, 0);
 	}
 
+	/** Tells an entry that the worker of its agent has become too small for any job. */
+	shrinkWorker(name: string): void {
+		const small = {cpu: 1000, memory: 1000, accelerators: 0};
+		applyLoad(this.get(name).state.fleet, this.agent, {...load, capacity: small, free: small}, 0);
+	}
+
 	submitJob(name: string, id: string, timeLimitMs: Milliseconds, mayBeRepeated = false): void {
 		const world = this.get(name);
 		this.#observeStandstill(world);
--- a/src/core/dispatch/joining.ts
+++ b/src/core/dispatch/joining.ts
@@ -12,6 +12,7 @@
 	ForeignJob, JoinAction, OwnedJob, OwnedJobs,
 } from '../ownership/types.ts';
 import {endAsIsolated} from './contact.ts';
+import {recordRunEvidence} from './run-evidence.ts';
 import type {DispatchState} from './state.ts';
 import {createAnswer, endJob} from './steps.ts';
 import type {DispatchEffect, Job, JobAnswer} from './types.ts';
@@ -97,6 +98,10 @@
 	state.jobs.delete(job.id);
 	// Tasks of it may have run at the earlier owner.
 	job.mayHaveRun = true;
+	for (const task of job.tasks) {
+		recordRunEvidence(task, 'taken-over', now);
+	}
+
 	return [
 		createLog('job-taken-over', {
 			job: job.id, owner: joined.owner.name, evidence, waitedMs: Math.round(now - joined.joinedAt),
--- a/src/core/dispatch/run-evidence.ts
+++ b/src/core/dispatch/run-evidence.ts
@@ -7,10 +7,10 @@
 	Job, RunEvidenceKind, TaskState,
 } from './types.ts';
 
-/** Kinds in rising order of how much speaks for a run; the last three hold whatever becomes of later orders. */
-const kinds: readonly RunEvidenceKind[] = ['no-order', 'not-started', 'ordered', 'unrecorded', 'agent-lost', 'reported'];
+/** Kinds in rising order of how much speaks for a run; the last four hold whatever becomes of later orders. */
+const kinds: readonly RunEvidenceKind[] = ['no-order', 'not-started', 'ordered', 'taken-over', 'unrecorded', 'agent-lost', 'reported'];
 
-const lastingKinds: ReadonlySet<RunEvidenceKind> = new Set(['unrecorded', 'agent-lost', 'reported']);
+const lastingKinds: ReadonlySet<RunEvidenceKind> = new Set(['taken-over', 'unrecorded', 'agent-lost', 'reported']);
 
 /**
  * Records by what it is known whether a task has run.
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -96,11 +96,12 @@
  * - `no-order`: no order to start it has left this entry.
  * - `not-started`: its agents have reported that they did not start it.
  * - `ordered`: an order has left, and no report on it has come.
+ * - `taken-over`: another entry had the job before, and may have ordered it.
  * - `unrecorded`: its agent has restarted and has no record of it, so a run may have ended with the process before.
  * - `agent-lost`: its agent was disconnected for so long that no run of it can be left.
  * - `reported`: an agent has reported the end of a run.
  */
-export type RunEvidenceKind = 'no-order' | 'not-started' | 'ordered' | 'unrecorded' | 'agent-lost' | 'reported';
+export type RunEvidenceKind = 'no-order' | 'not-started' | 'ordered' | 'taken-over' | 'unrecorded' | 'agent-lost' | 'reported';
 
 /** One task of a job. */
 export type TaskState = {
