Keep the end of a run when another entry's order does not start

Cause: an agent keeps one end for each task, to answer claims, whichever entry it ran for. An order of another entry that does not start replaced the end of a run of the same number, and after a restart of the agent it was the answer to the first entry's claim.

A claim of a task without an end is answered by whether the agent has a record of all offers, as before.

--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -59,6 +59,28 @@
     And the worker announces that it drains
     Then entry "e1" gets the report that "a" ended as "lost"
 
+  # Guards against "has not run" for a task that is done, as another entry's order of the same number did not start.
+  Scenario: The end of a run outlasts an order of another entry that did not start
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And the stream to entry "e1" closes
+    And the worker lists "a" as ended "done"
+    And the reports so far get lost
+    And entry "e2" offers direct tasks "b" of 10000
+    And entry "e2" offers direct tasks "a" of 4000
+    Then entry "e2" gets the report that "a" ended as "not-started"
+    When entry "e1" claims run 1 of "a"
+    Then entry "e1" gets the report that "a" ended as "done"
+
+  # Guards against the same at an agent that has restarted, so that it has no record of the run.
+  Scenario: Another entry's order that did not start tells a restarted agent nothing of an earlier run
+    Given an agent that restarted while its worker runs "b" and has listed "c" as "done"
+    When entry "e2" claims run 1 of "b"
+    And entry "e2" offers direct tasks "a" of 9500
+    Then entry "e2" gets the report that "a" ended as "not-started"
+    When entry "e1" claims run 1 of "a"
+    Then entry "e1" gets the report that "a" ended as "lost"
+
   # Guards against a second run while a worker that has announced its shutdown is still ending its runs.
   Scenario: A departure ends no run before its lease has lapsed
     When entry "e1" offers direct tasks "a" of 4000
--- a/features/runs/single-run.steps.ts
+++ b/features/runs/single-run.steps.ts
@@ -123,6 +123,10 @@
 	recordEffects(this, handleDeparture(this.state, this.state.worker.announcement!.id, this.now));
 });
 
+When('the reports so far get lost', function (this: SingleRunWorld) {
+	this.effects = this.effects.filter(({type}) => type !== 'report');
+});
+
 When('the stream to entry {string} has been closed for {int} ms', function (this: SingleRunWorld, owner: string, time: number) {
 	this.state.owners.get(owner)!.disconnectedAt = this.now;
 	passTime(this, time);
--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -46,7 +46,11 @@
 	const end = getProvenEnd(record, presumedEnd);
 	removeRecord(state, record);
 	const ended: RecentEnd = {run: record.run, end, ...(end !== presumedEnd && {isUnrecorded: true})};
-	recordEnd(state, record.offer.task, ended);
+	// An order that has not started leaves nothing to remember, unless the worker has refused its number for that of another run.
+	if (end !== 'not-started' || record.run !== record.offer.run) {
+		recordEnd(state, record.offer.task, ended);
+	}
+
 	const hasRun = isStartOrdered(record) && end !== 'not-started';
 	const report: TaskReport = {
 		...ended,
--- a/src/core/runs/types.ts
+++ b/src/core/runs/types.ts
@@ -226,5 +226,5 @@
 /** The end of a run as it was reported. */
 export type RecentEnd = Pick<TaskReport, 'run' | 'end' | 'isUnrecorded'>;
 
-/** Latest ends of recent tasks with the number of the run, including those before a restart of this agent, by task. */
+/** Latest ends of runs of recent tasks, for whichever entry they ran, including those before a restart of this agent, by task. */
 export type RecentEnds = Map<string, RecentEnd>;
