Report a confirmed run as lost if its end is not listed after a stop

Cause: settleStoppedRun reported "not-started" for every run that the worker does not have after the acknowledgement of its stop, also for one whose start it had confirmed. The word is for starts without an answer.

Change: a confirmed run ends as "lost".

Test: "A run that the worker has confirmed is lost if its end is not listed after a stop" in features/runs/single-run.feature failed before with "not-started".

--- a/features/runs/single-run.feature
+++ b/features/runs/single-run.feature
@@ -148,6 +148,15 @@
       | entry "e1" withdraws "a"                            |
       | the stream to entry "e1" has been closed for 200 ms |
 
+  # Guards against "has not run" for a run that the worker has confirmed, and of whose end it has no record.
+  Scenario: A run that the worker has confirmed is lost if its end is not listed after a stop
+    When entry "e1" offers direct tasks "a" of 4000
+    And the start of "a" is answered "started"
+    And entry "e1" withdraws "a"
+    And the stop of "a" is answered "stopped"
+    And 10 ms pass and a snapshot shows no runs
+    Then entry "e1" gets the report that "a" ended as "lost"
+
   # Guards against an order that is carried out seconds late, after its task has been started elsewhere.
   Scenario Outline: After <call> without an answer every order carries a higher token
     When entry "e1" offers direct tasks "a" of 4000
--- a/src/core/runs/snapshots.ts
+++ b/src/core/runs/snapshots.ts
@@ -134,7 +134,7 @@
 
 	return record.stopReason === 'unanswered' && canAcceptTask(state, now)
 		? retryWithNextRun(state, record, now)
-		: [endRecord(state, record, 'not-started', now)];
+		: [endRecord(state, record, record.confirmedAt === undefined ? 'not-started' : 'lost', now)];
 }
 
 /** Applies that the worker lists a run neither as running nor as ended. */
