Keep the evidence of earlier runs when a placement is reverted

What operators saw: a new submission of a job that had run, refused at once, was logged as "job-answered" with evidence "no-order", as if nothing had run. Answers do not depend on it, as a refused job is not kept.

Cause: clearPlacement reset the evidence of a task whatever it was, in place of taking back the "ordered" of the placement alone.

Change: it records "no-order" like the other places do, which leaves lasting evidence as it is.

Test: "A new submission of a job that was given up is refused" in features/dispatch/run-evidence.feature failed before with "no-order" in place of "reported".

--- a/features/dispatch/run-evidence.feature
+++ b/features/dispatch/run-evidence.feature
@@ -41,3 +41,12 @@
     And agent "a1" disappears for as long as a run can last
     And 40 ms go by at the entry
     Then "j1" was held to have run or not by "agent-lost" of 40 ms ago
+
+  # Guards against a refusal of a new submission that is logged as if no earlier one had run.
+  Scenario: A new submission of a job that was given up is refused
+    When job "j1" of 1 tasks of 3000 arrives
+    And the caller of "j1" disconnects
+    And task 0 of "j1" ends as "stopped"
+    And the entry shuts down in 0 ms
+    And job "j1" of 1 tasks of 3000 arrives
+    Then the refusal as "leaving" was by the evidence "reported"
--- a/src/core/dispatch/placing.ts
+++ b/src/core/dispatch/placing.ts
@@ -221,7 +221,7 @@
 			task.phase = 'waiting';
 			task.agent = undefined;
 			task.offer = undefined;
-			task.evidence = {kind: 'no-order', at: task.evidence.at};
+			recordRunEvidence(task, 'no-order', task.evidence.at);
 			task.candidates.clear();
 		}
 	}
