--- a/src/core/runs/orders.ts
+++ b/src/core/runs/orders.ts
@@ -46,7 +46,7 @@
 	const end = getProvenEnd(record, presumedEnd);
 	removeRecord(state, record);
 	const ended: RecentEnd = {run: record.run, end, ...(end !== presumedEnd && {isUnrecorded: true})};
-	// An order that has not started leaves nothing to remember, unless the worker has refused its number for that of another run.
+	// A task that has not started leaves no end, unless its number was raised because the worker knows another run of it.
 	if (end !== 'not-started' || record.run !== record.offer.run) {
 		recordEnd(state, record.offer.task, ended);
 	}
--- a/src/core/runs/state.ts
+++ b/src/core/runs/state.ts
@@ -140,7 +140,7 @@
 export function recordEnd(state: RunsState, task: string, ended: RecentEnd): void {
 	const {recentEnds} = state;
 	const earlier = recentEnds.get(task);
-	// Entries that serve the same job number its runs apart: an order of one that did not start tells nothing of a run of another.
+	// Entries that serve the same job number its runs independently: an order of one that did not start does not replace a run of another.
 	if (earlier !== undefined && (earlier.run > ended.run || (ended.end === 'not-started' && earlier.end !== 'not-started'))) {
 		return;
 	}
