Log for how long nothing has confirmed the configuration

Cause: logs and metrics could not tell "no change" from "no word". The version in force says nothing of when it was last known to be the newest, an answer 404 left no line, and store-regained was written when a watch was started anew although nothing was read: in a trial it stood in the log 1 s before the next store-lost.

Change: the time of each call to the store that is answered is kept (src/core/confirmation). A restart of the watch no longer sets the retry delay back.

--- a/src/processes/dispatch/configuration.ts
+++ b/src/processes/dispatch/configuration.ts
@@ -8,10 +8,12 @@
 import {applyStoreChanges} from '../../core/closings/logic.ts';
 import {createStoreView, type StoreView} from '../../core/closings/state.ts';
 import type {ClosingChange, ClosingSet} from '../../core/closings/types.ts';
+import {computeUnconfirmedTime, recordStoreAnswer} from '../../core/confirmation/logic.ts';
+import {createConfirmationState, type ConfirmationState} from '../../core/confirmation/state.ts';
 import {applyConfiguration} from '../../core/routes/logic.ts';
 import {createRoutesState, type RoutesState} from '../../core/routes/state.ts';
 import type {Configuration} from '../../core/routes/types.ts';
-import type {Clock} from '../../ports/clock.ts';
+import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {
 	Store, StoreChanges, StoreError, StorePrefixWatcher,
@@ -62,9 +64,13 @@
 	readonly closings?: ClosingsInput;
 };
 
+/** Outcome of one call to the store; `restarted`: its answer was not awaited. */
+type ReadOutcome = 'read' | 'restarted' | StoreError['kind'] | 'no-key';
+
 /** Source of the configuration of one entry. */
 export class ConfigurationSource implements Disposable {
 	readonly routes: RoutesState = createRoutesState();
+	readonly confirmation: ConfirmationState;
 	readonly #timings: WatchTimings;
 	readonly #storeView: StoreView = createStoreView();
 	#text = '';
@@ -75,6 +81,7 @@
 
 	/** @param input - Dependencies and callbacks. */
 	constructor(private readonly input: ConfigurationInput) {
+		this.confirmation = createConfirmationState(input.clock.getTime());
 		this.#timings = computeWatchTimings({configurationMs: Math.min(input.bounds.configurationMs, input.bounds.closingMs ?? Number.POSITIVE_INFINITY)});
 	}
 
@@ -83,6 +90,11 @@
 		return this.routes.configuration?.version ?? 0;
 	}
 
+	/** Time, in ms, for which nothing has confirmed that the current configuration is the newest. */
+	get unconfirmedMs(): Milliseconds {
+		return Math.round(computeUnconfirmedTime(this.confirmation, this.input.clock.getTime()));
+	}
+
 	/** Text of the current configuration. */
 	get text(): string {
 		return this.#text;
@@ -105,7 +117,7 @@
 		if (applyConfiguration(this.routes, configuration) === 'applied') {
 			this.#text = text;
 			this.input.log.recordDecision('warn', 'configuration-applied', {
-				version: configuration.version, previous, source, routes: configuration.routes.length,
+				version: configuration.version, previous, source, routes: configuration.routes.length, unconfirmedMs: this.unconfirmedMs,
 			});
 			this.input.onChange(configuration.version);
 		}
@@ -115,16 +127,25 @@
 	async watchStore(): Promise<void> {
 		const {clock, log} = this.input;
 		let delay = minRetryMs;
-		let isLost = false;
+		let lostAt: Milliseconds | undefined;
 		await runLoop({loop: 'configuration', clock, log}, async () => {
-			const isRead = await this.#readOnce();
-			if (isRead !== !isLost) {
-				isLost = !isRead;
-				log.recordDecision('warn', isLost ? 'store-lost' : 'store-regained', {version: this.version});
-			}
-
-			delay = isRead ? minRetryMs : Math.min(delay * 2, maxRetryMs);
-			if (!isRead) {
+			const {version, unconfirmedMs} = this;
+			const outcome = await this.#readOnce();
+			if (outcome === 'restarted') {
+				log.recordDecision('info', 'watch-restarted', {version, unconfirmedMs: this.unconfirmedMs});
+			} else if (outcome === 'read') {
+				delay = minRetryMs;
+				if (lostAt !== undefined) {
+					log.recordDecision('warn', 'store-regained', {version: this.version, lostMs: Math.round(clock.getTime() - lostAt), unconfirmedMs});
+					lostAt = undefined;
+				}
+			} else {
+				if (lostAt === undefined) {
+					lostAt = clock.getTime();
+					log.recordDecision('warn', 'store-lost', {version, reason: outcome, unconfirmedMs: this.unconfirmedMs});
+				}
+
+				delay = Math.min(delay * 2, maxRetryMs);
 				await waitFor(clock, delay);
 			}
 
@@ -145,8 +166,9 @@
 		this.#isClosed = true;
 	}
 
-	/** Reads the keys, or waits until one changes; returns false if the store failed or has no such key. */
-	async #readOnce(): Promise<boolean> {
+	/** Reads the keys, or waits until one changes. */
+	async #readOnce(): Promise<ReadOutcome> {
+		const sentAt = this.input.clock.getTime();
 		const restarted = new Promise<'restarted'>(resolve => {
 			this.#restart = () => {
 				resolve('restarted');
@@ -158,13 +180,13 @@
 		]);
 		if (answer === 'restarted') {
 			this.#revision = 0;
-			return true;
+			return 'restarted';
 		}
 
 		if (answer.isErr()) {
 			// The next call reads the key again, as the watch may have missed changes.
 			this.#revision = 0;
-			return false;
+			return answer.error.kind;
 		}
 
 		const {at, text, changes} = answer.value;
@@ -178,7 +200,8 @@
 			this.applyText(text, 'store');
 		}
 
-		return this.#revision > 0;
+		recordStoreAnswer(this.confirmation, sentAt);
+		return this.#revision > 0 ? 'read' : 'no-key';
 	}
 
 	async #fetchKey(): Promise<Result<StoreAnswer, StoreError>> {
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -343,6 +343,7 @@
 			linked_agents: this.state.fleet.agents.size,
 			subset_agents: this.state.agentCount,
 			configuration_version: this.configuration.version,
+			configuration_unconfirmed_ms: this.configuration.unconfirmedMs,
 			closed_data_centres: this.#closings.closed.length,
 		};
 	}
@@ -535,6 +536,7 @@
 			job: job.id,
 			route: job.route.name,
 			version: this.configuration.version,
+			unconfirmedMs: this.configuration.unconfirmedMs,
 			outcome: answer.outcome,
 			reason: answer.reason,
 			...answer.estimate,
