Add a failing test of entries that can't know whether their configuration is the newest

Cause: an entry that hears neither from the store nor from the other entries serves on by whatever configuration it has, for any time.

Change: a feature with real processes; one entry is suspended, the store leaves all calls without an answer and takes a change. A second scenario holds an outage of the store that all entries share.

--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -47,6 +47,16 @@
 	readonly peers: string;
 };
 
+/** Response to a caller; the body is parsed. */
+export type CallerResponse = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+	readonly body: unknown;
+};
+
+/** Body of a request, signal that ends it, and address of the entry. */
+type RequestOptions = {readonly body?: unknown; readonly signal?: AbortSignal; readonly callers?: string};
+
 /** Data centre of the entries. */
 const entryDataCentre = 'dc';
 
@@ -180,6 +190,16 @@
 		this.#store!.setDown(false);
 	}
 
+	/** Writes a configuration with or without the route. */
+	writeConfiguration(version: number, hasRoute: boolean): void {
+		this.#store!.writeKey('op/config', createConfiguration(version, hasRoute));
+	}
+
+	/** Makes the store leave every call without an answer, or answer again. */
+	setStoreSilent(isSilent: boolean): void {
+		this.#store!.setSilent(isSilent);
+	}
+
 	/** Writes a text that is no configuration, and some time later a configuration without the route. */
 	async replaceConfiguration(text: string, version: number, delay: number): Promise<void> {
 		this.#store!.writeText('op/config', text);
@@ -198,14 +218,25 @@
 	}
 
 	/** Submits a job to an entry and waits for the response; the connection closes when `signal` is aborted. */
-	async submitJob(id: string, body: unknown, prefix = '/q/', signal?: AbortSignal, callers = this.callers): Promise<{status: number; body: unknown}> {
-		const response = await this.#send('POST', `${prefix}${id}`, JSON.stringify(body), signal, callers);
-		return response;
+	async submitJob(id: string, body: unknown, prefix = '/q/', signal?: AbortSignal, callers = this.callers): Promise<Pick<CallerResponse, 'status' | 'body'>> {
+		const response = await this.sendRequest('POST', `${prefix}${id}`, {body, signal, callers});
+		return {status: response.status, body: response.body};
 	}
 
 	/** Queries the queue of the route. */
-	async readQueue(): Promise<{status: number; body: unknown}> {
-		return this.#send('GET', '/q/');
+	async readQueue(): Promise<Pick<CallerResponse, 'status' | 'body'>> {
+		const {status, body} = await this.sendRequest('GET', '/q/');
+		return {status, body};
+	}
+
+	/** Sends a request to an entry, by default to the first one, and waits for the response. */
+	async sendRequest(method: string, url: string, {body, signal, callers = this.callers}: RequestOptions = {}): Promise<CallerResponse> {
+		const {request} = await import('undici');
+		const answer = await request(`http://${callers}${url}`, {
+			method, body: body === undefined ? undefined : JSON.stringify(body), signal, headers: {host: 'jobs.example', 'deadline-ms': '8000'},
+		});
+		const text = await answer.body.text();
+		return {status: answer.statusCode, headers: answer.headers, body: text === '' ? undefined : JSON.parse(text) as unknown};
 	}
 
 	/** Returns the status of the readiness check of an entry; 0 if it does not listen. */
@@ -288,13 +319,4 @@
 			stdio: ['ignore', 'ignore', 'inherit'], env: {...process.env, MEDLARDALE_SECRET: 'features'},
 		});
 	}
-
-	async #send(method: string, url: string, body?: string, signal?: AbortSignal, callers = this.callers): Promise<{status: number; body: unknown}> {
-		const {request} = await import('undici');
-		const answer = await request(`http://${callers}${url}`, {
-			method, body, signal, headers: {host: 'jobs.example', 'deadline-ms': '8000'},
-		});
-		const text = await answer.body.text();
-		return {status: answer.statusCode, body: text === '' ? undefined : JSON.parse(text) as unknown};
-	}
 }
--- /dev/null
+++ b/features/platform/unconfirmed-configuration.steps.ts
@@ -0,0 +1,91 @@
+/**
+ * Steps for entries whose configuration nothing confirms; the entries, the agent and the worker are those of
+ * features/platform/processes.steps.ts.
+ */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {PlatformFleet, type CallerResponse, type EntryAddresses} from './platform-fleet.ts';
+
+type UnconfirmedWorld = {fleet: PlatformFleet | undefined};
+
+const timeLimit = {timeout: 30_000};
+
+/** Time within which a configuration must be in force, in ms. */
+const boundMs = 2000;
+
+/** Time in which an entry learns of the processes of the fleet, in ms. */
+const startLimitMs = 10_000;
+
+function getSecondEntry({fleet}: UnconfirmedWorld): EntryAddresses {
+	return fleet!.entries[1];
+}
+
+async function submitJob(world: UnconfirmedWorld, id: string): Promise<CallerResponse> {
+	const body = {BestEffort: true, Steps: [{Count: 1, Cpu: 1000, EstimateMs: 20}]};
+	return world.fleet!.sendRequest('POST', `/q/${id}`, {body, callers: getSecondEntry(world).callers});
+}
+
+function checkRetryTime({headers}: CallerResponse): void {
+	const seconds = Number(headers['retry-after']);
+	assert.ok(seconds >= 1 && seconds * 1000 <= boundMs, `retry-after is ${headers['retry-after']?.toString()}`);
+}
+
+Given('two entries and an agent, whose configuration must be in force within 2000 ms', timeLimit, async function (this: UnconfirmedWorld) {
+	this.fleet = new PlatformFleet();
+	await this.fleet.start(1, 20);
+	await this.fleet.addEntry();
+	let probes = 0;
+	await this.fleet.waitUntil(async () => {
+		const status = await this.fleet!.readReadiness(getSecondEntry(this).readiness);
+		const answer = status === 200 ? await submitJob(this, `ee${String(++probes).padStart(14, '0')}`) : undefined;
+		return answer?.status === 200;
+	}, startLimitMs);
+});
+
+When('the store goes silent', function (this: UnconfirmedWorld) {
+	this.fleet!.setStoreSilent(true);
+});
+
+When('the store goes silent and the first entry is suspended', function (this: UnconfirmedWorld) {
+	this.fleet!.setStoreSilent(true);
+	this.fleet!.processes.find(({name}) => name === this.fleet!.entries[0].name)!.child.kill('SIGSTOP');
+});
+
+When('version {int} drops the route', function (this: UnconfirmedWorld, version: number) {
+	this.fleet!.writeConfiguration(version, false);
+});
+
+When(/^the bound has passed( twice)?$/, timeLimit, async function (this: UnconfirmedWorld, twice: string | null) {
+	await this.fleet!.wait(boundMs * (twice === null ? 1 : 2));
+});
+
+When('the store speaks again', function (this: UnconfirmedWorld) {
+	this.fleet!.setStoreSilent(false);
+});
+
+Then(/^the second entry answers a count of (the|an unknown) queue (\d+)(, with a time to retry)?$/, async function (this: UnconfirmedWorld, which: string, status: string, retry: string | null) {
+	const response = await this.fleet!.sendRequest('GET', which === 'the' ? '/q/' : '/unknown/', {callers: getSecondEntry(this).callers});
+	assert.equal(response.status, Number(status));
+	if (retry !== null) {
+		checkRetryTime(response);
+	}
+});
+
+Then(/^the second entry answers a submission (\d+)(, with a time to retry)?$/, timeLimit, async function (this: UnconfirmedWorld, status: string, retry: string | null) {
+	const response = await submitJob(this, '00000000000000a1');
+	assert.equal(response.status, Number(status));
+	if (retry !== null) {
+		checkRetryTime(response);
+	}
+});
+
+Then('the second entry answers a count of the queue {int} within {int} ms', timeLimit, async function (this: UnconfirmedWorld, status: number, limit: number) {
+	await this.fleet!.waitUntil(async () => {
+		const response = await this.fleet!.sendRequest('GET', '/q/', {callers: getSecondEntry(this).callers});
+		return response.status === status;
+	}, limit);
+});
+
+Then(/^the second entry is (not )?ready$/, async function (this: UnconfirmedWorld, not: string | null) {
+	assert.equal(await this.fleet!.readReadiness(getSecondEntry(this).readiness), not === null ? 200 : 503);
+});
