Refuse callers while an entry can't know which configuration is in force

What callers saw: a count of an added route answered 404, or of a dropped one 200, seconds after the bound (CONFIG).

Cause: nothing related an answer to the age of what the entry knew. An entry whose reads of the store failed and whose streams to the other entries were lost served on by whatever it had. The other two hypotheses do not explain these entries: store-lost stands in their logs, and the versions of other entries did not reach them as they had no stream.

Change: an entry keeps the time after which every newer configuration was written, by the answers of the store and by reports of other entries, which it asks once nothing has confirmed its version for 0.75 of the bound (src/core/confirmation). Beyond the bound it answers callers only if most of the entries that may live say the same, as the store answers nobody then; otherwise 503 if the job has not run for certain, or 502, and it is not ready.

--- a/features/platform/caller-deadlines.steps.ts
+++ b/features/platform/caller-deadlines.steps.ts
@@ -39,6 +39,7 @@
 	});
 	const entry = {
 		configuration: {version: 1, routes},
+		canAnswer: () => true,
 		isStopping: () => false,
 		async submitJob(request: JobRequest, signal: AbortSignal): Promise<JobAnswer> {
 			const job = {...request, hasLeft: false};
--- a/features/platform/platform-fleet.ts
+++ b/features/platform/platform-fleet.ts
@@ -6,6 +6,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import type {Dispatcher} from 'undici';
 import {startStoreStandIn, type StoreStandIn} from '../../platform/stand-ins/store.ts';
 import {startWorkerStandIn, type WorkerStandIn, type WorkerStandInOptions} from '../../platform/stand-ins/worker.ts';
 import {takePorts} from '../../bench/rig/ports.ts';
@@ -54,8 +55,8 @@
 	readonly body: unknown;
 };
 
-/** Body of a request, signal that ends it, and address of the entry. */
-type RequestOptions = {readonly body?: unknown; readonly signal?: AbortSignal; readonly callers?: string};
+/** Body of a request, signal that ends it, address of the entry, and connections to send it on. */
+type RequestOptions = {readonly body?: unknown; readonly signal?: AbortSignal; readonly callers?: string; readonly dispatcher?: Dispatcher};
 
 /** Data centre of the entries. */
 const entryDataCentre = 'dc';
@@ -230,10 +231,10 @@
 	}
 
 	/** Sends a request to an entry, by default to the first one, and waits for the response. */
-	async sendRequest(method: string, url: string, {body, signal, callers = this.callers}: RequestOptions = {}): Promise<CallerResponse> {
+	async sendRequest(method: string, url: string, {body, signal, callers = this.callers, dispatcher}: RequestOptions = {}): Promise<CallerResponse> {
 		const {request} = await import('undici');
 		const answer = await request(`http://${callers}${url}`, {
-			method, body: body === undefined ? undefined : JSON.stringify(body), signal, headers: {host: 'jobs.example', 'deadline-ms': '8000'},
+			method, body: body === undefined ? undefined : JSON.stringify(body), signal, dispatcher, headers: {host: 'jobs.example', 'deadline-ms': '8000'},
 		});
 		const text = await answer.body.text();
 		return {status: answer.statusCode, headers: answer.headers, body: text === '' ? undefined : JSON.parse(text) as unknown};
--- a/features/platform/unconfirmed-configuration.feature
+++ b/features/platform/unconfirmed-configuration.feature
@@ -12,7 +12,8 @@
     And the bound has passed
     Then the second entry answers a count of the queue 503, with a time to retry
     And the second entry answers a count of an unknown queue 503, with a time to retry
-    And the second entry answers a submission 502, with a time to retry
+    And the second entry answers the first submission on a connection 502, as it may be a repetition
+    And the second entry answers the next submission on it 503, as the job has not run
     And the second entry is not ready
     When the store speaks again
     Then the second entry answers a count of the queue 404 within 2000 ms
@@ -23,5 +24,5 @@
     When the store goes silent
     And the bound has passed twice
     Then the second entry answers a count of the queue 200
-    And the second entry answers a submission 200
+    And the second entry answers the first submission on a connection 200
     And the second entry is ready
--- a/features/platform/unconfirmed-configuration.steps.ts
+++ b/features/platform/unconfirmed-configuration.steps.ts
@@ -3,10 +3,18 @@
  * features/platform/processes.steps.ts.
  */
 import assert from 'node:assert/strict';
-import {Given, Then, When} from '@cucumber/cucumber';
+import {
+	After, Given, Then, When,
+} from '@cucumber/cucumber';
+import {Client, getGlobalDispatcher, type Dispatcher} from 'undici';
 import {PlatformFleet, type CallerResponse, type EntryAddresses} from './platform-fleet.ts';
 
-type UnconfirmedWorld = {fleet: PlatformFleet | undefined};
+type UnconfirmedWorld = {
+	fleet: PlatformFleet | undefined;
+	/** Connection of a caller to the second entry. */
+	connection: Client | undefined;
+	submissions: number;
+};
 
 const timeLimit = {timeout: 30_000};
 
@@ -20,9 +28,10 @@
 	return fleet!.entries[1];
 }
 
-async function submitJob(world: UnconfirmedWorld, id: string): Promise<CallerResponse> {
+async function submitJob(world: UnconfirmedWorld, dispatcher: Dispatcher): Promise<CallerResponse> {
+	const id = String(++world.submissions).padStart(16, '0');
 	const body = {BestEffort: true, Steps: [{Count: 1, Cpu: 1000, EstimateMs: 20}]};
-	return world.fleet!.sendRequest('POST', `/q/${id}`, {body, callers: getSecondEntry(world).callers});
+	return world.fleet!.sendRequest('POST', `/q/${id}`, {body, callers: getSecondEntry(world).callers, dispatcher});
 }
 
 function checkRetryTime({headers}: CallerResponse): void {
@@ -30,14 +39,18 @@
 	assert.ok(seconds >= 1 && seconds * 1000 <= boundMs, `retry-after is ${headers['retry-after']?.toString()}`);
 }
 
+After(async function (this: UnconfirmedWorld) {
+	await this.connection?.destroy();
+});
+
 Given('two entries and an agent, whose configuration must be in force within 2000 ms', timeLimit, async function (this: UnconfirmedWorld) {
 	this.fleet = new PlatformFleet();
 	await this.fleet.start(1, 20);
 	await this.fleet.addEntry();
-	let probes = 0;
+	this.submissions = 0;
 	await this.fleet.waitUntil(async () => {
 		const status = await this.fleet!.readReadiness(getSecondEntry(this).readiness);
-		const answer = status === 200 ? await submitJob(this, `ee${String(++probes).padStart(14, '0')}`) : undefined;
+		const answer = status === 200 ? await submitJob(this, getGlobalDispatcher()) : undefined;
 		return answer?.status === 200;
 	}, startLimitMs);
 });
@@ -71,14 +84,21 @@
 	}
 });
 
-Then(/^the second entry answers a submission (\d+)(, with a time to retry)?$/, timeLimit, async function (this: UnconfirmedWorld, status: string, retry: string | null) {
-	const response = await submitJob(this, '00000000000000a1');
+Then(/^the second entry answers the first submission on a connection (\d+)(, as it may be a repetition)?$/, timeLimit, async function (this: UnconfirmedWorld, status: string, refused: string | null) {
+	this.connection = new Client(`http://${getSecondEntry(this).callers}`);
+	const response = await submitJob(this, this.connection);
 	assert.equal(response.status, Number(status));
-	if (retry !== null) {
+	if (refused !== null) {
 		checkRetryTime(response);
 	}
 });
 
+Then('the second entry answers the next submission on it {int}, as the job has not run', timeLimit, async function (this: UnconfirmedWorld, status: number) {
+	const response = await submitJob(this, this.connection!);
+	assert.equal(response.status, status);
+	checkRetryTime(response);
+});
+
 Then('the second entry answers a count of the queue {int} within {int} ms', timeLimit, async function (this: UnconfirmedWorld, status: number, limit: number) {
 	await this.fleet!.waitUntil(async () => {
 		const response = await this.fleet!.sendRequest('GET', '/q/', {callers: getSecondEntry(this).callers});
--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -12,6 +12,7 @@
  * task if that is longer than `silenceMs`. A quiet stream is closed before `goneMs`, so that both sides know that the
  * other one is gone before a task can start elsewhere.
  */
+import type {ConfirmationLimits} from '../confirmation/types.ts';
 import type {Bounds, Timings, WatchTimings} from './types.ts';
 
 /** Largest share by which a worker's clock may run slower than true time, according to the platform's documentation. */
@@ -55,6 +56,14 @@
 const watchWaitShare = 0.35;
 const watchAnswerShare = 0.25;
 
+/**
+ * Shares of the configuration time: two watches without changes, one after the other, take 0.7 of it, so that entries which
+ * reach the store are not asked. The rest is for several queries.
+ */
+const queryAfterShare = 0.75;
+const queryIntervalShare = 0.1;
+const reportShare = 0.5;
+
 /** Shortest time for a watch and for its answer, in ms. */
 const minWatchMs = 100;
 
@@ -72,6 +81,21 @@
 	};
 }
 
+/**
+ * Computes the time limits within which something must confirm the configuration of an entry.
+ *
+ * @param bounds - Bounds of the installation.
+ * @returns Time limits, in ms.
+ */
+export function computeConfirmationLimits({configurationMs}: Pick<Bounds, 'configurationMs'>): ConfirmationLimits {
+	return {
+		boundMs: configurationMs,
+		queryAfterMs: configurationMs * queryAfterShare,
+		queryIntervalMs: configurationMs * queryIntervalShare,
+		reportMs: configurationMs * reportShare,
+	};
+}
+
 /**
  * Computes the time limits.
  *
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -49,10 +49,11 @@
  * Why a job was refused, given up or has failed. `crashes`: workers have crashed under one of its tasks. `quarantine`:
  * its route has crashed workers recently, and none of those that are kept for such a job can start it in time.
  * `superseded`: its caller has submitted it to another entry. `owned-elsewhere`: another entry may have runs of it that can't
- * be shown to end in time. `entry-overload`: the entry itself is too slow to handle it in time.
+ * be shown to end in time. `entry-overload`: the entry itself is too slow to handle it in time. `unconfirmed`: the entry can't know which
+ * configuration is in force.
  */
 export type JobReason = 'overload' | 'no-worker' | 'unsupported' | 'too-large' | 'leaving' | 'deadline' | 'isolated' | 'still-ending'
-	| 'superseded' | 'owned-elsewhere' | 'cancelled' | 'attempts' | 'crashes' | 'quarantine' | 'entry-overload' | 'none';
+	| 'superseded' | 'owned-elsewhere' | 'cancelled' | 'attempts' | 'crashes' | 'quarantine' | 'entry-overload' | 'unconfirmed' | 'none';
 
 /** Answer to a submission. */
 export type JobAnswer = {
--- a/src/core/links/logic.ts
+++ b/src/core/links/logic.ts
@@ -165,6 +165,16 @@
 	return {connected: entries.length - unconnected.length, silent: unconnected.length - ended, ended};
 }
 
+/** Counts the entries in the subset that may live, except those of an earlier build, which don't tell for how long nothing has confirmed their configuration. */
+export function countEntriesToAsk(state: LinksState): number {
+	const {known, connected} = state;
+	return [...getSubset(state)].filter(name => {
+		const {address, isRefused} = known.get(name)!;
+		const peer = connected.get(name);
+		return address.role === 'entry' && (peer === undefined ? !isRefused : peer.reportsVersions === true);
+	}).length;
+}
+
 /** Keeps streams to processes outside the subset for some seconds. */
 export function extendStreams(state: LinksState, names: readonly NodeName[], now: Milliseconds): void {
 	for (const name of names) {
--- a/src/core/links/types.ts
+++ b/src/core/links/types.ts
@@ -11,6 +11,8 @@
 	readonly acceptsQuiet?: boolean;
 	/** Whether it answers the question whether another entry has a job; undefined from processes of an earlier build. */
 	readonly checksJobs?: boolean;
+	/** Whether it tells for how long nothing has confirmed its configuration; undefined from processes of an earlier build. */
+	readonly reportsVersions?: boolean;
 };
 
 /** A process that this one knows, with or without an open stream. */
--- a/src/ports/dispatch-messages.ts
+++ b/src/ports/dispatch-messages.ts
@@ -2,6 +2,7 @@
  * Messages between entries that dispatch jobs and the agents beside the workers.
  */
 import type {ClosingSet} from '../core/closings/types.ts';
+import type {VersionReport} from '../core/confirmation/types.ts';
 import type {JobAnswer} from '../core/dispatch/types.ts';
 import type {RotationReport} from '../core/check-scope/types.ts';
 import type {NodeName, NodeRef} from '../core/identity/types.ts';
@@ -188,6 +189,19 @@
 	/** Answer to `query-rotation`; without `report` if the sender does not know that it is counted as ready. */
 	| {readonly type: 'rotation'; readonly number: number; readonly report?: RotationReport};
 
+/** Messages between entries about the configuration of the platform. */
+export type VersionMessage =
+	/** Version of the configuration that an entry has applied. */
+	| {readonly type: 'version'; readonly version: number}
+	/** Asks another entry what it knows of the newest configuration. `askedAt`: time by the clock of the sender, which the answer returns. */
+	| {readonly type: 'query-version'; readonly askedAt: Milliseconds}
+	/** Answer to `query-version`. */
+	| (VersionReport & {readonly type: 'version-report'})
+	/** Asks another entry for its configuration. */
+	| {readonly type: 'fetch-configuration'}
+	/** A configuration; answer to `fetch-configuration`. */
+	| {readonly type: 'configuration'; readonly version: number; readonly text: string};
+
 /** Tells the other entry that the messages with its own jobs have arrived up to this number; undefined if none has since the last receipt. */
 type OwnershipReceipt = {readonly seen?: number};
 
@@ -195,12 +209,12 @@
 export type DispatchMessage =
 	/**
 	 * First message on each stream. `version`: version of the sender's configuration; 0 from agents. `acceptsQuiet`:
-	 * whether the sender understands quiet heartbeats, `checksJobs`: whether it answers `check-job`; undefined from processes
-	 * of an earlier build.
+	 * whether the sender understands quiet heartbeats, `checksJobs`: whether it answers `check-job`, `reportsVersions`: whether it
+	 * answers `query-version`; undefined from processes of an earlier build.
 	 */
 	| {
 		readonly type: 'announce'; readonly address: DispatchPeer; readonly version: number; readonly digests?: PeerDigests; readonly acceptsQuiet?: boolean;
-		readonly checksJobs?: boolean;
+		readonly checksJobs?: boolean; readonly reportsVersions?: boolean;
 	}
 	| (SessionMember & {readonly type: 'offer'; readonly tasks: readonly TaskOffer[]})
 	/** Cancels offers. */
@@ -232,12 +246,7 @@
 	| EntryMessage
 	| CheckMessage
 	| RotationMessage
-	/** Version of the configuration that an entry has applied. */
-	| {readonly type: 'version'; readonly version: number}
-	/** Asks another entry for its configuration. */
-	| {readonly type: 'fetch-configuration'}
-	/** A configuration of the platform; answer to `fetch-configuration`. */
-	| {readonly type: 'configuration'; readonly version: number; readonly text: string}
+	| VersionMessage
 	/** The closed data centres: between entries when a stream opens and on each change, to agents on change, from agents to entries that are behind. */
 	| {readonly type: 'closings'; readonly closings: ClosingSet}
 	/** Addresses of processes that the receiver may not know. */
--- a/src/processes/dispatch/configuration.ts
+++ b/src/processes/dispatch/configuration.ts
@@ -70,7 +70,7 @@
 /** Source of the configuration of one entry. */
 export class ConfigurationSource implements Disposable {
 	readonly routes: RoutesState = createRoutesState();
-	readonly confirmation: ConfirmationState;
+	readonly confirmation: ConfirmationState = createConfirmationState();
 	readonly #timings: WatchTimings;
 	readonly #storeView: StoreView = createStoreView();
 	#text = '';
@@ -81,7 +81,6 @@
 
 	/** @param input - Dependencies and callbacks. */
 	constructor(private readonly input: ConfigurationInput) {
-		this.confirmation = createConfirmationState(input.clock.getTime());
 		this.#timings = computeWatchTimings({configurationMs: Math.min(input.bounds.configurationMs, input.bounds.closingMs ?? Number.POSITIVE_INFINITY)});
 	}
 
@@ -90,9 +89,10 @@
 		return this.routes.configuration?.version ?? 0;
 	}
 
-	/** Time, in ms, for which nothing has confirmed that the current configuration is the newest. */
-	get unconfirmedMs(): Milliseconds {
-		return Math.round(computeUnconfirmedTime(this.confirmation, this.input.clock.getTime()));
+	/** Time, in ms, for which nothing has confirmed that the current configuration is the newest; undefined if nothing ever has. */
+	get unconfirmedMs(): Milliseconds | undefined {
+		const time = computeUnconfirmedTime(this.confirmation, this.version, this.input.clock.getTime());
+		return time === undefined ? undefined : Math.ceil(time);
 	}
 
 	/** Text of the current configuration. */
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -14,6 +14,7 @@
 import {observeContact} from '../../core/dispatch/contact.ts';
 import {applyReports, handleCrashes, handleSurvival} from '../../core/dispatch/reports.ts';
 import {extendAllOffers} from '../../core/dispatch/placing.ts';
+import {createUnconfirmedRefusal} from '../../core/dispatch/shedding.ts';
 import {describeRunEvidence} from '../../core/dispatch/run-evidence.ts';
 import {listCarefulRoutes} from '../../core/crashes/logic.ts';
 import {updateRules} from '../../core/check-scope/logic.ts';
@@ -25,9 +26,6 @@
 import type {NodeName} from '../../core/identity/types.ts';
 import {isOfOpenedSession} from '../../core/sessions/logic.ts';
 import type {ConnectedPeer} from '../../core/links/types.ts';
-import {
-	chooseFetch, createSharingState, recordPeerVersion, removePeerVersion,
-} from '../../core/routes/sharing.ts';
 import {
 	addAgent, applyLoad, createFleetState, recordContact, removeAgent, setRetiring, takeHeardCapacity,
 } from '../../core/fleet/state.ts';
@@ -41,6 +39,7 @@
 import {PeerLinks} from './links.ts';
 import {createOwnAddress, type DispatchInput} from './input.ts';
 import {OwnershipExchange} from './ownership.ts';
+import {VersionExchange} from './version-exchange.ts';
 
 /** Interval of checking deadlines and waiting tasks, in ms. */
 const tickMs = 50;
@@ -48,6 +47,9 @@
 /** Time after the start of the process in which agents are expected to connect, in ms. */
 const expectAgentsMs = 3000;
 
+/** Time after which callers may come back that were refused for want of a confirmed configuration, in ms: some attempts at reading the store, and queries. */
+const unconfirmedRetryMs = 1000;
+
 type Waiter = (answer: JobAnswer) => void;
 
 type MessageHandlers = {
@@ -61,9 +63,9 @@
 	readonly #links: PeerLinks;
 	readonly #ownership: OwnershipExchange;
 	readonly #closings: ClosingsExchange;
+	readonly #versions: VersionExchange;
 	readonly #timer: Disposable;
 	readonly #waiters = new Map<Job, Waiter[]>();
-	readonly #sharing = createSharingState();
 	/** Agents that have reported their load in this turn of the event loop. */
 	readonly #reportedAgents = new Set<NodeName>();
 	#carefulRoutes: ReadonlySet<string> = new Set();
@@ -116,21 +118,23 @@
 		'job-state': (from, message) => {
 			this.#ownership.handleMessage(from.name, message);
 		},
-		version: (from, {version}) => {
-			recordPeerVersion(this.#sharing, from.name, version);
+		version: (from, message) => {
+			this.#versions.handleMessage(from.name, message);
 		},
-		closings: (from, {closings}) => {
-			this.#closings.handleSet(from.name, closings);
+		'query-version': (from, message) => {
+			this.#versions.handleMessage(from.name, message);
 		},
-		'fetch-configuration': from => {
-			if (this.configuration.version > 0) {
-				this.#links.sendMessage(from.name, {type: 'configuration', version: this.configuration.version, text: this.configuration.text});
-			}
+		'version-report': (from, message) => {
+			this.#versions.handleMessage(from.name, message);
 		},
-		configuration: (from, {version, text}) => {
-			if (version > this.configuration.version) {
-				this.configuration.applyText(text, from.name);
-			}
+		'fetch-configuration': (from, message) => {
+			this.#versions.handleMessage(from.name, message);
+		},
+		configuration: (from, message) => {
+			this.#versions.handleMessage(from.name, message);
+		},
+		closings: (from, {closings}) => {
+			this.#closings.handleSet(from.name, closings);
 		},
 	};
 
@@ -182,7 +186,7 @@
 			log,
 			bounds: settings.bounds,
 			onChange: version => {
-				this.#shareVersion(version);
+				this.#versions.shareVersion(version);
 			},
 			closings: settings.bounds.closingMs === undefined || input.closingKeys === undefined
 				? undefined
@@ -245,6 +249,9 @@
 				this.#applyEffects(effects);
 			},
 		});
+		this.#versions = new VersionExchange({
+			configuration: this.configuration, links: this.#links, bounds: settings.bounds, clock, log,
+		});
 		this.#closings = new ClosingsExchange({
 			role: 'entry',
 			links: this.#links,
@@ -276,7 +283,13 @@
 
 	/** Returns whether the balancer should send requests to this entry. */
 	isReady(): boolean {
-		return !this.#isStopping && this.configuration.version > 0 && this.state.fleet.agents.size > 0;
+		return !this.#isStopping && this.configuration.version > 0 && this.state.fleet.agents.size > 0 && this.canAnswer();
+	}
+
+	/** Returns whether callers may be answered by the configuration that this entry has: a newer one would be known, or the store answers no entry. */
+	canAnswer(): boolean {
+		const confirmation = this.#versions.checkConfirmation();
+		return confirmation === 'confirmed' || confirmation === 'store-silent';
 	}
 
 	/** Answers a readiness check of the load balancer: it tells which entries callers can have reached. */
@@ -319,6 +332,17 @@
 		});
 	}
 
+	/**
+	 * Creates the answer to a submission that arrives while callers may not be answered by the configuration.
+	 *
+	 * @param job - Id of the job, and whether its caller may have submitted it to another entry before.
+	 * @returns The answer.
+	 */
+	refuseSubmission(job: Pick<Job, 'id' | 'mayBeRepeated'>): JobAnswer {
+		this.observeSubmission();
+		return createUnconfirmedRefusal(this.state, job, unconfirmedRetryMs, this.#now());
+	}
+
 	/**
 	 * Cancels an open job.
 	 *
@@ -343,7 +367,7 @@
 			linked_agents: this.state.fleet.agents.size,
 			subset_agents: this.state.agentCount,
 			configuration_version: this.configuration.version,
-			configuration_unconfirmed_ms: this.configuration.unconfirmedMs,
+			...(this.configuration.unconfirmedMs !== undefined && {configuration_unconfirmed_ms: this.configuration.unconfirmedMs}),
 			closed_data_centres: this.#closings.closed.length,
 		};
 	}
@@ -411,10 +435,7 @@
 		this.#ownership.sendNews();
 		this.#recordCarefulRoutes(now);
 		this.#links.extendStreams(chooseExtraAgents(this.state, () => this.#links.listUnconnectedAgents(), now));
-		const peer = chooseFetch(this.#sharing, this.configuration.version, now);
-		if (peer !== undefined) {
-			this.#links.sendMessage(peer, {type: 'fetch-configuration'});
-		}
+		this.#versions.advance();
 	}
 
 	/** Logs which routes begin or cease to start their jobs with a canary. */
@@ -460,7 +481,7 @@
 
 		this.#ownership.handleConnect(peer);
 		this.#closings.handleConnect(peer.name);
-		recordPeerVersion(this.#sharing, peer.name, peer.configurationVersion);
+		this.#versions.handleConnect(peer);
 	}
 
 	#startSession({name}: ConnectedPeer): void {
@@ -476,7 +497,7 @@
 	#handleDisconnect(peer: PeerAddress): void {
 		this.#updatePeerCounts();
 		this.configuration.restartWatch();
-		removePeerVersion(this.#sharing, peer.name);
+		this.#versions.handleDisconnect(peer.name);
 		this.#closings.handleDisconnect(peer.name);
 		if (peer.role === 'agent') {
 			removeAgent(this.state.fleet, peer.name);
@@ -496,15 +517,6 @@
 		}
 	}
 
-	#shareVersion(version: number): void {
-		for (const peer of this.#links.listConnected()) {
-			// Send it also to entries that watch the store themselves: the store may be unavailable to some of them.
-			if (peer.role === 'entry') {
-				this.#links.sendMessage(peer.name, {type: 'version', version});
-			}
-		}
-	}
-
 	/** Removes a caller that has left; the job ends with its last one. */
 	#removeWaiter(job: Job, resolve: Waiter): void {
 		const waiters = this.#waiters.get(job);
--- a/src/processes/dispatch/links.ts
+++ b/src/processes/dispatch/links.ts
@@ -14,7 +14,8 @@
 import type {Timings} from '../../core/bounds/types.ts';
 import type {NodeName, NodeRef} from '../../core/identity/types.ts';
 import {
-	addPeers, applyPeerAnnouncement, computeDigests, countEntries, getSubset, handlePeerDisconnect, isWanted, listKnownEntries, listMissingAddresses, recordOpenFailure, extendStreams, takeDuePeers, takeNews,
+	addPeers, applyPeerAnnouncement, computeDigests, countEntries, countEntriesToAsk,
+	getSubset, handlePeerDisconnect, isWanted, listKnownEntries, listMissingAddresses, recordOpenFailure, extendStreams, takeDuePeers, takeNews,
 } from '../../core/links/logic.ts';
 import {isAwaitedMessage} from '../../core/links/awaited.ts';
 import {createLinksState, type LinksState} from '../../core/links/state.ts';
@@ -111,7 +112,13 @@
 		this.#network.setHandlers({
 			onOpen: node => {
 				this.#network.sendMessage(node, {
-					type: 'announce', address: {...self, labels: input.getLabels()}, version: input.getVersion(), digests: computeDigests(this.state), acceptsQuiet: true, checksJobs: true,
+					type: 'announce',
+					address: {...self, labels: input.getLabels()},
+					version: input.getVersion(),
+					digests: computeDigests(this.state),
+					acceptsQuiet: true,
+					checksJobs: true,
+					reportsVersions: true,
 				});
 			},
 			onClose: (node, reason) => {
@@ -191,6 +198,11 @@
 		return countEntries(this.state);
 	}
 
+	/** Counts the entries that this one keeps streams to, that may live and that tell what confirms their configuration. */
+	countEntriesToAsk(): number {
+		return countEntriesToAsk(this.state);
+	}
+
 	/** Lists the other entries that are known, with their data centres. */
 	listKnownEntries(): readonly KnownEntry[] {
 		return listKnownEntries(this.state);
@@ -331,7 +343,7 @@
 		this.#handleAnnouncement({...message, address});
 	}
 
-	#handleAnnouncement({address, version, digests, acceptsQuiet, checksJobs}: Extract<DispatchMessage, {type: 'announce'}>): void {
+	#handleAnnouncement({address, version, digests, acceptsQuiet, checksJobs, reportsVersions}: Extract<DispatchMessage, {type: 'announce'}>): void {
 		const previous = this.state.connected.get(address.name);
 		if (previous !== undefined && previous.incarnation !== address.incarnation) {
 			handlePeerDisconnect(this.state, address.name, this.#now());
@@ -340,7 +352,7 @@
 
 		const isNew = !this.state.connected.has(address.name);
 		const peer = {
-			...address, configurationVersion: version, acceptsQuiet, checksJobs,
+			...address, configurationVersion: version, acceptsQuiet, checksJobs, reportsVersions,
 		};
 		applyPeerAnnouncement(this.state, peer, this.#now());
 		if (!isNew) {
--- /dev/null
+++ b/src/processes/dispatch/version-exchange.ts
@@ -0,0 +1,136 @@
+/**
+ * Exchange between entries about the configuration: which version each has, for how long nothing has confirmed it, and its text
+ * for those that the store does not answer.
+ */
+import {computeConfirmationLimits} from '../../core/bounds/logic.ts';
+import type {Bounds} from '../../core/bounds/types.ts';
+import {
+	checkConfirmation, recordReport, removeReport, takeQuery,
+} from '../../core/confirmation/logic.ts';
+import type {Confirmation, ConfirmationLimits} from '../../core/confirmation/types.ts';
+import type {NodeName} from '../../core/identity/types.ts';
+import type {ConnectedPeer} from '../../core/links/types.ts';
+import {
+	chooseFetch, createSharingState, recordPeerVersion, removePeerVersion,
+} from '../../core/routes/sharing.ts';
+import type {Clock} from '../../ports/clock.ts';
+import type {DecisionLog} from '../../ports/decision-log.ts';
+import type {VersionMessage} from '../../ports/dispatch-messages.ts';
+import type {ConfigurationSource} from './configuration.ts';
+import type {PeerLinks} from './links.ts';
+
+/** What the exchange needs of its entry. */
+export type VersionExchangeInput = {
+	readonly configuration: ConfigurationSource;
+	readonly links: Pick<PeerLinks, 'listConnected' | 'sendMessage' | 'countEntriesToAsk'>;
+	readonly bounds: Bounds;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+};
+
+type MessageHandlers = {
+	readonly [Type in VersionMessage['type']]: (from: NodeName, message: Extract<VersionMessage, {type: Type}>) => void;
+};
+
+/** Versions of the other entries, and what they confirm. */
+export class VersionExchange {
+	readonly #sharing = createSharingState();
+	readonly #limits: ConfirmationLimits;
+	/** What was last logged. */
+	#confirmation: Confirmation = 'confirmed';
+
+	readonly #handlers: MessageHandlers = {
+		version: (from, {version}) => {
+			recordPeerVersion(this.#sharing, from, version);
+		},
+		'query-version': (from, {askedAt}) => {
+			const {version, unconfirmedMs} = this.input.configuration;
+			this.input.links.sendMessage(from, {
+				type: 'version-report', version, askedAt, unconfirmedMs,
+			});
+		},
+		'version-report': (from, report) => {
+			recordPeerVersion(this.#sharing, from, report.version);
+			recordReport(this.input.configuration.confirmation, from, report);
+		},
+		'fetch-configuration': from => {
+			const {version, text} = this.input.configuration;
+			if (version > 0) {
+				this.input.links.sendMessage(from, {type: 'configuration', version, text});
+			}
+		},
+		configuration: (from, {version, text}) => {
+			if (version > this.input.configuration.version) {
+				this.input.configuration.applyText(text, from);
+			}
+		},
+	};
+
+	/** @param input - The entry. */
+	constructor(private readonly input: VersionExchangeInput) {
+		this.#limits = computeConfirmationLimits(input.bounds);
+	}
+
+	/** Handles a message of another entry. */
+	handleMessage(from: NodeName, message: VersionMessage): void {
+		(this.#handlers[message.type] as (from: NodeName, message: VersionMessage) => void)(from, message);
+	}
+
+	/** Handles a new stream to an entry. */
+	handleConnect(peer: ConnectedPeer): void {
+		recordPeerVersion(this.#sharing, peer.name, peer.configurationVersion);
+	}
+
+	/** Handles that the last stream to a process has closed. */
+	handleDisconnect(name: NodeName): void {
+		removePeerVersion(this.#sharing, name);
+		removeReport(this.input.configuration.confirmation, name);
+	}
+
+	/** Tells the other entries of a version, also those that watch the store: it may be unavailable to some of them. */
+	shareVersion(version: number): void {
+		for (const name of this.#listEntries()) {
+			this.input.links.sendMessage(name, {type: 'version', version});
+		}
+	}
+
+	/** Checks what is known of the configuration in force, and logs a change. */
+	checkConfirmation(): Confirmation {
+		const {configuration, links, clock, log} = this.input;
+		const {version, confirmation, unconfirmedMs} = configuration;
+		const otherEntries = links.countEntriesToAsk();
+		const current = checkConfirmation(confirmation, {
+			version, otherEntries, limits: this.#limits, now: clock.getTime(),
+		});
+		if (current !== this.#confirmation && version > 0) {
+			log.recordDecision('warn', 'confirmation-changed', {
+				state: current, previous: this.#confirmation, version, unconfirmedMs, reports: confirmation.reports.size, otherEntries,
+			});
+			this.#confirmation = current;
+		}
+
+		return current;
+	}
+
+	/** Asks the other entries if nothing has confirmed the configuration for some time, and fetches a newer one. */
+	advance(): void {
+		const {configuration: {version, confirmation}, links, clock} = this.input;
+		const now = clock.getTime();
+		if (takeQuery(confirmation, {version, limits: this.#limits, now})) {
+			for (const name of this.#listEntries()) {
+				links.sendMessage(name, {type: 'query-version', askedAt: now});
+			}
+		}
+
+		const peer = chooseFetch(this.#sharing, version, now);
+		if (peer !== undefined) {
+			links.sendMessage(peer, {type: 'fetch-configuration'});
+		}
+
+		this.checkConfirmation();
+	}
+
+	#listEntries(): readonly NodeName[] {
+		return this.input.links.listConnected().filter(({role}) => role === 'entry').map(({name}) => name);
+	}
+}
