--- a/features/entry-load/entry-load.steps.ts
+++ b/features/entry-load/entry-load.steps.ts
@@ -79,6 +79,7 @@
 	});
 	return {
 		configuration: {version: 1, routes},
+		canAnswer: () => true,
 		isStopping: () => false,
 		observeSubmission() {
 			observeStandstill(world.jobs, world.loadNow, world.loadNow);
--- a/features/platform/unconfirmed-configuration.steps.ts
+++ b/features/platform/unconfirmed-configuration.steps.ts
@@ -12,7 +12,7 @@
 type UnconfirmedWorld = {
 	fleet: PlatformFleet | undefined;
 	/** Connection of a caller to the second entry. */
-	connection: Client | undefined;
+	secondEntryConnection: Client | undefined;
 	submissions: number;
 };
 
@@ -40,7 +40,7 @@
 }
 
 After(async function (this: UnconfirmedWorld) {
-	await this.connection?.destroy();
+	await this.secondEntryConnection?.destroy();
 });
 
 Given('two entries and an agent, whose configuration must be in force within 2000 ms', timeLimit, async function (this: UnconfirmedWorld) {
@@ -85,8 +85,8 @@
 });
 
 Then(/^the second entry answers the first submission on a connection (\d+)(, as it may be a repetition)?$/, timeLimit, async function (this: UnconfirmedWorld, status: string, refused: string | null) {
-	this.connection = new Client(`http://${getSecondEntry(this).callers}`);
-	const response = await submitJob(this, this.connection);
+	this.secondEntryConnection = new Client(`http://${getSecondEntry(this).callers}`);
+	const response = await submitJob(this, this.secondEntryConnection);
 	assert.equal(response.status, Number(status));
 	if (refused !== null) {
 		checkRetryTime(response);
@@ -94,7 +94,7 @@
 });
 
 Then('the second entry answers the next submission on it {int}, as the job has not run', timeLimit, async function (this: UnconfirmedWorld, status: number) {
-	const response = await submitJob(this, this.connection!);
+	const response = await submitJob(this, this.secondEntryConnection!);
 	assert.equal(response.status, status);
 	checkRetryTime(response);
 });
