Wait for a confirmation that is on its way before callers are refused

What callers would have seen: 503 or 502 after each pause of an entry that is longer than the bound, until it had opened its streams again or one more watch had ended, about 1 s.

Cause: after a pause all that an entry knows is old, and a watch confirms nothing until it ends, though an answer of the store is a few ms away.

Requests wait for up to 150 ms after the confirmation has become too old, and no longer than that: an isolated entry refuses them at once.

--- a/features/confirmation/store.feature
+++ b/features/confirmation/store.feature
@@ -36,3 +36,10 @@
     And the entry loses a stream to another process
     And 450 ms go by for the watching entry
     Then the store is logged as regained once
+
+  # Guards against an entry that stays unconfirmed for one more watch after a pause of its process.
+  Scenario: After a watch whose answer was delayed the entry reads at once
+    When the next answer to a watch takes 2500 ms longer
+    And 3600 ms go by for the watching entry
+    Then its configuration is unconfirmed for 50 ms
+    And no loss of the store is logged
--- a/features/confirmation/store.steps.ts
+++ b/features/confirmation/store.steps.ts
@@ -25,6 +25,8 @@
 	isMute = false;
 	/** Time until a read is answered, in ms. */
 	readMs = 0;
+	/** Additional time until the next watch is answered, in ms. */
+	watchDelayMs = 0;
 
 	constructor(private readonly clock: TestClock) {}
 
@@ -33,7 +35,9 @@
 	}
 
 	async watchKey(_key: string, _after: number, timeout: Milliseconds, answerTimeout = callTimeoutMs): Promise<Result<StoreEntry, StoreError>> {
-		return this.#answer(timeout, answerTimeout);
+		const delay = this.watchDelayMs;
+		this.watchDelayMs = 0;
+		return this.#answer(timeout + delay, answerTimeout);
 	}
 
 	async writeKey(): Promise<Result<StoreEntry, StoreError>> {
@@ -88,6 +92,14 @@
 	this.confirmingStore.readMs = time;
 });
 
+When('the next answer to a watch takes {int} ms longer', async function (this: StoreWorld, time: Milliseconds) {
+	// The watch under way ends as usual.
+	await this.confirmationClock.advance(1050);
+	this.confirmingStore.watchDelayMs = time;
+	this.source.restartWatch();
+	await this.confirmationClock.advance(0);
+});
+
 When('the store answers again at once', function (this: StoreWorld) {
 	this.confirmingStore.isMute = false;
 });
--- a/features/platform/unconfirmed-configuration.feature
+++ b/features/platform/unconfirmed-configuration.feature
@@ -26,3 +26,9 @@
     Then the second entry answers a count of the queue 200
     And the second entry answers the first submission on a connection 200
     And the second entry is ready
+
+  # Guards against refusals after each pause of a process: what it knows is old then, and an answer of the store is a few ms away.
+  Scenario: A request that arrives while the entry is suspended
+    When the second entry is suspended for longer than the bound
+    And a count of the queue is requested of it meanwhile
+    Then the second entry answers it 200
--- a/features/platform/unconfirmed-configuration.steps.ts
+++ b/features/platform/unconfirmed-configuration.steps.ts
@@ -3,10 +3,12 @@
  * features/platform/processes.steps.ts.
  */
 import assert from 'node:assert/strict';
+import type {ChildProcess} from 'node:child_process';
 import {
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {Client, getGlobalDispatcher, type Dispatcher} from 'undici';
+import type {Milliseconds} from '../../src/ports/clock.ts';
 import {PlatformFleet, type CallerResponse, type EntryAddresses} from './platform-fleet.ts';
 
 type UnconfirmedWorld = {
@@ -14,6 +16,10 @@
 	/** Connection of a caller to the second entry. */
 	secondEntryConnection: Client | undefined;
 	submissions: number;
+	/** Ends when the entry goes on. */
+	suspension: Promise<void>;
+	/** Response to a request of a suspended entry. */
+	delayedResponse: Promise<CallerResponse>;
 };
 
 const timeLimit = {timeout: 30_000};
@@ -34,6 +40,11 @@
 	return world.fleet!.sendRequest('POST', `/q/${id}`, {body, callers: getSecondEntry(world).callers, dispatcher});
 }
 
+async function resumeAfter(fleet: PlatformFleet, child: ChildProcess, time: Milliseconds): Promise<void> {
+	await fleet.wait(time);
+	child.kill('SIGCONT');
+}
+
 function checkRetryTime({headers}: CallerResponse): void {
 	const seconds = Number(headers['retry-after']);
 	assert.ok(seconds >= 1 && seconds * 1000 <= boundMs, `retry-after is ${headers['retry-after']?.toString()}`);
@@ -64,6 +75,22 @@
 	this.fleet!.processes.find(({name}) => name === this.fleet!.entries[0].name)!.child.kill('SIGSTOP');
 });
 
+When('the second entry is suspended for longer than the bound', timeLimit, async function (this: UnconfirmedWorld) {
+	const {child} = this.fleet!.processes.find(({name}) => name === getSecondEntry(this).name)!;
+	child.kill('SIGSTOP');
+	this.suspension = resumeAfter(this.fleet!, child, boundMs * 1.5);
+});
+
+When('a count of the queue is requested of it meanwhile', function (this: UnconfirmedWorld) {
+	this.delayedResponse = this.fleet!.sendRequest('GET', '/q/', {callers: getSecondEntry(this).callers});
+});
+
+Then('the second entry answers it {int}', timeLimit, async function (this: UnconfirmedWorld, status: number) {
+	await this.suspension;
+	const response = await this.delayedResponse;
+	assert.equal(response.status, status);
+});
+
 When('version {int} drops the route', function (this: UnconfirmedWorld, version: number) {
 	this.fleet!.writeConfiguration(version, false);
 });
--- a/src/processes/dispatch/configuration.ts
+++ b/src/processes/dispatch/configuration.ts
@@ -3,7 +3,7 @@
  * close data centres, one watch covers the configuration and the closings.
  */
 import type {Result} from 'ts-results-es';
-import {computeWatchTimings} from '../../core/bounds/logic.ts';
+import {computeConfirmationLimits, computeWatchTimings} from '../../core/bounds/logic.ts';
 import type {Bounds, WatchTimings} from '../../core/bounds/types.ts';
 import {applyStoreChanges} from '../../core/closings/logic.ts';
 import {createStoreView, type StoreView} from '../../core/closings/state.ts';
@@ -72,6 +72,7 @@
 	readonly routes: RoutesState = createRoutesState();
 	readonly confirmation: ConfirmationState = createConfirmationState();
 	readonly #timings: WatchTimings;
+	readonly #queryAfterMs: Milliseconds;
 	readonly #storeView: StoreView = createStoreView();
 	#text = '';
 	#revision = 0;
@@ -81,6 +82,7 @@
 
 	/** @param input - Dependencies and callbacks. */
 	constructor(private readonly input: ConfigurationInput) {
+		this.#queryAfterMs = computeConfirmationLimits(input.bounds).queryAfterMs;
 		this.#timings = computeWatchTimings({configurationMs: Math.min(input.bounds.configurationMs, input.bounds.closingMs ?? Number.POSITIVE_INFINITY)});
 	}
 
@@ -172,6 +174,12 @@
 	/** Reads the keys, or waits until one changes. */
 	async #readOnce(): Promise<ReadOutcome> {
 		const sentAt = this.input.clock.getTime();
+		const {unconfirmedMs} = this;
+		if (unconfirmedMs === undefined || unconfirmedMs >= this.#queryAfterMs) {
+			// A watch confirms nothing until it ends; a read does at once.
+			this.#revision = 0;
+		}
+
 		const restarted = new Promise<'restarted'>(resolve => {
 			this.#restart = () => {
 				resolve('restarted');
--- a/src/processes/dispatch/entry.ts
+++ b/src/processes/dispatch/entry.ts
@@ -286,10 +286,14 @@
 		return !this.#isStopping && this.configuration.version > 0 && this.state.fleet.agents.size > 0 && this.canAnswer();
 	}
 
-	/** Returns whether callers may be answered by the configuration that this entry has: a newer one would be known, or the store answers no entry. */
+	/** Returns whether callers may be answered by the configuration that this entry has. */
 	canAnswer(): boolean {
-		const confirmation = this.#versions.checkConfirmation();
-		return confirmation === 'confirmed' || confirmation === 'store-silent';
+		return this.#versions.canAnswer();
+	}
+
+	/** Waits until callers may be answered by the configuration, if that can be soon; returns whether they may. */
+	async waitForConfirmation(): Promise<boolean> {
+		return this.#versions.waitForConfirmation();
 	}
 
 	/** Answers a readiness check of the load balancer: it tells which entries callers can have reached. */
--- a/src/processes/dispatch/version-exchange.ts
+++ b/src/processes/dispatch/version-exchange.ts
@@ -13,12 +13,16 @@
 import {
 	chooseFetch, createSharingState, recordPeerVersion, removePeerVersion,
 } from '../../core/routes/sharing.ts';
-import type {Clock} from '../../ports/clock.ts';
+import type {Clock, Milliseconds} from '../../ports/clock.ts';
 import type {DecisionLog} from '../../ports/decision-log.ts';
 import type {VersionMessage} from '../../ports/dispatch-messages.ts';
+import {waitFor} from '../shared/wait.ts';
 import type {ConfigurationSource} from './configuration.ts';
 import type {PeerLinks} from './links.ts';
 
+/** Callers are answered by the configuration in force: a newer one would be known, or the store answers no entry. */
+const answeredConfirmations: ReadonlySet<Confirmation> = new Set(['confirmed', 'store-silent']);
+
 /** What the exchange needs of its entry. */
 export type VersionExchangeInput = {
 	readonly configuration: ConfigurationSource;
@@ -28,6 +32,15 @@
 	readonly log: DecisionLog;
 };
 
+/**
+ * Time for which requests wait for a confirmation after the last one has become too old, in ms: after a pause of this process,
+ * a read of the store and the answers of other entries are on their way.
+ */
+const confirmationWaitMs = 150;
+
+/** Interval in which a request that waits looks for a confirmation, in ms. */
+const waitStepMs = 10;
+
 type MessageHandlers = {
 	readonly [Type in VersionMessage['type']]: (from: NodeName, message: Extract<VersionMessage, {type: Type}>) => void;
 };
@@ -36,8 +49,9 @@
 export class VersionExchange {
 	readonly #sharing = createSharingState();
 	readonly #limits: ConfirmationLimits;
-	/** What was last logged. */
+	/** What was last logged, and since when callers may not be answered; undefined while they may. */
 	#confirmation: Confirmation = 'confirmed';
+	#refusingSince: Milliseconds | undefined;
 
 	readonly #handlers: MessageHandlers = {
 		version: (from, {version}) => {
@@ -113,9 +127,29 @@
 			this.#confirmation = current;
 		}
 
+		this.#refusingSince = answeredConfirmations.has(current) ? undefined : this.#refusingSince ?? clock.getTime();
 		return current;
 	}
 
+	/** Returns whether callers may be answered by the configuration in force. */
+	canAnswer(): boolean {
+		return answeredConfirmations.has(this.checkConfirmation());
+	}
+
+	/** Waits until callers may be answered, if that can be soon; returns whether they may. */
+	async waitForConfirmation(): Promise<boolean> {
+		const {clock} = this.input;
+		while (!this.canAnswer()) {
+			if (clock.getTime() - this.#refusingSince! >= confirmationWaitMs) {
+				return false;
+			}
+
+			await waitFor(clock, waitStepMs);
+		}
+
+		return true;
+	}
+
 	/** Asks the other entries if nothing has confirmed the configuration for some time, and fetches a newer one. */
 	advance(): void {
 		const {configuration: {version, confirmation}, links, clock} = this.input;
