Keep what another entry has confirmed when its stream closes

What callers would have seen: refusals at an entry that the store turns away, whose streams are lost or whose neighbour has got a newer version, although its configuration had been confirmed within the bound.

Cause: confirmations by other entries were part of their latest reports, and gone with them.

Change: what a report has confirmed is kept when it is replaced or removed. A version that nothing has confirmed is reported without a time.

--- a/features/confirmation/exchange.feature
+++ b/features/confirmation/exchange.feature
@@ -80,6 +80,23 @@
     And 1501 ms later no other entry has answered again
     Then it is "isolated"
 
+  # Guards against a confirmation that is forgotten with the stream over which it came, or with the next report of its entry.
+  Scenario Outline: What another entry has confirmed holds on
+    Given an entry with 1 other entries that may live, and a bound of 3000 ms
+    When nothing has confirmed its configuration for 5000 ms, nor at 0 others
+    And another entry with version <version> tells that nothing has confirmed it for <age> ms
+    And <event>
+    Then it is "<state>"
+
+    Examples:
+      | version | age  | event                                                                       | state        |
+      | 7       | 1000 | the stream to it is lost                                                    | confirmed    |
+      | 6       | 1000 | the stream to it is lost                                                    | confirmed    |
+      | 7       | 1000 | another entry with version 9 tells that nothing has confirmed it for 100 ms | confirmed    |
+      | 9       | 1000 | the stream to it is lost                                                    | isolated     |
+      | 7       | 3500 | the stream to it is lost                                                    | isolated     |
+      | 7       | 3500 | another entry with version 9 tells that nothing has confirmed it for 100 ms | superseded   |
+
   # Guards against messages that a fleet in order would pay for.
   Scenario: Entries that the store answers ask nobody
     Given entries "e1 e2 e3" with streams to each other, and a bound of 2000 ms
--- a/features/confirmation/exchange.steps.ts
+++ b/features/confirmation/exchange.steps.ts
@@ -5,7 +5,9 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {computeConfirmationLimits} from '../../src/core/bounds/logic.ts';
-import {checkConfirmation, recordReport, recordStoreAnswer} from '../../src/core/confirmation/logic.ts';
+import {
+	checkConfirmation, recordReport, recordStoreAnswer, removeReport,
+} from '../../src/core/confirmation/logic.ts';
 import {createConfirmationState, type ConfirmationState} from '../../src/core/confirmation/state.ts';
 import type {Confirmation} from '../../src/core/confirmation/types.ts';
 import type {ConnectedPeer} from '../../src/core/links/types.ts';
@@ -228,10 +230,18 @@
 When('nothing has confirmed its configuration for {int} ms, nor at {int} others', function (this: ExchangeWorld, age: Milliseconds, answering: number) {
 	recordStoreAnswer(this.confirmationState, this.now - age);
 	for (let index = 0; index < answering; index++) {
-		recordReport(this.confirmationState, `e${index}`, {version: firstVersion, askedAt: this.now, unconfirmedMs: age});
+		recordReport(this.confirmationState, `e${index}`, {version: firstVersion, askedAt: this.now, unconfirmedMs: age}, firstVersion);
 	}
 });
 
+When('another entry with version {int} tells that nothing has confirmed it for {int} ms', function (this: ExchangeWorld, version: number, age: Milliseconds) {
+	recordReport(this.confirmationState, 'other', {version, askedAt: this.now, unconfirmedMs: age}, firstVersion);
+});
+
+When('the stream to it is lost', function (this: ExchangeWorld) {
+	removeReport(this.confirmationState, 'other', firstVersion);
+});
+
 When('{int} ms later no other entry has answered again', function (this: ExchangeWorld, time: Milliseconds) {
 	this.now += time;
 });
--- a/src/core/bounds/logic.ts
+++ b/src/core/bounds/logic.ts
@@ -57,8 +57,8 @@
 const watchAnswerShare = 0.25;
 
 /**
- * Shares of the configuration time: two watches without changes, one after the other, take 0.7 of it, so that entries which
- * reach the store are not asked. The rest is for several queries.
+ * Shares of the configuration time, for queries to other entries and the age up to which their answers count. Two watches without
+ * changes, one after the other, take 0.7 of it, so that entries which reach the store ask nobody. The rest is for two queries.
  */
 const queryAfterShare = 0.75;
 const queryIntervalShare = 0.2;
--- a/src/core/confirmation/logic.ts
+++ b/src/core/confirmation/logic.ts
@@ -17,28 +17,38 @@
  * @param sentAt - When the call was sent.
  */
 export function recordStoreAnswer(state: ConfirmationState, sentAt: Milliseconds): void {
-	state.storeConfirmedAt = Math.max(state.storeConfirmedAt, sentAt);
+	state.confirmedAt = Math.max(state.confirmedAt, sentAt);
 }
 
-/** Records what a connected entry tells of its configuration. Answers may overtake each other on different streams. */
-export function recordReport({reports}: ConfirmationState, peer: NodeName, report: VersionReport): void {
-	if (report.askedAt >= (reports.get(peer)?.askedAt ?? Number.NEGATIVE_INFINITY)) {
-		reports.set(peer, report);
+/**
+ * Records what a connected entry tells of its configuration. Answers may overtake each other on different streams.
+ *
+ * @param state - State of the confirmation.
+ * @param peer - The entry.
+ * @param report - What it tells.
+ * @param version - The version in force here.
+ */
+export function recordReport(state: ConfirmationState, peer: NodeName, report: VersionReport, version: number): void {
+	if (report.askedAt >= (state.reports.get(peer)?.askedAt ?? Number.NEGATIVE_INFINITY)) {
+		// What the earlier report has confirmed holds on.
+		state.confirmedAt = computeConfirmedAt(state, version);
+		state.reports.set(peer, report);
 	}
 }
 
-/** Removes the report of an entry whose stream has closed. */
-export function removeReport({reports}: ConfirmationState, peer: NodeName): void {
-	reports.delete(peer);
+/** Removes the report of an entry whose stream has closed; what it has confirmed for the version in force holds on. */
+export function removeReport(state: ConfirmationState, peer: NodeName, version: number): void {
+	state.confirmedAt = computeConfirmedAt(state, version);
+	state.reports.delete(peer);
 }
 
 /** Computes the time after which every configuration was written that is newer than the version in force. */
-function computeConfirmedAt({storeConfirmedAt, reports}: ConfirmationState, version: number): Milliseconds {
+function computeConfirmedAt({confirmedAt, reports}: ConfirmationState, version: number): Milliseconds {
 	// What is newer than the version in force is also newer than an older one that another entry has.
 	const reported = [...reports.values()]
 		.filter(report => report.version <= version)
 		.map(({askedAt, unconfirmedMs = Number.POSITIVE_INFINITY}) => askedAt - unconfirmedMs);
-	return Math.max(storeConfirmedAt, ...reported);
+	return Math.max(confirmedAt, ...reported);
 }
 
 /**
--- a/src/core/confirmation/state.ts
+++ b/src/core/confirmation/state.ts
@@ -7,8 +7,8 @@
 
 /** State of the confirmation; only functions of this folder change it. */
 export type ConfirmationState = {
-	/** By the store, every configuration that is newer than the one in force was written after this time. */
-	storeConfirmedAt: Milliseconds;
+	/** Every configuration that is newer than the one in force was written after this time. */
+	confirmedAt: Milliseconds;
 	/** When the other entries were last asked. */
 	askedAt: Milliseconds;
 	/** Latest report of each connected entry. */
@@ -17,5 +17,5 @@
 
 /** Creates the state of an entry that has heard neither from the store nor from another entry. */
 export function createConfirmationState(): ConfirmationState {
-	return {storeConfirmedAt: Number.NEGATIVE_INFINITY, askedAt: Number.NEGATIVE_INFINITY, reports: new Map()};
+	return {confirmedAt: Number.NEGATIVE_INFINITY, askedAt: Number.NEGATIVE_INFINITY, reports: new Map()};
 }
--- a/src/core/confirmation/types.ts
+++ b/src/core/confirmation/types.ts
@@ -31,7 +31,7 @@
 	/** When it was asked, by the clock of this entry. */
 	readonly askedAt: Milliseconds;
 	/** Time for which nothing had confirmed its configuration; undefined if nothing ever has. */
-	readonly unconfirmedMs: Milliseconds | undefined;
+	readonly unconfirmedMs?: Milliseconds;
 };
 
 /** What the decision rests on beside the reports. */
--- a/src/core/dispatch/shedding.ts
+++ b/src/core/dispatch/shedding.ts
@@ -21,8 +21,8 @@
 }
 
 /**
- * Creates the answer to a job that an overloaded entry does not take. `not-run` only where it is certain: a job that may have been submitted
- * to another entry may run there, and its caller has to come back.
+ * Creates the answer to a job that an overloaded entry does not take. `not-run` only where it is certain: a job that may have
+ * been submitted to another entry may run there, and its caller has to come back.
  *
  * @param state - State of the jobs.
  * @param submission - Id of the job, and whether its caller may have submitted it to another entry before.
--- a/src/processes/dispatch/version-exchange.ts
+++ b/src/processes/dispatch/version-exchange.ts
@@ -60,12 +60,13 @@
 		'query-version': (from, {askedAt}) => {
 			const {version, unconfirmedMs} = this.input.configuration;
 			this.input.links.sendMessage(from, {
-				type: 'version-report', version, askedAt, unconfirmedMs,
+				type: 'version-report', version, askedAt, ...(unconfirmedMs !== undefined && {unconfirmedMs}),
 			});
 		},
 		'version-report': (from, report) => {
 			recordPeerVersion(this.#sharing, from, report.version);
-			recordReport(this.input.configuration.confirmation, from, report);
+			const {confirmation, version} = this.input.configuration;
+			recordReport(confirmation, from, report, version);
 		},
 		'fetch-configuration': from => {
 			const {version, text} = this.input.configuration;
@@ -102,7 +103,8 @@
 	/** Handles that the last stream to a process has closed. */
 	handleDisconnect(name: NodeName): void {
 		removePeerVersion(this.#sharing, name);
-		removeReport(this.input.configuration.confirmation, name);
+		const {confirmation, version} = this.input.configuration;
+		removeReport(confirmation, name, version);
 	}
 
 	/** Tells the other entries of a version, also those that watch the store: it may be unavailable to some of them. */
